Lay out the workspace and the shared types

The crates follow one idea each; decisions are apart from I/O. The protocols and the settings are written first, so that the crates can be built side by side.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process: the one gate before an engine or plain service.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load tool, experiments and demonstration; not shipped.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load tool, experiments and demonstration.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/digest.rs
@@ -0,0 +1,67 @@
+//! Content digests.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use snafu::Snafu;
+
+/// A `blake3` digest of 32 bytes, written as 64 hexadecimal digits.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct Digest([u8; 32]);
+
+/// A text is not a digest.
+#[derive(Debug, Snafu)]
+#[snafu(display("`{text}` is not a digest: write 64 hexadecimal digits"))]
+pub struct ParseDigestError {
+    text: String,
+}
+
+impl Digest {
+    /// Makes a digest from its bytes.
+    pub const fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Computes the digest of `data`.
+    pub fn of(data: &[u8]) -> Self {
+        Self(*blake3::hash(data).as_bytes())
+    }
+
+    /// Returns the bytes of the digest.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    /// Returns the first eight hexadecimal digits, for logs and tables.
+    pub fn short(&self) -> String {
+        self.to_string()[..8].to_owned()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(blake3::Hash::from_bytes(self.0).to_hex().as_str())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({})", self.short())
+    }
+}
+
+impl FromStr for Digest {
+    type Err = ParseDigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match blake3::Hash::from_hex(text) {
+            Ok(hash) => Ok(Self(*hash.as_bytes())),
+            Err(_) => Err(ParseDigestError {
+                text: text.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! Types that every wagtailreel process shares.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number. The decision crates (`fold`,
+//! `spread`, `switch`, `route`) take these types in and give them back; the shells (`entry`,
+//! `agent`, `control`, `transfer`) carry them over the network.
+
+mod control;
+mod digest;
+mod document;
+mod ids;
+mod manifest;
+mod outcome;
+mod rank;
+mod record;
+mod vm;
+
+pub use control::{
+    Directive, EngineLoad, PeerState, Report, ServicePeerState, ServiceState, StateView,
+    WeightsPhase,
+};
+pub use digest::{Digest, ParseDigestError};
+pub use document::{
+    CustomerLimit, Document, ModelRef, Objectives, Place, Priority, ServiceKind, SpreadPolicy,
+    SpreadSettings, VmSelection, Weigh,
+};
+pub use ids::{
+    ChunkIndex, CustomerId, DataCentre, EditId, Epoch, Incarnation, Offset, OrderKey, Region,
+    RequestId, ServiceName, TeamName, VmId,
+};
+pub use manifest::{Bundle, ChunkMeta, Manifest, ManifestError};
+pub use outcome::{NotRunReason, Outcome};
+pub use rank::{rank, rank_score};
+pub use record::{ClaimRecord, ConfigRecord, OrderRecord, RECORD_FORMAT};
+pub use vm::{VmEntry, VmRole, VmState};
--- /dev/null
+++ b/crates/core/src/rank.rs
@@ -0,0 +1,28 @@
+//! Rendezvous hashing: every process computes the same order of candidates without talking.
+
+use crate::Digest;
+
+/// Returns the rendezvous score of `candidate` for `key`; the highest score ranks first.
+pub fn rank_score(key: &[u8], candidate: &str) -> u64 {
+    let mut buf = Vec::with_capacity(key.len() + candidate.len() + 1);
+    buf.extend_from_slice(key);
+    buf.push(0);
+    buf.extend_from_slice(candidate.as_bytes());
+    let digest = Digest::of(&buf);
+    let mut first = [0_u8; 8];
+    first.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// Orders `candidates` for `key`, first in rank first; equal scores fall back to the name.
+pub fn rank<'a, I>(key: &[u8], candidates: I) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut scored: Vec<(u64, &str)> = candidates
+        .into_iter()
+        .map(|name| (rank_score(key, name), name))
+        .collect();
+    scored.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+    scored.into_iter().map(|(_, name)| name).collect()
+}
--- /dev/null
+++ b/crates/core/src/vm.rs
@@ -0,0 +1,48 @@
+//! Entries of the platform's list of VMs.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DataCentre, Region, ServiceName, VmId};
+
+/// What runs on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmRole {
+    /// An entry VM: callers' front.
+    Entry,
+    /// An upstream VM: an engine or plain service, with an agent in its slot.
+    Upstream,
+}
+
+/// Whether a VM stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// The VM is live.
+    Live,
+    /// The VM is about to be taken away.
+    Leaving,
+}
+
+/// One VM in the platform's list. The list lags behind what is true.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: Region,
+    /// What runs on it.
+    pub role: VmRole,
+    /// Whether it stays.
+    pub state: VmState,
+    /// The service of an upstream VM; none for an entry VM.
+    pub service: Option<ServiceName>,
+    /// Address of the control protocol (`capnp-rpc`).
+    pub control: SocketAddr,
+    /// Address of the HTTP listener for requests and chunks.
+    pub data: SocketAddr,
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: callers' front, administration API, log follower.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The outside systems behind one small trait and one adapter each.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn computed from the processes' metrics.
--- /dev/null
+++ b/crates/spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which chunk to fetch from whom: decisions of the weights' spread, without I/O.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control protocol between processes as Cap'n Proto messages.
--- /dev/null
+++ b/src/bin/wagtailreel-agent.rs
@@ -0,0 +1,3 @@
+//! The agent process in an upstream VM's slot.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/wagtailreel.rs
@@ -0,0 +1,3 @@
+//! The operators' and authors' tool, and the entry process.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of wagtailreel.
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the whole system with real processes, one file a feature.
