--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,131 @@
+//! The subcommands, one file each.
+
+mod agent;
+mod check;
+mod entry;
+mod events;
+mod hash;
+mod report;
+mod service;
+mod submit;
+
+use std::ffi::OsString;
+use std::future::Future;
+
+use crate::ExitCode;
+use crate::error::{CommandError, StartSnafu, UsageSnafu};
+
+/// Text that `wagtailreel --help` prints.
+const HELP: &str = "\
+wagtailreel: brings model weights to a fleet of VMs and switches them whole
+
+usage: wagtailreel COMMAND [OPTIONS]
+
+commands:
+  entry --settings FILE [--check yes]     run the entry process (or only check its settings)
+  check FILE                              check a service document without sending it
+  submit FILE --admin URL [--base N] [--edit ID]
+                                          submit a document; --base is the revision that was edited
+  status SERVICE --admin URL              how far the rollout is, per VM
+  show SERVICE --admin URL                the document in force, its revision and epoch
+  history SERVICE --admin URL             accepted and refused edits
+  report --metrics URL... --document FILE... [--samples N] [--every-ms N] [--format text|json|html]
+         [--out FILE]                     service-level burn from the processes' metrics
+  events                                  the catalogue of numbered events
+  hash-token                              hash of a token or key read from standard input
+
+options:
+  --token-file FILE    team token for the administration API; or set WAGTAILREEL_TOKEN
+  --help, --version
+
+exit codes: 0 done, 1 failed, 2 wrong usage or input, 3 refused, 4 unknown whether it took effect
+";
+
+/// Text that `wagtailreel-agent --help` prints.
+const AGENT_HELP: &str = "\
+wagtailreel-agent: the gate in front of one engine or plain service
+
+usage: wagtailreel-agent --settings FILE [--check yes]
+
+options:
+  --settings FILE      YAML settings
+  --check yes          check the settings and exit
+  --help, --version
+
+exit codes: 0 done, 1 failed, 2 wrong usage or settings
+";
+
+/// Runs `wagtailreel` with `args`, the program's name left out.
+pub fn run_tool(args: Vec<OsString>) -> ExitCode {
+    finish(tool(args))
+}
+
+/// Runs `wagtailreel-agent` with `args`, the program's name left out.
+pub fn run_agent(args: Vec<OsString>) -> ExitCode {
+    if let Some(code) = help_or_version(&args, "wagtailreel-agent", AGENT_HELP) {
+        return code;
+    }
+    finish(agent::run(args))
+}
+
+fn tool(mut args: Vec<OsString>) -> Result<(), CommandError> {
+    if args.is_empty() {
+        return UsageSnafu { what: "a command is missing" }.fail();
+    }
+    if help_or_version(&args, "wagtailreel", HELP).is_some() {
+        return Ok(());
+    }
+    let command = args.remove(0);
+    match command.to_str() {
+        Some("entry") => entry::run(args),
+        Some("check") => check::run(args),
+        Some("submit") => submit::run(args),
+        Some("status") => service::run(args, service::View::Rollout),
+        Some("show") => service::run(args, service::View::Document),
+        Some("history") => service::run(args, service::View::History),
+        Some("report") => report::run(args),
+        Some("events") => events::run(args),
+        Some("hash-token") => hash::run(args),
+        _ => UsageSnafu {
+            what: format!("`{}` is not a command", command.to_string_lossy()),
+        }
+        .fail(),
+    }
+}
+
+/// Prints the help or the version if `args` ask for it.
+fn help_or_version(args: &[OsString], name: &str, help: &str) -> Option<ExitCode> {
+    if args.iter().any(|arg| arg == "--help" || arg == "-h") {
+        print!("{help}");
+        return Some(ExitCode::Done);
+    }
+    if args.iter().any(|arg| arg == "--version" || arg == "-V") {
+        println!("{name} {}", env!("CARGO_PKG_VERSION"));
+        return Some(ExitCode::Done);
+    }
+    None
+}
+
+fn finish(result: Result<(), CommandError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::Done,
+        Err(e) => {
+            eprintln!("error: {e}");
+            e.exit_code()
+        }
+    }
+}
+
+/// Runs `future` on a new multi-threaded runtime.
+fn block_on<F>(future: F) -> Result<F::Output, CommandError>
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => Ok(runtime.block_on(future)),
+        Err(e) => StartSnafu { what: e.to_string() }.fail(),
+    }
+}
