--- /dev/null
+++ b/crates/route/src/attempts.rs
@@ -0,0 +1,346 @@
+//! What follows from the end of an attempt: the only place that decides an outcome.
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use rand::{Rng, RngExt as _};
+use wagtailreel_core::{Digest, NotRunReason};
+
+use crate::{Ask, RetryBudget, Shortage};
+
+/// How often and how long a request is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptsConfig {
+    /// Most times that a request is sent, the first included.
+    pub most: u32,
+    /// Longest wait at a switch: twice the longest lease.
+    pub switch_wait: Duration,
+    /// Longest wait for a replica that can resume a cut stream.
+    pub resume_wait: Duration,
+}
+
+impl Default for AttemptsConfig {
+    fn default() -> Self {
+        Self {
+            most: 3,
+            switch_wait: Duration::from_secs(2),
+            resume_wait: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Whether a request may be started a second time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Repeat {
+    /// A stream of tokens that is not marked: a replica may go on where it was cut.
+    #[display("resumable")]
+    Resumable,
+    /// An order, or a call whose effect is not known: once started it is never sent again.
+    #[display("never")]
+    Never,
+}
+
+/// What an agent says when asked to cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum CancelState {
+    /// The request was not started and never will be: the agent keeps a tombstone.
+    #[display("not-run")]
+    NotRun,
+    /// It was started.
+    #[display("started")]
+    Started,
+    /// It was started and is over.
+    #[display("done")]
+    Done,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The whole answer was passed on.
+    Whole,
+    /// No byte of the request was sent.
+    NeverSent,
+    /// The agent refused the request before running it.
+    Refused(NotRunReason, Option<Duration>),
+    /// The request was sent, and the connection ended before the answer began.
+    Broken,
+    /// The agent answered a cancel that followed [`Ended::Broken`].
+    Cancelled(CancelState),
+    /// The agent did not answer a cancel that followed [`Ended::Broken`].
+    CancelLost,
+    /// The stream ended without its end mark.
+    Cut {
+        /// Index of the next token that the caller lacks.
+        next: u64,
+        /// Weights that gave the tokens so far.
+        weights: Option<Digest>,
+    },
+}
+
+/// Why it is not known what became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum UnknownReason {
+    /// The request was sent, and no answer came.
+    #[display("answer-lost")]
+    AnswerLost,
+    /// The answer broke off, and no replica could go on with it.
+    #[display("cut")]
+    Cut,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Done: the caller has the whole answer.
+    Answered,
+    /// Choose an upstream and send the request; for a resumed one with the ask's pin.
+    Send,
+    /// Choose again when the upstreams change, at the latest at the time.
+    Await(Instant),
+    /// Ask the agent to cancel, to learn whether the request was started.
+    AskCancel,
+    /// Done: the request was not run and never will be. With a time if it is worth trying again.
+    NotRun(NotRunReason, Option<Duration>),
+    /// Done: it is not known whether the request ran, or its answer is incomplete.
+    Unknown(UnknownReason),
+}
+
+/// The attempts of one request.
+///
+/// Invariant: [`Next::NotRun`] is returned only if every attempt is known not to have started,
+/// and a request with [`Repeat::Never`] is sent again only then.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    cfg: AttemptsConfig,
+    repeat: Repeat,
+    deadline: Option<Instant>,
+    ask: Ask,
+    sent: u32,
+    resume_from: u64,
+    started: bool,
+    last_refusal: Option<(NotRunReason, Option<Duration>)>,
+    switch_until: Option<Instant>,
+    resume_until: Option<Instant>,
+}
+
+impl Attempts {
+    /// Makes the attempts of a request that has not been sent.
+    pub fn new(cfg: AttemptsConfig, repeat: Repeat, ask: Ask) -> Self {
+        Self {
+            cfg,
+            repeat,
+            deadline: None,
+            ask,
+            sent: 0,
+            resume_from: 0,
+            started: false,
+            last_refusal: None,
+            switch_until: None,
+            resume_until: None,
+        }
+    }
+
+    /// Sets the time by which the request must have started.
+    #[must_use]
+    pub fn with_deadline(mut self, deadline: Option<Instant>) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Returns what the choice of an upstream has to go by.
+    pub fn ask(&self) -> &Ask {
+        &self.ask
+    }
+
+    /// Returns the index of the first token that the next attempt has to give.
+    pub fn resume_from(&self) -> u64 {
+        self.resume_from
+    }
+
+    /// Returns how often the request was sent.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Returns the time by which the request must have started.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.deadline
+    }
+
+    /// Takes that an attempt goes to `vm`.
+    pub fn sending(&mut self, vm: &str) {
+        self.sent += 1;
+        self.ask.tried.insert(vm.to_owned());
+    }
+
+    /// Takes that no upstream can be chosen at `now`.
+    pub fn short(&mut self, shortage: Shortage, now: Instant) -> Next {
+        if self.started {
+            return self.await_replica(now);
+        }
+        if self.is_late(now) {
+            return Next::NotRun(NotRunReason::Deadline, None);
+        }
+        let reason = match shortage {
+            Shortage::Closed => return self.await_switch(now),
+            Shortage::NoUpstream => NotRunReason::NoUpstream,
+            Shortage::Weights => NotRunReason::Weights,
+            Shortage::Full => NotRunReason::Full,
+            Shortage::Tried => return self.give_up(),
+        };
+        Next::NotRun(reason, None)
+    }
+
+    /// Takes how the attempt at `vm` ended.
+    pub fn ended(
+        &mut self,
+        vm: &str,
+        ended: Ended,
+        now: Instant,
+        budget: &mut RetryBudget,
+    ) -> Next {
+        match ended {
+            Ended::Whole => Next::Answered,
+            Ended::NeverSent => self.not_started(NotRunReason::NoUpstream, None, now, budget),
+            Ended::Refused(reason @ (NotRunReason::Closed | NotRunReason::Lease), retry_after) => {
+                // The switch, not the request, kept the agent from running it: neither the
+                // budget nor the count of attempts is spent, and the agent may be asked again.
+                self.ask.tried.remove(vm);
+                self.sent = self.sent.saturating_sub(1);
+                self.last_refusal = Some((reason, retry_after));
+                Next::Send
+            }
+            Ended::Refused(reason, retry_after) => {
+                self.not_started(reason, retry_after, now, budget)
+            }
+            Ended::Broken => Next::AskCancel,
+            Ended::Cancelled(CancelState::NotRun) => {
+                self.not_started(NotRunReason::Cancelled, None, now, budget)
+            }
+            Ended::Cancelled(CancelState::Started | CancelState::Done) | Ended::CancelLost => {
+                self.resume_at(self.resume_from, self.ask.pin, UnknownReason::AnswerLost)
+            }
+            Ended::Cut { next, weights } => self.resume_at(next, weights, UnknownReason::Cut),
+        }
+    }
+
+    fn not_started(
+        &mut self,
+        reason: NotRunReason,
+        retry_after: Option<Duration>,
+        now: Instant,
+        budget: &mut RetryBudget,
+    ) -> Next {
+        if self.started {
+            // An earlier attempt was started, so this one's refusal says nothing of the whole.
+            return self.resume_at(self.resume_from, self.ask.pin, UnknownReason::Cut);
+        }
+        self.last_refusal = Some((reason, retry_after));
+        if is_final(reason) {
+            return Next::NotRun(reason, retry_after);
+        }
+        if self.is_late(now) {
+            return Next::NotRun(NotRunReason::Deadline, None);
+        }
+        if self.sent < self.cfg.most && budget.retry() {
+            return Next::Send;
+        }
+        self.give_up()
+    }
+
+    /// A resumed request takes the place of one that was let in, so it spends no budget.
+    fn resume_at(&mut self, next: u64, weights: Option<Digest>, reason: UnknownReason) -> Next {
+        self.started = true;
+        self.resume_from = self.resume_from.max(next);
+        if weights.is_some() {
+            self.ask.pin = weights;
+        }
+        // Tokens that the caller has are only continued by the weights that gave them.
+        let continues = self.resume_from == 0 || self.ask.pin.is_some();
+        if self.repeat == Repeat::Never || !continues || self.sent >= self.cfg.most {
+            return Next::Unknown(reason);
+        }
+        Next::Send
+    }
+
+    fn await_switch(&mut self, now: Instant) -> Next {
+        let wait = self.cfg.switch_wait;
+        let until = *self.switch_until.get_or_insert(now + wait);
+        let until = self.deadline.map_or(until, |deadline| deadline.min(until));
+        if now < until {
+            return Next::Await(until);
+        }
+        if !self.ask.waited {
+            self.ask.waited = true;
+            return Next::Send;
+        }
+        Next::NotRun(NotRunReason::Closed, None)
+    }
+
+    fn await_replica(&mut self, now: Instant) -> Next {
+        let wait = self.cfg.resume_wait;
+        let until = *self.resume_until.get_or_insert(now + wait);
+        if now < until {
+            return Next::Await(until);
+        }
+        let reason = if self.resume_from > 0 {
+            UnknownReason::Cut
+        } else {
+            UnknownReason::AnswerLost
+        };
+        Next::Unknown(reason)
+    }
+
+    fn give_up(&self) -> Next {
+        let (reason, retry_after) = self
+            .last_refusal
+            .unwrap_or((NotRunReason::NoUpstream, None));
+        let reason = match reason {
+            // The caller cancelled nothing: the agent could not be reached in time.
+            NotRunReason::Cancelled => NotRunReason::NoUpstream,
+            reason => reason,
+        };
+        Next::NotRun(reason, retry_after)
+    }
+
+    fn is_late(&self, now: Instant) -> bool {
+        self.deadline.is_some_and(|deadline| deadline <= now)
+    }
+}
+
+/// Says whether another upstream would refuse for the same reason.
+fn is_final(reason: NotRunReason) -> bool {
+    matches!(
+        reason,
+        NotRunReason::Deadline
+            | NotRunReason::Limit
+            | NotRunReason::Claimed
+            | NotRunReason::Expired
+            | NotRunReason::LogAway
+    )
+}
+
+/// When a caller that was told `not-run` may come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryAfter(pub Duration);
+
+impl RetryAfter {
+    /// Returns when to come back after `reason`, if that is worth trying, spread by up to half.
+    pub fn for_reason<R>(reason: NotRunReason, hint: Option<Duration>, rng: &mut R) -> Option<Self>
+    where
+        R: Rng,
+    {
+        let base = match reason {
+            NotRunReason::Closed | NotRunReason::Lease | NotRunReason::Leaving => 500,
+            NotRunReason::Full | NotRunReason::Limit | NotRunReason::Refused => 1_000,
+            NotRunReason::NoUpstream | NotRunReason::Weights | NotRunReason::LogAway => 2_000,
+            NotRunReason::Cancelled
+            | NotRunReason::Deadline
+            | NotRunReason::Claimed
+            | NotRunReason::Expired => return None,
+        };
+        let base = hint.unwrap_or(Duration::from_millis(base));
+        Some(Self(base.mul_f64(1.0 + 0.5 * rng.random::<f64>())))
+    }
+}
--- /dev/null
+++ b/crates/route/src/chooser.rs
@@ -0,0 +1,288 @@
+//! Choice of an upstream for one request.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use rand::{Rng, RngExt as _};
+use wagtailreel_core::{DataCentre, Digest, Epoch, Region, VmId};
+
+use crate::{Member, Membership};
+
+/// Bytes at the head of a prompt that make its prefix; prompts that share them share cache.
+const PREFIX_BYTES: usize = 256;
+
+/// A preferred upstream may be busier than the least busy one by this share of its capacity.
+const AFFINITY_SLACK: f64 = 0.125;
+
+/// How an upstream is chosen. All but [`Policy::OwnFirst`] are kept as baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
+pub enum Policy {
+    /// This entry's own count first, the others' late load second, prefix affinity third.
+    #[default]
+    #[display("own-first")]
+    OwnFirst,
+    /// Baseline: one after the other.
+    #[display("round-robin")]
+    RoundRobin,
+    /// Baseline: the least load by the last reports alone.
+    #[display("least-reported")]
+    LeastReported,
+}
+
+/// What one request asks of the choice.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Hash of the prompt's head, for prefix affinity.
+    pub prefix: Option<u64>,
+    /// The request may run only on these weights.
+    pub pin: Option<Digest>,
+    /// The upstream must have an epoch open; false for a plain service.
+    pub needs_open: bool,
+    /// A request whose wait at a switch is over may go to another data centre.
+    pub waited: bool,
+    /// Upstreams that refused or failed this request before.
+    pub tried: BTreeSet<VmId>,
+}
+
+/// What was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send the request to this VM.
+    Upstream(VmId),
+    /// No upstream can take it now.
+    Short(Shortage),
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Shortage {
+    /// None is known and usable.
+    #[display("no-upstream")]
+    NoUpstream,
+    /// All are closed: a switch is under way.
+    #[display("closed")]
+    Closed,
+    /// None serves the pinned weights.
+    #[display("weights")]
+    Weights,
+    /// All are full.
+    #[display("full")]
+    Full,
+    /// All that could run it were tried.
+    #[display("tried")]
+    Tried,
+}
+
+/// Chooses upstreams for one service.
+#[derive(Clone, Debug)]
+pub struct Chooser {
+    policy: Policy,
+    data_centre: DataCentre,
+    region: Region,
+    turn: usize,
+}
+
+impl Chooser {
+    /// Makes a chooser for an entry of `data_centre` in `region`.
+    pub fn new(data_centre: DataCentre, region: Region) -> Self {
+        Self {
+            policy: Policy::default(),
+            data_centre,
+            region,
+            turn: 0,
+        }
+    }
+
+    /// Sets the policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Chooses an upstream of `membership` for `ask` at `now`.
+    ///
+    /// Upstreams of the entry's own data centre go first, then those of its region, then others.
+    /// While its own data centre is closed for a switch the request waits rather than leave it,
+    /// and it leaves for the epoch that its own data centre has open only: a caller that saw one
+    /// version is not sent back to the one before.
+    pub fn choose<R>(
+        &mut self,
+        membership: &Membership,
+        ask: &Ask,
+        now: Instant,
+        rng: &mut R,
+    ) -> Choice
+    where
+        R: Rng,
+    {
+        let usable: Vec<&Member> = membership.usable(now).collect();
+        if usable.is_empty() {
+            return Choice::Short(Shortage::NoUpstream);
+        }
+        let home: Vec<&Member> = usable
+            .iter()
+            .copied()
+            .filter(|member| member.report.data_centre == self.data_centre)
+            .collect();
+        let home_epoch = home.iter().filter_map(|member| member.open()).max();
+        let switching = ask.needs_open && !home.is_empty() && home_epoch.is_none();
+        if switching && ask.pin.is_none() && !ask.waited {
+            return Choice::Short(Shortage::Closed);
+        }
+        let admitting: Vec<&Member> = usable
+            .into_iter()
+            .filter(|member| self.admits(member, ask, home_epoch))
+            .collect();
+        if admitting.is_empty() {
+            let shortage = if ask.pin.is_some() {
+                Shortage::Weights
+            } else {
+                Shortage::Closed
+            };
+            return Choice::Short(shortage);
+        }
+        self.choose_admitting(&admitting, ask, rng)
+    }
+
+    /// Returns the capacity that requests can use at `now`, and what other entries have there.
+    ///
+    /// It counts the upstreams that [`Chooser::choose`] would take; while the own data centre is
+    /// closed for a switch, those that will open again.
+    pub fn room(&self, membership: &Membership, needs_open: bool, now: Instant) -> (u32, u32) {
+        let ask = Ask {
+            needs_open,
+            ..Ask::default()
+        };
+        let home_epoch = membership
+            .usable(now)
+            .filter(|member| member.report.data_centre == self.data_centre)
+            .filter_map(Member::open)
+            .max();
+        membership
+            .usable(now)
+            .filter(|member| {
+                member.report.data_centre == self.data_centre
+                    || self.admits(member, &ask, home_epoch)
+            })
+            .fold((0, 0), |(capacity, others), member| {
+                (
+                    capacity.saturating_add(member.report.capacity),
+                    others.saturating_add(member.others),
+                )
+            })
+    }
+
+    fn admits(&self, member: &Member, ask: &Ask, home_epoch: Option<Epoch>) -> bool {
+        if !ask.needs_open {
+            return true;
+        }
+        if ask.pin.is_some() {
+            return member.open_weights() == ask.pin;
+        }
+        let Some(open) = member.open() else {
+            return false;
+        };
+        member.report.data_centre == self.data_centre
+            || home_epoch.is_none_or(|home_epoch| home_epoch == open)
+    }
+
+    fn choose_admitting<R>(&mut self, admitting: &[&Member], ask: &Ask, rng: &mut R) -> Choice
+    where
+        R: Rng,
+    {
+        let untried: Vec<&Member> = admitting
+            .iter()
+            .copied()
+            .filter(|member| !ask.tried.contains(&member.report.vm))
+            .collect();
+        if untried.is_empty() {
+            return Choice::Short(Shortage::Tried);
+        }
+        let with_room: Vec<&Member> = untried
+            .into_iter()
+            .filter(|member| member.in_flight() < member.report.capacity)
+            .collect();
+        let Some(nearest) = with_room.iter().map(|member| self.distance(member)).min() else {
+            return Choice::Short(Shortage::Full);
+        };
+        let near: Vec<&Member> = with_room
+            .into_iter()
+            .filter(|member| self.distance(member) == nearest)
+            .collect();
+        let chosen = match self.policy {
+            Policy::OwnFirst => own_first(&near, ask.prefix, rng),
+            Policy::RoundRobin => self.round_robin(&near),
+            Policy::LeastReported => least_reported(&near),
+        };
+        chosen.map_or(Choice::Short(Shortage::NoUpstream), |member| {
+            Choice::Upstream(member.report.vm.clone())
+        })
+    }
+
+    /// Returns 0 for the own data centre, 1 for the own region, 2 for the rest.
+    fn distance(&self, member: &Member) -> u8 {
+        if member.report.data_centre == self.data_centre {
+            0
+        } else if member.report.region == self.region {
+            1
+        } else {
+            2
+        }
+    }
+
+    fn round_robin<'a>(&mut self, near: &[&'a Member]) -> Option<&'a Member> {
+        self.turn = self.turn.wrapping_add(1);
+        near.get(self.turn % near.len().max(1)).copied()
+    }
+}
+
+/// Returns the hash of the head of `prompt`, by which prompts with a common head meet.
+pub fn prefix_of(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    let head = &bytes[..bytes.len().min(PREFIX_BYTES)];
+    let digest = Digest::of(head);
+    let mut first = [0_u8; 8];
+    first.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// Returns the share of `member`'s capacity in use: the own count is exact and the others' late.
+fn cost(member: &Member) -> f64 {
+    f64::from(member.in_flight()) / f64::from(member.report.capacity.max(1))
+}
+
+fn own_first<'a, R>(near: &[&'a Member], prefix: Option<u64>, rng: &mut R) -> Option<&'a Member>
+where
+    R: Rng,
+{
+    let least = near
+        .iter()
+        .map(|member| cost(member))
+        .min_by(f64::total_cmp)?;
+    if let Some(prefix) = prefix {
+        // The bound keeps a popular prefix from piling up on one engine.
+        return near
+            .iter()
+            .filter(|member| cost(member) <= least + AFFINITY_SLACK)
+            .max_by_key(|member| mix(prefix ^ member.name_hash))
+            .copied();
+    }
+    let ties: Vec<&&Member> = near.iter().filter(|member| cost(member) <= least).collect();
+    let index = rng.random_range(0..ties.len().max(1));
+    ties.get(index).map(|member| **member)
+}
+
+fn least_reported<'a>(near: &[&'a Member]) -> Option<&'a Member> {
+    near.iter()
+        .min_by_key(|member| (member.others, &member.report.vm))
+        .copied()
+}
+
+/// Spreads the bits of `value` (the finaliser of splitmix64).
+fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,24 @@
-//! Choice of upstream, limits, retries, membership and outcomes at an entry, without I/O.
+//! Decisions of an entry's request path, apart from I/O.
+//!
+//! Every type takes the time as an argument and returns what to do; none reads a clock, opens a
+//! socket or draws a random number of its own. One service has one [`Membership`], one
+//! [`Chooser`], one [`Overload`] and one [`RetryBudget`]; [`Limits`] holds the customers of one
+//! service over all entries, and [`Attempts`] belongs to one request.
+
+mod attempts;
+mod budget;
+mod chooser;
+mod limits;
+mod membership;
+mod overload;
+mod shares;
+
+pub use attempts::{
+    Attempts, AttemptsConfig, CancelState, Ended, Next, Repeat, RetryAfter, UnknownReason,
+};
+pub use budget::{BudgetConfig, RetryBudget};
+pub use chooser::{Ask, Choice, Chooser, Policy, Shortage, prefix_of};
+pub use limits::{LimitVerdict, Limits};
+pub use membership::{Member, Membership, MembershipConfig, Standing};
+pub use overload::{Admission, Overload, OverloadConfig, QueueEvent, WaiterId};
+pub use shares::{Demand, Shares, SharesConfig};
--- /dev/null
+++ b/crates/route/src/limits.rs
@@ -0,0 +1,162 @@
+//! Limits of the customers of one service at one entry.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt as _};
+use wagtailreel_core::{CustomerId, CustomerLimit, Document};
+
+/// Span over which demand is averaged.
+const DEMAND_SPAN: Duration = Duration::from_secs(2);
+
+/// A customer that asked nothing for this long is forgotten.
+const IDLE_AFTER: Duration = Duration::from_secs(60);
+
+/// Jitter spreads callers that are told to come back over this share of the wait.
+const JITTER: f64 = 0.5;
+
+/// Longest wait that a caller is told, however small the entry's share is.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// Smallest share of a limit; it keeps the wait finite.
+const SMALLEST_SHARE: f64 = 1e-3;
+
+/// Whether a request is within its customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitVerdict {
+    /// It is.
+    Within,
+    /// It is not; the caller may come back after this time.
+    Over(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    tokens: f64,
+    filled: Instant,
+    demand: f64,
+    asked: Instant,
+    share: f64,
+}
+
+/// Token buckets of the customers of one service, each with this entry's share of the limit.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    limits: BTreeMap<CustomerId, CustomerLimit>,
+    default_limit: Option<CustomerLimit>,
+    fresh_share: f64,
+    buckets: BTreeMap<CustomerId, Bucket>,
+}
+
+impl Limits {
+    /// Makes limits under which a customer not seen before has `fresh_share` of its limit.
+    pub fn new(fresh_share: f64) -> Self {
+        Self {
+            fresh_share,
+            ..Self::default()
+        }
+    }
+
+    /// Takes the limits of the service's document.
+    pub fn set_document(&mut self, document: &Document) {
+        self.limits.clone_from(&document.limits);
+        self.default_limit.clone_from(&document.default_limit);
+    }
+
+    /// Counts a request of `customer` at `now` and says whether it is within the limit.
+    pub fn ask<R>(&mut self, customer: &str, now: Instant, rng: &mut R) -> LimitVerdict
+    where
+        R: Rng,
+    {
+        let limit = self.limit_of(customer).cloned();
+        let fresh_share = self.fresh_share;
+        let bucket = self
+            .buckets
+            .entry(customer.to_owned())
+            .or_insert_with(|| Bucket {
+                tokens: limit
+                    .as_ref()
+                    .map_or(0.0, |limit| depth(limit, fresh_share)),
+                filled: now,
+                demand: 0.0,
+                asked: now,
+                share: fresh_share,
+            });
+        bucket.count(now);
+        let Some(limit) = limit else {
+            return LimitVerdict::Within;
+        };
+        bucket.fill(&limit, now);
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return LimitVerdict::Within;
+        }
+        let rate = limit.requests_per_second * bucket.share.max(SMALLEST_SHARE);
+        let wait = (1.0 - bucket.tokens) / rate;
+        let jittered = wait * (1.0 + JITTER * rng.random::<f64>());
+        LimitVerdict::Over(
+            Duration::try_from_secs_f64(jittered)
+                .map_or(LONGEST_WAIT, |wait| wait.min(LONGEST_WAIT)),
+        )
+    }
+
+    /// Sets each customer's share of its limit at this entry.
+    pub fn set_shares<F>(&mut self, fresh_share: f64, now: Instant, share: F)
+    where
+        F: Fn(&str) -> f64,
+    {
+        self.fresh_share = fresh_share;
+        let limits = &self.limits;
+        let default_limit = self.default_limit.as_ref();
+        for (customer, bucket) in &mut self.buckets {
+            // What was earned at the old share is credited before the new one holds.
+            if let Some(limit) = limits.get(customer).or(default_limit) {
+                bucket.fill(limit, now);
+            }
+            bucket.share = share(customer);
+        }
+    }
+
+    /// Returns the requests a second that each customer asked lately, as of `now`.
+    pub fn demand(&mut self, now: Instant) -> BTreeMap<CustomerId, f64> {
+        self.buckets
+            .retain(|_, bucket| now.saturating_duration_since(bucket.asked) < IDLE_AFTER);
+        self.buckets
+            .iter()
+            .map(|(customer, bucket)| (customer.clone(), bucket.demand_at(now)))
+            .collect()
+    }
+
+    fn limit_of(&self, customer: &str) -> Option<&CustomerLimit> {
+        self.limits.get(customer).or(self.default_limit.as_ref())
+    }
+}
+
+impl Bucket {
+    fn demand_at(&self, now: Instant) -> f64 {
+        let past = now.saturating_duration_since(self.asked);
+        self.demand * (-past.as_secs_f64() / DEMAND_SPAN.as_secs_f64()).exp()
+    }
+
+    fn count(&mut self, now: Instant) {
+        self.demand = self.demand_at(now) + 1.0 / DEMAND_SPAN.as_secs_f64();
+        self.asked = now;
+    }
+
+    fn fill(&mut self, limit: &CustomerLimit, now: Instant) {
+        let past = now.saturating_duration_since(self.filled);
+        let earned = past.as_secs_f64() * limit.requests_per_second * self.share;
+        let depth = depth(limit, self.share);
+        // A bucket that a larger share filled is not cut to the smaller depth at once, it just
+        // earns nothing; else a share that swings would burn what was earned.
+        if self.tokens < depth {
+            self.tokens = (self.tokens + earned).min(depth);
+        }
+        self.filled = now;
+    }
+}
+
+/// Returns the depth of a bucket: the share of the burst, but room for one request at least.
+fn depth(limit: &CustomerLimit, share: f64) -> f64 {
+    (f64::from(limit.burst) * share).max(1.0)
+}
--- /dev/null
+++ b/crates/route/src/membership.rs
@@ -0,0 +1,240 @@
+//! Which upstreams of one service may get new work.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use wagtailreel_core::{Digest, Epoch, NotRunReason, Report, VmEntry, VmId, VmRole, VmState};
+
+/// How membership judges silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipConfig {
+    /// A member without a report for longer than this is suspected.
+    pub suspect_after: Duration,
+    /// A member without a report for longer than this, and not in the list, is forgotten.
+    pub forget_after: Duration,
+}
+
+impl Default for MembershipConfig {
+    fn default() -> Self {
+        Self {
+            suspect_after: Duration::from_secs(1),
+            forget_after: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Whether a member may get new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum Standing {
+    /// It may.
+    #[display("usable")]
+    Usable,
+    /// It was silent for too long, or the last request did not reach it.
+    #[display("suspected")]
+    Suspected,
+    /// It, the list of VMs or a refusal says that it leaves.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// One upstream of the service, as this entry knows it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The last report.
+    pub report: Report,
+    /// When the last report came.
+    pub received: Instant,
+    /// Requests of this entry that are at the member now; exact.
+    pub own: u32,
+    /// Requests of other entries at the member, as of the last report; late.
+    pub others: u32,
+    /// Hash of the VM's name, for prefix affinity.
+    pub(crate) name_hash: u64,
+    leaving_listed: bool,
+    leaving_refused: bool,
+    unreachable: bool,
+    closed: bool,
+}
+
+impl Member {
+    /// Returns the requests that are thought to be at the member.
+    pub fn in_flight(&self) -> u32 {
+        self.own.saturating_add(self.others)
+    }
+
+    /// Returns the epoch that the member admits, unless it refused since its last report.
+    pub fn open(&self) -> Option<Epoch> {
+        self.report.open.filter(|_| !self.closed)
+    }
+
+    /// Returns the digest of the open bundle, unless the member refused since its last report.
+    pub fn open_weights(&self) -> Option<Digest> {
+        self.report.open_weights.filter(|_| !self.closed)
+    }
+}
+
+/// The upstreams of one service.
+///
+/// Invariant: `leaving` is sticky for one start of an agent. Only a higher incarnation, or for
+/// the list's word a newer list, makes a leaving member usable again.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    cfg: MembershipConfig,
+    members: BTreeMap<VmId, Member>,
+    listed: BTreeMap<VmId, VmState>,
+}
+
+impl Membership {
+    /// Makes an empty membership.
+    pub fn new(cfg: MembershipConfig) -> Self {
+        Self {
+            cfg,
+            members: BTreeMap::new(),
+            listed: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a report that came at `received`; returns whether it was news.
+    ///
+    /// A report with a lower incarnation, or with a sequence that is not higher, is late and is
+    /// passed over.
+    pub fn report(&mut self, report: &Report, received: Instant) -> bool {
+        let leaving_listed = self.listed.get(&report.vm) == Some(&VmState::Leaving);
+        let Some(member) = self.members.get_mut(&report.vm) else {
+            let member = Member {
+                report: report.clone(),
+                received,
+                own: 0,
+                others: reported_load(report),
+                name_hash: hash_name(&report.vm),
+                leaving_listed,
+                leaving_refused: false,
+                unreachable: false,
+                closed: false,
+            };
+            self.members.insert(report.vm.clone(), member);
+            return true;
+        };
+        let restarted = report.incarnation > member.report.incarnation;
+        let newer = report.incarnation == member.report.incarnation
+            && report.sequence > member.report.sequence;
+        if !restarted && !newer {
+            return false;
+        }
+        if restarted {
+            member.leaving_refused = false;
+        }
+        member.report = report.clone();
+        member.received = received;
+        member.others = reported_load(report).saturating_sub(member.own);
+        member.unreachable = false;
+        member.closed = false;
+        true
+    }
+
+    /// Takes the list of VMs; entries of other services are passed over by the caller's choice
+    /// of `service`.
+    pub fn list(&mut self, service: &str, vms: &[VmEntry]) {
+        self.listed = vms
+            .iter()
+            .filter(|vm| vm.role == VmRole::Upstream && vm.service.as_deref() == Some(service))
+            .map(|vm| (vm.vm.clone(), vm.state))
+            .collect();
+        for (name, member) in &mut self.members {
+            member.leaving_listed = self.listed.get(name) == Some(&VmState::Leaving);
+        }
+    }
+
+    /// Takes a refusal by `vm`, which holds until the member's next report; `leaving` holds for
+    /// as long as the agent runs.
+    pub fn refused(&mut self, vm: &str, reason: NotRunReason) {
+        let Some(member) = self.members.get_mut(vm) else {
+            return;
+        };
+        match reason {
+            NotRunReason::Leaving => member.leaving_refused = true,
+            NotRunReason::Closed | NotRunReason::Lease => member.closed = true,
+            NotRunReason::Full => {
+                let room = member.report.capacity.saturating_sub(member.own);
+                member.others = member.others.max(room);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes that a request did not reach `vm`; it is suspected until its next report.
+    pub fn unreachable(&mut self, vm: &str) {
+        if let Some(member) = self.members.get_mut(vm) {
+            member.unreachable = true;
+        }
+    }
+
+    /// Counts a request that goes to `vm` now.
+    pub fn started(&mut self, vm: &str) {
+        if let Some(member) = self.members.get_mut(vm) {
+            member.own = member.own.saturating_add(1);
+        }
+    }
+
+    /// Counts a request that is over at `vm`.
+    pub fn finished(&mut self, vm: &str) {
+        if let Some(member) = self.members.get_mut(vm) {
+            member.own = member.own.saturating_sub(1);
+        }
+    }
+
+    /// Forgets members that are silent, not listed, and have no request of this entry.
+    pub fn forget(&mut self, now: Instant) {
+        let Self {
+            cfg,
+            members,
+            listed,
+        } = self;
+        members.retain(|name, member| {
+            let silent = now.saturating_duration_since(member.received) > cfg.forget_after;
+            !silent || member.own > 0 || listed.contains_key(name)
+        });
+    }
+
+    /// Returns the standing of `member` at `now`.
+    pub fn standing(&self, member: &Member, now: Instant) -> Standing {
+        if member.report.leaving || member.leaving_refused || member.leaving_listed {
+            return Standing::Leaving;
+        }
+        let silence = now.saturating_duration_since(member.received);
+        if member.unreachable || silence > self.cfg.suspect_after {
+            return Standing::Suspected;
+        }
+        Standing::Usable
+    }
+
+    /// Returns the member on `vm`.
+    pub fn get(&self, vm: &str) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// Returns all members in the order of their names.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the members that may get new work at `now`.
+    pub fn usable(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |member| self.standing(member, now) == Standing::Usable)
+    }
+}
+
+/// Returns the requests at the agent: its own count, or the engine's if that is higher.
+fn reported_load(report: &Report) -> u32 {
+    let engine = report
+        .load
+        .map_or(0, |load| load.running.saturating_add(load.waiting));
+    report.in_flight.max(engine)
+}
+
+/// Hashes a VM's name once, so that choosing by affinity costs a multiplication per member.
+fn hash_name(name: &str) -> u64 {
+    wagtailreel_core::rank_score(b"affinity", name)
+}
--- /dev/null
+++ b/crates/route/src/shares.rs
@@ -0,0 +1,229 @@
+//! This entry's share of each limit, agreed on without a shared counter.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wagtailreel_core::{CustomerId, ServiceName, VmId};
+
+/// Requests a second, by service and customer, that one entry was asked for.
+pub type Demand = BTreeMap<ServiceName, BTreeMap<CustomerId, f64>>;
+
+/// How shares follow demand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharesConfig {
+    /// Part of a limit, 0 to 1, that is dealt out evenly, so that a customer's first request at
+    /// an entry is not refused for want of earlier demand.
+    pub even: f64,
+    /// A peer not heard from for longer than this keeps the share that it had.
+    pub unseen_after: Duration,
+    /// A peer that is unseen and not listed keeps its share for this long.
+    pub forget_after: Duration,
+}
+
+impl Default for SharesConfig {
+    fn default() -> Self {
+        Self {
+            even: 0.2,
+            unseen_after: Duration::from_secs(2),
+            forget_after: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What shares are dealt by: a snapshot of the entries in sight and of what is held back.
+#[derive(Clone, Debug)]
+struct Basis {
+    /// Entries in sight, the own included.
+    seen: usize,
+    /// Demand of all entries in sight.
+    total: Demand,
+    /// Shares held back for entries out of sight.
+    held: Demand,
+    /// The same for a customer that `held` does not name.
+    held_fresh: f64,
+    even: f64,
+}
+
+impl Basis {
+    /// Returns the share of an entry in sight with `demand`.
+    fn share(&self, demand: f64, service: &str, customer: &str) -> f64 {
+        let held = find(&self.held, service, customer).unwrap_or(self.held_fresh);
+        let room = (1.0 - held).max(0.0);
+        let even = room / self.seen as f64;
+        let total = find(&self.total, service, customer).unwrap_or_default();
+        if total <= 0.0 {
+            return even;
+        }
+        self.even * even + (1.0 - self.even) * room * demand / total
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    seen: Instant,
+    demand: Demand,
+    heard: bool,
+    out_of_sight: bool,
+    /// The basis of the last tick at which the peer had been heard: when it goes out of sight its
+    /// share is reckoned by what both sides knew then, not by what came since.
+    basis: Option<Arc<Basis>>,
+}
+
+impl Peer {
+    fn share(&self, service: &str, customer: &str, equal: f64) -> f64 {
+        let demand = find(&self.demand, service, customer).unwrap_or_default();
+        self.basis
+            .as_ref()
+            .map_or(equal, |basis| basis.share(demand, service, customer))
+    }
+}
+
+/// The shares of all entries, as one of them reckons.
+///
+/// Invariant: when all entries see each other and agree on the demand, the shares of a limit add
+/// up to 1. When some are cut off, each side holds the other's last share back, so the sum does
+/// not grow by a cut.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    cfg: SharesConfig,
+    peers: BTreeMap<VmId, Peer>,
+    listed: BTreeSet<VmId>,
+    basis: Arc<Basis>,
+    own: Demand,
+}
+
+impl Shares {
+    /// Makes the shares of an entry that knows no peer.
+    pub fn new(cfg: SharesConfig) -> Self {
+        let basis = Basis {
+            seen: 1,
+            total: Demand::new(),
+            held: Demand::new(),
+            held_fresh: 0.0,
+            even: cfg.even,
+        };
+        Self {
+            cfg,
+            peers: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            basis: Arc::new(basis),
+            own: Demand::new(),
+        }
+    }
+
+    /// Takes the names of the other entries in the list of VMs.
+    pub fn list<I>(&mut self, entries: I)
+    where
+        I: IntoIterator<Item = VmId>,
+    {
+        self.listed = entries.into_iter().collect();
+    }
+
+    /// Takes a peer's demand, heard at `seen`.
+    pub fn peer(&mut self, vm: &VmId, demand: &Demand, seen: Instant) {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            let peer = Peer {
+                seen,
+                demand: demand.clone(),
+                heard: true,
+                out_of_sight: false,
+                basis: None,
+            };
+            self.peers.insert(vm.clone(), peer);
+            return;
+        };
+        if seen > peer.seen {
+            peer.seen = seen;
+            peer.demand.clone_from(demand);
+            peer.heard = true;
+        }
+    }
+
+    /// Deals the shares anew by this entry's demand `own` and what was heard of peers.
+    ///
+    /// Peers that went out of sight keep the share that they had, and those that are gone from
+    /// the list too are forgotten.
+    pub fn tick(&mut self, own: &Demand, now: Instant) {
+        let cfg = self.cfg;
+        let listed = &self.listed;
+        self.peers.retain(|vm, peer| {
+            let unseen = now.saturating_duration_since(peer.seen);
+            listed.contains(vm) || unseen <= cfg.forget_after
+        });
+        for peer in self.peers.values_mut() {
+            peer.out_of_sight = now.saturating_duration_since(peer.seen) > cfg.unseen_after;
+        }
+        self.own.clone_from(own);
+        self.basis = Arc::new(self.deal());
+        for peer in self.peers.values_mut().filter(|peer| peer.heard) {
+            peer.heard = false;
+            peer.basis = Some(Arc::clone(&self.basis));
+        }
+    }
+
+    /// Returns this entry's share of the limit of `customer` at `service`, 0 to 1, as of the
+    /// last tick.
+    pub fn own_share(&self, service: &str, customer: &str) -> f64 {
+        let demand = find(&self.own, service, customer).unwrap_or_default();
+        self.basis.share(demand, service, customer)
+    }
+
+    /// Returns how many entries share a limit, this one included.
+    pub fn entries(&self) -> usize {
+        1 + self.peers.len() + self.unheard()
+    }
+
+    /// Returns how many listed entries were never heard of.
+    fn unheard(&self) -> usize {
+        self.listed
+            .iter()
+            .filter(|vm| !self.peers.contains_key(*vm))
+            .count()
+    }
+
+    fn deal(&self) -> Basis {
+        let equal = 1.0 / self.entries() as f64;
+        let in_sight = || self.peers.values().filter(|peer| !peer.out_of_sight);
+        let out_of_sight = || self.peers.values().filter(|peer| peer.out_of_sight);
+        let mut total = self.own.clone();
+        for peer in in_sight() {
+            add(&mut total, &peer.demand);
+        }
+        let mut names = total.clone();
+        for peer in out_of_sight() {
+            add(&mut names, &peer.demand);
+        }
+        let unheard = self.unheard() as f64 * equal;
+        let held_of = |service: &str, customer: &str| {
+            let shares = out_of_sight().map(|peer| peer.share(service, customer, equal));
+            unheard + shares.sum::<f64>()
+        };
+        let held_fresh = held_of("", "");
+        for (service, customers) in &mut names {
+            for (customer, held) in customers {
+                *held = held_of(service, customer);
+            }
+        }
+        Basis {
+            seen: 1 + in_sight().count(),
+            total,
+            held: names,
+            held_fresh,
+            even: self.cfg.even,
+        }
+    }
+}
+
+fn add(total: &mut Demand, demand: &Demand) {
+    for (service, customers) in demand {
+        let sums = total.entry(service.clone()).or_default();
+        for (customer, rate) in customers {
+            *sums.entry(customer.clone()).or_default() += rate;
+        }
+    }
+}
+
+fn find(demand: &Demand, service: &str, customer: &str) -> Option<f64> {
+    demand.get(service)?.get(customer).copied()
+}
--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,142 @@
+//! Which upstream a request goes to.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::fmt::Write as _;
+use std::time::Instant;
+
+use common::{report, weights};
+use insta::assert_snapshot;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use wagtailreel_core::{Digest, NotRunReason, Report};
+use wagtailreel_route::{
+    Ask, Choice, Chooser, Membership, MembershipConfig, Policy, Shortage, prefix_of,
+};
+
+fn chooser() -> Chooser {
+    Chooser::new("quito-hall".to_owned(), "sierra".to_owned())
+}
+
+fn ask() -> Ask {
+    Ask {
+        needs_open: true,
+        ..Ask::default()
+    }
+}
+
+fn far(vm: &str, data_centre: &str, region: &str, epoch: u64) -> Report {
+    Report {
+        data_centre: data_centre.to_owned(),
+        region: region.to_owned(),
+        open: Some(epoch),
+        ..report(vm, 1, 1)
+    }
+}
+
+fn members_of(reports: &[Report], now: Instant) -> Membership {
+    let mut members = Membership::new(MembershipConfig::default());
+    for report in reports {
+        members.report(report, now);
+    }
+    members
+}
+
+/// Sends `requests` one after the other and returns the VMs, none finishing.
+fn send(members: &mut Membership, chooser: &mut Chooser, ask: &Ask, requests: usize) -> String {
+    let mut rng = StdRng::seed_from_u64(7);
+    let now = members.members().next().unwrap().received;
+    let mut vms = Vec::new();
+    for _ in 0..requests {
+        match chooser.choose(members, ask, now, &mut rng) {
+            Choice::Upstream(vm) => {
+                members.started(&vm);
+                vms.push(vm);
+            }
+            Choice::Short(shortage) => vms.push(format!("({shortage})")),
+        }
+    }
+    vms.join(" ")
+}
+
+#[rstest]
+#[case::own_first(Policy::OwnFirst)]
+#[case::round_robin(Policy::RoundRobin)]
+#[case::least_reported(Policy::LeastReported)]
+fn spill_over(#[case] policy: Policy) {
+    let now = Instant::now();
+    let mut busy = report("u2", 1, 1);
+    busy.in_flight = 3;
+    let mut members = members_of(
+        &[
+            report("u1", 1, 1),
+            busy,
+            far("far", "cuenca-hall", "austro", 1),
+            far("near", "loja-hall", "sierra", 1),
+            far("newer", "guayaquil-hall", "costa", 2),
+        ],
+        now,
+    );
+    let mut chooser = chooser().with_policy(policy);
+    let vms = send(&mut members, &mut chooser, &ask(), 14);
+    assert_snapshot!(format!("spill_over_{policy}"), vms);
+}
+
+#[test]
+fn prefix_bound() {
+    let now = Instant::now();
+    let reports: Vec<Report> = ["u1", "u2", "u3"]
+        .map(|vm| Report {
+            capacity: 16,
+            ..report(vm, 1, 1)
+        })
+        .to_vec();
+    let mut text = String::new();
+    for prompt in ["in memory of", "on the 4th of May"] {
+        let mut members = members_of(&reports, now);
+        let ask = Ask {
+            prefix: Some(prefix_of(prompt)),
+            ..ask()
+        };
+        let vms = send(&mut members, &mut chooser(), &ask, 9);
+        writeln!(text, "{prompt}: {vms}").unwrap();
+    }
+    assert_snapshot!(text);
+}
+
+#[test]
+fn closed_waits() {
+    let now = Instant::now();
+    let reports = [report("u1", 1, 1), far("far", "cuenca-hall", "austro", 1)];
+    let mut members = members_of(&reports, now);
+    members.refused("u1", NotRunReason::Closed);
+    assert_eq!(send(&mut members, &mut chooser(), &ask(), 1), "(closed)");
+    let waited = Ask {
+        waited: true,
+        ..ask()
+    };
+    assert_eq!(send(&mut members, &mut chooser(), &waited, 1), "far");
+}
+
+#[test]
+fn pinned_resume() {
+    let now = Instant::now();
+    let other = Report {
+        open_weights: Some(Digest::of(b"other")),
+        ..report("u2", 1, 1)
+    };
+    let mut members = members_of(&[report("u1", 1, 1), other], now);
+    let mut ask = Ask {
+        pin: Some(weights()),
+        ..ask()
+    };
+    assert_eq!(send(&mut members, &mut chooser(), &ask, 1), "u1");
+    ask.tried.insert("u1".to_owned());
+    assert_eq!(send(&mut members, &mut chooser(), &ask, 1), "(tried)");
+    ask.pin = Some(Digest::of(b"gone"));
+    let short = Choice::Short(Shortage::Weights);
+    let mut rng = StdRng::seed_from_u64(7);
+    assert_eq!(chooser().choose(&members, &ask, now, &mut rng), short);
+}
--- /dev/null
+++ b/crates/route/tests/limits.rs
@@ -0,0 +1,210 @@
+//! Limits over all entries without a shared counter.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use insta::assert_snapshot;
+use proptest::prelude::{prop, proptest};
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use wagtailreel_core::{CustomerLimit, Document, VmId};
+use wagtailreel_route::{Demand, LimitVerdict, Limits, Shares, SharesConfig};
+
+const SERVICE: &str = "scribes";
+const CUSTOMER: &str = "mason";
+const STEP: Duration = Duration::from_millis(50);
+
+fn document(requests_per_second: f64, burst: u32) -> Document {
+    let mut document: Document =
+        serde_json::from_value(serde_json::json!({"service": SERVICE, "where": []})).unwrap();
+    document.default_limit = Some(CustomerLimit {
+        requests_per_second,
+        burst,
+    });
+    document
+}
+
+/// One entry with its limits and its view of the others.
+struct Entry {
+    vm: VmId,
+    limits: Limits,
+    shares: Shares,
+    demand: Demand,
+    /// Requests a second that callers send to it.
+    rate: f64,
+    owed: f64,
+    within: u32,
+}
+
+/// Entries that tell each other their demand every 200 ms.
+struct Fleet {
+    now: Instant,
+    steps: u32,
+    rng: StdRng,
+    entries: Vec<Entry>,
+}
+
+impl Fleet {
+    fn new(rates: &[f64]) -> Self {
+        let names: Vec<VmId> = (1..=rates.len()).map(|n| format!("e{n}")).collect();
+        let entries = rates.iter().zip(&names).map(|(rate, vm)| {
+            let mut shares = Shares::new(SharesConfig::default());
+            shares.list(names.iter().filter(|name| *name != vm).cloned());
+            let mut limits = Limits::new(1.0 / rates.len() as f64);
+            limits.set_document(&document(100.0, 10));
+            Entry {
+                vm: vm.clone(),
+                limits,
+                shares,
+                demand: Demand::new(),
+                rate: *rate,
+                owed: 0.0,
+                within: 0,
+            }
+        });
+        Self {
+            now: Instant::now(),
+            steps: 0,
+            rng: StdRng::seed_from_u64(11),
+            entries: entries.collect(),
+        }
+    }
+
+    /// Runs for `span`; entries hear each other if `linked` says so of their positions.
+    fn run<F>(&mut self, span: Duration, linked: F)
+    where
+        F: Fn(usize, usize) -> bool,
+    {
+        for entry in &mut self.entries {
+            entry.within = 0;
+        }
+        for _ in 0..span.as_millis() / STEP.as_millis() {
+            self.now += STEP;
+            self.steps += 1;
+            for entry in &mut self.entries {
+                entry.owed += entry.rate * STEP.as_secs_f64();
+                while entry.owed >= 1.0 {
+                    entry.owed -= 1.0;
+                    let verdict = entry.limits.ask(CUSTOMER, self.now, &mut self.rng);
+                    entry.within += u32::from(verdict == LimitVerdict::Within);
+                }
+            }
+            if self.steps.is_multiple_of(4) {
+                self.exchange(&linked);
+            }
+        }
+    }
+
+    fn exchange<F>(&mut self, linked: &F)
+    where
+        F: Fn(usize, usize) -> bool,
+    {
+        let now = self.now;
+        for entry in &mut self.entries {
+            let customers = entry.limits.demand(now);
+            entry.demand = BTreeMap::from([(SERVICE.to_owned(), customers)]);
+        }
+        let told: Vec<(VmId, Demand)> = self
+            .entries
+            .iter()
+            .map(|entry| (entry.vm.clone(), entry.demand.clone()))
+            .collect();
+        for (to, entry) in self.entries.iter_mut().enumerate() {
+            for (from, (vm, demand)) in told.iter().enumerate() {
+                if from != to && linked(from, to) {
+                    entry.shares.peer(vm, demand, now);
+                }
+            }
+            entry.shares.tick(&entry.demand, now);
+            let fresh = entry.shares.own_share(SERVICE, "");
+            let shares = &entry.shares;
+            let share = |customer: &str| shares.own_share(SERVICE, customer);
+            entry.limits.set_shares(fresh, now, share);
+        }
+    }
+
+    fn share_sum(&self) -> f64 {
+        self.entries
+            .iter()
+            .map(|entry| entry.shares.own_share(SERVICE, CUSTOMER))
+            .sum()
+    }
+
+    fn line(&self, text: &mut String, what: &str, span: Duration) {
+        let rates: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| {
+                let rate = f64::from(entry.within) / span.as_secs_f64();
+                let share = entry.shares.own_share(SERVICE, CUSTOMER);
+                format!(
+                    "{} {rate:.0}/s of {:.0} (share {share:.2})",
+                    entry.vm, entry.rate
+                )
+            })
+            .collect();
+        let total: u32 = self.entries.iter().map(|entry| entry.within).sum();
+        let total = f64::from(total) / span.as_secs_f64();
+        writeln!(text, "{what}: {}; in all {total:.0}/s", rates.join(", ")).unwrap();
+    }
+}
+
+#[test]
+fn cut_keeps_share() {
+    let mut fleet = Fleet::new(&[120.0, 60.0, 20.0]);
+    let mut text = String::from("limit 100/s, burst 10\n");
+    let span = Duration::from_secs(10);
+    fleet.run(span, |_, _| true);
+    fleet.line(&mut text, "linked", span);
+    fleet.run(span, |from, to| (from == 2) == (to == 2));
+    fleet.line(&mut text, "e3 is cut off", span);
+    fleet.entries[0].rate = 300.0;
+    fleet.entries[2].rate = 200.0;
+    fleet.run(span, |from, to| (from == 2) == (to == 2));
+    fleet.line(&mut text, "both sides ask for more", span);
+    fleet.run(Duration::from_secs(3), |_, _| true);
+    fleet.run(span, |_, _| true);
+    fleet.line(&mut text, "linked again", span);
+    assert_snapshot!(text);
+}
+
+#[test]
+fn retry_after_spread() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let now = Instant::now();
+    let mut limits = Limits::new(1.0);
+    limits.set_document(&document(2.0, 1));
+    assert_eq!(limits.ask(CUSTOMER, now, &mut rng), LimitVerdict::Within);
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        let LimitVerdict::Over(wait) = limits.ask(CUSTOMER, now, &mut rng) else {
+            panic!("within the limit");
+        };
+        assert!((500..=750).contains(&wait.as_millis()), "{wait:?}");
+        waits.push(wait);
+    }
+    waits.sort();
+    waits.dedup();
+    assert_eq!(waits.len(), 20);
+}
+
+proptest! {
+    /// Whatever the demand and whoever is cut off, the shares never add up to more than 1.
+    #[test]
+    fn sum_is_one(
+        rates in prop::collection::vec(0.0_f64..300.0, 2..7),
+        later in prop::collection::vec(0.0_f64..300.0, 7),
+        cut in 0_usize..7,
+    ) {
+        let mut fleet = Fleet::new(&rates);
+        fleet.run(Duration::from_secs(4), |_, _| true);
+        assert!((fleet.share_sum() - 1.0).abs() < 1e-6, "{}", fleet.share_sum());
+        for (entry, rate) in fleet.entries.iter_mut().zip(&later) {
+            entry.rate = *rate;
+        }
+        fleet.run(Duration::from_secs(8), |from, to| (from < cut) == (to < cut));
+        assert!(fleet.share_sum() < 1.0 + 1e-6, "{}", fleet.share_sum());
+    }
+}
--- /dev/null
+++ b/crates/route/tests/overload.rs
@@ -0,0 +1,85 @@
+//! Who is let in, who waits and who gives way.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use insta::assert_snapshot;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use wagtailreel_core::Priority;
+use wagtailreel_route::{Overload, OverloadConfig, QueueEvent};
+
+fn events(text: &mut String, events: Vec<QueueEvent>) {
+    for event in events {
+        match event {
+            QueueEvent::Admit(id) => writeln!(text, "    waiter {id} goes on").unwrap(),
+            QueueEvent::GiveUp(id, reason, retry_after) => {
+                let ms = retry_after.as_millis();
+                writeln!(
+                    text,
+                    "    waiter {id} is given up: {reason}, back in {ms} ms"
+                )
+                .unwrap();
+            }
+        }
+    }
+}
+
+#[test]
+fn low_gives_way() {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut text = String::new();
+    let mut overload = Overload::new(OverloadConfig {
+        first_mean: Duration::from_millis(200),
+        ..OverloadConfig::default()
+    });
+    overload.set_room(10, 0);
+    let low = (Priority::Low, None);
+    let normal = (Priority::Normal, None);
+    let high = (Priority::High, None);
+    let hurried = (Priority::Low, Some(Duration::from_millis(20)));
+    let arrivals = [
+        vec![low; 10],
+        vec![hurried],
+        vec![normal; 5],
+        vec![high; 5],
+        vec![low],
+    ];
+    for (priority, deadline) in arrivals.concat() {
+        let deadline = deadline.map(|wait| start + wait);
+        let (admission, event) = overload.arrive(priority, deadline, start, &mut rng);
+        writeln!(text, "{priority} arrives: {admission:?}").unwrap();
+        events(&mut text, event.into_iter().collect());
+    }
+    for _ in 0..4 {
+        writeln!(text, "one ends").unwrap();
+        events(&mut text, overload.finish(Some(Duration::from_millis(200))));
+    }
+    writeln!(text, "another entry is seen to use 5").unwrap();
+    events(&mut text, overload.set_room(10, 5));
+    let (admission, _) = overload.arrive(Priority::Normal, None, start, &mut rng);
+    writeln!(text, "normal arrives: {admission:?}").unwrap();
+    writeln!(text, "its time is over").unwrap();
+    events(
+        &mut text,
+        overload.tick(start + Duration::from_secs(1), &mut rng),
+    );
+    assert_eq!(overload.waiting(), 0);
+    assert_snapshot!(text);
+}
+
+#[test]
+fn caller_gone() {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut overload = Overload::new(OverloadConfig::default());
+    overload.set_room(1, 0);
+    overload.arrive(Priority::High, None, start, &mut rng);
+    overload.arrive(Priority::High, None, start, &mut rng);
+    assert_eq!(overload.waiting(), 1);
+    assert!(overload.cancel(1));
+    assert_eq!(overload.finish(None), []);
+    assert_eq!(overload.in_flight(), 0);
+}
--- /dev/null
+++ b/crates/route/tests/retries.rs
@@ -0,0 +1,172 @@
+//! What follows from the end of an attempt.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use common::weights;
+use insta::assert_snapshot;
+use proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest};
+use wagtailreel_core::{Digest, NotRunReason};
+use wagtailreel_route::{
+    Ask, Attempts, AttemptsConfig, BudgetConfig, CancelState, Ended, Next, Repeat, RetryBudget,
+    Shortage,
+};
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(BudgetConfig::default())
+}
+
+fn session(repeat: Repeat, ends: &[Ended]) -> String {
+    let start = Instant::now();
+    let mut attempts = Attempts::new(AttemptsConfig::default(), repeat, Ask::default());
+    let mut budget = budget();
+    let mut text = String::new();
+    for (index, ended) in ends.iter().enumerate() {
+        let vm = format!("u{}", index + 1);
+        attempts.sending(&vm);
+        let next = attempts.ended(&vm, ended.clone(), start, &mut budget);
+        let from = attempts.resume_from();
+        writeln!(text, "{vm} {ended:?} -> {next:?}, from {from}").unwrap();
+        if !matches!(next, Next::Send | Next::AskCancel) {
+            break;
+        }
+    }
+    text
+}
+
+fn cut(next: u64) -> Ended {
+    Ended::Cut {
+        next,
+        weights: Some(weights()),
+    }
+}
+
+#[test]
+fn ends_table() {
+    let full = Ended::Refused(NotRunReason::Full, Some(Duration::from_millis(700)));
+    let limit = Ended::Refused(NotRunReason::Limit, None);
+    let unpinned = Ended::Cut {
+        next: 3,
+        weights: None,
+    };
+    let sessions = [
+        vec![Ended::Whole],
+        vec![Ended::Broken, Ended::CancelLost],
+        vec![Ended::NeverSent, Ended::NeverSent, Ended::NeverSent],
+        vec![full.clone(), full.clone(), full],
+        vec![limit],
+        vec![Ended::Cancelled(CancelState::NotRun), Ended::Whole],
+        vec![Ended::Cancelled(CancelState::Started), Ended::Whole],
+        vec![Ended::Cancelled(CancelState::Done)],
+        vec![Ended::CancelLost],
+        vec![cut(5), Ended::NeverSent, Ended::NeverSent],
+        vec![cut(5), cut(9), Ended::Whole],
+        vec![unpinned],
+    ];
+    let mut text = String::new();
+    for repeat in [Repeat::Resumable, Repeat::Never] {
+        writeln!(text, "== {repeat}").unwrap();
+        for ends in &sessions {
+            text.push_str(&session(repeat, ends));
+            text.push('\n');
+        }
+    }
+    assert_snapshot!(text);
+}
+
+#[test]
+fn switch_wait() {
+    let start = Instant::now();
+    let cfg = AttemptsConfig::default();
+    let mut attempts = Attempts::new(cfg, Repeat::Never, Ask::default());
+    let mut budget = budget();
+    let before = budget.left();
+    for sequence in 0..5 {
+        attempts.sending("u1");
+        let closed = Ended::Refused(NotRunReason::Closed, None);
+        assert_eq!(attempts.ended("u1", closed, start, &mut budget), Next::Send);
+        let until = start + cfg.switch_wait;
+        let at = start + Duration::from_millis(sequence * 300);
+        assert_eq!(attempts.short(Shortage::Closed, at), Next::Await(until));
+    }
+    assert!((budget.left() - before).abs() < f64::EPSILON);
+    let over = start + cfg.switch_wait;
+    assert_eq!(attempts.short(Shortage::Closed, over), Next::Send);
+    assert!(attempts.ask().waited);
+    let last = attempts.short(Shortage::Closed, over);
+    assert_eq!(last, Next::NotRun(NotRunReason::Closed, None));
+}
+
+fn any_end() -> impl Strategy<Value = Ended> {
+    prop_oneof![
+        Just(Ended::NeverSent),
+        Just(Ended::Refused(NotRunReason::Full, None)),
+        Just(Ended::Refused(NotRunReason::Closed, None)),
+        Just(Ended::Refused(NotRunReason::Leaving, None)),
+        Just(Ended::Cancelled(CancelState::NotRun)),
+        Just(Ended::Cancelled(CancelState::Started)),
+        Just(Ended::Cancelled(CancelState::Done)),
+        Just(Ended::CancelLost),
+        (0_u64..9, any::<bool>()).prop_map(|(next, known)| Ended::Cut {
+            next,
+            weights: known.then(|| Digest::of(b"weights")),
+        }),
+    ]
+}
+
+proptest! {
+    /// However attempts end, "not run" is said only if none was started, an order is not sent
+    /// again once it may have started, and the sum of retries keeps to the budget.
+    #[test]
+    fn never_blurred(
+        ends in prop::collection::vec(any_end(), 1..12),
+        order in any::<bool>(),
+    ) {
+        let start = Instant::now();
+        let repeat = if order { Repeat::Never } else { Repeat::Resumable };
+        let mut attempts = Attempts::new(AttemptsConfig::default(), repeat, Ask::default());
+        let mut budget = RetryBudget::new(BudgetConfig { ratio: 0.1, burst: 2.0 });
+        let mut maybe_started = false;
+        for ended in ends {
+            attempts.sending("u1");
+            maybe_started |= matches!(
+                ended,
+                Ended::Cancelled(CancelState::Started | CancelState::Done)
+                    | Ended::CancelLost
+                    | Ended::Cut { .. }
+            );
+            match attempts.ended("u1", ended, start, &mut budget) {
+                Next::Send => assert!(!(maybe_started && order), "an order was sent again"),
+                Next::NotRun(..) => {
+                    assert!(!maybe_started, "told not-run though it may have started");
+                    break;
+                }
+                Next::Unknown(_) => {
+                    assert!(maybe_started, "told unknown though it was not run");
+                    break;
+                }
+                next => panic!("{next:?} does not follow"),
+            }
+        }
+        assert!(attempts.sent() <= AttemptsConfig::default().most + 1);
+    }
+
+    /// Retries are at most a tenth of the requests above the burst.
+    #[test]
+    fn budget_holds(steps in prop::collection::vec(any::<bool>(), 1..400)) {
+        let mut budget = RetryBudget::new(BudgetConfig::default());
+        let (mut requests, mut retries) = (0_u32, 0_u32);
+        for is_request in steps {
+            if is_request {
+                requests += 1;
+                budget.request();
+            } else if budget.retry() {
+                retries += 1;
+            }
+        }
+        assert!(f64::from(retries) <= 20.0 + 0.1 * f64::from(requests) + 1e-6);
+    }
+}
