--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -68,6 +68,8 @@
     pub capacity: u32,
     /// The engine's own load, if it reports one.
     pub load: Option<EngineLoad>,
+    /// Bundles that the engine can hold at once; 0 for a plain service.
+    pub bundles: u32,
     /// No new work: the agent is leaving.
     pub leaving: bool,
     /// Epochs below this are closed at the agent and never open again.
@@ -91,13 +93,15 @@
     pub config: Offset,
     /// The agent's service, if the entry has it at a higher revision than `Report::config`.
     pub state: Option<ServiceState>,
-    /// How long the agent may admit requests from the moment it sent the report.
-    /// Zero grants nothing.
+    /// How long the agent may admit requests of the epoch `open` from the moment it sent the
+    /// report. Zero grants nothing.
     pub lease: Duration,
     /// The agent closes epochs below this.
     pub close_below: Epoch,
-    /// The agent opens this epoch if it is loaded and not closed.
+    /// The agent opens this epoch if it is loaded and not closed. The lease holds for it alone.
     pub open: Option<Epoch>,
+    /// An engine that holds one bundle may give up the open one to load this epoch.
+    pub swap_to: Option<Epoch>,
     /// VMs of the service with their data addresses, for fetching chunks.
     pub peers: Vec<VmEntry>,
 }
@@ -107,7 +111,7 @@
 pub struct ServicePeerState {
     /// Epochs below this are being closed or are closed.
     pub close_below: Epoch,
-    /// Highest epoch that was told to open.
+    /// The epoch that the entry grants leases for now; 0 for none.
     pub open: Epoch,
     /// Every agent that this entry may have granted a lease has closed below this.
     pub all_closed_below: Epoch,
@@ -122,6 +126,10 @@
     pub incarnation: Incarnation,
     /// Offset of the entry's configuration.
     pub config: Offset,
+    /// The entry knows all that has been opened in the data centre, and is in touch.
+    pub settled: bool,
+    /// Control addresses of the other entries of the data centre that this entry knows.
+    pub entries: BTreeMap<VmId, SocketAddr>,
     /// Per service.
     pub services: BTreeMap<ServiceName, ServicePeerState>,
     /// Requests that each customer asked of the service lately, a second, for limits.
