Fold the log's two streams

Cause: entries agree only through the platform's log, so what a record does must not depend on how a fold came by its state.

- Edits are judged by the service's state and the record alone.
Remembered edit ids serve answers (a re-send gets the first result), never the state: a fold restored from a peer remembers fewer of them.
- Claims are held against the time of their own record, not only against the claimant's clock, so a paused claimant can't win a key that was forgotten.
- Records read strictly: an unknown field or a missing `document` stops the fold.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -13,8 +13,10 @@
 pub const RECORD_FORMAT: u32 = 1;
 
 /// A record of the stream `config`.
+///
+/// Reading is strict, so that no fold passes over a field that another one heeds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "kebab-case")]
+#[serde(tag = "type", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum ConfigRecord {
     /// An edit of one service's document.
     Edit {
@@ -24,7 +26,9 @@
         team: TeamName,
         /// The service's revision that the operator edited; 0 for a new service.
         base: Offset,
-        /// The new document; none deletes the service.
+        /// The new document; none deletes the service. The field itself is never left out: a
+        /// record that lost it must not read as a deletion.
+        #[serde(deserialize_with = "Option::deserialize")]
         document: Option<Box<Document>>,
         /// Name of the service.
         service: ServiceName,
@@ -41,6 +45,7 @@
 /// One claim on the key of an order that runs at most once.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ClaimRecord {
     /// Service that the order is for.
     pub service: ServiceName,
@@ -55,7 +60,7 @@
 
 /// A record of the stream `orders`. One append carries many claims.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "kebab-case")]
+#[serde(tag = "type", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum OrderRecord {
     /// Claims made together by one entry.
     Claims {
--- /dev/null
+++ b/crates/fold/src/codec.rs
@@ -0,0 +1,114 @@
+//! Records as they stand in the log: the record's JSON with the field `format`.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use wagtailreel_core::{ConfigRecord, OrderRecord, RECORD_FORMAT};
+
+/// Largest record that the log takes, in bytes.
+pub const MAX_RECORD_BYTES: usize = 1 << 20;
+
+const FORMAT: &str = "format";
+
+/// A record that must not be appended.
+#[derive(Debug, Snafu)]
+pub enum EncodeError {
+    /// The record has no JSON form.
+    #[snafu(display("the record can't be written as JSON ({source}): check its numbers"))]
+    Json {
+        /// What the JSON library says.
+        source: serde_json::Error,
+    },
+    /// Every fold would stop at the record.
+    #[snafu(display("the record would not be read back as it is ({why}): check its numbers"))]
+    NotReadBack {
+        /// What differs.
+        why: String,
+    },
+    /// The record is longer than the log takes.
+    #[snafu(display(
+        "the record has {length} bytes, the log takes {MAX_RECORD_BYTES}: put less into it"
+    ))]
+    TooLong {
+        /// Length in bytes.
+        length: usize,
+    },
+}
+
+/// Why a record can't be read.
+#[derive(Debug, Snafu)]
+pub(crate) enum DecodeError {
+    #[snafu(display("it carries no format number"))]
+    NoFormat,
+    #[snafu(display("its format is {format}, known is {RECORD_FORMAT}"))]
+    Format { format: u64 },
+    #[snafu(display("{source}"))]
+    Content { source: serde_json::Error },
+}
+
+/// Writes a record of the stream `config` as it stands in the log.
+///
+/// # Errors
+///
+/// Returns an [`EncodeError`] if the record is too long or would not be read back as it is: such
+/// a record would stop every fold for good.
+pub fn encode_config(record: &ConfigRecord) -> Result<Vec<u8>, EncodeError> {
+    encode(record)
+}
+
+/// Writes a record of the stream `orders` as it stands in the log.
+///
+/// # Errors
+///
+/// As [`encode_config`].
+pub fn encode_orders(record: &OrderRecord) -> Result<Vec<u8>, EncodeError> {
+    encode(record)
+}
+
+fn encode<T>(record: &T) -> Result<Vec<u8>, EncodeError>
+where
+    T: Serialize + DeserializeOwned,
+{
+    let plain = serde_json::to_value(record).context(JsonSnafu)?;
+    let mut value = plain.clone();
+    if let Value::Object(fields) = &mut value {
+        fields.insert(FORMAT.to_owned(), RECORD_FORMAT.into());
+    }
+    let buf = serde_json::to_vec(&value).context(JsonSnafu)?;
+    let length = buf.len();
+    ensure!(length <= MAX_RECORD_BYTES, TooLongSnafu { length });
+    check_read_back::<T>(&buf, &plain)?;
+    Ok(buf)
+}
+
+/// Reads `buf` as every fold will, and compares.
+fn check_read_back<T>(buf: &[u8], plain: &Value) -> Result<(), EncodeError>
+where
+    T: Serialize + DeserializeOwned,
+{
+    let value: Value = serde_json::from_slice(buf).context(JsonSnafu)?;
+    let record: T = match decode(&value) {
+        Ok(record) => record,
+        Err(e) => return NotReadBackSnafu { why: e.to_string() }.fail(),
+    };
+    let again = serde_json::to_value(&record).context(JsonSnafu)?;
+    let why = "a value changes on the way";
+    ensure!(again == *plain, NotReadBackSnafu { why });
+    Ok(())
+}
+
+/// Reads a record out of the log.
+pub(crate) fn decode<T>(data: &Value) -> Result<T, DecodeError>
+where
+    T: DeserializeOwned,
+{
+    let format = data.get(FORMAT).and_then(Value::as_u64);
+    let format = format.context(NoFormatSnafu)?;
+    ensure!(format == u64::from(RECORD_FORMAT), FormatSnafu { format });
+    let mut data = data.clone();
+    if let Value::Object(fields) = &mut data {
+        fields.remove(FORMAT);
+    }
+    serde_json::from_value(data).context(ContentSnafu)
+}
--- /dev/null
+++ b/crates/fold/src/config.rs
@@ -0,0 +1,474 @@
+//! The fold of the stream `config`.
+
+use std::time::SystemTime;
+
+use serde::Serialize;
+use serde_json::Value;
+use wagtailreel_core::{
+    ConfigRecord, Digest, EditId, Epoch, Offset, ServiceName, ServiceState, StateView,
+};
+
+use crate::codec::decode;
+use crate::cursor::{Cursor, record_digest};
+use crate::edits::{EditMemory, EditResult, Verdict};
+use crate::rules::{Edit, Refusal, RefusalReason, Winner, check_base, judge};
+use crate::scan::{Incoming, Scan};
+use crate::snapshot::{LogHead, SnapshotMark, SnapshotRule, SnapshotState};
+use crate::stop::{FoldStop, UnknownFormatSnafu};
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "applied", rename_all = "kebab-case")]
+pub enum Applied {
+    /// An edit is the service's state now.
+    Accepted {
+        /// Name of the service.
+        service: ServiceName,
+        /// Identifies the submission.
+        edit_id: EditId,
+        /// The new revision: the record's offset.
+        revision: Offset,
+        /// The epoch of the revision.
+        epoch: Epoch,
+    },
+    /// An edit was refused; nothing changed.
+    Refused {
+        /// Name of the service.
+        service: ServiceName,
+        /// Identifies the submission.
+        edit_id: EditId,
+        /// Why, and what stands instead.
+        refusal: Refusal,
+    },
+    /// An edit was sent again; nothing changed.
+    Repeated {
+        /// Name of the service.
+        service: ServiceName,
+        /// What became of it the first time.
+        first: EditResult,
+    },
+    /// The service's state came from a peer that had seen this edit; nothing changed.
+    Known {
+        /// Name of the service.
+        service: ServiceName,
+        /// Offset of the record.
+        offset: Offset,
+    },
+    /// A snapshot gave the state; the records after it follow.
+    SnapshotTaken {
+        /// Offset of the last record that it contains.
+        at: Offset,
+    },
+    /// A snapshot told nothing new.
+    SnapshotIgnored {
+        /// Offset of the last record that it contains.
+        at: Offset,
+        /// Services for which it says something else than this fold had at `at`. There are none
+        /// unless the log was written anew or an entry has a fault.
+        contradicts: Vec<ServiceName>,
+    },
+}
+
+/// The configuration, from the records of the stream `config`.
+///
+/// Invariant: each service is as the whole log up to some offset makes it, and that offset is at
+/// least both [`ConfigFold::offset`] and the service's revision. Each change only raises it.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigFold {
+    view: StateView,
+    edits: EditMemory,
+    scan: Option<Scan>,
+    cursor: Cursor,
+    mark: Option<SnapshotMark>,
+}
+
+impl ConfigFold {
+    /// Makes a fold that has applied nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the record `data` that the log keeps at `offset` since `at`.
+    ///
+    /// A record that was applied before is passed over. While the fold waits for a snapshot, the
+    /// record is held; the snapshot then answers for all of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`FoldStop`] if the record is not the next one or can't be read, and the same
+    /// one for every record after that.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        at: SystemTime,
+        data: &Value,
+    ) -> Result<Vec<Applied>, FoldStop> {
+        self.cursor.check_running()?;
+        let applied = self.take_in(offset, at, data);
+        self.cursor.note(applied)
+    }
+
+    /// Checks the end of the log.
+    ///
+    /// `reached` is what [`ConfigFold::reached`] said before the log was asked, and `next` the
+    /// offset that the log then gave for its next append. What was reached since proves nothing,
+    /// as it may have come from a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FoldStop::Shorter`] if the log ends before `reached`, or the stop that was there
+    /// before.
+    pub fn check_head(&mut self, reached: Offset, next: Offset) -> Result<(), FoldStop> {
+        self.cursor.check_head(reached, next)
+    }
+
+    /// Starts over from the oldest record that the log keeps, because it has lapsed the next one.
+    ///
+    /// The fold goes on giving out its state, but changes nothing until a snapshot or a peer
+    /// fills the gap. Does nothing if nothing that the fold needs has lapsed.
+    pub fn start_from(&mut self, first: Offset) {
+        if first > self.next() {
+            self.scan = Some(Scan::new(first));
+        }
+    }
+
+    /// Takes the whole state of a peer that folds the same log: for each service the higher
+    /// revision, and the higher offset.
+    ///
+    /// Returns what the records did that were held for it. A stopped fold takes nothing, because
+    /// what a peer has read since need not belong on top of it.
+    pub fn restore(&mut self, view: &StateView) -> Vec<Applied> {
+        if self.stop().is_some() {
+            return Vec::new();
+        }
+        self.view.merge(view);
+        self.end_scan()
+    }
+
+    /// Takes one service's state of an agent if its revision is higher. Says whether it was.
+    ///
+    /// The offset stays, because an agent knows its own service only: records up to that revision
+    /// are still read for the other services and passed over for this one.
+    pub fn learn(&mut self, state: &ServiceState) -> bool {
+        let known = self.view.services.get(&state.service);
+        let newer = known.is_none_or(|ours| ours.revision < state.revision);
+        if self.stop().is_some() || !newer {
+            return false;
+        }
+        let service = state.service.clone();
+        self.view.services.insert(service, state.clone());
+        true
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> &StateView {
+        &self.view
+    }
+
+    /// Returns the offset of the last record applied.
+    pub fn offset(&self) -> Offset {
+        self.view.offset
+    }
+
+    /// Returns the highest offset that any part of the state stands for: above
+    /// [`ConfigFold::offset`] if an agent knew more of its service.
+    pub fn reached(&self) -> Offset {
+        let revisions = self.view.services.values().map(|state| state.revision);
+        revisions.fold(self.view.offset, Offset::max)
+    }
+
+    /// Returns the offset to read next.
+    pub fn next(&self) -> Offset {
+        let next = self.view.offset + 1;
+        self.scan.as_ref().map_or(next, Scan::next)
+    }
+
+    /// Returns the offset to read first when the log is back after an outage: the last record
+    /// applied once more, so that a log that was written anew is noticed.
+    pub fn resume_from(&self) -> Offset {
+        self.cursor.resume_from(self.next())
+    }
+
+    /// Says whether the state has no hole before the records that are read: `false` while a
+    /// snapshot is awaited.
+    pub fn is_ready(&self) -> bool {
+        self.scan.is_none()
+    }
+
+    /// Returns why the fold has stopped, if it has.
+    pub fn stop(&self) -> Option<&FoldStop> {
+        self.cursor.stop()
+    }
+
+    /// Returns what became of the edit `edit_id` of `service`, if the fold has read it.
+    ///
+    /// None does not say that the edit was refused: a state from a peer leaves out the edits that
+    /// led to it. Sending the edit again is harmless and gives an answer.
+    pub fn edit_result(&self, service: &str, edit_id: &str) -> Option<&EditResult> {
+        self.edits.find(service, edit_id)
+    }
+
+    /// Returns the latest edits of `service` that the fold has read, newest first.
+    pub fn history(&self, service: &str) -> Vec<EditResult> {
+        self.edits.history(service)
+    }
+
+    /// Checks whether an edit may be appended: one that this state already refuses may not.
+    ///
+    /// An edit that is based on a revision which no fold has reached must never be appended. It
+    /// is refused when first read, but the same edit sent again later could fit by chance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal. [`RefusalReason::BaseAhead`] may only mean that this fold is behind.
+    pub fn check_edit(&self, service: &str, team: &str, base: Offset) -> Result<(), Refusal> {
+        let current = self.view.services.get(service);
+        check_base(current, team, base).map_err(|reason| self.refusal(service, reason))
+    }
+
+    /// Returns the state as a record, unless the fold has stopped, waits for a snapshot itself or
+    /// has applied nothing.
+    pub fn snapshot(&self) -> Option<ConfigRecord> {
+        if self.stop().is_some() || !self.is_ready() || self.view.offset == 0 {
+            return None;
+        }
+        let state = SnapshotState {
+            view: self.view.clone(),
+            edits: self.edits.carried(),
+        };
+        let state = serde_json::to_value(&state).ok()?;
+        Some(ConfigRecord::Snapshot {
+            at: self.view.offset,
+            state,
+        })
+    }
+
+    /// Says whether a snapshot is due at `now`, given the ends of the log.
+    ///
+    /// None is due while the fold is behind the log: a newer one may be among what it has not
+    /// read.
+    pub fn snapshot_due(&mut self, head: LogHead, now: SystemTime, rule: SnapshotRule) -> bool {
+        let behind = self.next() < head.next;
+        if behind || self.stop().is_some() || !self.is_ready() || self.view.offset == 0 {
+            return false;
+        }
+        let at = self.view.offset;
+        // A fold that has seen no snapshot counts from now: one may be in the log already.
+        let mark = *self.mark.get_or_insert(SnapshotMark {
+            at,
+            record: None,
+            time: now,
+        });
+        let age = now.duration_since(mark.time).unwrap_or_default();
+        let lapsed = mark.record.is_some_and(|record| record < head.first);
+        at.saturating_sub(mark.at) >= rule.every || age >= rule.max_age || lapsed
+    }
+
+    fn take_in(
+        &mut self,
+        offset: Offset,
+        at: SystemTime,
+        data: &Value,
+    ) -> Result<Vec<Applied>, FoldStop> {
+        if !self.cursor.check_offset(self.next(), offset, data)? {
+            return Ok(Vec::new());
+        }
+        let incoming = read(offset, at, data)?;
+        self.cursor.advance(offset, incoming.digest);
+        if self.scan.is_some() {
+            return Ok(self.scan_on(incoming));
+        }
+        Ok(vec![self.step(incoming)])
+    }
+
+    /// Holds a record, and ends the search if it is a snapshot that the held records join on to.
+    fn scan_on(&mut self, incoming: Incoming) -> Vec<Applied> {
+        let taken = self.take_snapshot(&incoming);
+        if let Some(scan) = &mut self.scan {
+            scan.hold(incoming);
+        }
+        let mut applied: Vec<Applied> = taken.into_iter().collect();
+        applied.extend(self.end_scan());
+        applied
+    }
+
+    /// Takes the state of a snapshot if the search can end with it.
+    fn take_snapshot(&mut self, incoming: &Incoming) -> Option<Applied> {
+        let ConfigRecord::Snapshot { at, state } = &incoming.record else {
+            return None;
+        };
+        let joins = self.scan.as_ref().is_some_and(|scan| scan.joins(*at));
+        if !joins || *at >= incoming.offset {
+            return None;
+        }
+        let state: SnapshotState = serde_json::from_value(state.clone()).ok()?;
+        self.view.merge(&state.view);
+        self.view.offset = self.view.offset.max(*at);
+        self.edits.merge(state.edits);
+        Some(Applied::SnapshotTaken { at: *at })
+    }
+
+    /// Ends the search if the state reaches up to the records held, and applies these.
+    fn end_scan(&mut self) -> Vec<Applied> {
+        let offset = self.view.offset;
+        let Some(scan) = self.scan.take_if(|scan| scan.joins(offset)) else {
+            return Vec::new();
+        };
+        let held = scan.into_held().into_iter();
+        let later = held.filter(|incoming| incoming.offset > offset);
+        later.map(|incoming| self.step(incoming)).collect()
+    }
+
+    /// Applies the record after the last one applied.
+    fn step(&mut self, incoming: Incoming) -> Applied {
+        let offset = incoming.offset;
+        self.view.offset = offset;
+        match incoming.record {
+            ConfigRecord::Edit {
+                edit_id,
+                team,
+                base,
+                document,
+                service,
+            } => {
+                let edit = Edit {
+                    edit_id,
+                    team,
+                    base,
+                    document,
+                    service,
+                };
+                self.edit(offset, incoming.digest, edit)
+            }
+            ConfigRecord::Snapshot { at, state } => {
+                self.pass_snapshot(offset, incoming.at, at, state)
+            }
+        }
+    }
+
+    fn edit(&mut self, offset: Offset, digest: Digest, edit: Edit) -> Applied {
+        let service = edit.service.clone();
+        let current = self.view.services.get(&service);
+        if let Some(state) = current.filter(|state| state.revision >= offset) {
+            if state.revision == offset {
+                let epoch = state.epoch;
+                self.remember(offset, digest, &edit, accepted(offset, epoch));
+            }
+            return Applied::Known { service, offset };
+        }
+        match judge(current, edit.clone(), offset) {
+            Ok(state) => self.accept(digest, &edit, state),
+            Err(reason) => self.refuse(offset, digest, &edit, reason),
+        }
+    }
+
+    fn accept(&mut self, digest: Digest, edit: &Edit, state: ServiceState) -> Applied {
+        let (revision, epoch) = (state.revision, state.epoch);
+        let service = state.service.clone();
+        self.remember(revision, digest, edit, accepted(revision, epoch));
+        self.view.services.insert(service.clone(), state);
+        Applied::Accepted {
+            service,
+            edit_id: edit.edit_id.clone(),
+            revision,
+            epoch,
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        offset: Offset,
+        digest: Digest,
+        edit: &Edit,
+        reason: RefusalReason,
+    ) -> Applied {
+        let service = edit.service.clone();
+        let first = self.edits.find_same(&service, &edit.edit_id, digest);
+        if let Some(first) = first.cloned() {
+            return Applied::Repeated { service, first };
+        }
+        let refusal = self.refusal(&service, reason);
+        let verdict = Verdict::Refused {
+            refusal: refusal.clone(),
+        };
+        self.remember(offset, digest, edit, verdict);
+        Applied::Refused {
+            service,
+            edit_id: edit.edit_id.clone(),
+            refusal,
+        }
+    }
+
+    fn remember(&mut self, offset: Offset, digest: Digest, edit: &Edit, verdict: Verdict) {
+        let result = EditResult {
+            offset,
+            edit_id: edit.edit_id.clone(),
+            team: edit.team.clone(),
+            base: edit.base,
+            digest,
+            verdict,
+        };
+        self.edits.push(&edit.service, result);
+    }
+
+    fn refusal(&self, service: &str, reason: RefusalReason) -> Refusal {
+        let current = self.view.services.get(service);
+        let winner = current.map(|state| Winner {
+            revision: state.revision,
+            team: state.team.clone(),
+            edit_id: self.edits.accepted_at(service, state.revision).cloned(),
+        });
+        Refusal { reason, winner }
+    }
+
+    /// Passes over a snapshot: all that it says has been applied.
+    fn pass_snapshot(
+        &mut self,
+        offset: Offset,
+        time: SystemTime,
+        at: Offset,
+        state: Value,
+    ) -> Applied {
+        let newer = self.mark.is_none_or(|mark| mark.at <= at);
+        // One that claims to know the future is of no use to anyone, so another is needed.
+        if newer && at < offset {
+            let record = Some(offset);
+            self.mark = Some(SnapshotMark { at, record, time });
+        }
+        let state: Option<SnapshotState> = serde_json::from_value(state).ok();
+        let contradicts = state.map_or_else(Vec::new, |state| state.contradictions(at, &self.view));
+        Applied::SnapshotIgnored { at, contradicts }
+    }
+}
+
+fn accepted(revision: Offset, epoch: Epoch) -> Verdict {
+    Verdict::Accepted { revision, epoch }
+}
+
+/// Reads a record, the state in a snapshot included, so that all folds stop at the same one.
+fn read(offset: Offset, at: SystemTime, data: &Value) -> Result<Incoming, FoldStop> {
+    let record: ConfigRecord = match decode(data) {
+        Ok(record) => record,
+        Err(e) => return stop_at(offset, &e),
+    };
+    if let ConfigRecord::Snapshot { state, .. } = &record
+        && let Err(e) = serde_json::from_value::<SnapshotState>(state.clone())
+    {
+        return stop_at(offset, &e);
+    }
+    Ok(Incoming {
+        offset,
+        at,
+        record,
+        digest: record_digest(data),
+        length: data.to_string().len(),
+    })
+}
+
+fn stop_at<T, E>(offset: Offset, e: &E) -> Result<T, FoldStop>
+where
+    E: std::error::Error,
+{
+    let why = e.to_string();
+    UnknownFormatSnafu { offset, why }.fail()
+}
--- /dev/null
+++ b/crates/fold/src/releases.rs
@@ -0,0 +1,54 @@
+//! Claims that their holders gave up.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, SystemTime};
+
+use serde::Serialize;
+use wagtailreel_core::{Incarnation, RequestId, VmId};
+
+/// Who made a claim. Two are never the same unless one claim was appended twice.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Claimant {
+    /// Entry that made the claim.
+    pub holder: VmId,
+    /// Start of the entry that made it.
+    pub incarnation: Incarnation,
+    /// The one request that may run the order.
+    pub request: RequestId,
+}
+
+/// The claimants that gave up, for as long as a late copy of their claims could come.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Releases {
+    given_up: BTreeSet<Claimant>,
+    by_time: VecDeque<(SystemTime, Claimant)>,
+}
+
+impl Releases {
+    /// Notes that `claimant` gave up at `at`, the time of the record.
+    pub(crate) fn insert(&mut self, at: SystemTime, claimant: Claimant) {
+        if self.given_up.insert(claimant.clone()) {
+            self.by_time.push_back((at, claimant));
+        }
+    }
+
+    /// Says whether `claimant` gave up.
+    pub(crate) fn contains(&self, claimant: &Claimant) -> bool {
+        self.given_up.contains(claimant)
+    }
+
+    /// Forgets what is older than `age` at `now`.
+    pub(crate) fn prune(&mut self, now: SystemTime, age: Duration) {
+        let old = |at: SystemTime| now.duration_since(at).is_ok_and(|passed| passed > age);
+        while self.by_time.front().is_some_and(|(at, _)| old(*at)) {
+            if let Some((_, claimant)) = self.by_time.pop_front() {
+                self.given_up.remove(&claimant);
+            }
+        }
+    }
+
+    /// Returns how many there are.
+    pub(crate) fn len(&self) -> usize {
+        self.by_time.len()
+    }
+}
