--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -8,6 +8,7 @@
 use wagtailreel_core::{CustomerId, DataCentre, Digest, Region, ServiceName, TeamName, VmId};
 
 use crate::fields::Fields;
+use crate::keyring::Keyring;
 use crate::listen::{check_listeners, listener};
 use crate::problem::{Problems, SettingsErrors};
 use crate::tree::parse;
@@ -138,6 +139,23 @@
             .finish(settings)
             .map_err(|problems| SettingsErrors { problems })
     }
+
+    /// Makes the keyring of the teams' tokens.
+    pub fn team_keyring(&self) -> Keyring {
+        let teams = self.teams.iter();
+        Keyring::new(
+            teams
+                .map(|team| (team.name.clone(), team.token_hash))
+                .collect(),
+        )
+    }
+
+    /// Makes the keyring of the customers' keys.
+    pub fn customer_keyring(&self) -> Keyring {
+        let customers = self.customers.iter();
+        let entry = |customer: &CustomerSettings| (customer.name.clone(), customer.key_hash);
+        Keyring::new(customers.map(entry).collect())
+    }
 }
 
 fn read(mut f: Fields<'_>, problems: &mut Problems) -> Option<EntrySettings> {
