--- /dev/null
+++ b/crates/switch/tests/world/mod.rs
@@ -0,0 +1,738 @@
+//! A data centre of openers and gates in virtual time, with faults; shared by the tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use wagtailreel_core::*;
+use wagtailreel_switch::*;
+
+pub(crate) const LEASE_MS: u64 = 1000;
+pub(crate) const REPORT_MS: u64 = 200;
+const SERVICE: &str = "scribes";
+const DATA_CENTRE: &str = "quito-hall";
+
+/// What befalls a process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// It stands still for so many ms; what it was sending goes out at the end.
+    Freeze(u64),
+    /// It is killed and starts again after so many ms with nothing remembered.
+    Restart(u64),
+    /// An entry is killed and another VM takes its place; the list of VMs lags.
+    Replace(u64),
+}
+
+/// When a fault strikes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum When {
+    /// At a time in ms.
+    At(u64),
+    /// At the n-th step of any switch, in the middle of the handler that takes it.
+    Step(usize),
+}
+
+/// Who is struck.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Victim {
+    /// The process that takes the step, or the first entry.
+    Actor,
+    Entry(usize),
+    Agent(usize),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) seed: u64,
+    pub(crate) entries: usize,
+    pub(crate) agents: usize,
+    /// Entries that an agent reports to.
+    pub(crate) homes: usize,
+    pub(crate) ready: u32,
+    pub(crate) bundles: u32,
+    /// Highest delay of a message in ms; the lowest is 1.
+    pub(crate) delay: u64,
+    /// Messages lost in 100; never two in a row on one way.
+    pub(crate) loss: u64,
+    /// Times of edits in ms; the epoch of the n-th is 10(n+1).
+    pub(crate) edits: Vec<u64>,
+    /// Highest lag of a new state or list at a process in ms.
+    pub(crate) lag: u64,
+    pub(crate) faults: Vec<(When, Victim, Fault)>,
+}
+
+impl Plan {
+    pub(crate) fn new(entries: usize, agents: usize) -> Self {
+        Self {
+            seed: 1,
+            entries,
+            agents,
+            homes: entries,
+            ready: u32::try_from(agents).unwrap(),
+            bundles: 2,
+            delay: 1,
+            loss: 0,
+            edits: vec![0],
+            lag: 0,
+            faults: Vec::new(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Round,
+    Timeout(VmId, Instant),
+    Call(VmId, Instant, PeerState),
+    Answer(Instant, PeerState),
+    Report(Instant, Box<Report>),
+    State(StateView),
+    List(Vec<VmId>),
+    ReportDue,
+    Directive(VmId, Instant, Box<Directive>),
+    Staged(Epoch),
+    Loaded(Epoch),
+}
+
+#[derive(Clone, Debug)]
+enum Item {
+    To(VmId, Incarnation, Event),
+    Strike(Victim, Fault),
+    Start(VmId),
+    Wake(VmId, Incarnation),
+    Edit(Epoch),
+}
+
+#[derive(Debug)]
+struct Process {
+    incarnation: Incarnation,
+    frozen: bool,
+    /// What came in while the process was frozen.
+    held: Vec<Event>,
+    /// Runs of this clock in 1000 runs of the true one.
+    rate: u64,
+    kind: Kind,
+}
+
+#[derive(Debug)]
+enum Kind {
+    Entry(Box<Opener>, BTreeMap<VmId, (Incarnation, Instant)>),
+    Agent(Box<Agent>),
+}
+
+#[derive(Debug, Default)]
+struct Agent {
+    gate: Gate,
+    sequence: u64,
+    config: Offset,
+    target: Epoch,
+    entries: Vec<VmId>,
+}
+
+pub(crate) struct World {
+    plan: Plan,
+    pub(crate) now: u64,
+    base: Instant,
+    queue: BTreeMap<(u64, u64), Item>,
+    count: u64,
+    rng: u64,
+    processes: BTreeMap<VmId, Process>,
+    /// Gates of killed agents: nothing is assumed about when the old process ends.
+    zombies: Vec<(u64, Gate)>,
+    lost: BTreeMap<(VmId, VmId), bool>,
+    listed: Vec<VmId>,
+    state: StateView,
+    starts: u64,
+    steps: usize,
+    delayed_sends: u64,
+    pub(crate) calm: bool,
+    pub(crate) log: String,
+    /// Epochs that some gate admitted, in order of time.
+    pub(crate) admitted: Vec<Epoch>,
+}
+
+impl World {
+    pub(crate) fn new(plan: Plan) -> Self {
+        let mut world = Self {
+            now: 0,
+            base: Instant::now(),
+            queue: BTreeMap::new(),
+            count: 0,
+            rng: plan.seed,
+            processes: BTreeMap::new(),
+            zombies: Vec::new(),
+            lost: BTreeMap::new(),
+            listed: (0..plan.entries).map(entry_name).collect(),
+            state: StateView::default(),
+            starts: 0,
+            steps: 0,
+            delayed_sends: 0,
+            calm: false,
+            log: String::new(),
+            admitted: Vec::new(),
+            plan,
+        };
+        let agents = (0..world.plan.agents).map(agent_name);
+        for vm in world.listed.clone().into_iter().chain(agents) {
+            world.push(0, Item::Start(vm));
+        }
+        for (index, at) in world.plan.edits.clone().into_iter().enumerate() {
+            let epoch = 10 * (u64::try_from(index).unwrap() + 1);
+            world.push(at, Item::Edit(epoch));
+        }
+        for (when, victim, fault) in world.plan.faults.clone() {
+            if let When::At(at) = when {
+                world.push(at, Item::Strike(victim, fault));
+            }
+        }
+        world
+    }
+
+    /// Runs to the time `end` in ms. Returns a violation if two gates admit different epochs.
+    pub(crate) fn run(&mut self, end: u64) -> Result<(), String> {
+        while let Some((&(at, count), _)) = self.queue.first_key_value() {
+            if at > end {
+                break;
+            }
+            let item = self.queue.remove(&(at, count)).unwrap();
+            self.now = at;
+            self.take(item);
+            self.check()?;
+        }
+        self.now = end;
+        self.check()
+    }
+
+    /// Returns which epoch each live agent admits.
+    pub(crate) fn admits(&self) -> BTreeMap<VmId, Option<Epoch>> {
+        let agents = self.processes.iter().filter_map(|(vm, process)| {
+            let Kind::Agent(agent) = &process.kind else {
+                return None;
+            };
+            let now = self.clock(process.rate);
+            let epoch = agent.gate.admit(now, None).ok().map(|it| it.epoch);
+            Some((vm.clone(), epoch))
+        });
+        agents.collect()
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let mut epochs: BTreeSet<Epoch> = self.admits().into_values().flatten().collect();
+        for (rate, gate) in &self.zombies {
+            epochs.extend(gate.admit(self.clock(*rate), None).map(|it| it.epoch));
+        }
+        if epochs.len() > 1 {
+            return Err(format!(
+                "{epochs:?} admitted at {} ms\n{}",
+                self.now, self.log
+            ));
+        }
+        if let Some(epoch) = epochs.first().copied()
+            && self.admitted.last() != Some(&epoch)
+        {
+            self.admitted.push(epoch);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, item: Item) {
+        match item {
+            Item::Start(vm) => self.start(vm),
+            Item::Strike(victim, fault) => {
+                let vm = self.name(victim, None);
+                self.strike(&vm, fault);
+            }
+            Item::Wake(vm, incarnation) => self.wake(&vm, incarnation),
+            Item::Edit(epoch) => self.edit(epoch),
+            Item::To(vm, incarnation, event) => {
+                let Some(process) = self.processes.get_mut(&vm) else {
+                    return;
+                };
+                if process.incarnation != incarnation {
+                } else if process.frozen {
+                    process.held.push(event);
+                } else {
+                    self.handle(&vm, event);
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, vm: &VmId, event: Event) {
+        let Some(mut process) = self.processes.remove(vm) else {
+            return;
+        };
+        let now = self.clock(process.rate);
+        let incarnation = process.incarnation;
+        let mut out = Vec::new();
+        let before = summary(&process, now);
+        match &mut process.kind {
+            Kind::Entry(opener, words) => on_entry(now, vm, opener, words, event, &mut out),
+            Kind::Agent(agent) => {
+                self.on_agent(now, vm, incarnation, agent, event, &mut out);
+            }
+        }
+        let after = summary(&process, now);
+        self.processes.insert(vm.clone(), process);
+        let mut send_after = 0;
+        if before != after {
+            self.note(vm, &format!("{before} -> {after}"));
+            send_after = self.step(vm);
+        }
+        for (delay, to, event) in out {
+            self.send(vm, incarnation, &to, delay, send_after, event);
+        }
+    }
+
+    /// Counts a step and strikes if a fault is planned for it. Returns how long sending is held up.
+    fn step(&mut self, actor: &VmId) -> u64 {
+        let step = self.steps;
+        self.steps += 1;
+        let mut held_up = 0;
+        for (when, victim, fault) in self.plan.faults.clone() {
+            if !matches!(when, When::Step(at) if at == step) || self.calm {
+                continue;
+            }
+            let vm = self.name(victim, Some(actor));
+            if let Fault::Freeze(length) = fault
+                && vm == *actor
+            {
+                held_up = length;
+            }
+            self.strike(&vm, fault);
+        }
+        held_up
+    }
+
+    fn send(
+        &mut self,
+        from: &VmId,
+        incarnation: Incarnation,
+        to: &VmId,
+        delay: Option<u64>,
+        held_up: u64,
+        event: Event,
+    ) {
+        // An event to oneself with a delay is a timer.
+        if let Some(delay) = delay {
+            let item = Item::To(to.clone(), incarnation, event);
+            self.push(self.now + delay, item);
+            return;
+        }
+        let loss = if self.calm { 0 } else { self.plan.loss };
+        let lose = self.draw(100) < loss;
+        let lost = self.lost.entry((from.clone(), to.clone())).or_default();
+        *lost = lose && !*lost;
+        if *lost {
+            return;
+        }
+        let Some(target) = self.processes.get(to).map(|it| it.incarnation) else {
+            return;
+        };
+        let delay = 1 + self.draw(self.plan.delay) + held_up;
+        self.push(self.now + delay, Item::To(to.clone(), target, event));
+    }
+
+    fn on_agent(
+        &mut self,
+        now: Instant,
+        vm: &VmId,
+        incarnation: Incarnation,
+        agent: &mut Agent,
+        event: Event,
+        out: &mut Vec<(Option<u64>, VmId, Event)>,
+    ) {
+        let mut report = false;
+        match event {
+            Event::ReportDue => {
+                report = true;
+                out.push((Some(REPORT_MS), vm.clone(), Event::ReportDue));
+            }
+            Event::Directive(from, sent_at, directive) => {
+                let change = agent.gate.on_directive(now, sent_at, &from, &directive);
+                report |= change.is_some();
+                if let Some(state) = &directive.state
+                    && state.revision > agent.config
+                {
+                    agent.config = state.revision;
+                    agent.target = state.epoch;
+                    let staged = 20 + self.draw(400);
+                    out.push((Some(staged), vm.clone(), Event::Staged(state.epoch)));
+                }
+            }
+            Event::Staged(epoch) if epoch == agent.target => {
+                agent.gate.set_phase(epoch, WeightsPhase::Staged, None);
+                report = true;
+            }
+            Event::Loaded(epoch) if agent.gate.phase(epoch) == Some(WeightsPhase::Loading) => {
+                let digest = Digest::of(&epoch.to_be_bytes());
+                agent
+                    .gate
+                    .set_phase(epoch, WeightsPhase::Loaded, Some(digest));
+                report = true;
+            }
+            Event::List(entries) => agent.entries = entries,
+            _ => {}
+        }
+        report |= self.load(vm, agent, out);
+        if report {
+            agent.sequence += 1;
+            for entry in homes(vm, &agent.entries, self.plan.homes) {
+                let report = make_report(vm, incarnation, agent, self.plan.bundles);
+                out.push((None, entry, Event::Report(now, Box::new(report))));
+            }
+        }
+    }
+
+    /// Loads the target if the engine has a place for it, as an agent would.
+    fn load(
+        &mut self,
+        vm: &VmId,
+        agent: &mut Agent,
+        out: &mut Vec<(Option<u64>, VmId, Event)>,
+    ) -> bool {
+        let target = agent.target;
+        for epoch in agent.gate.droppable(target) {
+            agent.gate.forget(epoch);
+        }
+        if agent.gate.phase(target) != Some(WeightsPhase::Staged) {
+            return false;
+        }
+        let mut report = make_report(vm, 0, agent, 0);
+        agent.gate.fill_report(&mut report);
+        let held: Vec<Epoch> = report
+            .weights
+            .iter()
+            .filter(|(_, phase)| **phase >= WeightsPhase::Loading)
+            .map(|(epoch, _)| *epoch)
+            .collect();
+        if held.len() >= usize::try_from(self.plan.bundles).unwrap() {
+            let gives_up = agent.gate.open().filter(|_| self.plan.bundles == 1);
+            let Some(open) = gives_up.filter(|_| agent.gate.may_swap(target)) else {
+                return false;
+            };
+            agent.gate.forget(open);
+        }
+        agent.gate.set_phase(target, WeightsPhase::Loading, None);
+        let loaded = 20 + self.draw(400);
+        out.push((Some(loaded), vm.clone(), Event::Loaded(target)));
+        true
+    }
+
+    fn start(&mut self, vm: VmId) {
+        self.starts += 1;
+        let incarnation = self.starts;
+        let rate = 995 + self.draw(11);
+        let now = self.clock(rate);
+        let kind = if vm.starts_with('e') {
+            let cfg = OpenerConfig {
+                vm: vm.clone(),
+                incarnation,
+                data_centre: DATA_CENTRE.to_owned(),
+                control: "127.0.0.1:1".parse().unwrap(),
+                lease: Duration::from_millis(LEASE_MS),
+            };
+            let mut opener = Opener::new(cfg, now);
+            // A process has its list of VMs before it starts its rounds.
+            opener.on_entries(now, &vm_entries(&self.listed));
+            Kind::Entry(Box::new(opener), BTreeMap::new())
+        } else {
+            Kind::Agent(Box::new(Agent {
+                entries: self.listed.clone(),
+                ..Agent::default()
+            }))
+        };
+        let process = Process {
+            incarnation,
+            frozen: false,
+            held: Vec::new(),
+            rate,
+            kind,
+        };
+        self.processes.insert(vm.clone(), process);
+        let lag = self.draw(self.plan.lag + 1);
+        let first = if vm.starts_with('e') {
+            Event::Round
+        } else {
+            Event::ReportDue
+        };
+        self.push(self.now, Item::To(vm.clone(), incarnation, first));
+        let state = Event::State(self.state.clone());
+        self.push(self.now + lag, Item::To(vm, incarnation, state));
+    }
+
+    fn strike(&mut self, vm: &VmId, fault: Fault) {
+        if self.calm || !self.processes.contains_key(vm) {
+            return;
+        }
+        self.note(vm, &format!("{fault:?}"));
+        match fault {
+            Fault::Freeze(length) => {
+                let process = self.processes.get_mut(vm).unwrap();
+                if process.frozen {
+                    return;
+                }
+                process.frozen = true;
+                let wake = Item::Wake(vm.clone(), process.incarnation);
+                self.push(self.now + length, wake);
+            }
+            Fault::Restart(after) => {
+                self.kill(vm);
+                self.push(self.now + after, Item::Start(vm.clone()));
+            }
+            Fault::Replace(after) if vm.starts_with('e') => {
+                self.kill(vm);
+                let fresh = entry_name(usize::try_from(self.starts).unwrap() + 10);
+                self.listed.retain(|name| name != vm);
+                self.listed.push(fresh.clone());
+                self.push(self.now + after, Item::Start(fresh));
+                let processes: Vec<(VmId, Incarnation)> = self
+                    .processes
+                    .iter()
+                    .map(|(vm, process)| (vm.clone(), process.incarnation))
+                    .collect();
+                for (vm, incarnation) in processes {
+                    let lag = self.draw(self.plan.lag + 1);
+                    let list = Event::List(self.listed.clone());
+                    self.push(self.now + lag, Item::To(vm, incarnation, list));
+                }
+            }
+            Fault::Replace(after) => self.strike(vm, Fault::Restart(after)),
+        }
+    }
+
+    fn kill(&mut self, vm: &VmId) {
+        let process = self.processes.remove(vm).unwrap();
+        if let Kind::Agent(agent) = process.kind {
+            self.zombies.push((process.rate, agent.gate));
+        }
+    }
+
+    /// Wakes a process: what came in meanwhile is handled in any order.
+    fn wake(&mut self, vm: &VmId, incarnation: Incarnation) {
+        let Some(process) = self.processes.get_mut(vm) else {
+            return;
+        };
+        if process.incarnation != incarnation {
+            return;
+        }
+        process.frozen = false;
+        let mut held = std::mem::take(&mut process.held);
+        self.note(vm, "wakes");
+        while !held.is_empty() {
+            let index = usize::try_from(self.draw(u64::try_from(held.len()).unwrap())).unwrap();
+            let event = held.swap_remove(index);
+            self.push(self.now, Item::To(vm.clone(), incarnation, event));
+        }
+    }
+
+    fn edit(&mut self, epoch: Epoch) {
+        let document = document(self.plan.ready);
+        let state = ServiceState {
+            service: SERVICE.to_owned(),
+            team: "scribes".to_owned(),
+            revision: epoch,
+            epoch,
+            document: Some(Box::new(document)),
+        };
+        self.state.offset = epoch;
+        self.state.services.insert(SERVICE.to_owned(), state);
+        let entries: Vec<(VmId, Incarnation)> = self
+            .processes
+            .iter()
+            .filter(|(_, process)| matches!(process.kind, Kind::Entry(..)))
+            .map(|(vm, process)| (vm.clone(), process.incarnation))
+            .collect();
+        for (vm, incarnation) in entries {
+            let lag = self.draw(self.plan.lag + 1);
+            let state = Event::State(self.state.clone());
+            self.push(self.now + lag, Item::To(vm, incarnation, state));
+        }
+    }
+
+    fn name(&self, victim: Victim, actor: Option<&VmId>) -> VmId {
+        let entries = &self.listed;
+        match victim {
+            Victim::Actor => actor.unwrap_or(&entries[0]).clone(),
+            Victim::Entry(index) => entries[index % entries.len()].clone(),
+            Victim::Agent(index) => agent_name(index % self.plan.agents),
+        }
+    }
+
+    fn push(&mut self, at: u64, item: Item) {
+        self.count += 1;
+        self.queue.insert((at, self.count), item);
+    }
+
+    fn note(&mut self, vm: &str, text: &str) {
+        writeln!(self.log, "{:>6} {vm} {text}", self.now).unwrap();
+    }
+
+    /// Returns the time by a clock that runs at `rate` in 1000.
+    fn clock(&self, rate: u64) -> Instant {
+        self.base + Duration::from_micros(1_000_000 + self.now * rate)
+    }
+
+    /// Draws a number below `below` (splitmix64); 0 if that is 0.
+    fn draw(&mut self, below: u64) -> u64 {
+        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.rng;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (z ^ (z >> 31)).checked_rem(below).unwrap_or(0)
+    }
+}
+
+fn on_entry(
+    now: Instant,
+    vm: &VmId,
+    opener: &mut Opener,
+    words: &mut BTreeMap<VmId, (Incarnation, Instant)>,
+    event: Event,
+    out: &mut Vec<(Option<u64>, VmId, Event)>,
+) {
+    let mut round = false;
+    match event {
+        Event::Round => {
+            round = true;
+            let again = u64::try_from(opener.timing().round().as_millis()).unwrap();
+            out.push((Some(again), vm.clone(), Event::Round));
+        }
+        Event::Timeout(peer, started) => opener.on_peer_failure(now, started, &peer),
+        Event::Call(from, started, state) => {
+            opener.on_peer_call(now, &state);
+            out.push((None, from, Event::Answer(started, opener.peer_state(now))));
+        }
+        Event::Answer(started, state) => opener.on_peer_answer(now, started, &state),
+        Event::Report(sent_at, report) => {
+            let directive = if opener.on_report(now, &report) {
+                words.insert(report.vm.clone(), (report.incarnation, sent_at));
+                opener.directive(now, &report.vm)
+            } else {
+                opener.refusal()
+            };
+            let directive = Event::Directive(vm.clone(), sent_at, Box::new(directive));
+            out.push((None, report.vm.clone(), directive));
+        }
+        Event::State(state) => {
+            opener.on_state(now, &state);
+        }
+        Event::List(entries) => opener.on_entries(now, &vm_entries(&entries)),
+        _ => {}
+    }
+    let mut changes = opener.take_changes();
+    if round || changes.peers {
+        opener.on_round(now);
+        changes.services.extend(opener.take_changes().services);
+        let timeout = u64::try_from(opener.timing().attempt().as_millis()).unwrap();
+        for peer in opener.peers().into_keys() {
+            out.push((Some(timeout), vm.clone(), Event::Timeout(peer.clone(), now)));
+            let call = Event::Call(vm.clone(), now, opener.peer_state(now));
+            out.push((None, peer, call));
+        }
+    }
+    if !changes.services.is_empty() {
+        // A hanging call is answered: its lease runs from when the call was sent.
+        for (agent, (_, sent_at)) in words {
+            let directive = Box::new(opener.directive(now, agent));
+            out.push((
+                None,
+                agent.clone(),
+                Event::Directive(vm.clone(), *sent_at, directive),
+            ));
+        }
+    }
+}
+
+fn summary(process: &Process, now: Instant) -> String {
+    match &process.kind {
+        Kind::Entry(opener, _) => {
+            let (granting, close_below) = opener.epochs(now, SERVICE);
+            let grants = granting.map_or("nothing".to_owned(), |epoch| epoch.to_string());
+            format!("closes below {close_below}, grants {grants}")
+        }
+        Kind::Agent(agent) => {
+            let admits = match agent.gate.admit(now, None) {
+                Ok(admission) => format!("admits {}", admission.epoch),
+                Err(reason) => format!("refuses ({reason})"),
+            };
+            format!("closed below {}, {admits}", agent.gate.closed_below())
+        }
+    }
+}
+
+fn make_report(vm: &VmId, incarnation: Incarnation, agent: &Agent, bundles: u32) -> Report {
+    let mut report = Report {
+        vm: vm.clone(),
+        incarnation,
+        sequence: agent.sequence,
+        data_centre: DATA_CENTRE.to_owned(),
+        region: "sierra".to_owned(),
+        service: SERVICE.to_owned(),
+        data: "127.0.0.1:2".parse().unwrap(),
+        control: "127.0.0.1:3".parse().unwrap(),
+        config: agent.config,
+        in_flight: 0,
+        capacity: 8,
+        load: None,
+        bundles,
+        leaving: false,
+        closed_below: 0,
+        open: None,
+        open_weights: None,
+        weights: BTreeMap::new(),
+        chunks: (0, 0),
+        trouble: None,
+    };
+    agent.gate.fill_report(&mut report);
+    report
+}
+
+fn document(ready: u32) -> Document {
+    let place = Place {
+        data_centre: DATA_CENTRE.to_owned(),
+        vms: VmSelection::All,
+        ready,
+    };
+    Document {
+        service: SERVICE.to_owned(),
+        kind: ServiceKind::Engine,
+        model: None,
+        adapters: Vec::new(),
+        places: vec![place],
+        priority: Priority::Normal,
+        spread: SpreadSettings::default(),
+        limits: BTreeMap::new(),
+        default_limit: None,
+        objectives: Objectives::default(),
+    }
+}
+
+fn vm_entries(names: &[VmId]) -> Vec<VmEntry> {
+    let make = |vm: &VmId| VmEntry {
+        vm: vm.clone(),
+        data_centre: DATA_CENTRE.to_owned(),
+        region: "sierra".to_owned(),
+        role: VmRole::Entry,
+        state: VmState::Live,
+        service: None,
+        control: "127.0.0.1:1".parse().unwrap(),
+        data: "127.0.0.1:1".parse().unwrap(),
+    };
+    names.iter().map(make).collect()
+}
+
+fn homes(vm: &str, entries: &[VmId], count: usize) -> Vec<VmId> {
+    let ranked = rank(vm.as_bytes(), entries.iter().map(String::as_str));
+    ranked.into_iter().take(count).map(str::to_owned).collect()
+}
+
+fn entry_name(index: usize) -> VmId {
+    format!("e{index}")
+}
+
+fn agent_name(index: usize) -> VmId {
+    format!("a{index}")
+}
