--- /dev/null
+++ b/crates/entry/src/admin/submit.rs
@@ -0,0 +1,254 @@
+//! `POST /admin/v1/services/{service}/document`: one edit of a service's document.
+
+use std::time::Duration;
+
+use axum::Json;
+use axum::extract::{Path, Query, State};
+use axum::response::{IntoResponse, Response};
+use http::{HeaderMap, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+use wagtailreel_core::{ConfigRecord, Document, EditId, Offset, Outcome, TeamName};
+use wagtailreel_fold::{EditResult, Refusal, RefusalReason, Verdict, encode_config};
+use wagtailreel_platform::{Effect, LogService};
+use wagtailreel_settings::{check_document_for, is_name};
+
+use crate::admin::Admin;
+use crate::admin::auth::{Forbidden, authorize};
+use crate::config::ConfigBook;
+use crate::events;
+use crate::follower::StreamSink as _;
+
+/// How long an accepted append is waited for to be read back.
+const READ_BACK: Duration = Duration::from_secs(5);
+
+/// How an edit is named and what it is based on.
+#[derive(Debug, Deserialize)]
+pub(crate) struct EditQuery {
+    base: Offset,
+    edit: EditId,
+}
+
+/// What became of a submission.
+enum Submitted {
+    Decided(EditResult),
+    Problems(Value),
+    BadEdit,
+    /// Refused before it was appended.
+    Refused(Refusal),
+    Failed(Outcome, String),
+}
+
+/// Takes an edit and answers once it is read back.
+pub(crate) async fn submit<L>(
+    State(admin): State<Admin<L>>,
+    Path(service): Path<String>,
+    Query(query): Query<EditQuery>,
+    headers: HeaderMap,
+    yaml: String,
+) -> Result<Response, Forbidden>
+where
+    L: LogService,
+{
+    let team = authorize(&admin.cx, &headers, &service)?;
+    let edit = query.edit.clone();
+    let submitted = run(&admin, &team, &service, query, &yaml).await;
+    let (status, body) = answer(&submitted);
+    let code = status.as_str().to_owned();
+    events::DOCUMENT_SUBMITTED.emit(&[
+        ("service", &service),
+        ("team", &team),
+        ("edit", &edit),
+        ("status", &code),
+    ]);
+    Ok((status, Json(body)).into_response())
+}
+
+async fn run<L>(
+    admin: &Admin<L>,
+    team: &TeamName,
+    service: &str,
+    query: EditQuery,
+    yaml: &str,
+) -> Submitted
+where
+    L: LogService,
+{
+    let document = match check_document_for(service, yaml) {
+        Ok(document) => document,
+        Err(problems) => return Submitted::Problems(json!(problems)),
+    };
+    if !is_name(&query.edit) {
+        return Submitted::BadEdit;
+    }
+    let book = &admin.cx.book;
+    if let Some(stop) = book.with_fold(|fold| fold.stop().cloned()) {
+        return Submitted::Failed(Outcome::NotRun, stop.to_string());
+    }
+    if let Some(decided) = decided_before(book, service, &query, &document) {
+        return decided;
+    }
+    let fits = book.with_fold(|fold| fold.check_edit(service, team, query.base));
+    if let Err(refusal) = fits {
+        return Submitted::Refused(refusal);
+    }
+    let record = ConfigRecord::Edit {
+        edit_id: query.edit.clone(),
+        team: team.clone(),
+        base: query.base,
+        document: Some(Box::new(document)),
+        service: service.to_owned(),
+    };
+    append(admin, service, &query.edit, &record).await
+}
+
+/// Answers an edit that was sent again from what the fold remembers.
+///
+/// The same id with another document is another edit: it goes on and is judged by its base.
+fn decided_before(
+    book: &ConfigBook,
+    service: &str,
+    query: &EditQuery,
+    document: &Document,
+) -> Option<Submitted> {
+    let result = book.with_fold(|fold| fold.edit_result(service, &query.edit).cloned())?;
+    if result.base != query.base {
+        return None;
+    }
+    let Verdict::Accepted { revision, .. } = &result.verdict else {
+        return Some(Submitted::Decided(result));
+    };
+    let view = book.view();
+    let state = view.services.get(service)?;
+    // Once another edit followed, the document of this one is not there to compare with; its
+    // base is stale by then, and so the edit can't be taken twice.
+    let same = state.revision != *revision || state.document.as_deref() == Some(document);
+    same.then_some(Submitted::Decided(result))
+}
+
+async fn append<L>(
+    admin: &Admin<L>,
+    service: &str,
+    edit: &EditId,
+    record: &ConfigRecord,
+) -> Submitted
+where
+    L: LogService,
+{
+    let encoded = match encode_config(record) {
+        Ok(encoded) => encoded,
+        Err(err) => return Submitted::Failed(Outcome::NotRun, err.to_string()),
+    };
+    let book = &admin.cx.book;
+    let appended = match admin.log.append(ConfigBook::STREAM, encoded).await {
+        Ok(offset) => Some(offset),
+        Err(err) => {
+            let reason = err.to_string();
+            events::APPEND_FAILED.emit(&[("stream", ConfigBook::STREAM), ("reason", &reason)]);
+            if err.took_effect() == Effect::No {
+                return Submitted::Failed(Outcome::NotRun, reason);
+            }
+            // It may stand in the log all the same; reading tells.
+            None
+        }
+    };
+    await_result(book, service, edit, appended).await
+}
+
+/// Waits until the fold has read the edit.
+async fn await_result(
+    book: &ConfigBook,
+    service: &str,
+    edit: &EditId,
+    appended: Option<Offset>,
+) -> Submitted {
+    let mut offset = book.offset();
+    let until = Instant::now() + READ_BACK;
+    loop {
+        let found = book.with_fold(|fold| fold.edit_result(service, edit).cloned());
+        if let Some(result) = found.filter(|result| is_of(result, appended)) {
+            return Submitted::Decided(result);
+        }
+        // A state from a peer leaves out how its edits were decided, but not what is in force.
+        if appended.is_some_and(|appended| appended <= book.applied()) {
+            let view = book.view();
+            let state = view.services.get(service);
+            if let Some(state) = state.filter(|state| Some(state.revision) == appended) {
+                return accepted(state.revision, state.epoch, edit, &state.team);
+            }
+            let reason = "the edit was read by a peer: send it again with the same id";
+            return Submitted::Failed(Outcome::Unknown, reason.to_owned());
+        }
+        if !matches!(
+            tokio::time::timeout_at(until, offset.changed()).await,
+            Ok(Ok(()))
+        ) {
+            let reason = "the edit was not read back: send it again with the same id";
+            return Submitted::Failed(Outcome::Unknown, reason.to_owned());
+        }
+    }
+}
+
+/// Says whether `result` is of the edit that was appended at `appended`, or of an earlier copy.
+fn is_of(result: &EditResult, appended: Option<Offset>) -> bool {
+    appended.is_none_or(|appended| result.offset <= appended)
+}
+
+fn accepted(revision: Offset, epoch: Offset, edit: &EditId, team: &TeamName) -> Submitted {
+    Submitted::Decided(EditResult {
+        offset: revision,
+        edit_id: edit.clone(),
+        team: team.clone(),
+        base: 0,
+        digest: wagtailreel_core::Digest::new([0; 32]),
+        verdict: Verdict::Accepted { revision, epoch },
+    })
+}
+
+fn answer(submitted: &Submitted) -> (StatusCode, Value) {
+    match submitted {
+        Submitted::Decided(EditResult {
+            verdict: Verdict::Accepted { revision, epoch },
+            ..
+        }) => (
+            StatusCode::OK,
+            json!({ "revision": revision, "epoch": epoch }),
+        ),
+        Submitted::Decided(EditResult {
+            verdict: Verdict::Refused { refusal },
+            ..
+        })
+        | Submitted::Refused(refusal) => (refusal_status(refusal), refusal_body(refusal)),
+        Submitted::Problems(problems) => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            json!({ "problems": problems }),
+        ),
+        Submitted::BadEdit => (
+            StatusCode::BAD_REQUEST,
+            json!({ "error": "`edit` is no name: use lower case letters, digits and hyphens" }),
+        ),
+        Submitted::Failed(outcome, reason) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({ "outcome": outcome, "error": reason }),
+        ),
+    }
+}
+
+fn refusal_status(refusal: &Refusal) -> StatusCode {
+    match refusal.reason {
+        RefusalReason::NotOwner => StatusCode::FORBIDDEN,
+        RefusalReason::WrongService => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalReason::StaleBase | RefusalReason::BaseAhead => StatusCode::CONFLICT,
+    }
+}
+
+fn refusal_body(refusal: &Refusal) -> Value {
+    let winner = refusal.winner.as_ref();
+    json!({
+        "revision": winner.map(|winner| winner.revision),
+        "team": winner.map(|winner| &winner.team),
+        "edit": winner.and_then(|winner| winner.edit_id.as_ref()),
+        "error": refusal.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/backoff.rs
@@ -0,0 +1,37 @@
+//! Waits between tries of something that fails.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+
+/// First wait after a failure.
+const FIRST: Duration = Duration::from_millis(50);
+
+/// Longest wait; it bounds how late a service that comes back is noticed.
+const LONGEST: Duration = Duration::from_secs(1);
+
+/// Doubles the wait with each failure and spreads it by half.
+#[derive(Debug)]
+pub(crate) struct Backoff {
+    next: Duration,
+}
+
+impl Backoff {
+    /// Makes a backoff that has seen no failure.
+    pub(crate) fn new() -> Self {
+        Self { next: FIRST }
+    }
+
+    /// Returns how long to wait after one more failure, but not less than `told`.
+    pub(crate) fn failed(&mut self, told: Option<Duration>) -> Duration {
+        let wait = self.next;
+        self.next = (self.next * 2).min(LONGEST);
+        let spread = rand::rng().random_range(0.5..1.0);
+        wait.mul_f64(spread).max(told.unwrap_or_default())
+    }
+
+    /// Takes that it worked.
+    pub(crate) fn worked(&mut self) {
+        self.next = FIRST;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,209 @@
+//! The configuration: the fold of the stream `config`, and what is in force.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::SystemTime;
+
+use tokio::sync::watch;
+use wagtailreel_control::EntryControl;
+use wagtailreel_core::{Offset, StateView};
+use wagtailreel_fold::{Applied, ConfigFold, FoldStop, LogHead};
+use wagtailreel_platform::LogPage;
+
+use crate::events;
+use crate::follower::StreamSink;
+use crate::metrics::Metrics;
+use crate::services::Services;
+
+/// The configuration at this entry.
+///
+/// Invariant: what is in force is always a state of the fold, so it never reverts.
+#[derive(Debug)]
+pub(crate) struct ConfigBook {
+    fold: Mutex<ConfigFold>,
+    view: RwLock<Arc<StateView>>,
+    offset: watch::Sender<Offset>,
+    head: watch::Sender<Option<LogHead>>,
+    services: Arc<Services>,
+    control: EntryControl,
+    metrics: Metrics,
+    started: SystemTime,
+}
+
+impl ConfigBook {
+    /// Makes a book that has read nothing.
+    pub(crate) fn new(services: Arc<Services>, control: EntryControl, metrics: Metrics) -> Self {
+        Self {
+            fold: Mutex::default(),
+            view: RwLock::default(),
+            offset: watch::Sender::new(0),
+            head: watch::Sender::new(None),
+            services,
+            control,
+            metrics,
+            started: SystemTime::now(),
+        }
+    }
+
+    /// Runs `f` on the fold.
+    pub(crate) fn with_fold<F, T>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut ConfigFold) -> T,
+    {
+        f(&mut self.fold.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn view(&self) -> Arc<StateView> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns a receiver of the offset in force.
+    pub(crate) fn offset(&self) -> watch::Receiver<Offset> {
+        self.offset.subscribe()
+    }
+
+    /// Returns a receiver of the ends of the log, as they were last read.
+    pub(crate) fn head(&self) -> watch::Receiver<Option<LogHead>> {
+        self.head.subscribe()
+    }
+
+    /// Says whether the configuration is known: from the log, or from a peer.
+    pub(crate) fn is_known(&self) -> bool {
+        let (offset, ready) = self.with_fold(|fold| (fold.offset(), fold.is_ready()));
+        (self.head.borrow().is_some() && ready) || offset > 0
+    }
+
+    /// Takes a peer's state, of which an agent's has one service and no offset.
+    pub(crate) fn take_state(&self, view: &StateView) {
+        let applied = self.with_fold(|fold| {
+            let applied = fold.restore(view);
+            for state in view.services.values() {
+                fold.learn(state);
+            }
+            applied
+        });
+        self.note(&applied, None);
+        self.publish();
+    }
+
+    /// Puts the fold's state in force, if it is news.
+    pub(crate) fn publish(&self) {
+        let state = self.with_fold(|fold| fold.state().clone());
+        if state == *self.view() {
+            return;
+        }
+        let state = Arc::new(state);
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&state);
+        self.services.apply(&state);
+        self.control.set_state(StateView::clone(&state));
+        self.metrics
+            .config_offset
+            .set(i64::try_from(state.offset).unwrap_or(i64::MAX));
+        self.offset.send_replace(state.offset);
+    }
+
+    fn note(&self, applied: &[Applied], at: Option<SystemTime>) {
+        for applied in applied {
+            match applied {
+                Applied::Accepted {
+                    service,
+                    edit_id,
+                    revision,
+                    ..
+                } => {
+                    let revision = revision.to_string();
+                    events::CONFIG_APPLIED.emit(&[
+                        ("service", service),
+                        ("edit", edit_id),
+                        ("revision", &revision),
+                    ]);
+                    self.note_lag(at);
+                }
+                Applied::Refused {
+                    service,
+                    edit_id,
+                    refusal,
+                } => {
+                    let reason = refusal.to_string();
+                    events::EDIT_REFUSED.emit(&[
+                        ("service", service),
+                        ("edit", edit_id),
+                        ("reason", &reason),
+                    ]);
+                }
+                Applied::SnapshotIgnored { at, contradicts } if !contradicts.is_empty() => {
+                    let at = at.to_string();
+                    let services = contradicts.join(" ");
+                    events::SNAPSHOT_CONTRADICTS.emit(&[("at", &at), ("services", &services)]);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Notes how late a document came into force; not for those that are older than the process.
+    fn note_lag(&self, at: Option<SystemTime>) {
+        let Some(at) = at.filter(|at| *at >= self.started) else {
+            return;
+        };
+        let lag = SystemTime::now().duration_since(at).unwrap_or_default();
+        self.metrics.in_force_lag.observe(lag.as_secs_f64());
+    }
+}
+
+impl StreamSink for ConfigBook {
+    const STREAM: &'static str = "config";
+
+    fn next(&self, after_failure: bool) -> Offset {
+        self.with_fold(|fold| {
+            if after_failure {
+                fold.resume_from()
+            } else {
+                fold.next()
+            }
+        })
+    }
+
+    fn applied(&self) -> Offset {
+        self.with_fold(|fold| fold.offset())
+    }
+
+    fn take_page(&self, page: &LogPage, applied: Offset) -> Result<(), FoldStop> {
+        self.with_fold(|fold| fold.check_head(applied, page.next))?;
+        let mut result = Ok(());
+        for record in &page.records {
+            let step = self.with_fold(|fold| fold.apply(record.offset, record.at, &record.data));
+            match step {
+                Ok(applied) => self.note(&applied, Some(record.at)),
+                Err(stop) => {
+                    result = Err(stop);
+                    break;
+                }
+            }
+        }
+        // What was applied before a stop is in force all the same.
+        self.publish();
+        self.head.send_replace(Some(LogHead {
+            first: page.first,
+            next: page.next,
+        }));
+        result
+    }
+
+    fn lapsed(&self, first: Offset, next: Offset, applied: Offset) -> Result<bool, FoldStop> {
+        self.with_fold(|fold| {
+            fold.check_head(applied, next)?;
+            let missed = first > fold.next();
+            fold.start_from(first);
+            Ok(missed)
+        })
+    }
+
+    fn set_reading(&self, reading: bool) {
+        self.metrics.config_reading.set(i64::from(reading));
+    }
+
+    fn stopped(&self, _stop: &FoldStop) {
+        self.metrics.config_stopped.set(1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,248 @@
+//! Events of the entry, numbers 1000 to 1999.
+
+use wagtailreel_telemetry::{Event, Level};
+
+/// The entry answers callers.
+pub const STARTED: Event = Event {
+    id: 1001,
+    name: "entry-started",
+    level: Level::Info,
+    meaning: "The entry answers callers and operators.",
+    remedy: "Nothing.",
+};
+
+/// The entry takes no new requests.
+pub const LEAVING: Event = Event {
+    id: 1002,
+    name: "entry-leaving",
+    level: Level::Info,
+    meaning: "The entry takes no new requests and finishes those in flight.",
+    remedy: "Nothing; wait for `entry-stopped` before the VM is taken away.",
+};
+
+/// The entry has ended.
+pub const STOPPED: Event = Event {
+    id: 1003,
+    name: "entry-stopped",
+    level: Level::Info,
+    meaning: "Every request in flight is finished and the entry has ended.",
+    remedy: "Nothing.",
+};
+
+/// A stream of the log can't be read.
+pub const LOG_AWAY: Event = Event {
+    id: 1010,
+    name: "log-away",
+    level: Level::Warn,
+    meaning: "A stream of the platform's log can't be read; the entry serves what it knows.",
+    remedy: "Look at the log service. Documents and marked orders are refused until it is back.",
+};
+
+/// A stream of the log can be read again.
+pub const LOG_BACK: Event = Event {
+    id: 1011,
+    name: "log-back",
+    level: Level::Info,
+    meaning: "The stream of the platform's log can be read again.",
+    remedy: "Nothing.",
+};
+
+/// Records lapsed before they were read.
+pub const LOG_LAPSED: Event = Event {
+    id: 1012,
+    name: "log-lapsed",
+    level: Level::Warn,
+    meaning: "Records lapsed before the entry had read them; it goes on from a snapshot or peer.",
+    remedy: "Nothing, unless it lasts: then see whether entries append snapshots.",
+};
+
+/// A fold stopped.
+pub const LOG_STOPPED: Event = Event {
+    id: 1013,
+    name: "log-stopped",
+    level: Level::Error,
+    meaning: "The log is not the one that was applied, or has a record that can't be read. The \
+              entry serves what it has and applies nothing more.",
+    remedy: "Do as the reason says.",
+};
+
+/// A new configuration is in force at this entry.
+pub const CONFIG_APPLIED: Event = Event {
+    id: 1014,
+    name: "config-applied",
+    level: Level::Info,
+    meaning: "An accepted document is in force at this entry.",
+    remedy: "Nothing.",
+};
+
+/// An edit was refused by the fold.
+pub const EDIT_REFUSED: Event = Event {
+    id: 1015,
+    name: "edit-refused",
+    level: Level::Info,
+    meaning: "An edit lost against another or did not fit its base.",
+    remedy: "Read the document again and edit that.",
+};
+
+/// A snapshot was appended.
+pub const SNAPSHOT_APPENDED: Event = Event {
+    id: 1016,
+    name: "snapshot-appended",
+    level: Level::Info,
+    meaning: "The entry appended the state to the log, so that older records may lapse.",
+    remedy: "Nothing.",
+};
+
+/// A snapshot says something else than the fold.
+pub const SNAPSHOT_CONTRADICTS: Event = Event {
+    id: 1017,
+    name: "snapshot-contradicts",
+    level: Level::Error,
+    meaning: "A snapshot in the log says something else than this entry read. It was passed over.",
+    remedy: "Compare the service's document at several entries; replace the one that differs.",
+};
+
+/// State came from a peer.
+pub const STATE_PULLED: Event = Event {
+    id: 1018,
+    name: "state-pulled",
+    level: Level::Info,
+    meaning: "The entry took its configuration from a peer.",
+    remedy: "Nothing.",
+};
+
+/// A record could not be appended.
+pub const APPEND_FAILED: Event = Event {
+    id: 1019,
+    name: "append-failed",
+    level: Level::Warn,
+    meaning: "The log did not take a record, or its answer was lost.",
+    remedy: "Look at the log service.",
+};
+
+/// The list of VMs can't be read.
+pub const VM_LIST_AWAY: Event = Event {
+    id: 1020,
+    name: "vm-list-away",
+    level: Level::Warn,
+    meaning: "The platform's list of VMs can't be read; the last known one is used.",
+    remedy: "Look at the list of VMs.",
+};
+
+/// The list of VMs can be read again.
+pub const VM_LIST_BACK: Event = Event {
+    id: 1021,
+    name: "vm-list-back",
+    level: Level::Info,
+    meaning: "The platform's list of VMs can be read again.",
+    remedy: "Nothing.",
+};
+
+/// A caller has no known key.
+pub const CUSTOMER_UNKNOWN: Event = Event {
+    id: 1030,
+    name: "customer-unknown",
+    level: Level::Info,
+    meaning: "A caller sent no key or an unknown one.",
+    remedy: "Check the caller's key against `customers` in the settings.",
+};
+
+/// An operator has no known token.
+pub const TEAM_UNKNOWN: Event = Event {
+    id: 1031,
+    name: "team-unknown",
+    level: Level::Warn,
+    meaning: "An operator sent no token or an unknown one.",
+    remedy: "Check the operator's token against `teams` in the settings.",
+};
+
+/// A team asked for another team's service.
+pub const TEAM_FORBIDDEN: Event = Event {
+    id: 1032,
+    name: "team-forbidden",
+    level: Level::Warn,
+    meaning: "A team asked for a service that it does not own.",
+    remedy: "Check `services` of the team in the settings.",
+};
+
+/// An upstream changed its standing.
+pub const UPSTREAM_FAILED: Event = Event {
+    id: 1040,
+    name: "upstream-failed",
+    level: Level::Warn,
+    meaning: "A request did not reach an upstream, or its answer broke off.",
+    remedy: "Look at the agent on that VM and at the link to it.",
+};
+
+/// A stream is continued elsewhere.
+pub const STREAM_RESUMED: Event = Event {
+    id: 1041,
+    name: "stream-resumed",
+    level: Level::Info,
+    meaning: "A stream that broke off goes on at a replica of the same weights.",
+    remedy: "Nothing.",
+};
+
+/// The outcome of a request is not known.
+pub const OUTCOME_UNKNOWN: Event = Event {
+    id: 1042,
+    name: "outcome-unknown",
+    level: Level::Warn,
+    meaning: "A caller was told that it is not known whether the request ran to its end.",
+    remedy: "Look at the upstream that had the request.",
+};
+
+/// An order was given up.
+pub const ORDER_RELEASED: Event = Event {
+    id: 1050,
+    name: "order-released",
+    level: Level::Info,
+    meaning: "The entry gives up claims on orders that it never dispatched.",
+    remedy: "Nothing.",
+};
+
+/// A document was submitted.
+pub const DOCUMENT_SUBMITTED: Event = Event {
+    id: 1060,
+    name: "document-submitted",
+    level: Level::Info,
+    meaning: "A team submitted a document; the event says what became of it.",
+    remedy: "Nothing.",
+};
+
+/// A request can't be answered for a reason within the entry.
+pub const LISTENER_FAILED: Event = Event {
+    id: 1070,
+    name: "listener-failed",
+    level: Level::Error,
+    meaning: "A listener of the entry has ended.",
+    remedy: "Start the process again; report it if it recurs.",
+};
+
+/// All events of the entry.
+pub const ALL: &[Event] = &[
+    STARTED,
+    LEAVING,
+    STOPPED,
+    LOG_AWAY,
+    LOG_BACK,
+    LOG_LAPSED,
+    LOG_STOPPED,
+    CONFIG_APPLIED,
+    EDIT_REFUSED,
+    SNAPSHOT_APPENDED,
+    SNAPSHOT_CONTRADICTS,
+    STATE_PULLED,
+    APPEND_FAILED,
+    VM_LIST_AWAY,
+    VM_LIST_BACK,
+    CUSTOMER_UNKNOWN,
+    TEAM_UNKNOWN,
+    TEAM_FORBIDDEN,
+    UPSTREAM_FAILED,
+    STREAM_RESUMED,
+    OUTCOME_UNKNOWN,
+    ORDER_RELEASED,
+    DOCUMENT_SUBMITTED,
+    LISTENER_FAILED,
+];
--- /dev/null
+++ b/crates/entry/src/follower.rs
@@ -0,0 +1,121 @@
+//! Follows one stream of the platform's log by long polls.
+
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+use wagtailreel_core::Offset;
+use wagtailreel_fold::FoldStop;
+use wagtailreel_platform::{LogPage, LogService, PlatformError};
+
+use crate::backoff::Backoff;
+use crate::events;
+use crate::metrics::Metrics;
+
+/// Records asked for at once.
+const PAGE: usize = 200;
+
+/// How long the log may hold a poll; it bounds how late housekeeping comes.
+const POLL: Duration = Duration::from_secs(1);
+
+/// What takes in the records of a stream.
+pub(crate) trait StreamSink: Sync {
+    /// Name of the stream.
+    const STREAM: &'static str;
+
+    /// Returns the offset to read next; after a failure one that checks the log is the same.
+    fn next(&self, after_failure: bool) -> Offset;
+
+    /// Returns the offset of the last record applied.
+    fn applied(&self) -> Offset;
+
+    /// Takes a page. `applied` is what [`StreamSink::applied`] said before it was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing more is applied.
+    fn take_page(&self, page: &LogPage, applied: Offset) -> Result<(), FoldStop>;
+
+    /// Takes that the log keeps only `first` to `next`; returns whether anything was missed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing more is applied.
+    fn lapsed(&self, first: Offset, next: Offset, applied: Offset) -> Result<bool, FoldStop>;
+
+    /// Takes whether the stream can be read.
+    fn set_reading(&self, reading: bool);
+
+    /// Takes that nothing more is applied.
+    fn stopped(&self, stop: &FoldStop);
+}
+
+/// Follows the stream of `sink` until `cancel` or until the fold stops.
+pub(crate) async fn follow<L, S>(log: L, sink: &S, metrics: &Metrics, cancel: CancellationToken)
+where
+    L: LogService,
+    S: StreamSink,
+{
+    let mut backoff = Backoff::new();
+    let mut away = false;
+    let mut check_again = false;
+    loop {
+        let applied = sink.applied();
+        let from = sink.next(check_again);
+        let read = log.read(S::STREAM, from, PAGE, POLL);
+        let Some(result) = cancel.run_until_cancelled(read).await else {
+            return;
+        };
+        let result = match result {
+            Ok(page) => sink.take_page(&page, applied),
+            Err(PlatformError::Gone { first, next }) => lapsed(sink, first, next, applied),
+            Err(err) => {
+                if !away {
+                    report_away(S::STREAM, &err);
+                }
+                away = true;
+                check_again = true;
+                sink.set_reading(false);
+                metrics
+                    .log_errors
+                    .with_label_values(&[S::STREAM, "read"])
+                    .inc();
+                let wait = backoff.failed(err.retry_after());
+                let slept = cancel.run_until_cancelled(tokio::time::sleep(wait)).await;
+                if slept.is_none() {
+                    return;
+                }
+                continue;
+            }
+        };
+        if let Err(stop) = result {
+            let reason = stop.to_string();
+            events::LOG_STOPPED.emit(&[("stream", S::STREAM), ("reason", &reason)]);
+            sink.set_reading(false);
+            sink.stopped(&stop);
+            return;
+        }
+        if away {
+            events::LOG_BACK.emit(&[("stream", S::STREAM)]);
+        }
+        away = false;
+        check_again = false;
+        backoff.worked();
+        sink.set_reading(true);
+    }
+}
+
+fn lapsed<S>(sink: &S, first: Offset, next: Offset, applied: Offset) -> Result<(), FoldStop>
+where
+    S: StreamSink,
+{
+    if sink.lapsed(first, next, applied)? {
+        let from = first.to_string();
+        events::LOG_LAPSED.emit(&[("stream", S::STREAM), ("first", &from)]);
+    }
+    Ok(())
+}
+
+fn report_away(stream: &str, err: &PlatformError) {
+    let reason = err.to_string();
+    events::LOG_AWAY.emit(&[("stream", stream), ("reason", &reason)]);
+}
--- /dev/null
+++ b/crates/entry/src/front/attempt.rs
@@ -0,0 +1,562 @@
+//! Sends one request to upstreams until one takes it.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, header};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::time::{Interval, MissedTickBehavior};
+use wagtailreel_core::{Digest, Epoch, NotRunReason, Outcome, RequestId, ServiceKind, VmId};
+use wagtailreel_platform::{
+    Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
+};
+use wagtailreel_route::{
+    Ask, Attempts, AttemptsConfig, CancelState, Ended, Next, Repeat, prefix_of,
+};
+
+use crate::claims::ClaimTicket;
+use crate::events;
+use crate::front::answer::{Denial, OUTCOME, REASON};
+use crate::front::head::{DEADLINE_MS, PRIORITY, RequestHead};
+use crate::service::{AdmissionTicket, Slot};
+use crate::shared::Shared;
+
+/// How long an agent may take to answer a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest answer to a cancel, in bytes.
+const CANCEL_LIMIT: usize = 4096;
+
+/// How often it is checked that a silent upstream is still there.
+const ALIVE_EVERY: Duration = Duration::from_millis(500);
+
+/// Longest wait for the head of an answer, however alive the upstream is.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// How long the answer to what can't be repeated is waited for after the upstream fell silent.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Longest that a resumed stream waits between looks for a replica with room.
+const ROOM_EVERY: Duration = Duration::from_millis(50);
+
+const WEIGHTS: &str = "wagtailreel-weights";
+const EPOCH: &str = "wagtailreel-epoch";
+const SERVICE: HeaderName = HeaderName::from_static("wagtailreel-service");
+const CUSTOMER: HeaderName = HeaderName::from_static("wagtailreel-customer");
+const PIN: HeaderName = HeaderName::from_static("wagtailreel-pin");
+const RESUME_FROM: HeaderName = HeaderName::from_static("wagtailreel-resume-from");
+
+/// What is sent to an agent.
+#[derive(Debug)]
+pub(crate) enum Payload {
+    /// A prompt, answered by a stream of tokens.
+    Generate(Bytes),
+    /// A call of a plain service.
+    Call(Call),
+}
+
+/// A call of a plain service.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    /// Path and query, encoded, without a slash at the start.
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An upstream took the request and began to answer.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) attempt: Attempt,
+    pub(crate) weights: Option<Digest>,
+    pub(crate) epoch: Option<Epoch>,
+}
+
+/// One attempt at one upstream. Cancelled there if it is dropped while it may run.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    cx: Arc<Shared>,
+    slot: Slot,
+    id: RequestId,
+    over: bool,
+    /// Given up if the cancel shows that the order was not run.
+    claim: Option<ClaimTicket>,
+    alive: Interval,
+    /// How long an answer is waited for after the upstream fell silent.
+    patience: Duration,
+    silent_since: Option<Instant>,
+}
+
+/// One request on its way through upstreams.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    cx: Arc<Shared>,
+    head: RequestHead,
+    payload: Payload,
+    attempts: Attempts,
+    admission: AdmissionTicket,
+    claim: Option<ClaimTicket>,
+    numbered: u32,
+    switch_wait: Duration,
+}
+
+#[derive(Deserialize)]
+struct CancelAnswer {
+    state: String,
+}
+
+impl Attempt {
+    fn new(
+        cx: &Arc<Shared>,
+        slot: Slot,
+        id: RequestId,
+        claim: Option<ClaimTicket>,
+        patience: Duration,
+    ) -> Self {
+        let mut alive = tokio::time::interval(ALIVE_EVERY);
+        alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Self {
+            cx: Arc::clone(cx),
+            slot,
+            id,
+            over: false,
+            claim,
+            alive,
+            patience,
+            silent_since: None,
+        }
+    }
+
+    /// Returns the VM that the attempt is at.
+    pub(crate) fn vm(&self) -> &VmId {
+        &self.slot.vm
+    }
+
+    /// Takes that the attempt is over at the upstream, so that there is nothing to cancel.
+    pub(crate) fn set_over(&mut self) {
+        self.over = true;
+    }
+
+    /// Awaits `f`; returns none if the upstream is gone meanwhile.
+    pub(crate) async fn while_alive<F>(&mut self, f: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        let mut f = pin!(f);
+        loop {
+            tokio::select! {
+                biased;
+                output = &mut f => return Some(output),
+                _ = self.alive.tick() => {
+                    if self.is_given_up() {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_given_up(&mut self) -> bool {
+        if !self.slot.is_gone() {
+            self.silent_since = None;
+            return false;
+        }
+        let since = *self.silent_since.get_or_insert_with(Instant::now);
+        since.elapsed() >= self.patience
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let client = self.cx.client.clone();
+        let addr = self.slot.addr;
+        let id = std::mem::take(&mut self.id);
+        let claim = self.claim.take();
+        // Without a runtime the process ends, and the agent sees the connection close.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            let cleanup = self.cx.cleanups.token();
+            runtime.spawn(async move {
+                let state = ask_cancel(&client, addr, &id).await;
+                if let (Some(CancelState::NotRun), Some(mut claim)) = (state, claim) {
+                    claim.not_run();
+                }
+                drop(cleanup);
+            });
+        }
+    }
+}
+
+impl Dispatch {
+    /// Makes the dispatch of a request that was admitted and, if it is an order, claimed.
+    pub(crate) fn new(
+        cx: &Arc<Shared>,
+        head: RequestHead,
+        payload: Payload,
+        admission: AdmissionTicket,
+        claim: Option<ClaimTicket>,
+    ) -> Self {
+        let repeat = match (&payload, &head.order) {
+            (Payload::Generate(_), None) => Repeat::Resumable,
+            _ => Repeat::Never,
+        };
+        let ask = Ask {
+            needs_open: head.document.kind == ServiceKind::Engine,
+            ..Ask::default()
+        };
+        let cfg = AttemptsConfig {
+            switch_wait: cx.switch_wait(),
+            ..AttemptsConfig::default()
+        };
+        let attempts = Attempts::new(cfg, repeat, ask).with_deadline(head.deadline);
+        Self {
+            cx: Arc::clone(cx),
+            head,
+            payload,
+            attempts,
+            admission,
+            claim,
+            numbered: 0,
+            switch_wait: Duration::ZERO,
+        }
+    }
+
+    /// Sets the prompt by whose head an upstream with a warm cache is chosen.
+    pub(crate) fn with_prompt(mut self, prompt: &str) -> Self {
+        self.attempts.set_prefix(prefix_of(prompt));
+        self
+    }
+
+    /// Returns the request's head.
+    pub(crate) fn head(&self) -> &RequestHead {
+        &self.head
+    }
+
+    /// Sends the request until an upstream takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer if none does.
+    pub(crate) async fn open(&mut self) -> Result<Opened, Denial> {
+        loop {
+            // Subscribed before the choice, so that no change after it is missed.
+            let mut changed = self.head.service.changed();
+            let next = match self.head.service.choose(&mut self.attempts) {
+                Ok(slot) => match self.send(slot).await {
+                    Ok(opened) => {
+                        self.note_switch_wait();
+                        self.admission.ran = true;
+                        return Ok(opened);
+                    }
+                    Err(next) => next,
+                },
+                Err(next) => next,
+            };
+            let began = Instant::now();
+            match self.settle(next) {
+                Step::Again => {}
+                Step::Wait(until) => {
+                    // A standing that changes wakes it; time alone does if only room is wanted.
+                    let until = if self.attempts.is_started() {
+                        until.min(began + ROOM_EVERY)
+                    } else {
+                        until
+                    };
+                    let _ = tokio::time::timeout_at(until.into(), changed.changed()).await;
+                    self.switch_wait += began.elapsed();
+                }
+                Step::Done(denial) => {
+                    self.note_switch_wait();
+                    return Err(denial);
+                }
+            }
+        }
+    }
+
+    /// Takes that a stream broke off before its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer if no replica may go on with it.
+    pub(crate) fn cut(
+        &mut self,
+        vm: &str,
+        next: u64,
+        weights: Option<Digest>,
+    ) -> Result<(), Denial> {
+        self.note_ended("cut");
+        events::UPSTREAM_FAILED.emit(&[("vm", vm), ("request", &self.head.id)]);
+        let ended = Ended::Cut { next, weights };
+        let next = self.head.service.ended(&mut self.attempts, vm, ended);
+        match self.settle(next) {
+            Step::Again | Step::Wait(_) => Ok(()),
+            Step::Done(denial) => Err(denial),
+        }
+    }
+
+    /// Counts the final outcome.
+    pub(crate) fn note_outcome(&self, outcome: Outcome, reason: Option<NotRunReason>) {
+        let service = self.head.service.name();
+        let metrics = &self.cx.metrics;
+        metrics.outcome(service, &self.head.customer, outcome, reason);
+        if outcome == Outcome::Unknown {
+            events::OUTCOME_UNKNOWN.emit(&[("service", service), ("request", &self.head.id)]);
+        }
+    }
+
+    /// Counts a stream that goes on at a replica.
+    pub(crate) fn count_resume(&self) {
+        let service = self.head.service.name();
+        self.cx.metrics.resumes.with_label_values(&[service]).inc();
+    }
+
+    /// Counts a request whose caller went away before its answer was whole.
+    pub(crate) fn count_caller_gone(&self) {
+        let service = self.head.service.name();
+        let gone = &self.cx.metrics.callers_gone;
+        gone.with_label_values(&[service]).inc();
+    }
+
+    async fn send(&mut self, slot: Slot) -> Result<Opened, Next> {
+        let vm = slot.vm.clone();
+        let addr = slot.addr;
+        let id = format!("{}-{}", self.head.id, self.numbered);
+        self.numbered += 1;
+        let Some(req) = self.request(addr, &id) else {
+            return Err(self.ended(&vm, Ended::Refused(NotRunReason::Refused, None)));
+        };
+        if let Some(claim) = &mut self.claim {
+            claim.sending();
+        }
+        let mut attempt = Attempt::new(&self.cx, slot, id, self.claim.take(), self.patience());
+        let client = self.cx.client.clone();
+        let sent = client.request_within(req, HEAD_TIMEOUT);
+        let answer = attempt.while_alive(sent).await;
+        let ended = match answer {
+            Some(Ok(response)) => match refusal_of(&response) {
+                None => {
+                    self.note_ended("opened");
+                    return Ok(opened(response, attempt));
+                }
+                Some(ended) => ended,
+            },
+            Some(Err(err)) => failure(&vm, &err),
+            None => Ended::Broken,
+        };
+        if ended == Ended::Broken {
+            events::UPSTREAM_FAILED.emit(&[("vm", &vm), ("request", &self.head.id)]);
+            return Err(self.find_out(attempt, &vm).await);
+        }
+        attempt.set_over();
+        self.claim = attempt.claim.take();
+        drop(attempt);
+        Err(self.ended(&vm, ended))
+    }
+
+    /// Asks the agent whether the request was started, after its answer was lost.
+    async fn find_out(&mut self, mut attempt: Attempt, vm: &str) -> Next {
+        let state = ask_cancel(&self.cx.client, attempt.slot.addr, &attempt.id).await;
+        attempt.set_over();
+        self.claim = attempt.claim.take();
+        drop(attempt);
+        let ended = state.map_or(Ended::CancelLost, Ended::Cancelled);
+        self.ended(vm, ended)
+    }
+
+    fn ended(&mut self, vm: &str, ended: Ended) -> Next {
+        self.note_ended(label_of(&ended));
+        self.head.service.ended(&mut self.attempts, vm, ended)
+    }
+
+    /// Turns what comes next into a step, and keeps or frees the claim by it.
+    fn settle(&mut self, next: Next) -> Step {
+        let not_run = |claim: &mut Option<ClaimTicket>| {
+            if let Some(claim) = claim {
+                claim.not_run();
+            }
+        };
+        match next {
+            // For an order, going on at all means that nothing was run so far.
+            Next::Send => {
+                not_run(&mut self.claim);
+                Step::Again
+            }
+            Next::Await(until) => {
+                not_run(&mut self.claim);
+                Step::Wait(until)
+            }
+            Next::NotRun(reason, retry_after) => {
+                not_run(&mut self.claim);
+                Step::Done(Denial::NotRun(reason, retry_after))
+            }
+            Next::Unknown(reason) => Step::Done(Denial::Unknown(reason)),
+            // Neither follows from an end that gets here; unknown claims the least.
+            Next::Answered | Next::AskCancel => Step::Done(Denial::Unknown(
+                wagtailreel_route::UnknownReason::AnswerLost,
+            )),
+        }
+    }
+
+    /// A stream is resumed elsewhere at once; what can't be repeated is worth a wait.
+    fn patience(&self) -> Duration {
+        match self.attempts.repeat() {
+            Repeat::Resumable => Duration::ZERO,
+            Repeat::Never => PATIENCE,
+        }
+    }
+
+    fn request(&self, addr: SocketAddr, id: &str) -> Option<Request<Body>> {
+        let id = encode_segment(id);
+        let (method, uri, body) = match &self.payload {
+            Payload::Generate(body) => (
+                Method::POST,
+                format!("http://{addr}/run/{id}"),
+                body.clone(),
+            ),
+            Payload::Call(call) => (
+                call.method.clone(),
+                format!("http://{addr}/call/{id}/{}", call.path),
+                call.body.clone(),
+            ),
+        };
+        let mut req = Request::new(Body::from(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = Uri::try_from(uri).ok()?;
+        *req.headers_mut() = self.headers()?;
+        Some(req)
+    }
+
+    fn headers(&self) -> Option<HeaderMap> {
+        let mut headers = match &self.payload {
+            Payload::Generate(_) => {
+                let mut headers = HeaderMap::new();
+                let json = HeaderValue::from_static("application/json");
+                headers.insert(header::CONTENT_TYPE, json);
+                headers
+            }
+            Payload::Call(call) => call.headers.clone(),
+        };
+        let text = |value: &str| HeaderValue::try_from(value).ok();
+        headers.insert(SERVICE, text(self.head.service.name())?);
+        headers.insert(CUSTOMER, text(&self.head.customer)?);
+        headers.insert(PRIORITY, text(&self.head.priority.to_string())?);
+        if let Some(deadline) = self.head.deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            headers.insert(DEADLINE_MS, text(&left.as_millis().to_string())?);
+        }
+        if let Some(pin) = self.attempts.ask().pin {
+            headers.insert(PIN, text(&pin.to_string())?);
+        }
+        if self.attempts.resume_from() > 0 {
+            let from = self.attempts.resume_from().to_string();
+            headers.insert(RESUME_FROM, text(&from)?);
+        }
+        Some(headers)
+    }
+
+    fn note_ended(&self, label: &str) {
+        self.cx
+            .metrics
+            .attempts
+            .with_label_values(&[self.head.service.name(), label])
+            .inc();
+    }
+
+    fn note_switch_wait(&mut self) {
+        let wait = std::mem::take(&mut self.switch_wait);
+        if !wait.is_zero() && !self.attempts.is_started() {
+            let service = self.head.service.name();
+            self.cx.metrics.switch_waited(service, wait);
+        }
+    }
+}
+
+/// What follows for the loop over attempts.
+enum Step {
+    Again,
+    Wait(Instant),
+    Done(Denial),
+}
+
+fn opened(response: Response<Incoming>, attempt: Attempt) -> Opened {
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let weights = text(WEIGHTS).and_then(|text| text.parse().ok());
+    let epoch = text(EPOCH).and_then(|text| text.parse().ok());
+    Opened {
+        response,
+        attempt,
+        weights,
+        epoch,
+    }
+}
+
+/// Returns how the attempt ended if the answer is the agent's own and not the upstream's.
+fn refusal_of(response: &Response<Incoming>) -> Option<Ended> {
+    let headers = response.headers();
+    let text = |name| headers.get(name)?.to_str().ok();
+    let outcome = Outcome::from_wire(text(OUTCOME)?)?;
+    match outcome {
+        Outcome::Answered => None,
+        Outcome::NotRun => {
+            let reason = text(REASON).and_then(reason_of);
+            let reason = reason.unwrap_or(NotRunReason::Refused);
+            Some(Ended::Refused(reason, retry_after(headers)))
+        }
+        Outcome::Unknown => Some(Ended::Cancelled(CancelState::Started)),
+    }
+}
+
+fn reason_of(text: &str) -> Option<NotRunReason> {
+    serde_json::from_value(serde_json::Value::from(text)).ok()
+}
+
+fn failure(vm: &str, err: &PlatformError) -> Ended {
+    log::debug!("an attempt at {vm} failed: {err}");
+    match err.took_effect() {
+        Effect::No => Ended::NeverSent,
+        Effect::Maybe => Ended::Broken,
+    }
+}
+
+fn label_of(ended: &Ended) -> &'static str {
+    match ended {
+        Ended::Whole => "whole",
+        Ended::NeverSent => "never-sent",
+        Ended::Refused(NotRunReason::Closed | NotRunReason::Lease, _) => "closed",
+        Ended::Refused(..) => "refused",
+        Ended::Broken => "broken",
+        Ended::Cancelled(CancelState::NotRun) => "cancelled",
+        Ended::Cancelled(_) => "lost",
+        Ended::CancelLost => "lost",
+        Ended::Cut { .. } => "cut",
+    }
+}
+
+/// Asks the agent at `addr` to cancel the attempt `id`; none if it does not answer.
+async fn ask_cancel(client: &HttpClient, addr: SocketAddr, id: &str) -> Option<CancelState> {
+    let uri = format!("http://{addr}/cancel/{}", encode_segment(id));
+    let mut req = Request::new(Body::empty());
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = Uri::try_from(uri).ok()?;
+    let response = client.request_within(req, CANCEL_TIMEOUT).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let body = response.into_body();
+    let body = collect_body("agent", body, CANCEL_LIMIT, CANCEL_TIMEOUT).await;
+    let answer: CancelAnswer = serde_json::from_slice(&body.ok()?).ok()?;
+    match answer.state.as_str() {
+        "not-run" => Some(CancelState::NotRun),
+        "started" => Some(CancelState::Started),
+        "done" => Some(CancelState::Done),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/mod.rs
@@ -0,0 +1,29 @@
+//! The callers' front.
+
+mod answer;
+mod attempt;
+mod call;
+mod generate;
+mod head;
+mod relay;
+mod stream;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::routing::{any, post};
+
+pub(crate) use head::bearer;
+
+use crate::shared::Shared;
+
+/// Returns the routes of the callers' listener.
+pub(crate) fn router(cx: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/services/{service}/generate", post(generate::generate))
+        .route("/v1/services/{service}/call", any(call::call_root))
+        .route("/v1/services/{service}/call/", any(call::call_root))
+        .route("/v1/services/{service}/call/{*path}", any(call::call))
+        .fallback(answer::no_route)
+        .with_state(cx)
+}
--- /dev/null
+++ b/crates/entry/src/front/relay.rs
@@ -0,0 +1,170 @@
+//! Checks the events of a stream on their way to the caller.
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use serde::Deserialize;
+use wagtailreel_core::Outcome;
+use wagtailreel_platform::{SseDecoder, SseEvent};
+
+/// How the events of an agent's stream come to an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finish {
+    /// The end mark came, and no token is missing.
+    Whole,
+    /// The agent or the stream itself says that tokens are missing.
+    Broken,
+}
+
+/// What a frame brought.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    /// Whole token events for the caller, in order and each once.
+    pub(crate) bytes: Bytes,
+    /// How many they are.
+    pub(crate) tokens: u64,
+    /// The stream is over.
+    pub(crate) finish: Option<Finish>,
+}
+
+/// Follows the tokens of one answer over all the streams that give it.
+///
+/// Invariant: what it lets through are whole events with indexes 0, 1, 2 and so on, whatever the
+/// network cuts and whichever agent a stream comes from.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    decoder: SseDecoder,
+    next: u64,
+    from: u64,
+}
+
+#[derive(Deserialize)]
+struct TokenData {
+    index: u64,
+}
+
+#[derive(Deserialize)]
+struct EndData {
+    outcome: Option<Outcome>,
+    tokens: u64,
+}
+
+impl Relay {
+    /// Makes a relay that has seen no token.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the index of the token that comes next.
+    pub(crate) fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Forgets the half event of a stream that broke off; another one goes on.
+    pub(crate) fn restart(&mut self) {
+        self.decoder = SseDecoder::new();
+        self.from = self.next;
+    }
+
+    /// Takes the next frame of the stream.
+    pub(crate) fn push(&mut self, frame: &Bytes) -> Batch {
+        let starts_whole = !self.decoder.is_mid_event();
+        self.decoder.push(frame);
+        let mut batch = Batch::default();
+        let mut copied = BytesMut::new();
+        let mut passed_on = starts_whole;
+        while batch.finish.is_none() {
+            let event = match self.decoder.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => {
+                    batch.finish = Some(Finish::Broken);
+                    break;
+                }
+            };
+            match self.take(&event) {
+                Taken::Token => {
+                    batch.tokens += 1;
+                    write_event(&mut copied, &event);
+                }
+                Taken::Dropped => passed_on = false,
+                Taken::Finish(finish) => batch.finish = Some(finish),
+            }
+        }
+        // The usual frame is one whole token, which goes on as it is.
+        let as_it_is = passed_on && batch.finish.is_none() && !self.decoder.is_mid_event();
+        batch.bytes = if batch.tokens == 0 {
+            Bytes::new()
+        } else if as_it_is {
+            frame.clone()
+        } else {
+            copied.freeze()
+        };
+        batch
+    }
+
+    fn take(&mut self, event: &SseEvent) -> Taken {
+        match event.name.as_ref() {
+            b"token" => self.take_token(&event.data),
+            b"end" => Taken::Finish(self.take_end(&event.data)),
+            b"error" => Taken::Finish(Finish::Broken),
+            _ => Taken::Dropped,
+        }
+    }
+
+    fn take_token(&mut self, data: &[u8]) -> Taken {
+        match index_of(data) {
+            Some(index) if index == self.next => {
+                self.next += 1;
+                Taken::Token
+            }
+            // The caller has it already.
+            Some(index) if index < self.next => Taken::Dropped,
+            // A token is missing, or it can't be told which this is.
+            _ => Taken::Finish(Finish::Broken),
+        }
+    }
+
+    fn take_end(&self, data: &[u8]) -> Finish {
+        let Ok(end) = serde_json::from_slice::<EndData>(data) else {
+            return Finish::Broken;
+        };
+        let answered = end
+            .outcome
+            .is_none_or(|outcome| outcome == Outcome::Answered);
+        // A resumed stream may count from its own start or from the answer's.
+        let whole = end.tokens == self.next || end.tokens == self.next - self.from;
+        if answered && whole {
+            Finish::Whole
+        } else {
+            Finish::Broken
+        }
+    }
+}
+
+enum Taken {
+    Token,
+    Dropped,
+    Finish(Finish),
+}
+
+/// Reads the index of a token. The usual form is read without a JSON parser.
+fn index_of(data: &[u8]) -> Option<u64> {
+    let Some(rest) = data.strip_prefix(b"{\"index\":") else {
+        let token: TokenData = serde_json::from_slice(data).ok()?;
+        return Some(token.index);
+    };
+    let rest = rest.trim_ascii_start();
+    let digits = rest.iter().take_while(|byte| byte.is_ascii_digit()).count();
+    std::str::from_utf8(&rest[..digits]).ok()?.parse().ok()
+}
+
+fn write_event(buf: &mut BytesMut, event: &SseEvent) {
+    buf.put_slice(b"event: ");
+    buf.put_slice(&event.name);
+    buf.put_slice(b"\n");
+    for line in event.data.split(|byte| *byte == b'\n') {
+        buf.put_slice(b"data: ");
+        buf.put_slice(line);
+        buf.put_slice(b"\n");
+    }
+    buf.put_slice(b"\n");
+}
--- /dev/null
+++ b/crates/entry/src/front/stream.rs
@@ -0,0 +1,221 @@
+//! The stream of tokens to a caller, continued on a replica if it breaks off.
+
+use std::convert::Infallible;
+use std::time::Instant;
+
+use axum::body::Body;
+use bytes::Bytes;
+use futures::stream::unfold;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use serde::Serialize;
+use tokio_util::task::task_tracker::TaskTrackerToken;
+use wagtailreel_core::{Digest, Epoch, Outcome};
+use wagtailreel_route::UnknownReason;
+
+use crate::events;
+use crate::front::answer::Denial;
+use crate::front::attempt::{Attempt, Dispatch, Opened};
+use crate::front::relay::{Finish, Relay};
+
+/// An answer on its way to the caller.
+#[derive(Debug)]
+pub(crate) struct AnswerStream {
+    dispatch: Dispatch,
+    /// What comes from the upstream; none once the last event is out.
+    source: Option<Source>,
+    relay: Relay,
+    weights: Option<Digest>,
+    epoch: Option<Epoch>,
+    last_token: Option<Instant>,
+    /// Keeps a shutdown waiting until the caller has the last event.
+    _in_flight: TaskTrackerToken,
+}
+
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    attempt: Attempt,
+}
+
+#[derive(Serialize)]
+struct EndData {
+    outcome: Outcome,
+    tokens: u64,
+    weights: Option<Digest>,
+    epoch: Option<Epoch>,
+}
+
+#[derive(Serialize)]
+struct ErrorData {
+    outcome: Outcome,
+    reason: String,
+}
+
+impl AnswerStream {
+    /// Makes the stream of an answer that an upstream began.
+    pub(crate) fn new(dispatch: Dispatch, opened: Opened, in_flight: TaskTrackerToken) -> Self {
+        Self {
+            dispatch,
+            weights: opened.weights,
+            epoch: opened.epoch,
+            source: Some(Source {
+                body: opened.response.into_body(),
+                attempt: opened.attempt,
+            }),
+            relay: Relay::new(),
+            last_token: None,
+            _in_flight: in_flight,
+        }
+    }
+
+    /// Turns it into the body of a response. The caller's pace is the upstream's pace: the next
+    /// frame is read only when the caller took the last.
+    pub(crate) fn into_body(self) -> Body {
+        Body::from_stream(unfold(self, |mut answer| async move {
+            let bytes = answer.next().await?;
+            Some((Ok::<Bytes, Infallible>(bytes), answer))
+        }))
+    }
+
+    /// Returns the next events for the caller; none after the last.
+    async fn next(&mut self) -> Option<Bytes> {
+        loop {
+            let source = self.source.as_mut()?;
+            let frame = source.attempt.while_alive(source.body.frame()).await;
+            let data = match frame {
+                // Trailers carry nothing for the caller.
+                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                // Without its end mark the stream was cut, however orderly it was closed.
+                Some(None | Some(Err(_))) | None => match self.resume().await {
+                    Ok(()) => continue,
+                    Err(last) => return Some(last),
+                },
+            };
+            let batch = self.relay.push(&data);
+            self.note_tokens(batch.tokens);
+            match batch.finish {
+                Some(Finish::Whole) => return Some(self.end(batch.bytes)),
+                Some(Finish::Broken) => match self.resume().await {
+                    Ok(()) if batch.bytes.is_empty() => {}
+                    Ok(()) => return Some(batch.bytes),
+                    Err(last) => return Some(join(batch.bytes, last)),
+                },
+                None if batch.bytes.is_empty() => {}
+                None => return Some(batch.bytes),
+            }
+        }
+    }
+
+    /// Goes on at a replica of the same weights.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last event for the caller if there is none.
+    async fn resume(&mut self) -> Result<(), Bytes> {
+        loop {
+            let Some(source) = self.source.take() else {
+                return Err(self.fail(&Denial::Unknown(UnknownReason::Cut)));
+            };
+            let vm = source.attempt.vm().clone();
+            // Dropped first: it is cancelled there, and no longer counts as in flight.
+            drop(source);
+            let cut = self.dispatch.cut(&vm, self.relay.next(), self.weights);
+            cut.map_err(|denial| self.fail(&denial))?;
+            let opened = self.dispatch.open().await;
+            let opened = opened.map_err(|denial| self.fail(&denial))?;
+            let same = opened.weights == self.weights;
+            self.source = Some(Source {
+                body: opened.response.into_body(),
+                attempt: opened.attempt,
+            });
+            self.relay.restart();
+            if self.relay.next() == 0 {
+                self.weights = opened.weights;
+                self.epoch = opened.epoch;
+            } else if !same {
+                // The agent did not keep to the pin: none of its tokens may follow these.
+                continue;
+            }
+            self.note_resumed();
+            return Ok(());
+        }
+    }
+
+    fn end(&mut self, before: Bytes) -> Bytes {
+        if let Some(mut source) = self.source.take() {
+            source.attempt.set_over();
+        }
+        self.dispatch.note_outcome(Outcome::Answered, None);
+        let end = EndData {
+            outcome: Outcome::Answered,
+            tokens: self.relay.next(),
+            weights: self.weights,
+            epoch: self.epoch,
+        };
+        join(before, event("end", &end))
+    }
+
+    fn fail(&mut self, denial: &Denial) -> Bytes {
+        self.source = None;
+        let reason = match denial {
+            Denial::Unknown(reason) => *reason,
+            // A stream that began was started, so nothing else follows for it.
+            Denial::Bad(..) | Denial::NotRun(..) => UnknownReason::Cut,
+        };
+        self.dispatch.note_outcome(Outcome::Unknown, None);
+        let error = ErrorData {
+            outcome: Outcome::Unknown,
+            reason: reason.to_string(),
+        };
+        event("error", &error)
+    }
+
+    fn note_tokens(&mut self, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let head = self.dispatch.head();
+        match self.last_token.replace(now) {
+            None => {
+                let wait = now.saturating_duration_since(head.arrived);
+                head.service.first_token.observe(wait.as_secs_f64());
+            }
+            Some(last) => {
+                let gap = now.saturating_duration_since(last);
+                head.service.between_tokens.observe(gap.as_secs_f64());
+            }
+        }
+    }
+
+    fn note_resumed(&self) {
+        let head = self.dispatch.head();
+        let next = self.relay.next().to_string();
+        events::STREAM_RESUMED.emit(&[("request", &head.id), ("from", &next)]);
+        self.dispatch.count_resume();
+    }
+}
+
+impl Drop for AnswerStream {
+    fn drop(&mut self) {
+        if self.source.is_some() {
+            self.dispatch.count_caller_gone();
+        }
+    }
+}
+
+fn join(before: Bytes, last: Bytes) -> Bytes {
+    if before.is_empty() {
+        return last;
+    }
+    [before, last].concat().into()
+}
+
+fn event<T>(name: &str, data: &T) -> Bytes
+where
+    T: Serialize,
+{
+    let data = serde_json::to_string(data).unwrap_or_default();
+    Bytes::from(format!("event: {name}\ndata: {data}\n\n"))
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,129 @@
+//! What comes from peers: configuration, reports of agents, and demand for limits.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use tokio_util::sync::CancellationToken;
+use wagtailreel_control::{EntryControl, pull_state};
+use wagtailreel_core::DataCentre;
+use wagtailreel_route::{Demand, Shares};
+
+use crate::config::ConfigBook;
+use crate::events;
+use crate::services::Services;
+use crate::vms::KnownVms;
+
+/// How long a peer may take to answer when it is asked for its configuration.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause between rounds of asking peers.
+const PULL_EVERY: Duration = Duration::from_millis(500);
+
+/// Peers asked in one round.
+const PULL_MOST: usize = 32;
+
+/// How often shares of limits are dealt.
+const SHARES_EVERY: Duration = Duration::from_millis(200);
+
+/// Asks peers for the configuration until it is known.
+///
+/// The log is asked at the same time; the higher offset wins, whichever comes first.
+pub(crate) async fn pull_at_start(
+    book: Arc<ConfigBook>,
+    seeds: Vec<SocketAddr>,
+    vms: Arc<KnownVms>,
+    data_centre: DataCentre,
+    cancel: CancellationToken,
+) {
+    while !book.is_known() {
+        let mut addrs = vms.control_addrs(&data_centre);
+        addrs.extend(&seeds);
+        addrs.sort();
+        addrs.dedup();
+        rand::seq::SliceRandom::shuffle(addrs.as_mut_slice(), &mut rand::rng());
+        addrs.truncate(PULL_MOST);
+        let pulls = addrs.iter().map(|addr| pull_state(*addr, PULL_TIMEOUT));
+        let Some(answers) = cancel.run_until_cancelled(join_all(pulls)).await else {
+            return;
+        };
+        for view in answers.into_iter().flatten() {
+            let offset = view.offset.to_string();
+            events::STATE_PULLED.emit(&[("offset", &offset)]);
+            book.take_state(&view);
+        }
+        let slept = cancel
+            .run_until_cancelled(tokio::time::sleep(PULL_EVERY))
+            .await;
+        if slept.is_none() {
+            return;
+        }
+    }
+}
+
+/// Takes configuration that peer entries have and this one lacks, until `cancel`.
+pub(crate) async fn follow_learned(
+    book: Arc<ConfigBook>,
+    control: EntryControl,
+    cancel: CancellationToken,
+) {
+    let mut learned = control.learned();
+    while let Some(Ok(())) = cancel.run_until_cancelled(learned.changed()).await {
+        let view = learned.borrow_and_update().clone();
+        book.take_state(&view);
+    }
+}
+
+/// Takes the agents' reports to the request path, until `cancel`.
+pub(crate) async fn follow_agents(
+    services: Arc<Services>,
+    control: EntryControl,
+    cancel: CancellationToken,
+) {
+    let mut agents = control.agents();
+    loop {
+        let views = Arc::clone(&agents.borrow_and_update());
+        services.reports(&views);
+        if !matches!(
+            cancel.run_until_cancelled(agents.changed()).await,
+            Some(Ok(()))
+        ) {
+            return;
+        }
+    }
+}
+
+/// Tells peers this entry's demand and deals the shares of limits anew, until `cancel`.
+pub(crate) async fn deal_shares(
+    services: Arc<Services>,
+    control: EntryControl,
+    shares: Arc<Mutex<Shares>>,
+    cancel: CancellationToken,
+) {
+    let peers = control.peers();
+    let mut interval = tokio::time::interval(SHARES_EVERY);
+    loop {
+        if cancel.run_until_cancelled(interval.tick()).await.is_none() {
+            return;
+        }
+        let now = Instant::now();
+        let all = services.all();
+        let own: Demand = all
+            .iter()
+            .map(|service| (service.name().to_owned(), service.demand(now)))
+            .collect();
+        control.set_demand(own.clone());
+        let views = Arc::clone(&peers.borrow());
+        let mut shares = shares.lock().unwrap_or_else(PoisonError::into_inner);
+        for (vm, state) in views.iter() {
+            shares.peer(vm, &state.demand, now);
+        }
+        shares.tick(&own, now);
+        for service in all {
+            let name = service.name();
+            let fresh = shares.own_share(name, "");
+            service.set_shares(fresh, now, |customer| shares.own_share(name, customer));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,297 @@
+//! Starting and stopping an entry.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use axum::Router;
+use axum::serve::ListenerExt as _;
+use prometheus::Registry;
+use snafu::ResultExt as _;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wagtailreel_control::{EntryControl, EntryControlConfig};
+use wagtailreel_core::Incarnation;
+use wagtailreel_fold::SnapshotRule;
+use wagtailreel_platform::{BaseUrl, HttpClient, HttpLog, HttpVmList};
+use wagtailreel_route::{Shares, SharesConfig};
+use wagtailreel_settings::{EntrySettings, Keyring};
+
+use crate::admin::{self, Admin};
+use crate::claims::{Claims, OrderSink, append_claims};
+use crate::config::ConfigBook;
+use crate::error::{ControlSnafu, EntryError, ListenSnafu, MetricsSnafu, UrlSnafu};
+use crate::follower::follow;
+use crate::metrics::Metrics;
+use crate::services::Services;
+use crate::shared::Shared;
+use crate::vms::{KnownVms, VmHearers, follow_vms};
+use crate::{events, front, peers, snapshots};
+
+/// How long new requests are still answered, with `leaving`, before the listener closes. Callers
+/// that race the shutdown on a kept connection hear that they were not run.
+const LAME_DUCK: Duration = Duration::from_millis(300);
+
+/// How long claims and releases may take to reach the log at the end.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Where an entry listens, with the ports that the system chose for port 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For administration.
+    pub admin: SocketAddr,
+    /// For the system's other processes.
+    pub control: SocketAddr,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryProcess {
+    cx: Arc<Shared>,
+    addrs: EntryAddrs,
+    servers: Vec<JoinHandle<()>>,
+    /// Closes the callers' listener.
+    close: CancellationToken,
+    /// Closes the administration listener; last, so that a shutdown can be watched.
+    close_admin: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl EntryProcess {
+    /// Starts an entry on the current runtime.
+    ///
+    /// It answers callers at once; until it knows a configuration it answers `not-run`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`EntryError`] if an address can't be used.
+    pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
+        let log = HttpLog::new(url(&settings.platform.log, "platform.log")?);
+        let list = HttpVmList::new(url(&settings.platform.vms, "platform.vms")?);
+        let (callers, callers_addr) = listen(settings.listen.callers, "listen.callers").await?;
+        let (admin, admin_addr) = listen(settings.listen.admin, "listen.admin").await?;
+        let registry = Registry::new();
+        let cx = Arc::new(share(settings, registry)?);
+        let addrs = EntryAddrs {
+            callers: callers_addr,
+            admin: admin_addr,
+            control: cx.control.addr(),
+        };
+        let tasks = TaskTracker::new();
+        spawn_tasks(&cx, &log, &list, &tasks);
+        let close = CancellationToken::new();
+        let close_admin = CancellationToken::new();
+        let admin_router = admin::router(Admin {
+            cx: Arc::clone(&cx),
+            log,
+        });
+        let servers = vec![
+            serve(callers, front::router(Arc::clone(&cx)), close.clone()),
+            serve(admin, admin_router, close_admin.clone()),
+        ];
+        let at = addrs.callers.to_string();
+        events::STARTED.emit(&[("vm", &cx.settings.vm), ("callers", &at)]);
+        Ok(Self {
+            cx,
+            addrs,
+            servers,
+            close,
+            close_admin,
+            tasks,
+        })
+    }
+
+    /// Returns where the entry listens.
+    pub fn addrs(&self) -> EntryAddrs {
+        self.addrs
+    }
+
+    /// Takes no new requests, says so, finishes those in flight, and ends.
+    pub async fn shutdown(mut self) {
+        self.cx.leaving.store(true, Ordering::Relaxed);
+        events::LEAVING.emit(&[("vm", &self.cx.settings.vm)]);
+        tokio::time::sleep(LAME_DUCK).await;
+        self.close.cancel();
+        if !self.servers.is_empty() {
+            // Ends once every connection has its last answer.
+            let _ = self.servers.remove(0).await;
+        }
+        self.cx.requests.close();
+        self.cx.requests.wait().await;
+        self.cx.cleanups.close();
+        let _ = tokio::time::timeout(SETTLE, self.settle()).await;
+        self.cx.cancel.cancel();
+        self.close_admin.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        for server in self.servers.drain(..) {
+            let _ = server.await;
+        }
+        self.cx.control.stop();
+        events::STOPPED.emit(&[("vm", &self.cx.settings.vm)]);
+    }
+
+    /// Waits until cancels are answered and what claims were given up is in the log.
+    async fn settle(&self) {
+        self.cx.cleanups.wait().await;
+        while !self.cx.claims.is_settled() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+fn url(text: &str, setting: &'static str) -> Result<BaseUrl, EntryError> {
+    BaseUrl::new(text).context(UrlSnafu { setting })
+}
+
+async fn listen(
+    addr: SocketAddr,
+    setting: &'static str,
+) -> Result<(TcpListener, SocketAddr), EntryError> {
+    let listener = TcpListener::bind(addr)
+        .await
+        .context(ListenSnafu { addr, setting })?;
+    let addr = listener
+        .local_addr()
+        .context(ListenSnafu { addr, setting })?;
+    Ok((listener, addr))
+}
+
+fn share(settings: EntrySettings, registry: Registry) -> Result<Shared, EntryError> {
+    let metrics = Metrics::register(&registry).context(MetricsSnafu)?;
+    let incarnation = incarnation();
+    let control_cfg = EntryControlConfig {
+        vm: settings.vm.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        listen: settings.listen.control,
+        lease: settings.lease,
+    };
+    let control = EntryControl::start(control_cfg, &registry).context(ControlSnafu)?;
+    let services = Arc::new(Services::new(
+        settings.data_centre.clone(),
+        settings.region.clone(),
+        metrics.clone(),
+    ));
+    let book = ConfigBook::new(Arc::clone(&services), control.clone(), metrics.clone());
+    let claims = Claims::new(
+        settings.vm.clone(),
+        incarnation,
+        settings.orders.window,
+        metrics.clone(),
+    );
+    let customers = settings
+        .customers
+        .iter()
+        .map(|customer| (customer.name.clone(), customer.key_hash));
+    let teams = settings
+        .teams
+        .iter()
+        .map(|team| (team.name.clone(), team.token_hash));
+    Ok(Shared {
+        customers: Keyring::new(customers.collect()),
+        teams: Keyring::new(teams.collect()),
+        incarnation,
+        control,
+        client: HttpClient::new(),
+        registry,
+        metrics,
+        book: Arc::new(book),
+        services,
+        claims: Arc::new(claims),
+        requests: TaskTracker::new(),
+        cleanups: TaskTracker::new(),
+        leaving: AtomicBool::new(false),
+        cancel: CancellationToken::new(),
+        next_request: AtomicU64::new(1),
+        settings,
+    })
+}
+
+/// Returns the milliseconds since 1970: a later start of the same VM has a higher number.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn spawn_tasks(cx: &Arc<Shared>, log: &HttpLog, list: &HttpVmList, tasks: &TaskTracker) {
+    let known = Arc::new(KnownVms::default());
+    let shares = Arc::new(Mutex::new(Shares::new(SharesConfig::default())));
+    let cancel = || cx.cancel.clone();
+    let hearers = VmHearers {
+        me: cx.settings.vm.clone(),
+        known: Arc::clone(&known),
+        control: cx.control.clone(),
+        services: Arc::clone(&cx.services),
+        shares: Arc::clone(&shares),
+    };
+    tasks.spawn(follow_vms(list.clone(), hearers, cancel()));
+    tasks.spawn(follow_config(Arc::clone(cx), log.clone()));
+    tasks.spawn(follow_orders(Arc::clone(cx), log.clone()));
+    tasks.spawn(append_claims(log.clone(), Arc::clone(&cx.claims), cancel()));
+    let rule = SnapshotRule {
+        every: cx.settings.config.snapshot_every,
+        ..SnapshotRule::default()
+    };
+    tasks.spawn(snapshots::keep_snapshots(
+        log.clone(),
+        Arc::clone(&cx.book),
+        Arc::clone(&known),
+        cx.settings.vm.clone(),
+        rule,
+        cancel(),
+    ));
+    tasks.spawn(peers::pull_at_start(
+        Arc::clone(&cx.book),
+        cx.settings.seeds.clone(),
+        known,
+        cx.settings.data_centre.clone(),
+        cancel(),
+    ));
+    tasks.spawn(peers::follow_learned(
+        Arc::clone(&cx.book),
+        cx.control.clone(),
+        cancel(),
+    ));
+    tasks.spawn(peers::follow_agents(
+        Arc::clone(&cx.services),
+        cx.control.clone(),
+        cancel(),
+    ));
+    tasks.spawn(peers::deal_shares(
+        Arc::clone(&cx.services),
+        cx.control.clone(),
+        shares,
+        cancel(),
+    ));
+}
+
+async fn follow_config(cx: Arc<Shared>, log: HttpLog) {
+    follow(log, cx.book.as_ref(), &cx.metrics, cx.cancel.clone()).await;
+}
+
+async fn follow_orders(cx: Arc<Shared>, log: HttpLog) {
+    let sink = OrderSink(Arc::clone(&cx.claims));
+    follow(log, &sink, &cx.metrics, cx.cancel.clone()).await;
+}
+
+fn serve(listener: TcpListener, router: Router, close: CancellationToken) -> JoinHandle<()> {
+    let listener = listener.tap_io(|stream| {
+        // Without it tokens would wait for each other; a connection that can't is served anyway.
+        let _ = stream.set_nodelay(true);
+    });
+    tokio::spawn(async move {
+        let server = axum::serve(listener, router);
+        let server = server.with_graceful_shutdown(close.cancelled_owned());
+        if let Err(err) = server.await {
+            let reason = err.to_string();
+            events::LISTENER_FAILED.emit(&[("reason", &reason)]);
+        }
+    })
+}
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,396 @@
+//! The state of one service on the request path, under its own lock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use prometheus::{Histogram, IntGauge};
+use rand::rngs::StdRng;
+use tokio::sync::{oneshot, watch};
+use wagtailreel_control::AgentView;
+use wagtailreel_core::{
+    CustomerId, DataCentre, Document, NotRunReason, Priority, Region, Report, ServiceKind,
+    ServiceName, VmEntry, VmId,
+};
+use wagtailreel_route::{
+    Admission, Attempts, BudgetConfig, Choice, Chooser, Ended, Heard, LimitVerdict, Limits,
+    Membership, MembershipConfig, Next, Overload, OverloadConfig, QueueEvent, RetryBudget,
+    Standing, WaiterId,
+};
+
+use crate::metrics::Metrics;
+
+/// An upstream without a report for this long is given up on, and streams from it are resumed.
+const GONE_AFTER: Duration = Duration::from_secs(2);
+
+/// Why a request was not admitted, and when it may come back.
+pub(crate) type Turned = (NotRunReason, Duration);
+
+type Verdict = Result<AdmissionTicket, Turned>;
+
+/// One service: its upstreams, limits, admission and budget of retries.
+#[derive(Debug)]
+pub(crate) struct Service {
+    name: ServiceName,
+    inner: Mutex<Inner>,
+    /// Changes whenever a choice that failed may work.
+    changed: watch::Sender<()>,
+    in_flight: IntGauge,
+    waiting: IntGauge,
+    admission_wait: Histogram,
+    pub(crate) first_token: Histogram,
+    pub(crate) between_tokens: Histogram,
+}
+
+#[derive(Debug)]
+struct Inner {
+    document: Option<Arc<Document>>,
+    membership: Membership,
+    chooser: Chooser,
+    overload: Overload,
+    budget: RetryBudget,
+    limits: Limits,
+    rng: StdRng,
+    waiters: BTreeMap<WaiterId, oneshot::Sender<Verdict>>,
+}
+
+/// Where one attempt goes. Counts as in flight at the upstream until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    service: Arc<Service>,
+    pub(crate) vm: VmId,
+    pub(crate) addr: SocketAddr,
+}
+
+/// A request that was admitted. Counts as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AdmissionTicket {
+    service: Arc<Service>,
+    since: Instant,
+    /// The request was run, so that its time counts for the mean.
+    pub(crate) ran: bool,
+}
+
+/// Takes a waiter out of the queue if its caller goes away.
+struct WaitGuard<'a> {
+    service: &'a Service,
+    id: WaiterId,
+}
+
+impl Service {
+    /// Makes a service without a document or upstreams.
+    pub(crate) fn new<R>(
+        name: &str,
+        data_centre: &DataCentre,
+        region: &Region,
+        metrics: &Metrics,
+        rng: &mut R,
+    ) -> Self
+    where
+        R: rand::Rng,
+    {
+        let inner = Inner {
+            document: None,
+            membership: Membership::new(MembershipConfig::default()),
+            chooser: Chooser::new(data_centre.clone(), region.clone()),
+            overload: Overload::new(OverloadConfig::default()),
+            budget: RetryBudget::new(BudgetConfig::default()),
+            limits: Limits::new(1.0),
+            rng: rand::SeedableRng::from_rng(rng),
+            waiters: BTreeMap::new(),
+        };
+        Self {
+            name: name.to_owned(),
+            inner: Mutex::new(inner),
+            changed: watch::Sender::new(()),
+            in_flight: metrics.in_flight.with_label_values(&[name]),
+            waiting: metrics.waiting.with_label_values(&[name]),
+            admission_wait: metrics.admission_wait.with_label_values(&[name]),
+            first_token: metrics.first_token.with_label_values(&[name]),
+            between_tokens: metrics.between_tokens.with_label_values(&[name]),
+        }
+    }
+
+    /// Returns the name.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the document in force, if the service has one.
+    pub(crate) fn document(&self) -> Option<Arc<Document>> {
+        self.lock().document.clone()
+    }
+
+    /// Sets the document in force.
+    pub(crate) fn set_document(self: &Arc<Self>, document: Option<&Document>) {
+        {
+            let mut inner = self.lock();
+            inner.document = document.map(|document| Arc::new(document.clone()));
+            if let Some(document) = document {
+                inner.limits.set_document(document);
+            }
+        }
+        self.refresh();
+    }
+
+    /// Takes the list of VMs.
+    pub(crate) fn list(self: &Arc<Self>, vms: &[VmEntry]) {
+        {
+            let mut inner = self.lock();
+            inner.membership.list(&self.name, vms);
+            inner.membership.forget(Instant::now());
+        }
+        self.refresh();
+        self.changed.send_replace(());
+    }
+
+    /// Takes the reports of the service's agents.
+    pub(crate) fn reports(self: &Arc<Self>, views: &[&AgentView]) {
+        let mut standing = false;
+        {
+            let mut inner = self.lock();
+            for view in views {
+                let heard = inner.membership.report(&view.report, view.received);
+                standing |= heard == Heard::Standing;
+            }
+        }
+        self.refresh();
+        if standing {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Returns a receiver that hears when a choice that failed may work.
+    pub(crate) fn changed(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Counts a request of `customer` and says whether it is within the limit.
+    pub(crate) fn limit(&self, customer: &str) -> LimitVerdict {
+        let inner = &mut *self.lock();
+        inner.budget.request();
+        inner.limits.ask(customer, Instant::now(), &mut inner.rng)
+    }
+
+    /// Returns what each customer asked lately, a second.
+    pub(crate) fn demand(&self, now: Instant) -> BTreeMap<CustomerId, f64> {
+        self.lock().limits.demand(now)
+    }
+
+    /// Sets each customer's share of its limit at this entry.
+    pub(crate) fn set_shares<F>(&self, fresh: f64, now: Instant, share: F)
+    where
+        F: Fn(&str) -> f64,
+    {
+        self.lock().limits.set_shares(fresh, now, share);
+    }
+
+    /// Waits until the request is let in, or returns why it is not.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason and when to come back, as soon as it is known.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        priority: Priority,
+        deadline: Option<Instant>,
+    ) -> Result<AdmissionTicket, Turned> {
+        let arrived = Instant::now();
+        let (id, mut rx) = match self.arrive(priority, deadline, arrived) {
+            Ok(ticket) => return Ok(ticket),
+            Err(Ok(waiting)) => waiting,
+            Err(Err(turned)) => return Err(turned),
+        };
+        let guard = WaitGuard { service: self, id };
+        let verdict = loop {
+            let tick = self.lock().overload.next_tick();
+            let tick = tick.unwrap_or(arrived + Duration::from_secs(1));
+            tokio::select! {
+                verdict = &mut rx => break verdict,
+                () = tokio::time::sleep_until(tick.into()) => self.tick(),
+            }
+        };
+        drop(guard);
+        self.admission_wait.observe(arrived.elapsed().as_secs_f64());
+        // The sender is kept in `waiters` until it sends, so it can't be gone without a verdict.
+        verdict.unwrap_or(Err((NotRunReason::Full, Duration::from_secs(1))))
+    }
+
+    /// Chooses an upstream for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns what to do if there is none now.
+    pub(crate) fn choose(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Slot, Next> {
+        let now = Instant::now();
+        let inner = &mut *self.lock();
+        let choice = inner
+            .chooser
+            .choose(&inner.membership, attempts.ask(), now, &mut inner.rng);
+        let vm = match choice {
+            Choice::Upstream(vm) => vm,
+            Choice::Short(shortage) => return Err(attempts.short(shortage, now)),
+        };
+        let Some(member) = inner.membership.get(&vm) else {
+            return Err(attempts.short(wagtailreel_route::Shortage::NoUpstream, now));
+        };
+        let addr = member.report.data;
+        inner.membership.started(&vm);
+        attempts.sending(&vm);
+        Ok(Slot {
+            service: Arc::clone(self),
+            vm,
+            addr,
+        })
+    }
+
+    /// Takes how an attempt at `vm` ended and returns what to do next.
+    pub(crate) fn ended(&self, attempts: &mut Attempts, vm: &str, ended: Ended) -> Next {
+        let inner = &mut *self.lock();
+        match &ended {
+            Ended::Refused(reason, _) => inner.membership.refused(vm, *reason),
+            Ended::NeverSent | Ended::CancelLost => inner.membership.unreachable(vm),
+            _ => {}
+        }
+        attempts.ended(vm, ended, Instant::now(), &mut inner.budget)
+    }
+
+    /// Says whether the upstream has been silent for so long that nothing is expected of it.
+    fn is_gone(&self, vm: &str) -> bool {
+        let now = Instant::now();
+        let inner = self.lock();
+        let Some(member) = inner.membership.get(vm) else {
+            return true;
+        };
+        let silence = now.saturating_duration_since(member.received);
+        silence > GONE_AFTER && inner.membership.standing(member, now) != Standing::Usable
+    }
+
+    /// Returns the last report of each upstream with its age and standing.
+    pub(crate) fn upstreams(&self) -> Vec<(Report, Duration, Standing)> {
+        let now = Instant::now();
+        let inner = self.lock();
+        inner
+            .membership
+            .members()
+            .map(|member| {
+                let age = now.saturating_duration_since(member.received);
+                let standing = inner.membership.standing(member, now);
+                (member.report.clone(), age, standing)
+            })
+            .collect()
+    }
+
+    fn arrive(
+        self: &Arc<Self>,
+        priority: Priority,
+        deadline: Option<Instant>,
+        now: Instant,
+    ) -> Result<AdmissionTicket, Result<(WaiterId, oneshot::Receiver<Verdict>), Turned>> {
+        let mut waiting = None;
+        let (admission, event) = {
+            let inner = &mut *self.lock();
+            let (admission, event) = inner
+                .overload
+                .arrive(priority, deadline, now, &mut inner.rng);
+            if let Admission::Waiting(id) = admission {
+                let (tx, rx) = oneshot::channel();
+                inner.waiters.insert(id, tx);
+                waiting = Some((id, rx));
+            }
+            (admission, event)
+        };
+        self.settle(event.into_iter().collect());
+        match (admission, waiting) {
+            (Admission::Admitted, _) => Ok(self.ticket()),
+            (Admission::Refused(reason, retry_after), _) => Err(Err((reason, retry_after))),
+            (Admission::Waiting(_), Some(waiting)) => Err(Ok(waiting)),
+            (Admission::Waiting(_), None) => Err(Err((NotRunReason::Full, GONE_AFTER))),
+        }
+    }
+
+    fn ticket(self: &Arc<Self>) -> AdmissionTicket {
+        AdmissionTicket {
+            service: Arc::clone(self),
+            since: Instant::now(),
+            ran: false,
+        }
+    }
+
+    /// Reckons the room anew and lets waiters in.
+    fn refresh(self: &Arc<Self>) {
+        let events = {
+            let inner = &mut *self.lock();
+            let document = inner.document.as_ref();
+            let needs_open = document.is_some_and(|document| document.kind == ServiceKind::Engine);
+            let now = Instant::now();
+            let (capacity, others) = inner.chooser.room(&inner.membership, needs_open, now);
+            inner.overload.set_room(capacity, others)
+        };
+        self.settle(events);
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let events = {
+            let inner = &mut *self.lock();
+            inner.overload.tick(Instant::now(), &mut inner.rng)
+        };
+        self.settle(events);
+    }
+
+    /// Tells waiters what became of them.
+    ///
+    /// Must be called without the lock: a ticket whose caller has gone takes it when dropped.
+    fn settle(self: &Arc<Self>, events: Vec<QueueEvent>) {
+        for event in events {
+            let (id, verdict) = match event {
+                QueueEvent::Admit(id) => (id, Ok(self.ticket())),
+                QueueEvent::GiveUp(id, reason, retry_after) => (id, Err((reason, retry_after))),
+            };
+            let tx = self.lock().waiters.remove(&id);
+            if let Some(tx) = tx {
+                // A caller that has gone drops its ticket, which counts it out again.
+                let _ = tx.send(verdict);
+            }
+        }
+        let inner = self.lock();
+        self.in_flight.set(i64::from(inner.overload.in_flight()));
+        self.waiting.set(inner.overload.waiting() as i64);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Slot {
+    /// Says whether the upstream has been silent for so long that nothing is expected of it.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.service.is_gone(&self.vm)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.service.lock().membership.finished(&self.vm);
+    }
+}
+
+impl Drop for AdmissionTicket {
+    fn drop(&mut self) {
+        let took = self.ran.then(|| self.since.elapsed());
+        let events = self.service.lock().overload.finish(took);
+        self.service.settle(events);
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.service.lock();
+        inner.overload.cancel(self.id);
+        let tx = inner.waiters.remove(&self.id);
+        drop(inner);
+        drop(tx);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/services.rs
@@ -0,0 +1,121 @@
+//! All services of the entry, one shard each.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use wagtailreel_control::{AgentView, AgentViews};
+use wagtailreel_core::{DataCentre, Region, ServiceName, StateView, VmEntry};
+
+use crate::metrics::Metrics;
+use crate::service::Service;
+
+/// The services by name.
+///
+/// The map's lock is held for a look-up only; each service has its own.
+#[derive(Debug)]
+pub(crate) struct Services {
+    data_centre: DataCentre,
+    region: Region,
+    metrics: Metrics,
+    services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
+    /// What came last, for services that are made later.
+    last: Mutex<Last>,
+}
+
+#[derive(Debug, Default)]
+struct Last {
+    agents: AgentViews,
+    vms: Vec<VmEntry>,
+}
+
+impl Services {
+    /// Makes an empty map for an entry of `data_centre`.
+    pub(crate) fn new(data_centre: DataCentre, region: Region, metrics: Metrics) -> Self {
+        Self {
+            data_centre,
+            region,
+            metrics,
+            services: RwLock::default(),
+            last: Mutex::default(),
+        }
+    }
+
+    /// Returns the service `name`, if the configuration ever had it.
+    pub(crate) fn get(&self, name: &str) -> Option<Arc<Service>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(name).cloned()
+    }
+
+    /// Returns all services.
+    pub(crate) fn all(&self) -> Vec<Arc<Service>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.values().cloned().collect()
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn apply(&self, view: &StateView) {
+        for (name, state) in &view.services {
+            let service = self.get_or_make(name);
+            service.set_document(state.document.as_deref());
+        }
+    }
+
+    /// Takes the agents' latest reports.
+    pub(crate) fn reports(&self, agents: &AgentViews) {
+        self.last().agents = Arc::clone(agents);
+        let mut by_service: BTreeMap<&str, Vec<&AgentView>> = BTreeMap::new();
+        for view in agents.values() {
+            by_service
+                .entry(&view.report.service)
+                .or_default()
+                .push(view);
+        }
+        for (name, views) in by_service {
+            if let Some(service) = self.get(name) {
+                service.reports(&views);
+            }
+        }
+    }
+
+    /// Takes the list of VMs.
+    pub(crate) fn list(&self, vms: &[VmEntry]) {
+        self.last().vms = vms.to_vec();
+        for service in self.all() {
+            service.list(vms);
+        }
+    }
+
+    fn get_or_make(&self, name: &str) -> Arc<Service> {
+        if let Some(service) = self.get(name) {
+            return service;
+        }
+        let mut rng = rand::rng();
+        let service = Service::new(
+            name,
+            &self.data_centre,
+            &self.region,
+            &self.metrics,
+            &mut rng,
+        );
+        let service = Arc::new(service);
+        let mut services = self
+            .services
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        services.insert(name.to_owned(), Arc::clone(&service));
+        drop(services);
+        let last = self.last();
+        service.list(&last.vms);
+        let views: Vec<&AgentView> = last
+            .agents
+            .values()
+            .filter(|view| view.report.service == name)
+            .collect();
+        service.reports(&views);
+        service
+    }
+
+    fn last(&self) -> std::sync::MutexGuard<'_, Last> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -148,6 +148,21 @@
         self
     }
 
+    /// Sets the hash of the prompt's head, for prefix affinity.
+    pub fn set_prefix(&mut self, prefix: u64) {
+        self.ask.prefix = Some(prefix);
+    }
+
+    /// Returns whether the request may be started a second time.
+    pub fn repeat(&self) -> Repeat {
+        self.repeat
+    }
+
+    /// Says whether an attempt may have been started.
+    pub fn is_started(&self) -> bool {
+        self.started
+    }
+
     /// Returns what the choice of an upstream has to go by.
     pub fn ask(&self) -> &Ask {
         &self.ask
@@ -326,7 +341,8 @@
 pub struct RetryAfter(pub Duration);
 
 impl RetryAfter {
-    /// Returns when to come back after `reason`, if that is worth trying, spread by up to half.
+    /// Returns when to come back after `reason`, if that is worth trying: as the hint says, or a
+    /// usual time that is spread by up to half.
     pub fn for_reason<R>(reason: NotRunReason, hint: Option<Duration>, rng: &mut R) -> Option<Self>
     where
         R: Rng,
@@ -340,7 +356,8 @@
             | NotRunReason::Claimed
             | NotRunReason::Expired => return None,
         };
-        let base = hint.unwrap_or(Duration::from_millis(base));
-        Some(Self(base.mul_f64(1.0 + 0.5 * rng.random::<f64>())))
+        // Whoever gives a hint has spread it already.
+        let spread = Duration::from_millis(base).mul_f64(1.0 + 0.5 * rng.random::<f64>());
+        Some(Self(hint.unwrap_or(spread)))
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -19,6 +19,6 @@
 pub use budget::{BudgetConfig, RetryBudget};
 pub use chooser::{Ask, Choice, Chooser, Policy, Shortage, prefix_of};
 pub use limits::{LimitVerdict, Limits};
-pub use membership::{Member, Membership, MembershipConfig, Standing};
+pub use membership::{Heard, Member, Membership, MembershipConfig, Standing};
 pub use overload::{Admission, Overload, OverloadConfig, QueueEvent, WaiterId};
 pub use shares::{Demand, Shares, SharesConfig};
--- a/crates/route/src/membership.rs
+++ b/crates/route/src/membership.rs
@@ -37,6 +37,17 @@
     Leaving,
 }
 
+/// What a report told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Heard {
+    /// Nothing: a newer report was there before it.
+    Late,
+    /// Load and counts only.
+    Load,
+    /// Something that decides whether or for which weights the member gets work.
+    Standing,
+}
+
 /// One upstream of the service, as this entry knows it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -94,11 +105,11 @@
         }
     }
 
-    /// Takes a report that came at `received`; returns whether it was news.
+    /// Takes a report that came at `received`.
     ///
     /// A report with a lower incarnation, or with a sequence that is not higher, is late and is
     /// passed over.
-    pub fn report(&mut self, report: &Report, received: Instant) -> bool {
+    pub fn report(&mut self, report: &Report, received: Instant) -> Heard {
         let leaving_listed = self.listed.get(&report.vm) == Some(&VmState::Leaving);
         let Some(member) = self.members.get_mut(&report.vm) else {
             let member = Member {
@@ -113,14 +124,22 @@
                 closed: false,
             };
             self.members.insert(report.vm.clone(), member);
-            return true;
+            return Heard::Standing;
         };
         let restarted = report.incarnation > member.report.incarnation;
         let newer = report.incarnation == member.report.incarnation
             && report.sequence > member.report.sequence;
         if !restarted && !newer {
-            return false;
+            return Heard::Late;
         }
+        let silence = received.saturating_duration_since(member.received);
+        let standing = restarted
+            || member.unreachable
+            || member.closed
+            || silence > self.cfg.suspect_after
+            || member.report.open != report.open
+            || member.report.open_weights != report.open_weights
+            || member.report.leaving != report.leaving;
         if restarted {
             member.leaving_refused = false;
         }
@@ -129,7 +148,11 @@
         member.others = reported_load(report).saturating_sub(member.own);
         member.unreachable = false;
         member.closed = false;
-        true
+        if standing {
+            Heard::Standing
+        } else {
+            Heard::Load
+        }
     }
 
     /// Takes the list of VMs; entries of other services are passed over by the caller's choice
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -29,6 +29,7 @@
         in_flight: 0,
         capacity: 4,
         load: None,
+        bundles: 2,
         leaving: false,
         closed_below: 0,
         open: Some(1),
