--- a/crates/entry/src/front/generate.rs
+++ b/crates/entry/src/front/generate.rs
@@ -27,7 +27,7 @@
 #[derive(Deserialize)]
 struct Prompt {
     prompt: String,
-    max_tokens: u32,
+    max_tokens: Option<u32>,
 }
 
 /// Answers a prompt.
@@ -61,7 +61,7 @@
             "the body is not `{{\"prompt\", \"max_tokens\"}}`: {err}"
         ))
     })?;
-    if prompt.max_tokens == 0 {
+    if prompt.max_tokens == Some(0) {
         return Err(Denial::bad("`max_tokens` is 0: ask for at least one"));
     }
     let name = head.name.clone();
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -126,7 +126,7 @@
             .filter(|member| member.report.data_centre == self.data_centre)
             .collect();
         let home_epoch = home.iter().filter_map(|member| member.open()).max();
-        let switching = ask.needs_open && !home.is_empty() && home_epoch.is_none();
+        let switching = !home.is_empty() && home.iter().all(|member| is_shut(member, ask));
         if switching && ask.pin.is_none() && !ask.waited {
             return Choice::Short(Shortage::Closed);
         }
@@ -174,17 +174,18 @@
     }
 
     fn admits(&self, member: &Member, ask: &Ask, home_epoch: Option<Epoch>) -> bool {
+        if is_shut(member, ask) {
+            return false;
+        }
         if !ask.needs_open {
             return true;
         }
         if ask.pin.is_some() {
             return member.open_weights() == ask.pin;
         }
-        let Some(open) = member.open() else {
-            return false;
-        };
         member.report.data_centre == self.data_centre
-            || home_epoch.is_none_or(|home_epoch| home_epoch == open)
+            || home_epoch.is_none()
+            || home_epoch == member.open()
     }
 
     fn choose_admitting<R>(&mut self, admitting: &[&Member], ask: &Ask, rng: &mut R) -> Choice
@@ -237,6 +238,12 @@
     }
 }
 
+/// Says whether `member` takes no request now: a plain service's agent says so by a refusal only,
+/// an engine's also by having no epoch open.
+fn is_shut(member: &Member, ask: &Ask) -> bool {
+    member.is_closed() || (ask.needs_open && member.open().is_none())
+}
+
 /// Returns the hash of the head of `prompt`, by which prompts with a common head meet.
 pub fn prefix_of(prompt: &str) -> u64 {
     let bytes = prompt.as_bytes();
--- a/crates/route/src/membership.rs
+++ b/crates/route/src/membership.rs
@@ -73,6 +73,11 @@
         self.own.saturating_add(self.others)
     }
 
+    /// Says whether the member refused since its last report because it is closed.
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// Returns the epoch that the member admits, unless it refused since its last report.
     pub fn open(&self) -> Option<Epoch> {
         self.report.open.filter(|_| !self.closed)
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -106,16 +106,22 @@
     assert_snapshot!(text);
 }
 
-#[test]
-fn closed_waits() {
+#[rstest]
+#[case::engine(true)]
+#[case::plain(false)]
+fn closed_waits(#[case] needs_open: bool) {
     let now = Instant::now();
     let reports = [report("u1", 1, 1), far("far", "cuenca-hall", "austro", 1)];
     let mut members = members_of(&reports, now);
     members.refused("u1", NotRunReason::Closed);
-    assert_eq!(send(&mut members, &mut chooser(), &ask(), 1), "(closed)");
+    let ask = Ask {
+        needs_open,
+        ..Ask::default()
+    };
+    assert_eq!(send(&mut members, &mut chooser(), &ask, 1), "(closed)");
     let waited = Ask {
         waited: true,
-        ..ask()
+        ..ask
     };
     assert_eq!(send(&mut members, &mut chooser(), &waited, 1), "far");
 }
