--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -112,12 +112,7 @@
 impl Engine for HttpEngine {
     type Tokens = TokenStream;
 
-    async fn load<S>(
-        &self,
-        bundle: &Bundle,
-        fence: Epoch,
-        body: S,
-    ) -> Result<Digest, PlatformError>
+    async fn load<S>(&self, bundle: &Bundle, fence: Epoch, body: S) -> Result<Digest, PlatformError>
     where
         S: Stream<Item = Result<Bytes, io::Error>> + Send + 'static,
     {
@@ -222,7 +217,9 @@
             }
             .build()
         })?;
-        event.map(|event| parse_event(&self.base, &event)).transpose()
+        event
+            .map(|event| parse_event(&self.base, &event))
+            .transpose()
     }
 
     /// Takes the next frame of the body; false if there is none.
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -57,9 +57,7 @@
         let Some(frame) = next else {
             return Ok(buf.freeze());
         };
-        let frame = frame
-            .context(BrokenBodySnafu)
-            .context(LostSnafu { peer })?;
+        let frame = frame.context(BrokenBodySnafu).context(LostSnafu { peer })?;
         if let Ok(data) = frame.into_data() {
             ensure!(
                 buf.len() + data.len() <= limit,
--- a/crates/platform/src/http/origin.rs
+++ b/crates/platform/src/http/origin.rs
@@ -72,7 +72,8 @@
         let path = part_path("blobs", part);
         let mut req = build_request(&self.base, Method::GET, &path, Body::empty())?;
         let range = format!("bytes={start}-{}", start.saturating_add(last));
-        let range = HeaderValue::try_from(range).map_err(|err| unusable(&self.base, &err.into()))?;
+        let range =
+            HeaderValue::try_from(range).map_err(|err| unusable(&self.base, &err.into()))?;
         req.headers_mut().insert(RANGE, range);
         let response = self.client.request_within(req, self.stall).await?;
         if response.status() != StatusCode::PARTIAL_CONTENT {
