--- a/crates/fold/src/config.rs
+++ b/crates/fold/src/config.rs
@@ -214,6 +214,7 @@
     }
 
     /// Checks whether an edit may be appended: one that this state already refuses may not.
+    /// Look for its [`ConfigFold::edit_result`] first, in case it is sent again.
     ///
     /// An edit that is based on a revision which no fold has reached must never be appended. It
     /// is refused when first read, but the same edit sent again later could fit by chance.
@@ -223,7 +224,7 @@
     /// Returns the refusal. [`RefusalReason::BaseAhead`] may only mean that this fold is behind.
     pub fn check_edit(&self, service: &str, team: &str, base: Offset) -> Result<(), Refusal> {
         let current = self.view.services.get(service);
-        check_base(current, team, base).map_err(|reason| self.refusal(service, reason))
+        check_base(current, team, base).map_err(|reason| self.refusal(service, base, reason))
     }
 
     /// Returns the state as a record, unless the fold has stopped, waits for a snapshot itself or
@@ -387,7 +388,7 @@
         if let Some(first) = first.cloned() {
             return Applied::Repeated { service, first };
         }
-        let refusal = self.refusal(&service, reason);
+        let refusal = self.refusal(&service, edit.base, reason);
         let verdict = Verdict::Refused {
             refusal: refusal.clone(),
         };
@@ -411,7 +412,13 @@
         self.edits.push(&edit.service, result);
     }
 
-    fn refusal(&self, service: &str, reason: RefusalReason) -> Refusal {
+    fn refusal(&self, service: &str, base: Offset, reason: RefusalReason) -> Refusal {
+        let stale = reason == RefusalReason::StaleBase;
+        let reason = if stale && !self.edits.knows_successor(service, base) {
+            RefusalReason::Unclear
+        } else {
+            reason
+        };
         let current = self.view.services.get(service);
         let winner = current.map(|state| Winner {
             revision: state.revision,
--- a/crates/fold/src/edits.rs
+++ b/crates/fold/src/edits.rs
@@ -98,6 +98,13 @@
             .map(|result| &result.edit_id)
     }
 
+    /// Says whether the edit is known that was accepted on top of `base`. There is one at most, so
+    /// any other edit on that base is sure to have been refused.
+    pub(crate) fn knows_successor(&self, service: &str, base: Offset) -> bool {
+        self.newest_first(service)
+            .any(|result| result.base == base && matches!(result.verdict, Verdict::Accepted { .. }))
+    }
+
     /// Returns the latest edits of `service`, newest first.
     pub(crate) fn history(&self, service: &str) -> Vec<EditResult> {
         self.newest_first(service).take(LISTED).cloned().collect()
--- a/crates/fold/src/orders.rs
+++ b/crates/fold/src/orders.rs
@@ -16,6 +16,9 @@
 /// How many windows claims are remembered for. The second is a reserve: one would do.
 const WINDOWS_KEPT: u32 = 2;
 
+/// How far the log's clock may step back. More could hide claims from a fold that starts later.
+const MAX_STEP_BACK: Duration = Duration::from_secs(60);
+
 /// What a claim or a release did.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(tag = "applied", rename_all = "kebab-case")]
@@ -258,10 +261,11 @@
         let held = self.held.iter();
         let held: usize = held
             .map(|(claimant, (service, key))| {
-                claimant_bytes(claimant) + size_of::<Key>() + service.len() + key.text.len()
+                let texts = service.len() + key.text.len();
+                claimant.approx_bytes() + size_of::<(ServiceName, Key)>() + texts
             })
             .sum();
-        claims + held + self.releases.len() * size_of::<Claimant>() * 2
+        claims + held + self.releases.approx_bytes()
     }
 
     fn take_in(
@@ -290,10 +294,10 @@
     fn advance(&mut self, at: SystemTime) {
         self.time = self.time.max(at);
         if self.unseen == Unseen::BeforeNext {
-            // What lapsed is older than this record, and a key lies at most the skew ahead of the
-            // record that claims it.
-            let seconds = unix_seconds(self.time) + MAX_KEY_SKEW.as_secs();
-            self.unseen = Unseen::KeysUpTo(seconds);
+            // What lapsed is older than this record, unless the log's clock stepped back, and a
+            // key lies at most the skew ahead of the record that claims it.
+            let ahead = MAX_STEP_BACK + MAX_KEY_SKEW;
+            self.unseen = Unseen::KeysUpTo(unix_seconds(self.time) + ahead.as_secs());
         }
         let kept = self.window * WINDOWS_KEPT;
         self.releases.prune(self.time, kept);
@@ -302,9 +306,8 @@
             text: String::new(),
         };
         for claims in self.claims.values_mut() {
-            let newer = claims.split_off(&oldest);
-            for claim in std::mem::replace(claims, newer).values() {
-                self.held.remove(&claim.claimant);
+            while let Some(entry) = claims.first_entry().filter(|entry| *entry.key() < oldest) {
+                self.held.remove(&entry.remove().claimant);
             }
         }
         self.claims.retain(|_, claims| !claims.is_empty());
@@ -461,10 +464,6 @@
 }
 
 fn claim_bytes(key: &Key, claim: &Claim) -> usize {
-    let claimant = claimant_bytes(&claim.claimant) - size_of::<Claimant>();
-    size_of::<Key>() + key.text.len() + size_of::<Claim>() + claimant
-}
-
-fn claimant_bytes(claimant: &Claimant) -> usize {
-    size_of::<Claimant>() + claimant.holder.len() + claimant.request.len()
+    let texts = claim.claimant.approx_bytes() - size_of::<Claimant>();
+    size_of::<Key>() + key.text.len() + size_of::<Claim>() + texts
 }
--- a/crates/fold/src/releases.rs
+++ b/crates/fold/src/releases.rs
@@ -17,6 +17,13 @@
     pub request: RequestId,
 }
 
+impl Claimant {
+    /// Returns about how many bytes it takes up.
+    pub(crate) fn approx_bytes(&self) -> usize {
+        size_of::<Self>() + self.holder.len() + self.request.len()
+    }
+}
+
 /// The claimants that gave up, for as long as a late copy of their claims could come.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Releases {
@@ -47,8 +54,9 @@
         }
     }
 
-    /// Returns how many there are.
-    pub(crate) fn len(&self) -> usize {
-        self.by_time.len()
+    /// Returns about how many bytes they take up.
+    pub(crate) fn approx_bytes(&self) -> usize {
+        let claimants = self.given_up.iter().map(Claimant::approx_bytes);
+        claimants.sum::<usize>() * 2
     }
 }
--- a/crates/fold/src/rules.rs
+++ b/crates/fold/src/rules.rs
@@ -17,6 +17,10 @@
     /// The edit is based on a revision that the service has not reached.
     #[display("its base is not a revision of the service: read the document again and edit that")]
     BaseAhead,
+    /// The base has been built upon, by an edit that the fold has not read: it may be this one,
+    /// sent before.
+    #[display("it may have been accepted before: read the document again and compare")]
+    Unclear,
     /// The service belongs to another team.
     #[display("the service belongs to another team: take another name")]
     NotOwner,
