Start whole fleets as real processes, with demo, bursts and slopes

A fleet writes the settings of docs/settings.md from types of its own, so that a change of the products' keys shows; it holds free ports below the kernel's range for outgoing connections until each process starts. With cuttable links each data centre sees the platform and the others through relays; stalled relays hold bytes back, as a partition does.

The demo, bursts and slopes compile but are not run: the processes are not there yet.

--- /dev/null
+++ b/crates/bench/src/cli.rs
@@ -0,0 +1,286 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::prelude::*;
+use serde::de::DeserializeOwned;
+use tokio_util::sync::CancellationToken;
+use wagtailreel_standins::{
+    EngineStandin, LogStandin, OriginStandin, PlainStandin, VmListStandin, token_text,
+};
+
+use crate::burst_cli::BurstArgs;
+use crate::demo::run_demo;
+use crate::error::{BrokenSnafu, ParseSnafu, PlanSnafu, Result};
+use crate::fleet::FleetBinaries;
+use crate::load::{Plan, run_load};
+use crate::slopes::{Measure, Scale, run_slopes, to_json, to_table};
+
+const HELP: &str = "\
+Load tool, experiments and demonstration of wagtailreel; not shipped.
+
+Usage: wagtailreel-bench <command> [options]
+
+Commands:
+  demo                      show the main job, step by step
+  load --plan FILE          put load on entries and check every answer
+       [--json FILE]        write the report as JSON too
+  burst [--fleets lapida,batbayar,large] [--policies origin,chain,tree,balanced]
+        [--faults none,kill-tenth,cut,stall,corrupt,origin-down,version-change]
+        [--window-s N] [--length-mib N] [--chunks N] [--out DIR]
+                            bring new weights to whole fleets and measure it
+  slopes [--span-s N] [--json FILE]
+                            measure what one more request, VM or chunk costs
+  standin KIND --listen ADDR [--config FILE]
+                            run one stand-in: log, vms, origin, engine or plain
+
+Options:
+  -h, --help                print this help
+  -V, --version             print the version
+
+Exit code: 0 if everything held, 1 if something did not, 2 for a wrong command line.
+";
+
+/// Exit code for a wrong command line.
+const USAGE: u8 = 2;
+
+/// Time in seconds over which slopes are measured at each size.
+const SPAN_SECONDS: u64 = 10;
+
+/// What the command line asks for.
+#[derive(Debug)]
+enum Command {
+    Help,
+    Version,
+    Demo,
+    Load {
+        plan: PathBuf,
+        json: Option<PathBuf>,
+    },
+    Burst(BurstArgs),
+    Slopes {
+        scale: Scale,
+        json: Option<PathBuf>,
+    },
+    Standin {
+        kind: String,
+        listen: SocketAddr,
+        config: Option<PathBuf>,
+    },
+}
+
+/// Runs the command that `args`, without the program's name, ask for.
+pub fn run<I>(args: I) -> ExitCode
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let command = match parse(lexopt::Parser::from_args(args)) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("{error}; see --help");
+            return ExitCode::from(USAGE);
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(execute(command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let name = match parser.next()? {
+        Some(Short('h') | Long("help")) | None => return Ok(Command::Help),
+        Some(Short('V') | Long("version")) => return Ok(Command::Version),
+        Some(Value(name)) => name.string()?,
+        Some(other) => return Err(other.unexpected()),
+    };
+    match name.as_str() {
+        "demo" => match parser.next()? {
+            None => Ok(Command::Demo),
+            Some(other) => Err(other.unexpected()),
+        },
+        "load" => parse_load(parser),
+        "burst" => Ok(Command::Burst(BurstArgs::parse(parser)?)),
+        "slopes" => parse_slopes(parser),
+        "standin" => parse_standin(parser),
+        other => Err(format!("there is no command `{other}`").into()),
+    }
+}
+
+fn parse_load(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let (mut plan, mut json) = (None, None);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("plan") => plan = Some(parser.value()?.into()),
+            Long("json") => json = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    let plan = plan.ok_or("load needs --plan FILE")?;
+    Ok(Command::Load { plan, json })
+}
+
+fn parse_slopes(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let mut scale = Scale {
+        span: Duration::from_secs(SPAN_SECONDS),
+    };
+    let mut json = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("span-s") => scale.span = Duration::from_secs(parser.value()?.parse()?),
+            Long("json") => json = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Command::Slopes { scale, json })
+}
+
+fn parse_standin(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let (mut kind, mut listen, mut config) = (None, None, None);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("listen") => listen = Some(parser.value()?.parse()?),
+            Long("config") => config = Some(parser.value()?.into()),
+            Value(value) if kind.is_none() => kind = Some(value.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Command::Standin {
+        kind: kind.ok_or("standin needs a kind: log, vms, origin, engine or plain")?,
+        listen: listen.ok_or("standin needs --listen ADDR")?,
+        config,
+    })
+}
+
+async fn execute(command: Command) -> Result<()> {
+    match command {
+        Command::Help => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Command::Version => {
+            println!("wagtailreel-bench {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Demo => run_demo(FleetBinaries::beside_current()?).await,
+        Command::Load { plan, json } => load(&plan, json).await,
+        Command::Slopes { scale, json } => slopes(scale, json).await,
+        Command::Burst(args) => args.run(FleetBinaries::beside_current()?).await,
+        Command::Standin {
+            kind,
+            listen,
+            config,
+        } => standin(&kind, listen, config).await,
+    }
+}
+
+async fn load(plan: &std::path::Path, json: Option<PathBuf>) -> Result<()> {
+    let plan = Plan::read(plan)?;
+    let report = run_load(plan, token_text, CancellationToken::new()).await?;
+    print!("{}", report.to_text());
+    if let Some(path) = json {
+        write_file(&path, &format!("{:#}\n", report.to_json()))?;
+    }
+    if report.holds() {
+        return Ok(());
+    }
+    BrokenSnafu {
+        what: format!(
+            "{} problems, {} not sent",
+            report.problem_count, report.skipped
+        ),
+    }
+    .fail()
+}
+
+async fn slopes(scale: Scale, json: Option<PathBuf>) -> Result<()> {
+    let binaries = FleetBinaries::beside_current()?;
+    let slopes = run_slopes(&Measure::ALL, scale, &binaries).await?;
+    print!("{}", to_table(&slopes));
+    match json {
+        Some(path) => write_file(&path, &format!("{:#}\n", to_json(&slopes))),
+        None => Ok(()),
+    }
+}
+
+/// Runs a stand-in until the process is ended.
+async fn standin(kind: &str, listen: SocketAddr, config: Option<PathBuf>) -> Result<()> {
+    use crate::fleet::started;
+    match kind {
+        "log" => {
+            let it = started(LogStandin::start(read_config(config)?, listen))?;
+            serve(it.addr(), it).await
+        }
+        "vms" => {
+            let it = started(VmListStandin::start(read_config(config)?, listen))?;
+            serve(it.addr(), it).await
+        }
+        "origin" => {
+            let it = started(OriginStandin::start(read_config(config)?, listen))?;
+            serve(it.addr(), it).await
+        }
+        "engine" => {
+            let it = started(EngineStandin::start(read_config(config)?, listen))?;
+            serve(it.addr(), it).await
+        }
+        "plain" => {
+            let it = started(PlainStandin::start(read_config(config)?, listen))?;
+            serve(it.addr(), it).await
+        }
+        other => PlanSnafu {
+            at: "standin",
+            detail: format!("there is no `{other}`: take log, vms, origin, engine or plain"),
+        }
+        .fail(),
+    }
+}
+
+/// Keeps a stand-in until the process is interrupted.
+async fn serve<T>(addr: SocketAddr, standin: T) -> Result<()> {
+    println!("listening at {addr}");
+    // Without a signal handler the process ends at the signal anyway.
+    let _ = tokio::signal::ctrl_c().await;
+    drop(standin);
+    Ok(())
+}
+
+fn read_config<T>(path: Option<PathBuf>) -> Result<T>
+where
+    T: DeserializeOwned + Default,
+{
+    let Some(path) = path else {
+        return Ok(T::default());
+    };
+    let parse = |detail: String| {
+        let what = path.display().to_string();
+        ParseSnafu { what, detail }.build()
+    };
+    let text = std::fs::read_to_string(&path).map_err(|source| parse(source.to_string()))?;
+    serde_saphyr::from_str(&text).map_err(|source| parse(source.to_string()))
+}
+
+/// Writes a file.
+///
+/// # Errors
+///
+/// Returns an error with the file's name.
+pub(crate) fn write_file(path: &std::path::Path, text: &str) -> Result<()> {
+    use snafu::ResultExt as _;
+    std::fs::write(path, text).context(crate::error::IoSnafu {
+        what: format!("write {}", path.display()),
+    })
+}
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -1,12 +1,74 @@
 //! The whole system as real processes on the loopback address.
+//!
+//! [`Fleet::start`] starts the stand-ins in this process and the products as processes of their
+//! own; everything ends when the fleet is dropped.
 
 mod admin;
+mod check;
+mod control;
+mod document;
 mod relay;
 mod settings;
 mod spec;
+mod standins;
+mod start;
+mod vm;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use wagtailreel_core::VmId;
 
 pub use admin::{Operator, Submission};
+pub use check::check_answer;
+pub use document::to_yaml;
 pub use relay::{LinkState, Relay};
-pub use spec::{
-    CustomerSpec, DataCentreSpec, FleetSpec, ModelSpec, TeamSpec, UpstreamSpec, VmSpec,
-};
+pub use spec::{CustomerSpec, DataCentreSpec, FleetSpec, TeamSpec, Upstream, UpstreamSpec, VmSpec};
+pub(crate) use standins::started;
+pub use standins::{Site, Standins};
+
+use crate::error::{IoSnafu, Result};
+use crate::http_client::HttpClient;
+use snafu::ResultExt;
+use standins::Links;
+use vm::Vm;
+
+/// The two programs of the product.
+#[derive(Clone, Debug)]
+pub struct FleetBinaries {
+    /// `wagtailreel`.
+    pub wagtailreel: PathBuf,
+    /// `wagtailreel-agent`.
+    pub agent: PathBuf,
+}
+
+impl FleetBinaries {
+    /// Finds both beside the running program.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the running program's place can't be told.
+    pub fn beside_current() -> Result<Self> {
+        let current = std::env::current_exe().context(IoSnafu {
+            what: "find the running program",
+        })?;
+        Ok(Self {
+            wagtailreel: current.with_file_name("wagtailreel"),
+            agent: current.with_file_name("wagtailreel-agent"),
+        })
+    }
+}
+
+/// A running fleet. Dropping it kills its processes.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The stand-ins, with the switches of their faults.
+    pub standins: Standins,
+    /// The client of all the fleet's own requests.
+    pub client: HttpClient,
+    spec: FleetSpec,
+    links: Links,
+    vms: BTreeMap<VmId, Vm>,
+    // The last to go, since the processes log into it.
+    folder: tempfile::TempDir,
+}
--- a/crates/bench/src/fleet/settings.rs
+++ b/crates/bench/src/fleet/settings.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use wagtailreel_core::{CustomerId, DataCentre, Digest, Region, ServiceKind, ServiceName, VmId};
 
-use super::spec::{FleetSpec, UpstreamSpec, VmSpec};
+use super::spec::{FleetSpec, Upstream, UpstreamSpec, VmSpec};
 
 /// Addresses of the outside systems as one data centre's processes reach them.
 #[derive(Clone, Debug)]
@@ -145,7 +145,7 @@
     url: String,
     checks_fencing: bool,
     capacity: u32,
-    bundles: u32,
+    bundles: usize,
 }
 
 #[derive(Debug, Serialize)]
@@ -177,11 +177,14 @@
             },
             seeds: seeds.to_vec(),
             upstream: UpstreamFile {
-                kind: upstream.kind,
+                kind: match upstream.upstream {
+                    Upstream::Engine(_) => ServiceKind::Engine,
+                    Upstream::Plain(_) => ServiceKind::Plain,
+                },
                 url: upstream_url,
-                checks_fencing: upstream.checks_fencing,
+                checks_fencing: upstream.engine_config().is_some_and(|it| it.fencing),
                 capacity: upstream.capacity,
-                bundles: upstream.bundles,
+                bundles: upstream.engine_config().map_or(1, |it| it.bundles),
             },
             weights: WeightsFile {
                 memory: upstream.memory,
--- a/crates/bench/src/fleet/spec.rs
+++ b/crates/bench/src/fleet/spec.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
-use wagtailreel_core::{
-    CustomerId, DataCentre, Digest, ModelRef, Region, ServiceKind, ServiceName, TeamName, VmId,
-};
+use wagtailreel_core::{CustomerId, DataCentre, Region, ServiceName, TeamName, VmId};
+use wagtailreel_standins::{EngineConfig, OriginModel, PlainConfig};
 
 /// Bytes of a chunk where a specification names no other length.
-const CHUNK: u32 = 64 * 1024;
+const CHUNK: usize = 64 * 1024;
 
 /// Bytes of a model where a specification names no other length.
-const MODEL: u64 = 4 * 1024 * 1024;
+const MODEL: usize = 4 * 1024 * 1024;
 
 /// A whole fleet: data centres, the outside systems' settings, teams and customers.
 #[derive(Clone, Debug)]
@@ -18,7 +17,7 @@
     /// The data centres with their VMs.
     pub data_centres: Vec<DataCentreSpec>,
     /// Models and adapters that the origin has from the start.
-    pub models: Vec<ModelSpec>,
+    pub models: Vec<OriginModel>,
     /// Teams with their tokens.
     pub teams: Vec<TeamSpec>,
     /// Customers with their keys.
@@ -49,8 +48,8 @@
         Self {
             data_centres,
             models: vec![
-                ModelSpec::new("epitaph", "1"),
-                ModelSpec::new("epitaph", "2"),
+                OriginModel::new("epitaph", "1", MODEL, CHUNK),
+                OriginModel::new("epitaph", "2", MODEL, CHUNK),
             ],
             teams: vec![
                 TeamSpec::new("scribes", &["wagtail-scribes", "proof-desk"]),
@@ -87,7 +86,7 @@
 
     /// Sets the models that the origin has.
     #[must_use]
-    pub fn with_models(mut self, models: Vec<ModelSpec>) -> Self {
+    pub fn with_models(mut self, models: Vec<OriginModel>) -> Self {
         self.models = models;
         self
     }
@@ -195,51 +194,53 @@
 pub struct UpstreamSpec {
     /// Service of the upstream.
     pub service: ServiceName,
-    /// Whether it is an engine or a plain service.
-    pub kind: ServiceKind,
-    /// Requests that the upstream takes at once.
+    /// What the stand-in is.
+    pub upstream: Upstream,
+    /// Requests that the agent lets in at once.
     pub capacity: u32,
-    /// Bundles that the engine can hold at once.
-    pub bundles: u32,
-    /// Whether the engine refuses old fencing numbers.
-    pub checks_fencing: bool,
     /// Memory for chunks in bytes.
     pub memory: u64,
     /// Bytes a second that the VM takes in for transfers; 0 for no limit.
     pub ingress: u64,
     /// Bytes a second that the VM gives out for transfers; 0 for no limit.
     pub egress: u64,
-    /// Time from a request to its first token.
-    pub first_token: Duration,
-    /// Time between two tokens.
-    pub between_tokens: Duration,
-    /// Time that loading a bundle takes.
-    pub load: Duration,
+}
+
+/// The stand-in behind an agent.
+#[derive(Clone, Debug)]
+pub enum Upstream {
+    /// An engine.
+    Engine(EngineConfig),
+    /// A plain service.
+    Plain(PlainConfig),
 }
 
 impl UpstreamSpec {
-    /// Makes an engine without limits on its links, which answers at once.
+    /// Makes an engine without limits on its links, which answers within milliseconds.
     pub fn engine(service: &str) -> Self {
-        Self {
-            service: service.to_owned(),
-            kind: ServiceKind::Engine,
-            capacity: 64,
-            bundles: 2,
-            checks_fencing: true,
-            memory: 256 << 20,
-            ingress: 0,
-            egress: 0,
+        let engine = EngineConfig {
+            slots: 64,
             first_token: Duration::from_millis(5),
+            first_token_hit: Some(Duration::from_millis(2)),
             between_tokens: Duration::from_millis(5),
-            load: Duration::from_millis(50),
-        }
+            ..EngineConfig::default()
+        };
+        Self::new(service, Upstream::Engine(engine))
     }
 
     /// Makes a plain service.
     pub fn plain(service: &str) -> Self {
+        Self::new(service, Upstream::Plain(PlainConfig::default()))
+    }
+
+    fn new(service: &str, upstream: Upstream) -> Self {
         Self {
-            kind: ServiceKind::Plain,
-            ..Self::engine(service)
+            service: service.to_owned(),
+            upstream,
+            capacity: 64,
+            memory: 256 << 20,
+            ingress: 0,
+            egress: 0,
         }
     }
 
@@ -251,84 +252,31 @@
         self
     }
 
-    /// Sets the engine's times.
-    #[must_use]
-    pub fn with_times(mut self, first_token: Duration, between: Duration, load: Duration) -> Self {
-        self.first_token = first_token;
-        self.between_tokens = between;
-        self.load = load;
-        self
-    }
-
-    /// Sets how many requests run at once.
+    /// Sets how many requests run at once, in the engine and at the agent.
     #[must_use]
     pub fn with_capacity(mut self, capacity: u32) -> Self {
         self.capacity = capacity;
-        self
-    }
-
-    /// Sets how many bundles the engine holds at once.
-    #[must_use]
-    pub fn with_bundles(mut self, bundles: u32) -> Self {
-        self.bundles = bundles;
-        self
+        self.with_engine(|engine| engine.slots = capacity)
     }
 
-    /// Makes the engine ignore fencing numbers.
+    /// Changes the engine's settings; a plain service has none.
     #[must_use]
-    pub fn without_fencing(mut self) -> Self {
-        self.checks_fencing = false;
-        self
-    }
-}
-
-/// One version of a model or adapter in the origin.
-#[derive(Clone, Debug)]
-pub struct ModelSpec {
-    /// Name and version.
-    pub model: ModelRef,
-    /// Length in bytes.
-    pub length: u64,
-    /// Length of a chunk in bytes.
-    pub chunk: u32,
-}
-
-impl ModelSpec {
-    /// Makes a model of 4 MiB in chunks of 64 KiB.
-    pub fn new(name: &str, version: &str) -> Self {
-        Self {
-            model: ModelRef {
-                name: name.to_owned(),
-                version: version.to_owned(),
-            },
-            length: MODEL,
-            chunk: CHUNK,
+    pub fn with_engine<F>(mut self, change: F) -> Self
+    where
+        F: FnOnce(&mut EngineConfig),
+    {
+        if let Upstream::Engine(engine) = &mut self.upstream {
+            change(engine);
         }
-    }
-
-    /// Sets the lengths of the whole and of a chunk in bytes.
-    #[must_use]
-    pub fn with_lengths(mut self, length: u64, chunk: u32) -> Self {
-        self.length = length;
-        self.chunk = chunk;
         self
     }
 
-    /// Returns the model's bytes, which follow from its name and version.
-    pub fn bytes(&self) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        let mut block: u64 = 0;
-        while (bytes.len() as u64) < self.length {
-            let seed = format!("{}/{block}", self.model);
-            let digest = Digest::of(seed.as_bytes());
-            // 32 bytes of digest stand for 1 KiB, so that making a large model stays cheap.
-            for _ in 0..32 {
-                bytes.extend_from_slice(digest.as_bytes());
-            }
-            block += 1;
+    /// Returns the engine's settings.
+    pub fn engine_config(&self) -> Option<&EngineConfig> {
+        match &self.upstream {
+            Upstream::Engine(engine) => Some(engine),
+            Upstream::Plain(_) => None,
         }
-        bytes.truncate(usize::try_from(self.length).unwrap_or(usize::MAX));
-        bytes
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,12 +4,18 @@
 //! the other modules use it.
 
 pub mod answer;
+pub mod burst;
+mod burst_cli;
+pub mod cli;
+pub mod demo;
 mod error;
 pub mod fleet;
 pub mod http_client;
 pub mod load;
+pub mod metrics;
 mod ports;
 mod process;
+pub mod slopes;
 pub mod sse;
 mod wait;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,7 @@
 //! Load tool, experiments and demonstration.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wagtailreel_bench::cli::run(std::env::args_os().skip(1))
+}
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -27,12 +27,19 @@
 }
 
 impl Process {
-    /// Starts `binary` with `args`; its standard error is appended to the file `log`.
+    /// Starts `binary` with `args` and `log_level` as `RUST_LOG`; its standard error is appended
+    /// to the file `log`.
     ///
     /// # Errors
     ///
     /// Returns an error if the log can't be opened or the program can't be started.
-    pub fn spawn(vm: &str, binary: &Path, args: &[&str], log: &Path) -> Result<Self> {
+    pub fn spawn(
+        vm: &str,
+        binary: &Path,
+        args: &[&str],
+        log_level: &str,
+        log: &Path,
+    ) -> Result<Self> {
         let file = File::options()
             .create(true)
             .append(true)
@@ -42,6 +49,7 @@
             })?;
         let child = Command::new(binary)
             .args(args)
+            .env("RUST_LOG", log_level)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(file)
--- a/crates/bench/tests/fake_entry/mod.rs
+++ b/crates/bench/tests/fake_entry/mod.rs
@@ -1,13 +1,16 @@
 //! A small fake of an entry, whose faults show that the load tool sees them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::StatusCode;
 use axum::response::Response;
-use axum::routing::post;
+use axum::routing::{get, post};
+use serde_json::json;
 use wagtailreel_core::Digest;
 
 /// How the fake misbehaves.
@@ -33,6 +36,8 @@
     RefusedMutely,
     /// No outcome at all.
     NoOutcome,
+    /// Refused with all headers, but run all the same.
+    RefusedButRun,
     /// Cut, and said so.
     Unknown,
 }
@@ -46,18 +51,47 @@
     )
 }
 
+/// The fake with what it ran.
+#[derive(Clone, Debug)]
+struct Fake {
+    fault: Fault,
+    ran: Arc<Mutex<BTreeMap<String, u64>>>,
+}
+
 /// Starts the fake on a free port.
 pub(crate) async fn start(fault: Fault) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let app = Router::new()
         .route("/v1/services/{service}/generate", post(generate))
-        .with_state(fault);
+        .route("/standin/stats", get(stats))
+        .with_state(Fake {
+            fault,
+            ran: Arc::default(),
+        });
     tokio::spawn(async move { axum::serve(listener, app).await });
     addr
 }
 
-async fn generate(State(fault): State<Fault>, req: Request) -> Response {
+/// Says what was run, as an engine's stand-in does.
+async fn stats(State(fake): State<Fake>) -> axum::Json<serde_json::Value> {
+    let ran = fake.ran.lock().unwrap();
+    let requests = ran
+        .iter()
+        .map(|(id, n)| (id.clone(), json!({ "started": n })));
+    let requests: serde_json::Map<String, serde_json::Value> = requests.collect();
+    axum::Json(json!({ "forgotten": 0, "requests": requests }))
+}
+
+async fn generate(State(fake): State<Fake>, req: Request) -> Response {
+    let fault = fake.fault;
+    if fault != Fault::Refused {
+        let id = req.headers()["wagtailreel-request"]
+            .to_str()
+            .unwrap()
+            .to_owned();
+        *fake.ran.lock().unwrap().entry(id).or_default() += 1;
+    }
     let body = axum::body::to_bytes(req.into_body(), 1 << 20)
         .await
         .unwrap();
@@ -65,7 +99,7 @@
     let prompt = body["prompt"].as_str().unwrap();
     let tokens = u32::try_from(body["max_tokens"].as_u64().unwrap()).unwrap();
     match fault {
-        Fault::Refused => refusal(Some("1")),
+        Fault::Refused | Fault::RefusedButRun => refusal(Some("1")),
         Fault::RefusedMutely => refusal(None),
         Fault::NoOutcome => status(StatusCode::INTERNAL_SERVER_ERROR)
             .body(Body::empty())
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -77,6 +77,53 @@
     assert!(report.problems[0].contains(words), "{}", report.problems[0]);
 }
 
+/// Runs with the fakes' own statistics counted against the outcomes.
+async fn counted(fault: Fault) -> LoadReport {
+    let targets = [
+        fake_entry::start(fault).await,
+        fake_entry::start(fault).await,
+    ];
+    let mut plan = plan(&targets);
+    plan.engines = targets.iter().map(|it| format!("http://{it}")).collect();
+    let stop = CancellationToken::new();
+    run_load(plan, fake_entry::text, stop).await.unwrap()
+}
+
+#[rstest]
+#[case(Fault::Refused, "", 0)]
+#[case(Fault::RefusedButRun, "told not run, but it was run", 1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn runs_counted(#[case] fault: Fault, #[case] words: &str, #[case] each: u64) {
+    let report = counted(fault).await;
+    let said = |it: &&String| it.contains("told not run");
+    assert!(
+        report
+            .problems
+            .iter()
+            .filter(said)
+            .all(|it| it.contains(words))
+    );
+    assert!(
+        report.problem_count >= each * report.total.sent,
+        "{}",
+        report.to_text()
+    );
+    assert!(each > 0 || report.holds(), "{}", report.to_text());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_counted() {
+    // The fakes run an order whenever it comes, so that each pair is one problem.
+    let report = counted(Fault::None).await;
+    assert!(report.problem_count > 0);
+    assert!(
+        report
+            .problems
+            .iter()
+            .all(|it| it.starts_with("order ") && it.contains(" ran as "))
+    );
+}
+
 #[test]
 fn same_schedule() {
     let targets = [
