Plan the spread of chunks: ranking, draws, rarest first, hedges

The planner decides for one VM and one bundle, without I/O. Baselines (all from the origin, chain, tree) are other neighbours and other ranks of the same planner.

--- /dev/null
+++ b/crates/spread/src/neighbours.rs
@@ -0,0 +1,76 @@
+//! From whom a VM fetches.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wagtailreel_core::{DataCentre, SpreadPolicy, VmId, rank, rank_score};
+
+use crate::Site;
+
+/// Key under which the baselines rank VMs.
+const LINE_KEY: &[u8] = b"wagtailreel line";
+
+/// How many VMs fetch from one in the tree.
+const TREE_FAN_OUT: usize = 2;
+
+/// Chooses up to `near` neighbours in the own data centre and `far` over all data centres.
+///
+/// Each ring orders the VMs by a rendezvous score of its own, and a VM takes its successor. So a
+/// VM is the neighbour of about as many as it has neighbours itself, which balances what each
+/// gives, and a VM that comes or goes changes only the choices next to it.
+pub(crate) fn choose(
+    own: &Site,
+    others: &BTreeMap<VmId, DataCentre>,
+    near: usize,
+    far: usize,
+) -> BTreeSet<VmId> {
+    if others.len() <= near + far {
+        return others.keys().cloned().collect();
+    }
+    let home: Vec<&str> = others
+        .iter()
+        .filter(|(_, data_centre)| **data_centre == own.data_centre)
+        .map(|(vm, _)| vm.as_str())
+        .collect();
+    let all: Vec<&str> = others.keys().map(String::as_str).collect();
+    let mut chosen = BTreeSet::new();
+    for ring in 0..near {
+        take_successor(&own.vm, &home, &format!("near {ring}"), &mut chosen);
+    }
+    let missing = near + far - chosen.len();
+    for ring in 0..missing {
+        take_successor(&own.vm, &all, &format!("far {ring}"), &mut chosen);
+    }
+    chosen
+}
+
+/// Adds to `chosen` the first VM after `own` on `ring` that is not chosen yet.
+fn take_successor(own: &str, others: &[&str], ring: &str, chosen: &mut BTreeSet<VmId>) {
+    let own = (rank_score(ring.as_bytes(), own), own);
+    let successor = others
+        .iter()
+        .filter(|vm| !chosen.contains(**vm))
+        .map(|vm| (rank_score(ring.as_bytes(), vm), *vm))
+        // The ring closes: VMs after the own one come before those that wrap around.
+        .min_by_key(|place| (*place < own, *place));
+    if let Some((_, vm)) = successor {
+        chosen.insert(vm.to_owned());
+    }
+}
+
+/// Returns the VM that the own one fetches from under a baseline policy, none for the first.
+pub(crate) fn parent(
+    policy: SpreadPolicy,
+    own: &Site,
+    others: &BTreeMap<VmId, DataCentre>,
+) -> Option<VmId> {
+    let names = others.keys().chain([&own.vm]).map(String::as_str);
+    let line = rank(LINE_KEY, names);
+    let place = line.iter().position(|vm| *vm == own.vm)?;
+    let before = place.checked_sub(1)?;
+    let parent = match policy {
+        SpreadPolicy::Tree => before / TREE_FAN_OUT,
+        SpreadPolicy::Chain => before,
+        SpreadPolicy::Balanced | SpreadPolicy::Origin => return None,
+    };
+    Some(line[parent].to_owned())
+}
--- /dev/null
+++ b/crates/spread/src/pace.rs
@@ -0,0 +1,76 @@
+//! How long fetches usually take, and how long a source is left alone.
+
+use std::time::{Duration, Instant};
+
+/// Weight of what was known against a new duration.
+const MEMORY: u32 = 3;
+
+/// What a fetch that was given up counts as, as a part of its age.
+const GIVE_UP_PART: u32 = 2;
+
+/// Most doublings of a pause.
+const DOUBLINGS: u32 = 5;
+
+/// The usual duration of fetches.
+#[derive(Debug)]
+pub(crate) struct Pace {
+    usual: Duration,
+}
+
+impl Pace {
+    /// Makes a pace from a first guess.
+    pub(crate) const fn new(usual: Duration) -> Self {
+        Self { usual }
+    }
+
+    /// Returns the usual duration.
+    pub(crate) const fn usual(&self) -> Duration {
+        self.usual
+    }
+
+    /// Takes in the duration of a fetch that succeeded.
+    pub(crate) fn observe(&mut self, taken: Duration) {
+        self.usual = (self.usual * MEMORY + taken) / (MEMORY + 1);
+    }
+
+    /// Takes in that a fetch was given up at `age`.
+    ///
+    /// The usual duration grows, so that a first guess far too short can't give up every fetch
+    /// for ever.
+    pub(crate) fn give_up(&mut self, age: Duration) {
+        self.usual = self.usual.max(age / GIVE_UP_PART);
+    }
+}
+
+/// When a source may be asked again.
+#[derive(Debug, Default)]
+pub(crate) struct Pause {
+    until: Option<Instant>,
+    failures: u32,
+}
+
+impl Pause {
+    /// Says whether the source may be asked.
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| until <= now)
+    }
+
+    /// Ends the pause and forgets the failures.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Leaves the source alone until `now + length`, without counting a failure.
+    pub(crate) fn extend(&mut self, now: Instant, length: Duration) {
+        let until = now + length;
+        self.until = Some(self.until.map_or(until, |before| before.max(until)));
+    }
+
+    /// Counts a failure and leaves the source alone for `first`, doubled with each failure
+    /// before, but no longer than `most`; `stretch` is a jitter from 0 to 1 that is added.
+    pub(crate) fn fail(&mut self, now: Instant, first: Duration, most: Duration, stretch: f64) {
+        let length = first.saturating_mul(1 << self.failures.min(DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        self.extend(now, length.min(most).mul_f64(1.0 + stretch));
+    }
+}
--- /dev/null
+++ b/crates/spread/src/planner.rs
@@ -0,0 +1,360 @@
+//! The planner: its state, and what events change in it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use wagtailreel_core::{
+    ChunkIndex, DataCentre, Digest, SpreadPolicy, SpreadSettings, VmEntry, VmId, VmRole, VmState,
+};
+
+use crate::pace::{Pace, Pause};
+use crate::peers::Peers;
+use crate::ranking::{NEVER, Ranking};
+use crate::{
+    Action, ChunkSet, Event, Failure, Fetch, FetchId, Reason, Site, Source, Tuning, neighbours,
+};
+
+/// Longest pause of a peer that keeps failing, in first pauses.
+const PENALTY_MOST: u32 = 32;
+
+/// What a planner is made from.
+#[derive(Clone, Debug)]
+pub struct PlannerConfig {
+    /// The VM that the planner decides for.
+    pub own: Site,
+    /// Digests of the bundle's chunks, each once. [`ChunkIndex`] is a position in this list.
+    pub chunks: Vec<Digest>,
+    /// Chunks that the VM has already.
+    pub have: ChunkSet,
+    /// The document's word on spreading.
+    pub settings: SpreadSettings,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// A fetch under way.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) chunk: ChunkIndex,
+    pub(crate) from: Source,
+    pub(crate) since: Instant,
+}
+
+/// Decides for one VM and one bundle which chunks to fetch from whom.
+///
+/// Invariants: a chunk counts as there only after [`Event::Fetched`], which the caller sends only
+/// once the digest was verified; and a chunk that a peer gave corrupted is never asked of that
+/// peer again.
+#[derive(Debug)]
+pub struct Planner {
+    pub(crate) own: Site,
+    pub(crate) settings: SpreadSettings,
+    pub(crate) tuning: Tuning,
+    pub(crate) rng: StdRng,
+    pub(crate) have: ChunkSet,
+    /// The VM's own random order of chunks, which breaks ties.
+    pub(crate) order: Vec<u32>,
+    pub(crate) peers: Peers,
+    pub(crate) ranking: Ranking,
+    pub(crate) active: BTreeMap<FetchId, Active>,
+    /// Fetches under way for each chunk.
+    pub(crate) flying: Vec<u32>,
+    pub(crate) origin_pause: Pause,
+    pub(crate) origin_pace: Pace,
+    pub(crate) peer_pace: Pace,
+    pub(crate) started: Instant,
+    /// When the last of the draws that the VM is first for was done.
+    pub(crate) drawn_at: Option<Instant>,
+    /// When the last chunk arrived.
+    pub(crate) arrived_at: Instant,
+    lost: BTreeSet<VmId>,
+    watched: BTreeSet<VmId>,
+    next_id: FetchId,
+}
+
+impl Planner {
+    /// Makes a planner at `now`; it starts fetching with the first event.
+    pub fn new(cfg: PlannerConfig, now: Instant) -> Self {
+        let mut rng = StdRng::seed_from_u64(cfg.seed);
+        let count = cfg.have.capacity();
+        let mut order: Vec<u32> = (0..count).collect();
+        if cfg.settings.policy == SpreadPolicy::Balanced {
+            order.shuffle(&mut rng);
+        }
+        let tuning = Tuning::default();
+        let ranking = Ranking::new(cfg.own.clone(), cfg.settings.weigh, cfg.chunks);
+        Self {
+            own: cfg.own,
+            settings: cfg.settings,
+            rng,
+            have: cfg.have,
+            order,
+            peers: Peers::new(count, now),
+            ranking,
+            active: BTreeMap::new(),
+            flying: vec![0; count as usize],
+            origin_pause: Pause::default(),
+            origin_pace: Pace::new(tuning.first_guess),
+            peer_pace: Pace::new(tuning.first_guess),
+            tuning,
+            started: now,
+            drawn_at: None,
+            arrived_at: now,
+            lost: BTreeSet::new(),
+            watched: BTreeSet::new(),
+            next_id: 1,
+        }
+    }
+
+    /// Sets the numbers that steer the planner.
+    pub fn with_tuning(mut self, tuning: Tuning) -> Self {
+        self.tuning = tuning;
+        self
+    }
+
+    /// Says whether every chunk is there.
+    pub fn is_done(&self) -> bool {
+        self.have.is_full()
+    }
+
+    /// Returns the chunks that are there.
+    pub const fn have(&self) -> &ChunkSet {
+        &self.have
+    }
+
+    /// Returns the peers whose chunks the planner wants to be told of: the neighbours, and those
+    /// that would be if they could be reached.
+    pub const fn watched(&self) -> &BTreeSet<VmId> {
+        &self.watched
+    }
+
+    /// Takes in `event` at `now`, and returns what to do.
+    pub fn apply(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Have { vm, have } => self.peers.set_have(&vm, have, now),
+            Event::Fetched { id, chunk } => self.fetched(id, chunk, now, &mut actions),
+            Event::Failed { id, failure } => self.failed(id, failure, now),
+            Event::Peers(entries) => self.set_peers(&entries, now),
+            Event::Lost { vm } => self.note_lost(&vm, now),
+            Event::Tick => {}
+        }
+        self.review_lost(now);
+        self.give_up(now, &mut actions);
+        if !self.is_done() {
+            self.draw(now, &mut actions);
+            self.spread(now, &mut actions);
+            self.hedge(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Starts a fetch.
+    pub(crate) fn start(
+        &mut self,
+        chunk: ChunkIndex,
+        from: Source,
+        reason: Reason,
+        now: Instant,
+    ) -> Action {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.flying[chunk as usize] += 1;
+        if let Source::Peer(vm) = &from
+            && let Some(peer) = self.peers.get_mut(vm)
+        {
+            peer.active += 1;
+        }
+        let active = Active {
+            chunk,
+            from: from.clone(),
+            since: now,
+        };
+        self.active.insert(id, active);
+        Action::Fetch(Fetch {
+            id,
+            chunk,
+            from,
+            reason,
+        })
+    }
+
+    /// Forgets a fetch that has ended or is dropped.
+    pub(crate) fn end(&mut self, id: FetchId) -> Option<Active> {
+        let active = self.active.remove(&id)?;
+        self.flying[active.chunk as usize] -= 1;
+        if let Source::Peer(vm) = &active.from
+            && let Some(peer) = self.peers.get_mut(vm)
+        {
+            peer.active = peer.active.saturating_sub(1);
+        }
+        Some(active)
+    }
+
+    /// Takes in a chunk, and drops other fetches of it.
+    fn fetched(&mut self, id: FetchId, chunk: ChunkIndex, now: Instant, out: &mut Vec<Action>) {
+        self.have.insert(chunk);
+        self.arrived_at = now;
+        if let Some(active) = self.end(id) {
+            let taken = now.saturating_duration_since(active.since);
+            match &active.from {
+                Source::Origin => {
+                    self.origin_pace.observe(taken);
+                    self.origin_pause.clear();
+                }
+                Source::Peer(vm) => {
+                    self.peer_pace.observe(taken);
+                    if let Some(peer) = self.peers.get_mut(vm) {
+                        peer.given += 1;
+                        peer.pause.clear();
+                    }
+                }
+            }
+        }
+        let others: Vec<FetchId> = self
+            .active
+            .iter()
+            .filter(|(_, active)| active.chunk == chunk)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in others {
+            self.end(id);
+            out.push(Action::Cancel { id });
+        }
+    }
+
+    /// Takes in that a fetch brought nothing.
+    fn failed(&mut self, id: FetchId, failure: Failure, now: Instant) {
+        let Some(active) = self.end(id) else {
+            return;
+        };
+        let stretch = self.rng.random();
+        match &active.from {
+            Source::Origin => self.origin_failed(failure, stretch, now),
+            Source::Peer(vm) => self.peer_failed(vm, active.chunk, failure, stretch, now),
+        }
+    }
+
+    /// Leaves the origin alone for a while.
+    fn origin_failed(&mut self, failure: Failure, stretch: f64, now: Instant) {
+        let first = self.tuning.origin_pause;
+        let most = self.tuning.origin_pause_most;
+        self.origin_pause.fail(now, first, most, stretch);
+        if let Failure::Busy {
+            retry_after: Some(asked),
+        } = failure
+        {
+            // The jitter comes after what was asked, so that no VM is early.
+            let jitter = self.tuning.origin_pause.mul_f64(stretch);
+            self.origin_pause.extend(now, asked + jitter);
+        }
+    }
+
+    /// Leaves a peer alone for a while, and notes what it can't give.
+    fn peer_failed(
+        &mut self,
+        vm: &str,
+        chunk: ChunkIndex,
+        failure: Failure,
+        stretch: f64,
+        now: Instant,
+    ) {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return;
+        };
+        let first = self.tuning.penalty;
+        match failure {
+            Failure::Busy { retry_after } => {
+                let asked = retry_after.unwrap_or(self.tuning.busy);
+                // Half to one and a half of what was asked: VMs turned away together don't
+                // come back together.
+                peer.pause.extend(now, asked.mul_f64(0.5 + stretch));
+            }
+            Failure::Absent => self.peers.remove_chunk(vm, chunk, now),
+            Failure::Corrupt => {
+                peer.corrupt.insert(chunk);
+                peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
+                self.peers.remove_chunk(vm, chunk, now);
+            }
+            Failure::Broken => peer.pause.fail(now, first, first * PENALTY_MOST, stretch),
+        }
+    }
+
+    /// Takes the list of VMs.
+    fn set_peers(&mut self, entries: &[VmEntry], now: Instant) {
+        let sites = entries
+            .iter()
+            .filter(|entry| entry.role == VmRole::Upstream && entry.vm != self.own.vm)
+            .filter(|entry| entry.state == VmState::Live)
+            .map(Site::of)
+            .collect();
+        self.peers.set_sites(sites);
+        self.arrange(now);
+    }
+
+    /// Notes that a peer can't be reached.
+    fn note_lost(&mut self, vm: &str, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.lost_since.get_or_insert(now);
+            peer.have = None;
+        }
+        // Its chunks no longer count.
+        let neighbours = self.peers.neighbour_names().clone();
+        self.peers.set_neighbours(neighbours, now);
+    }
+
+    /// Arranges anew if other peers than before count as lost.
+    fn review_lost(&mut self, now: Instant) {
+        let lost = self.peers.lost(self.tuning.lost_after, now);
+        if lost != self.lost {
+            self.lost = lost;
+            self.arrange(now);
+        }
+    }
+
+    /// Chooses the neighbours and ranks the VMs that count as alive.
+    fn arrange(&mut self, now: Instant) {
+        let all: BTreeMap<VmId, DataCentre> = self
+            .peers
+            .iter()
+            .map(|(vm, peer)| (vm.clone(), peer.site.data_centre.clone()))
+            .collect();
+        let mut alive = all.clone();
+        alive.retain(|vm, _| !self.lost.contains(vm));
+        let neighbours = self.choose_neighbours(&alive);
+        self.watched = self.choose_neighbours(&all);
+        self.watched.extend(neighbours.iter().cloned());
+        self.place(&alive, neighbours.is_empty());
+        self.peers.set_neighbours(neighbours, now);
+    }
+
+    /// Chooses from whom to fetch, out of `others`.
+    fn choose_neighbours(&self, others: &BTreeMap<VmId, DataCentre>) -> BTreeSet<VmId> {
+        let policy = self.settings.policy;
+        match policy {
+            SpreadPolicy::Balanced => {
+                neighbours::choose(&self.own, others, self.tuning.near, self.tuning.far)
+            }
+            SpreadPolicy::Origin => BTreeSet::new(),
+            SpreadPolicy::Chain | SpreadPolicy::Tree => {
+                neighbours::parent(policy, &self.own, others)
+                    .into_iter()
+                    .collect()
+            }
+        }
+    }
+
+    /// Ranks the VMs; in a baseline, a VM without a parent draws everything and others nothing.
+    fn place(&mut self, alive: &BTreeMap<VmId, DataCentre>, is_root: bool) {
+        match self.settings.policy {
+            SpreadPolicy::Balanced => self.ranking.set_members(alive.clone()),
+            SpreadPolicy::Origin => self.ranking.set_all(0),
+            SpreadPolicy::Chain | SpreadPolicy::Tree => {
+                self.ranking.set_all(if is_root { 0 } else { NEVER });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/ranking.rs
@@ -0,0 +1,120 @@
+//! Who draws which chunk from the origin: the same order at every VM, without talking.
+
+use std::collections::BTreeMap;
+
+use wagtailreel_core::{ChunkIndex, DataCentre, Digest, VmId, Weigh, rank_score};
+
+use crate::Site;
+
+/// Position of a VM that never draws a chunk of its own accord.
+pub(crate) const NEVER: u32 = u32::MAX;
+
+/// The own VM's position in the ranking of each chunk, among the VMs that count as alive.
+///
+/// With [`Weigh::OriginBytes`] a chunk ranks all VMs. With [`Weigh::Time`] it ranks the data
+/// centres and, within each, the VMs; the order takes the first VM of each data centre, then the
+/// second of each, so that the first two draws go to two data centres.
+#[derive(Debug)]
+pub(crate) struct Ranking {
+    own: Site,
+    weigh: Weigh,
+    chunks: Vec<Digest>,
+    own_scores: Vec<u64>,
+    /// For each chunk, members of the own group that rank before the own VM.
+    ahead: Vec<u32>,
+    members: BTreeMap<VmId, DataCentre>,
+    positions: Vec<u32>,
+}
+
+impl Ranking {
+    /// Makes the ranking of a VM that knows no other.
+    pub(crate) fn new(own: Site, weigh: Weigh, chunks: Vec<Digest>) -> Self {
+        let own_scores = chunks
+            .iter()
+            .map(|chunk| rank_score(chunk.as_bytes(), &own.vm))
+            .collect();
+        Self {
+            own,
+            weigh,
+            own_scores,
+            ahead: vec![0; chunks.len()],
+            members: BTreeMap::new(),
+            positions: vec![0; chunks.len()],
+            chunks,
+        }
+    }
+
+    /// Returns how many VMs rank before the own one for `chunk`.
+    pub(crate) fn position(&self, chunk: ChunkIndex) -> u32 {
+        self.positions[chunk as usize]
+    }
+
+    /// Gives every chunk the same position, for policies that rank VMs and not chunks.
+    pub(crate) fn set_all(&mut self, position: u32) {
+        self.positions.fill(position);
+    }
+
+    /// Takes the other VMs that count as alive.
+    ///
+    /// The cost goes with the number of VMs that came or went, not with how many there are.
+    pub(crate) fn set_members(&mut self, members: BTreeMap<VmId, DataCentre>) {
+        let before = std::mem::take(&mut self.members);
+        for (vm, data_centre) in &before {
+            if members.get(vm) != Some(data_centre) && self.in_group(data_centre) {
+                self.count(vm, |ahead| ahead.saturating_sub(1));
+            }
+        }
+        for (vm, data_centre) in &members {
+            if before.get(vm) != Some(data_centre) && self.in_group(data_centre) {
+                self.count(vm, |ahead| ahead + 1);
+            }
+        }
+        self.members = members;
+        self.place();
+    }
+
+    /// Says whether VMs of `data_centre` are ranked together with the own VM.
+    fn in_group(&self, data_centre: &str) -> bool {
+        match self.weigh {
+            Weigh::OriginBytes => true,
+            Weigh::Time => data_centre == self.own.data_centre,
+        }
+    }
+
+    /// Changes the count of every chunk that ranks `vm` before the own VM.
+    fn count<F>(&mut self, vm: &str, change: F)
+    where
+        F: Fn(u32) -> u32,
+    {
+        let scores = self.chunks.iter().zip(&self.own_scores);
+        for ((chunk, own), ahead) in scores.zip(&mut self.ahead) {
+            let theirs = rank_score(chunk.as_bytes(), vm);
+            let before = theirs > *own || (theirs == *own && vm < self.own.vm.as_str());
+            if before {
+                *ahead = change(*ahead);
+            }
+        }
+    }
+
+    /// Computes the positions from the counts.
+    fn place(&mut self) {
+        self.positions.clone_from(&self.ahead);
+        if self.weigh == Weigh::OriginBytes {
+            return;
+        }
+        let mut sizes: BTreeMap<&str, u32> = BTreeMap::new();
+        for data_centre in self.members.values() {
+            if *data_centre != self.own.data_centre {
+                *sizes.entry(data_centre).or_default() += 1;
+            }
+        }
+        for (chunk, position) in self.chunks.iter().zip(&mut self.positions) {
+            let within = *position;
+            let own = rank_score(chunk.as_bytes(), &self.own.data_centre);
+            for (data_centre, size) in &sizes {
+                let first = rank_score(chunk.as_bytes(), data_centre) > own;
+                *position += (within + u32::from(first)).min(*size);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/spread.rs
@@ -0,0 +1,169 @@
+//! Fetches from peers: rarest first, balanced over the givers, with hedges for the tail.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt as _;
+use wagtailreel_core::{ChunkIndex, VmId, Weigh};
+
+use crate::peers::Peer;
+use crate::planner::Planner;
+use crate::{Action, FetchId, Reason, Source};
+
+/// How little a peer is preferred as a giver; the lowest goes first.
+type Load = (bool, usize, u32, u32);
+
+impl Planner {
+    /// Starts fetches from peers while there is room.
+    pub(crate) fn spread(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while self.fetches() < self.tuning.parallel {
+            let Some((chunk, vm)) = self.next_spread(now) else {
+                return;
+            };
+            let action = self.start(chunk, Source::Peer(vm), Reason::Spread, now);
+            out.push(action);
+        }
+    }
+
+    /// Fetches once more what takes long, when nothing else is left to fetch.
+    pub(crate) fn hedge(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.wanted().next().is_some() {
+            return;
+        }
+        while self.fetches() < self.tuning.parallel {
+            let Some((chunk, vm)) = self.next_hedge(now) else {
+                return;
+            };
+            let action = self.start(chunk, Source::Peer(vm), Reason::Hedge, now);
+            out.push(action);
+        }
+    }
+
+    /// Drops fetches that take far too long, and passes over their source for a while.
+    pub(crate) fn give_up(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let factor = self.tuning.give_up_factor;
+        let peer_limit = self.limit(self.peer_pace.usual() * factor);
+        let origin_limit = self.limit(self.origin_pace.usual() * factor);
+        let old: Vec<FetchId> = self
+            .active
+            .iter()
+            .filter(|(_, active)| {
+                let age = now.saturating_duration_since(active.since);
+                match active.from {
+                    Source::Origin => age > origin_limit,
+                    Source::Peer(_) => age > peer_limit,
+                }
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in old {
+            self.give_up_one(id, now);
+            out.push(Action::Cancel { id });
+        }
+    }
+
+    /// Drops one fetch, and passes over its source for a while.
+    fn give_up_one(&mut self, id: FetchId, now: Instant) {
+        let Some(active) = self.end(id) else {
+            return;
+        };
+        let age = now.saturating_duration_since(active.since);
+        let stretch = self.rng.random();
+        match &active.from {
+            Source::Origin => self.origin_pace.give_up(age),
+            Source::Peer(vm) => {
+                self.peer_pace.give_up(age);
+                if let Some(peer) = self.peers.get_mut(vm) {
+                    let first = self.tuning.penalty;
+                    peer.pause.fail(now, first, age * 2, stretch);
+                }
+            }
+        }
+    }
+
+    /// Returns how many fetches from peers are under way.
+    fn fetches(&self) -> usize {
+        self.active
+            .values()
+            .filter(|active| active.from != Source::Origin)
+            .count()
+    }
+
+    /// Chooses the rarest chunk that a usable neighbour has, and the neighbour.
+    fn next_spread(&mut self, now: Instant) -> Option<(ChunkIndex, VmId)> {
+        let usable = self.usable(now);
+        let chunk = self
+            .wanted()
+            .filter(|chunk| self.peers.holders(*chunk) > 0)
+            .filter(|chunk| usable.iter().any(|(_, peer)| peer.has(*chunk)))
+            .min_by_key(|chunk| (self.peers.holders(*chunk), self.order[*chunk as usize]))?;
+        let givers: Vec<(VmId, Load)> = usable
+            .into_iter()
+            .filter(|(_, peer)| peer.has(chunk))
+            .map(|(vm, peer)| (vm.clone(), self.load(peer)))
+            .collect();
+        self.pick(givers).map(|vm| (chunk, vm))
+    }
+
+    /// Chooses the chunk that has been on its way longest, and another neighbour that has it.
+    fn next_hedge(&mut self, now: Instant) -> Option<(ChunkIndex, VmId)> {
+        let limit = self.limit(self.peer_pace.usual() * self.tuning.hedge_factor);
+        let usable = self.usable(now);
+        let mut slow: Vec<(Instant, ChunkIndex)> = self
+            .active
+            .values()
+            .filter(|active| self.flying[active.chunk as usize] == 1)
+            .filter(|active| now.saturating_duration_since(active.since) > limit)
+            .map(|active| (active.since, active.chunk))
+            .collect();
+        slow.sort_unstable();
+        let (chunk, givers) = slow.into_iter().find_map(|(_, chunk)| {
+            let givers: Vec<(VmId, Load)> = usable
+                .iter()
+                .filter(|(_, peer)| peer.has(chunk))
+                .filter(|(vm, _)| !self.is_giving(vm, chunk))
+                .map(|(vm, peer)| ((*vm).clone(), self.load(peer)))
+                .collect();
+            (!givers.is_empty()).then_some((chunk, givers))
+        })?;
+        self.pick(givers).map(|vm| (chunk, vm))
+    }
+
+    /// Says whether `chunk` is on its way from `vm`.
+    fn is_giving(&self, vm: &str, chunk: ChunkIndex) -> bool {
+        self.active.values().any(|active| {
+            active.chunk == chunk && matches!(&active.from, Source::Peer(from) if from == vm)
+        })
+    }
+
+    /// Returns the neighbours that may be asked now.
+    fn usable(&self, now: Instant) -> Vec<(&VmId, &Peer)> {
+        self.peers
+            .neighbours()
+            .filter(|(_, peer)| peer.active < self.tuning.per_peer)
+            .filter(|(_, peer)| peer.lost_since.is_none() && peer.pause.is_over(now))
+            .collect()
+    }
+
+    /// Weighs a giver. With origin bytes weighed, links between data centres are dear as well.
+    fn load(&self, peer: &Peer) -> Load {
+        let is_far = self.settings.weigh == Weigh::OriginBytes
+            && peer.site.data_centre != self.own.data_centre;
+        (is_far, peer.active, peer.given, 0)
+    }
+
+    /// Picks the least loaded giver, at random among equals.
+    fn pick(&mut self, mut givers: Vec<(VmId, Load)>) -> Option<VmId> {
+        for (_, load) in &mut givers {
+            load.3 = self.rng.random();
+        }
+        givers
+            .into_iter()
+            .min_by_key(|(_, load)| *load)
+            .map(|(vm, _)| vm)
+    }
+
+    /// Returns `usual`, but no less than the shortest patience.
+    fn limit(&self, usual: Duration) -> Duration {
+        usual.max(self.tuning.patience)
+    }
+}
--- /dev/null
+++ b/crates/spread/src/tuning.rs
@@ -0,0 +1,64 @@
+//! Numbers that steer a planner.
+
+use std::time::Duration;
+
+/// Numbers that steer a planner. The defaults are those that the slot model of the tests did
+/// best with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Most fetches from peers at once.
+    pub parallel: usize,
+    /// Most fetches from one peer at once.
+    pub per_peer: usize,
+    /// Neighbours in the own data centre.
+    pub near: usize,
+    /// Neighbours over all data centres, besides the near ones.
+    pub far: usize,
+    /// How long the first draw waits for the neighbours to say what they have.
+    pub learn: Duration,
+    /// How long the next in a chunk's ranking waits before it draws in place of the one before.
+    pub stall: Duration,
+    /// Highest number of stalls that a VM far down a ranking waits.
+    pub stall_ranks: u32,
+    /// How long an unreachable peer still counts as one that will draw.
+    pub lost_after: Duration,
+    /// What a fetch is taken to last until one has ended.
+    pub first_guess: Duration,
+    /// Shortest time after which a fetch is hedged or given up.
+    pub patience: Duration,
+    /// A fetch is hedged after so many times the usual duration.
+    pub hedge_factor: u32,
+    /// A fetch is given up after so many times the usual duration.
+    pub give_up_factor: u32,
+    /// How long a peer that failed is passed over, doubled with each failure in a row.
+    pub penalty: Duration,
+    /// How long a busy peer is passed over if it does not say.
+    pub busy: Duration,
+    /// First pause after the origin refused or failed, doubled with each failure in a row.
+    pub origin_pause: Duration,
+    /// Longest pause after the origin refused or failed, unless it asks for a longer one.
+    pub origin_pause_most: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            parallel: 4,
+            per_peer: 1,
+            near: 10,
+            far: 5,
+            learn: Duration::from_millis(250),
+            stall: Duration::from_secs(1),
+            stall_ranks: 8,
+            lost_after: Duration::from_secs(1),
+            first_guess: Duration::from_secs(1),
+            patience: Duration::from_millis(500),
+            hedge_factor: 3,
+            give_up_factor: 8,
+            penalty: Duration::from_millis(250),
+            busy: Duration::from_millis(30),
+            origin_pause: Duration::from_millis(200),
+            origin_pause_most: Duration::from_secs(2),
+        }
+    }
+}
