--- a/src/admin.rs
+++ b/src/admin.rs
@@ -32,7 +32,9 @@
 
 impl AdminClient {
     pub(crate) fn new(base: &str) -> Result<Self, CommandError> {
-        let address = base.strip_prefix("http://").map(|rest| rest.trim_end_matches('/'));
+        let address = base
+            .strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'));
         let valid = address.is_some_and(|text| text.parse::<std::net::SocketAddr>().is_ok());
         if !valid {
             return BadUrlSnafu { url: base }.fail();
@@ -67,7 +69,11 @@
         };
         match tokio::time::timeout(ANSWER_BOUND, self.exchange(&url, req)).await {
             Ok(answer) => answer,
-            Err(_) => NoAnswerSnafu { url, what: "the wait ran out" }.fail(),
+            Err(_) => NoAnswerSnafu {
+                url,
+                what: "the wait ran out",
+            }
+            .fail(),
         }
     }
 
@@ -75,9 +81,19 @@
         let response = match self.client.request(req).await {
             Ok(response) => response,
             Err(e) if e.is_connect() => {
-                return UnreachableSnafu { url, what: e.to_string() }.fail();
+                return UnreachableSnafu {
+                    url,
+                    what: e.to_string(),
+                }
+                .fail();
+            }
+            Err(e) => {
+                return NoAnswerSnafu {
+                    url,
+                    what: e.to_string(),
+                }
+                .fail();
             }
-            Err(e) => return NoAnswerSnafu { url, what: e.to_string() }.fail(),
         };
         let status = response.status().as_u16();
         let outcome = response
@@ -91,7 +107,11 @@
                 outcome,
                 body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
             }),
-            Err(e) => NoAnswerSnafu { url, what: e.to_string() }.fail(),
+            Err(e) => NoAnswerSnafu {
+                url,
+                what: e.to_string(),
+            }
+            .fail(),
         }
     }
 }
--- a/src/args.rs
+++ b/src/args.rs
@@ -59,7 +59,10 @@
     pub(crate) fn require(&self, name: &str) -> Result<&str, CommandError> {
         match self.get(name) {
             Some(value) => Ok(value),
-            None => UsageSnafu { what: format!("--{name} is missing") }.fail(),
+            None => UsageSnafu {
+                what: format!("--{name} is missing"),
+            }
+            .fail(),
         }
     }
 
@@ -67,8 +70,14 @@
     pub(crate) fn word(&self, what: &str) -> Result<&str, CommandError> {
         match self.words.as_slice() {
             [word] => Ok(word),
-            [] => UsageSnafu { what: format!("{what} is missing") }.fail(),
-            [_, extra, ..] => UsageSnafu { what: format!("`{extra}` is one word too many") }.fail(),
+            [] => UsageSnafu {
+                what: format!("{what} is missing"),
+            }
+            .fail(),
+            [_, extra, ..] => UsageSnafu {
+                what: format!("`{extra}` is one word too many"),
+            }
+            .fail(),
         }
     }
 
@@ -76,7 +85,10 @@
     pub(crate) fn no_words(&self) -> Result<(), CommandError> {
         match self.words.first() {
             None => Ok(()),
-            Some(extra) => UsageSnafu { what: format!("`{extra}` is one word too many") }.fail(),
+            Some(extra) => UsageSnafu {
+                what: format!("`{extra}` is one word too many"),
+            }
+            .fail(),
         }
     }
 
@@ -94,5 +106,7 @@
 
 /// Reads a whole text file.
 pub(crate) fn read_text(path: &Path) -> Result<String, CommandError> {
-    std::fs::read_to_string(path).context(ReadFileSnafu { path: PathBuf::from(path) })
+    std::fs::read_to_string(path).context(ReadFileSnafu {
+        path: PathBuf::from(path),
+    })
 }
--- a/src/commands/agent.rs
+++ b/src/commands/agent.rs
@@ -18,7 +18,11 @@
     let settings = match AgentSettings::from_yaml(&read_text(path)?) {
         Ok(settings) => settings,
         Err(e) => {
-            return BadInputSnafu { path, problems: e.to_string() }.fail();
+            return BadInputSnafu {
+                path,
+                problems: e.to_string(),
+            }
+            .fail();
         }
     };
     if options.get("check").is_some() {
@@ -32,7 +36,12 @@
 async fn serve(settings: AgentSettings) -> Result<(), CommandError> {
     let process = match AgentProcess::start(settings).await {
         Ok(process) => process,
-        Err(e) => return StartSnafu { what: e.to_string() }.fail(),
+        Err(e) => {
+            return StartSnafu {
+                what: e.to_string(),
+            }
+            .fail();
+        }
     };
     wait_for_end().await;
     process.shutdown().await;
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -13,7 +13,11 @@
     let path = Path::new(options.word("FILE")?);
     let text = read_text(path)?;
     let document = checked(path, &text)?;
-    println!("{}: no mistakes in the document of {}", path.display(), document.service);
+    println!(
+        "{}: no mistakes in the document of {}",
+        path.display(),
+        document.service
+    );
     Ok(())
 }
 
@@ -23,7 +27,11 @@
         Ok(document) => Ok(document),
         Err(problems) => {
             let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
-            BadInputSnafu { path, problems: lines.join("\n") }.fail()
+            BadInputSnafu {
+                path,
+                problems: lines.join("\n"),
+            }
+            .fail()
         }
     }
 }
--- a/src/commands/hash.rs
+++ b/src/commands/hash.rs
@@ -16,10 +16,15 @@
     let mut text = String::new();
     std::io::stdin()
         .read_to_string(&mut text)
-        .context(ReadFileSnafu { path: PathBuf::from("standard input") })?;
+        .context(ReadFileSnafu {
+            path: PathBuf::from("standard input"),
+        })?;
     let token = text.trim();
     if token.is_empty() {
-        return UsageSnafu { what: "standard input holds no token" }.fail();
+        return UsageSnafu {
+            what: "standard input holds no token",
+        }
+        .fail();
     }
     println!("{}", hash_token(token));
     Ok(())
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -70,7 +70,10 @@
 
 fn tool(mut args: Vec<OsString>) -> Result<(), CommandError> {
     if args.is_empty() {
-        return UsageSnafu { what: "a command is missing" }.fail();
+        return UsageSnafu {
+            what: "a command is missing",
+        }
+        .fail();
     }
     if help_or_version(&args, "wagtailreel", HELP).is_some() {
         return Ok(());
@@ -126,6 +129,9 @@
         .build();
     match runtime {
         Ok(runtime) => Ok(runtime.block_on(future)),
-        Err(e) => StartSnafu { what: e.to_string() }.fail(),
+        Err(e) => StartSnafu {
+            what: e.to_string(),
+        }
+        .fail(),
     }
 }
--- a/src/commands/service.rs
+++ b/src/commands/service.rs
@@ -36,8 +36,16 @@
             println!("{}", pretty(&answer.body));
             Ok(())
         }
-        status @ 400..=499 => RefusedSnafu { status, body: answer.body }.fail(),
-        status => UnavailableSnafu { status, body: answer.body }.fail(),
+        status @ 400..=499 => RefusedSnafu {
+            status,
+            body: answer.body,
+        }
+        .fail(),
+        status => UnavailableSnafu {
+            status,
+            body: answer.body,
+        }
+        .fail(),
     }
 }
 
--- a/src/commands/submit.rs
+++ b/src/commands/submit.rs
@@ -19,7 +19,10 @@
     let client = AdminClient::new(options.require("admin")?)?.with_token(options.token()?);
     let base = options.get("base").unwrap_or("0");
     if base.parse::<u64>().is_err() {
-        return UsageSnafu { what: format!("--base {base} is not a revision number") }.fail();
+        return UsageSnafu {
+            what: format!("--base {base} is not a revision number"),
+        }
+        .fail();
     }
     let edit = options.get("edit").map_or_else(new_edit_id, str::to_owned);
     let path = format!(
@@ -32,7 +35,11 @@
 
 /// Says what became of the edit; only a read-back `accepted` counts as done.
 fn conclude(answer: Answer, edit: String) -> Result<(), CommandError> {
-    let Answer { status, outcome, body } = answer;
+    let Answer {
+        status,
+        outcome,
+        body,
+    } = answer;
     match status {
         200 => {
             println!("accepted: {body}");
@@ -46,6 +53,8 @@
 
 /// Makes an edit id from the time and the process's id; the same edit is sent again with `--edit`.
 fn new_edit_id() -> String {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     format!("cli-{}-{}", since.as_nanos(), std::process::id())
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -66,7 +66,9 @@
     #[snafu(display("{url} can't be reached: {what}; try another entry's admin address"))]
     Unreachable { url: String, what: String },
 
-    #[snafu(display("{url} gave no answer: {what}; run the same command again, with the same --edit if it submits"))]
+    #[snafu(display(
+        "{url} gave no answer: {what}; run the same command again, with the same --edit if it submits"
+    ))]
     NoAnswer { url: String, what: String },
 
     #[snafu(display("refused ({status}): {body}"))]
@@ -75,7 +77,9 @@
     #[snafu(display("the entry can't do it now ({status}): {body}; try again later"))]
     Unavailable { status: u16, body: String },
 
-    #[snafu(display("it is unknown whether the edit was accepted: {body}; run it again with --edit {edit}"))]
+    #[snafu(display(
+        "it is unknown whether the edit was accepted: {body}; run it again with --edit {edit}"
+    ))]
     UnknownEffect { body: String, edit: String },
 
     #[snafu(display("the process can't start: {what}"))]
