--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -133,6 +133,8 @@
     pub refused_full: u64,
     /// Requests that were refused for a bundle that the engine doesn't hold.
     pub refused_bundle: u64,
+    /// Loads that were let in.
+    pub loads_begun: u64,
     /// Loads that took effect.
     pub loads: u64,
     /// Orders that were refused for an old fencing number.
@@ -172,6 +174,7 @@
     started: AtomicU64,
     refused_full: AtomicU64,
     refused_bundle: AtomicU64,
+    loads_begun: AtomicU64,
     loads: AtomicU64,
     refused_fence: AtomicU64,
     cache_hits: AtomicU64,
@@ -321,6 +324,7 @@
             started: count(&self.counts.started),
             refused_full: count(&self.counts.refused_full),
             refused_bundle: count(&self.counts.refused_bundle),
+            loads_begun: count(&self.counts.loads_begun),
             loads: count(&self.counts.loads),
             refused_fence: count(&self.counts.refused_fence),
             cache_hits: count(&self.counts.cache_hits),
--- a/crates/standins/src/engine/load.rs
+++ b/crates/standins/src/engine/load.rs
@@ -106,6 +106,7 @@
     store.check_fence(fence).map_err(LoadRefusal::Order)?;
     let place = store.weights().begin(named, fence);
     let place = place.map_err(LoadRefusal::Order)?;
+    store.counts.loads_begun.fetch_add(1, Ordering::Relaxed);
     let guard = PlaceGuard {
         store: store.clone(),
         place: Some(place),
