--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -31,7 +31,9 @@
 mod state;
 mod vm;
 
-pub use directive::{DirectiveMessage, Seen, read_directive, read_seen, write_directive, write_seen};
+pub use directive::{
+    DirectiveMessage, Seen, read_directive, read_seen, write_directive, write_seen,
+};
 pub use error::WireError;
 pub use limits::{MAX_MESSAGE_BYTES, reader_options};
 pub use peer::{read_peer_state, write_peer_state};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -51,7 +51,10 @@
         config: from.get_config(),
         settled: from.get_settled(),
         entries: entries.iter().map(read_address).collect::<Result<_, _>>()?,
-        services: services.iter().map(read_service).collect::<Result<_, _>>()?,
+        services: services
+            .iter()
+            .map(read_service)
+            .collect::<Result<_, _>>()?,
         demand: demand.iter().map(read_demand).collect::<Result<_, _>>()?,
     })
 }
