--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -239,13 +239,20 @@
     match refusal.reason {
         RefusalReason::NotOwner => StatusCode::FORBIDDEN,
         RefusalReason::WrongService => StatusCode::UNPROCESSABLE_ENTITY,
-        RefusalReason::StaleBase | RefusalReason::BaseAhead => StatusCode::CONFLICT,
+        RefusalReason::StaleBase | RefusalReason::BaseAhead | RefusalReason::Unclear => {
+            StatusCode::CONFLICT
+        }
     }
 }
 
 fn refusal_body(refusal: &Refusal) -> Value {
     let winner = refusal.winner.as_ref();
+    let outcome = match refusal.reason {
+        RefusalReason::Unclear => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
     json!({
+        "outcome": outcome,
         "revision": winner.map(|winner| winner.revision),
         "team": winner.map(|winner| &winner.team),
         "edit": winner.and_then(|winner| winner.edit_id.as_ref()),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -250,7 +250,7 @@
     tasks.spawn(peers::pull_at_start(
         Arc::clone(&cx.book),
         cx.settings.seeds.clone(),
-        known,
+        Arc::clone(&known),
         cx.settings.data_centre.clone(),
         cancel(),
     ));
@@ -267,6 +267,7 @@
     tasks.spawn(peers::deal_shares(
         Arc::clone(&cx.services),
         cx.control.clone(),
+        known,
         shares,
         cancel(),
     ));
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -151,7 +151,9 @@
         {
             let mut inner = self.lock();
             for view in views {
-                let heard = inner.membership.report(&view.report, view.received);
+                let heard = inner
+                    .membership
+                    .report(&view.report, view.received, view.remote);
                 standing |= heard == Heard::Standing;
             }
         }
--- a/crates/route/src/membership.rs
+++ b/crates/route/src/membership.rs
@@ -10,6 +10,8 @@
 pub struct MembershipConfig {
     /// A member without a report for longer than this is suspected.
     pub suspect_after: Duration,
+    /// The same for a member of another data centre, whose reports come late.
+    pub suspect_remote_after: Duration,
     /// A member without a report for longer than this, and not in the list, is forgotten.
     pub forget_after: Duration,
 }
@@ -18,11 +20,22 @@
     fn default() -> Self {
         Self {
             suspect_after: Duration::from_secs(1),
+            suspect_remote_after: Duration::from_secs(3),
             forget_after: Duration::from_secs(60),
         }
     }
 }
 
+impl MembershipConfig {
+    fn suspect_after(&self, remote: bool) -> Duration {
+        if remote {
+            self.suspect_remote_after
+        } else {
+            self.suspect_after
+        }
+    }
+}
+
 /// Whether a member may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum Standing {
@@ -55,6 +68,8 @@
     pub report: Report,
     /// When the last report came.
     pub received: Instant,
+    /// The member is in another data centre, and its reports come over an entry there.
+    pub remote: bool,
     /// Requests of this entry that are at the member now; exact.
     pub own: u32,
     /// Requests of other entries at the member, as of the last report; late.
@@ -110,16 +125,17 @@
         }
     }
 
-    /// Takes a report that came at `received`.
+    /// Takes a report that came at `received`; `remote` if over an entry of another data centre.
     ///
     /// A report with a lower incarnation, or with a sequence that is not higher, is late and is
     /// passed over.
-    pub fn report(&mut self, report: &Report, received: Instant) -> Heard {
+    pub fn report(&mut self, report: &Report, received: Instant, remote: bool) -> Heard {
         let leaving_listed = self.listed.get(&report.vm) == Some(&VmState::Leaving);
         let Some(member) = self.members.get_mut(&report.vm) else {
             let member = Member {
                 report: report.clone(),
                 received,
+                remote,
                 own: 0,
                 others: reported_load(report),
                 name_hash: hash_name(&report.vm),
@@ -141,7 +157,7 @@
         let standing = restarted
             || member.unreachable
             || member.closed
-            || silence > self.cfg.suspect_after
+            || silence > self.cfg.suspect_after(member.remote)
             || member.report.open != report.open
             || member.report.open_weights != report.open_weights
             || member.report.leaving != report.leaving;
@@ -150,6 +166,7 @@
         }
         member.report = report.clone();
         member.received = received;
+        member.remote = remote;
         member.others = reported_load(report).saturating_sub(member.own);
         member.unreachable = false;
         member.closed = false;
@@ -230,7 +247,7 @@
             return Standing::Leaving;
         }
         let silence = now.saturating_duration_since(member.received);
-        if member.unreachable || silence > self.cfg.suspect_after {
+        if member.unreachable || silence > self.cfg.suspect_after(member.remote) {
             return Standing::Suspected;
         }
         Standing::Usable
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -39,7 +39,7 @@
 fn members_of(reports: &[Report], now: Instant) -> Membership {
     let mut members = Membership::new(MembershipConfig::default());
     for report in reports {
-        members.report(report, now);
+        members.report(report, now, false);
     }
     members
 }
--- a/crates/route/tests/membership.rs
+++ b/crates/route/tests/membership.rs
@@ -26,7 +26,7 @@
     let mut members = Membership::new(MembershipConfig::default());
     let mut text = String::new();
     for vm in ["u1", "u2", "u3"] {
-        members.report(&report(vm, 1, 1), at(0));
+        members.report(&report(vm, 1, 1), at(0), false);
     }
     line(&mut text, "0 ms, all reported", &members, at(0));
     members.refused("u1", NotRunReason::Leaving);
@@ -39,7 +39,7 @@
         &members,
         at(20),
     );
-    members.report(&report("u1", 1, 2), at(200));
+    members.report(&report("u1", 1, 2), at(200), false);
     line(
         &mut text,
         "200 ms, u1 reports, not leaving",
@@ -48,10 +48,10 @@
     );
     let mut leaving = report("u2", 1, 2);
     leaving.leaving = true;
-    members.report(&leaving, at(200));
-    members.report(&report("u3", 1, 2), at(200));
+    members.report(&leaving, at(200), false);
+    members.report(&report("u3", 1, 2), at(200), false);
     line(&mut text, "210 ms, u2 reports leaving", &members, at(210));
-    members.report(&report("u2", 1, 1), at(220));
+    members.report(&report("u2", 1, 1), at(220), false);
     line(
         &mut text,
         "220 ms, an old report of u2 comes late",
@@ -60,10 +60,10 @@
     );
     members.unreachable("u3");
     line(&mut text, "300 ms, u3 can't be reached", &members, at(300));
-    members.report(&report("u3", 1, 3), at(400));
+    members.report(&report("u3", 1, 3), at(400), false);
     line(&mut text, "400 ms, u3 reports", &members, at(400));
     line(&mut text, "1500 ms, silence", &members, at(1500));
-    members.report(&report("u1", 2, 1), at(1600));
+    members.report(&report("u1", 2, 1), at(1600), false);
     line(&mut text, "1600 ms, u1 starts again", &members, at(1600));
     members.list("scribes", &[listed("u1", VmState::Leaving)]);
     line(
