--- /dev/null
+++ b/crates/entry/tests/orders.rs
@@ -0,0 +1,167 @@
+//! Orders that run at most once.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use common::agent::Act;
+use common::caller::Request;
+use common::{Bench, SERVICE, until};
+use rstest::rstest;
+use wagtailreel_core::NotRunReason;
+
+fn key(text: &str) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    format!("{}.{text}", now.as_secs())
+}
+
+fn order(bench: &Bench, entry: usize, key: &str) -> Request {
+    Request::generate(bench.callers(entry), 2).with("wagtailreel-order", key)
+}
+
+/// Waits until every entry can read the stream of orders, by an order of its own.
+async fn warm_up(bench: &Bench) -> usize {
+    for entry in 0..bench.entries.len() {
+        until("an order is taken", || async {
+            let key = key(&format!("warm-{entry}-{}", bench.runs().len()));
+            order(bench, entry, &key).send().await.status == 200
+        })
+        .await;
+    }
+    bench.runs().len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claimed_once() {
+    let bench = Bench::start(SERVICE, 2, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    for round in 0..10 {
+        let key = key(&format!("slab-{round}"));
+        let sent = (0..6).map(|number| tokio::spawn(order(&bench, number % 2, &key).send()));
+        let mut statuses = Vec::new();
+        for answer in sent.collect::<Vec<_>>() {
+            let answer = answer.await.unwrap();
+            if answer.status != 200 {
+                assert_eq!(answer.verdict(), "409 not-run claimed");
+            }
+            statuses.push(answer.status);
+        }
+        assert_eq!(statuses.iter().filter(|status| **status == 200).count(), 1);
+    }
+    assert_eq!(bench.runs().len(), before + 10);
+    bench.stop().await;
+}
+
+/// Six orders that come while an append is in flight share the next.
+#[tokio::test(flavor = "multi_thread")]
+async fn group_commit() {
+    let bench = Bench::start(SERVICE, 1, &["u1", "u2"]).await;
+    warm_up(&bench).await;
+    let appends = bench.log.stats().appends;
+    bench.log.faults().update(|faults| {
+        faults.common.slow = std::time::Duration::from_millis(100);
+    });
+    let sent =
+        (0..12).map(|number| tokio::spawn(order(&bench, 0, &key(&format!("n{number}"))).send()));
+    for answer in sent.collect::<Vec<_>>() {
+        assert_eq!(answer.await.unwrap().status, 200);
+    }
+    let appends = bench.log.stats().appends - appends;
+    assert!(appends <= 6, "{appends} appends for 12 orders");
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_append() {
+    let bench = Bench::start(SERVICE, 1, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    bench.log.faults().update(|faults| faults.lose_appends = 2);
+    let key = key("slab");
+    assert_eq!(order(&bench, 0, &key).send().await.status, 200);
+    let again = order(&bench, 0, &key).send().await;
+    assert_eq!(again.verdict(), "409 not-run claimed");
+    assert!(bench.log.stats().lost >= 1);
+    assert_eq!(bench.runs().len(), before + 1);
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn log_away() {
+    let bench = Bench::start(SERVICE, 1, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    bench
+        .log
+        .faults()
+        .update(|faults| faults.common.down = true);
+    let away = order(&bench, 0, &key("slab")).send().await;
+    assert_eq!(away.verdict(), "503 not-run log-away");
+    assert!(away.header("retry-after").parse::<u64>().unwrap() >= 1);
+    assert_eq!(bench.runs().len(), before);
+    let plain = Request::generate(bench.callers(0), 2).send().await;
+    assert_eq!(plain.status, 200, "requests without a key go on");
+    bench.log.faults().clear();
+    let key = key("slab-2");
+    until("the log is seen again", || async {
+        order(&bench, 0, &key).send().await.status == 200
+    })
+    .await;
+    assert_eq!(bench.runs().len(), before + 2);
+    bench.stop().await;
+}
+
+/// Only an order that is known not to have run is sent again.
+#[rstest]
+#[case::known_not_run("not-run", 2, "200  ")]
+#[case::maybe_run("started", 1, "502 unknown answer-lost")]
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer(#[case] state: &'static str, #[case] runs: usize, #[case] verdict: &str) {
+    let bench = Bench::start(SERVICE, 1, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    for agent in &bench.agents {
+        agent.set_cancel_state(state);
+    }
+    bench.script([Act::Drop]);
+    let key = key("slab");
+    let answer = order(&bench, 0, &key).send().await;
+    assert_eq!(answer.verdict(), verdict);
+    assert_eq!(bench.runs().len(), before + runs);
+    let again = order(&bench, 0, &key).send().await;
+    assert_eq!(again.verdict(), "409 not-run claimed");
+    bench.stop().await;
+}
+
+/// A cut stream of an order is not started a second time anywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_order() {
+    let bench = Bench::start(SERVICE, 1, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    bench.script([Act::Cut(1)]);
+    let answer = order(&bench, 0, &key("slab")).send().await;
+    let last = answer.session().lines().last().unwrap().to_owned();
+    assert_eq!(last, "error {\"outcome\":\"unknown\",\"reason\":\"cut\"}");
+    assert_eq!(bench.runs().len(), before + 1);
+    bench.stop().await;
+}
+
+/// An order that was not run in the end may be sent again with its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn released_key() {
+    let bench = Bench::start(SERVICE, 2, &["u1", "u2"]).await;
+    let before = warm_up(&bench).await;
+    bench.script([
+        Act::Refuse(NotRunReason::Full),
+        Act::Refuse(NotRunReason::Full),
+    ]);
+    let key = key("slab");
+    let refused = order(&bench, 0, &key).send().await;
+    assert_eq!(refused.verdict(), "429 not-run full");
+    until("the key is free at the other entry", || async {
+        let again = order(&bench, 1, &key).send().await;
+        assert!(matches!(again.status, 200 | 409), "{}", again.verdict());
+        again.status == 200
+    })
+    .await;
+    assert_eq!(bench.runs().len(), before + 3);
+    bench.stop().await;
+}
