--- a/crates/bench/src/burst/plot.rs
+++ b/crates/bench/src/burst/plot.rs
@@ -11,9 +11,13 @@
 const GAP: f64 = 26.0;
 const TOP: f64 = 36.0;
 
+/// Least width, at which the titles have room.
+const NARROWEST: f64 = 460.0;
+
 /// Draws outcomes as an SVG picture. Writing to a String does not fail.
 pub fn to_svg(outcomes: &[BurstOutcome]) -> String {
-    let width = LEFT + (BAR + GAP) * outcomes.len() as f64 + GAP;
+    let bars = LEFT + (BAR + GAP) * outcomes.len() as f64 + GAP;
+    let width = bars.max(NARROWEST);
     let height = 2.0 * ROW + 20.0;
     let mut svg = format!(
         "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 {width} {height}\" \
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -25,10 +25,10 @@
 svg { width: 100%; height: auto; margin: .6rem 0; }
 svg text { fill: var(--soft); font-size: 11px; }
 svg .grid { stroke: var(--line); } svg .limit { stroke: var(--bad); stroke-dasharray: 4 3; }
-svg .gap { fill: var(--gap); }
+svg .gap { fill: var(--gap); opacity: .5; }
 svg polyline { fill: none; stroke-width: 1.8; }
 svg .answered { stroke: var(--a); } svg .first { stroke: var(--b); }
-svg .between { stroke: var(--c); }
+svg .between { stroke: var(--c); stroke-dasharray: 6 4; }
 .key span { margin-right: 1.2rem; } .key .answered { color: var(--a); }
 .key .first { color: var(--b); } .key .between { color: var(--c); }
 ";
