Measure what entry and agent add to an answer

The same load goes to the engines themselves and through the system; the engine's dialect is read only where a plan asks engines, so that an entry which passes an engine's events on as they are is still a fault (new case). Long modules are split by what they do. The hop is not run yet: the processes do not build together today.

--- a/crates/bench/src/burst/setup.rs
+++ b/crates/bench/src/burst/setup.rs
@@ -243,6 +243,7 @@
         });
         Plan {
             targets,
+            engine_bundle: None,
             engines: Vec::new(),
             seed: 1,
             steps: vec![Step {
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -17,6 +17,7 @@
 use crate::demo::run_demo;
 use crate::error::{BrokenSnafu, ParseSnafu, PlanSnafu, Result};
 use crate::fleet::FleetBinaries;
+use crate::hop::{self, HopPlan, run_hop};
 use crate::load::{Plan, run_load};
 use crate::slopes::{Measure, Scale, run_slopes, to_json, to_table};
 
@@ -33,6 +34,8 @@
         [--faults none,kill-tenth,cut,stall,corrupt,origin-down,version-change]
         [--window-s N] [--length-mib N] [--chunks N] [--out DIR]
                             bring new weights to whole fleets and measure it
+  hop [--entries N] [--engines N] [--rates 50,100,200] [--tokens N] [--span-s N] [--json FILE]
+                            measure what entry and agent add to an answer
   slopes [--span-s N] [--json FILE]
                             measure what one more request, VM or chunk costs
   standin KIND --listen ADDR [--config FILE]
@@ -62,6 +65,10 @@
         json: Option<PathBuf>,
     },
     Burst(BurstArgs),
+    Hop {
+        plan: HopPlan,
+        json: Option<PathBuf>,
+    },
     Slopes {
         scale: Scale,
         json: Option<PathBuf>,
@@ -115,6 +122,7 @@
         },
         "load" => parse_load(parser),
         "burst" => Ok(Command::Burst(BurstArgs::parse(parser)?)),
+        "hop" => parse_hop(parser),
         "slopes" => parse_slopes(parser),
         "standin" => parse_standin(parser),
         other => Err(format!("there is no command `{other}`").into()),
@@ -134,6 +142,34 @@
     Ok(Command::Load { plan, json })
 }
 
+fn parse_hop(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let mut plan = HopPlan {
+        entries: 1,
+        engines: 2,
+        rates: vec![50.0, 100.0, 200.0],
+        tokens: 100,
+        span: Duration::from_secs(SPAN_SECONDS),
+    };
+    let mut json = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("entries") => plan.entries = parser.value()?.parse()?,
+            Long("engines") => plan.engines = parser.value()?.parse()?,
+            Long("rates") => {
+                let rates = parser.value()?.string()?;
+                let rates = rates.split(',').map(str::parse);
+                let rates = rates.collect::<Result<Vec<f64>, _>>();
+                plan.rates = rates.map_err(|error| format!("--rates: {error}"))?;
+            }
+            Long("tokens") => plan.tokens = parser.value()?.parse()?,
+            Long("span-s") => plan.span = Duration::from_secs(parser.value()?.parse()?),
+            Long("json") => json = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Command::Hop { plan, json })
+}
+
 fn parse_slopes(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
     let mut scale = Scale {
         span: Duration::from_secs(SPAN_SECONDS),
@@ -178,6 +214,7 @@
         }
         Command::Demo => run_demo(FleetBinaries::beside_current()?).await,
         Command::Load { plan, json } => load(&plan, json).await,
+        Command::Hop { plan, json } => hop(&plan, json).await,
         Command::Slopes { scale, json } => slopes(scale, json).await,
         Command::Burst(args) => args.run(FleetBinaries::beside_current()?).await,
         Command::Standin {
@@ -192,9 +229,7 @@
     let plan = Plan::read(plan)?;
     let report = run_load(plan, token_text, CancellationToken::new()).await?;
     print!("{}", report.to_text());
-    if let Some(path) = json {
-        write_file(&path, &format!("{:#}\n", report.to_json()))?;
-    }
+    write_json(json, &report.to_json())?;
     if report.holds() {
         return Ok(());
     }
@@ -207,14 +242,17 @@
     .fail()
 }
 
+async fn hop(plan: &HopPlan, json: Option<PathBuf>) -> Result<()> {
+    let outcomes = run_hop(plan, FleetBinaries::beside_current()?).await?;
+    print!("{}", hop::to_table(&outcomes));
+    write_json(json, &serde_json::to_value(&outcomes).unwrap_or_default())
+}
+
 async fn slopes(scale: Scale, json: Option<PathBuf>) -> Result<()> {
     let binaries = FleetBinaries::beside_current()?;
     let slopes = run_slopes(&Measure::ALL, scale, &binaries).await?;
     print!("{}", to_table(&slopes));
-    match json {
-        Some(path) => write_file(&path, &format!("{:#}\n", to_json(&slopes))),
-        None => Ok(()),
-    }
+    write_json(json, &to_json(&slopes))
 }
 
 /// Runs a stand-in until the process is ended.
@@ -273,6 +311,13 @@
     serde_saphyr::from_str(&text).map_err(|source| parse(source.to_string()))
 }
 
+fn write_json(path: Option<PathBuf>, value: &serde_json::Value) -> Result<()> {
+    match path {
+        Some(path) => write_file(&path, &format!("{value:#}\n")),
+        None => Ok(()),
+    }
+}
+
 /// Writes a file.
 ///
 /// # Errors
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -4,9 +4,13 @@
 //! own; everything ends when the fleet is dropped.
 
 mod admin;
+mod callers;
 mod check;
-mod control;
 mod document;
+mod links;
+mod members;
+mod operators;
+mod processes;
 mod relay;
 mod settings;
 mod spec;
--- a/crates/bench/src/load/plan.rs
+++ b/crates/bench/src/load/plan.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 use snafu::ensure;
-use wagtailreel_core::{CustomerId, Priority, ServiceName};
+use wagtailreel_core::{CustomerId, Digest, Priority, ServiceName};
 
 use crate::error::{ParseSnafu, PlanSnafu, Result};
 
@@ -19,6 +19,10 @@
 pub struct Plan {
     /// Callers' addresses of the entries; they get requests in equal shares.
     pub targets: Vec<SocketAddr>,
+    /// Asks the targets as engines, past entries and agents, for answers from this bundle: what the
+    /// system adds is measured against such a run.
+    #[serde(default)]
+    pub engine_bundle: Option<Digest>,
     /// Base URLs of stand-ins whose statistics the outcomes are counted against.
     #[serde(default)]
     pub engines: Vec<String>,
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -54,6 +54,8 @@
     pub first_token: Percentiles,
     /// Between successive tokens.
     pub between_tokens: Percentiles,
+    /// From the intended time of sending to the end of an answer.
+    pub whole: Percentiles,
     /// From the intended time of sending to a refusal.
     pub refusal: Percentiles,
     /// How late the tool itself sent.
@@ -76,6 +78,7 @@
             endings: endings.collect(),
             first_token: Percentiles::new(&group.first_token),
             between_tokens: Percentiles::new(&group.between),
+            whole: Percentiles::new(&group.whole),
             refusal: Percentiles::new(&group.refusal),
             tool_late: Percentiles::new(&group.late),
         }
@@ -244,6 +247,7 @@
     let times = [
         ("first token", &group.first_token),
         ("between tokens", &group.between_tokens),
+        ("whole answer", &group.whole),
         ("refusal", &group.refusal),
         ("tool late", &group.tool_late),
     ];
--- a/crates/bench/src/load/schedule.rs
+++ b/crates/bench/src/load/schedule.rs
@@ -98,6 +98,7 @@
                 max_tokens,
                 priority: self.draw_priority(),
                 deadline: plan.deadline,
+                engine_bundle: plan.engine_bundle,
             },
         }
     }
--- a/crates/bench/src/load/tally.rs
+++ b/crates/bench/src/load/tally.rs
@@ -55,6 +55,7 @@
     pub(crate) endings: BTreeMap<(&'static str, String), u64>,
     pub(crate) first_token: Histogram<u64>,
     pub(crate) between: Histogram<u64>,
+    pub(crate) whole: Histogram<u64>,
     pub(crate) refusal: Histogram<u64>,
     pub(crate) late: Histogram<u64>,
 }
@@ -68,6 +69,7 @@
             endings: BTreeMap::new(),
             first_token: histogram(),
             between: histogram(),
+            whole: histogram(),
             refusal: histogram(),
             late: histogram(),
         }
@@ -84,6 +86,9 @@
         if let Some(first) = seen.first_token {
             record(&mut self.first_token, first);
         }
+        if answered {
+            record(&mut self.whole, seen.took);
+        }
         if matches!(seen.ending, Ending::NotRun { .. }) {
             record(&mut self.refusal, seen.took);
         }
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -18,11 +18,9 @@
     DataCentreSpec, Fleet, FleetBinaries, FleetSpec, Submission, UpstreamSpec, to_yaml,
 };
 use crate::load::{CustomerShare, MaxTokens, Orders, Plan, Prompts, ServiceShare, Step, run_load};
-use crate::wait::{Look, wait_for};
 
 const SERVICE: &str = "wagtail-scribes";
 const MODEL: &str = "epitaph";
-const BOUND: Duration = Duration::from_secs(120);
 
 /// Requests a second while the length of answers grows.
 const TOKEN_RATE: f64 = 20.0;
@@ -260,22 +258,9 @@
     roles.collect()
 }
 
-/// Submits the document with `version` and waits until every replica serves it.
 async fn go_live(fleet: &Fleet, version: &str, base: u64) -> Result<u64> {
     let document = fleet.spec().document(SERVICE, Some((MODEL, version)));
-    let revision = submit(fleet, &to_yaml(&document)?, base).await?;
-    let bundle = fleet.bundle_of(&document)?;
-    for vm in fleet.upstreams(SERVICE) {
-        wait_for(&format!("{vm} to serve the weights"), BOUND, || async {
-            match fleet.status(&vm).await {
-                Ok(it) if it.open_weights == Some(bundle) => Look::Found(()),
-                Ok(it) => Look::NotYet(format!("{:?} {:?}", it.weights, it.trouble)),
-                Err(error) => Look::NotYet(error.to_string()),
-            }
-        })
-        .await?;
-    }
-    Ok(revision)
+    fleet.go_live(&document, base).await
 }
 
 async fn submit(fleet: &Fleet, yaml: &str, base: u64) -> Result<u64> {
@@ -310,6 +295,7 @@
     });
     let plan = Plan {
         targets: fleet.callers(),
+        engine_bundle: None,
         engines: fleet.engine_urls(),
         seed: 1,
         steps: vec![Step {
--- a/crates/bench/tests/fake_entry/mod.rs
+++ b/crates/bench/tests/fake_entry/mod.rs
@@ -28,6 +28,8 @@
     Mixed,
     /// The stream ends without a closing event.
     Cut,
+    /// The engine's own events, passed on as they are.
+    Raw,
     /// Two closing events.
     TwoEnds,
     /// Refused with all headers.
@@ -149,6 +151,13 @@
         bundles[0]
     );
     match fault {
+        Fault::Raw => {
+            out = out.replace("event: token\n", "");
+            out += &format!(
+                "event: end\ndata: {{\"tokens\":{sent},\"bundle\":\"{}\"}}\n\n",
+                bundles[0]
+            );
+        }
         Fault::Cut => {}
         Fault::Unknown => {
             out += "event: error\ndata: {\"outcome\":\"unknown\",\"reason\":\"cut\"}\n\n";
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -9,6 +9,8 @@
 use rstest::rstest;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_bench::load::{LoadReport, Plan, Schedule, run_load};
+use wagtailreel_core::Digest;
+use wagtailreel_standins::{EngineConfig, EngineStandin, token_text};
 
 fn plan(targets: &[SocketAddr]) -> Plan {
     let text = format!(
@@ -62,6 +64,7 @@
 #[case(Fault::Foreign, "not this request's own")]
 #[case(Fault::Mixed, "not this request's own")]
 #[case(Fault::Cut, "without a closing event")]
+#[case(Fault::Raw, "no token, end or error")]
 #[case(Fault::TwoEnds, "after the closing event")]
 #[case(Fault::RefusedMutely, "without when to come back")]
 #[case(Fault::NoOutcome, "no outcome, status 500")]
@@ -124,6 +127,27 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_itself() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let cfg = EngineConfig {
+        slots: 1000,
+        ..EngineConfig::default()
+    };
+    let engine = EngineStandin::start(cfg, any).unwrap();
+    let bundle = Digest::of(b"weights");
+    engine.hold(bundle);
+    let mut plan = plan(&[engine.addr()]);
+    plan.engines = vec![format!("http://{}", engine.addr())];
+    plan.engine_bundle = Some(bundle);
+    plan.orders.share = 0.0;
+    let stop = CancellationToken::new();
+    let report = run_load(plan, token_text, stop).await.unwrap();
+    assert!(report.holds(), "{}", report.to_text());
+    assert_eq!(report.total.ended("answered"), engine.stats().started);
+    assert_eq!(report.total.tokens, engine.stats().tokens);
+}
+
 #[test]
 fn same_schedule() {
     let targets = [
