--- a/crates/bench/src/burst/setup.rs
+++ b/crates/bench/src/burst/setup.rs
@@ -263,6 +263,7 @@
                 most: 40,
             },
             deadline: Some(Duration::from_secs(30)),
+            lost_allowed: false,
             drain: Duration::from_secs(30),
             warm_up: Duration::from_secs(2),
         }
--- a/crates/bench/src/hop.rs
+++ b/crates/bench/src/hop.rs
@@ -143,6 +143,7 @@
             most: plan.tokens,
         },
         deadline: Some(DRAIN),
+        lost_allowed: false,
         drain: DRAIN,
         warm_up: WARM_UP,
     }
--- a/crates/bench/src/load/plan.rs
+++ b/crates/bench/src/load/plan.rs
@@ -51,6 +51,10 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default, rename = "deadline_ms")]
     pub deadline: Option<Duration>,
+    /// Whether connections may fail, as where an entry is killed during the run. They are counted
+    /// as `lost`, but are no problem.
+    #[serde(default)]
+    pub lost_allowed: bool,
     /// How long is waited for the last answers after the last request.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     #[serde(default = "drain", rename = "drain_s")]
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -267,12 +267,17 @@
     let problem = match (&reading.fault, verdict) {
         (Some(fault), _) => Some(fault.clone()),
         (None, Verdict::Foreign) => Some("tokens that are not this request's own".to_owned()),
-        (None, _) => judge_ending(arrival, reading, ending),
+        (None, _) => judge_ending(shared, arrival, reading, ending),
     };
     (verdict, problem)
 }
 
-fn judge_ending(arrival: &Arrival, reading: &Reading, ending: &Ending) -> Option<String> {
+fn judge_ending(
+    shared: &Shared,
+    arrival: &Arrival,
+    reading: &Reading,
+    ending: &Ending,
+) -> Option<String> {
     match ending {
         Ending::Answered { tokens, .. } => {
             let wanted = arrival.ask.max_tokens;
@@ -297,6 +302,7 @@
         }
         Ending::Unknown { .. } => None,
         Ending::Refused { status, body } => Some(format!("no outcome, status {status}: {body}")),
+        Ending::Lost { .. } if shared.plan.lost_allowed => None,
         Ending::Lost { detail } | Ending::Malformed { detail } => Some(detail.clone()),
     }
 }
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -318,6 +318,7 @@
             most: tokens,
         },
         deadline: Some(Duration::from_secs(30)),
+        lost_allowed: false,
         drain: Duration::from_secs(30),
         warm_up: Duration::ZERO,
     };
