--- a/crates/bench/src/burst/setup.rs
+++ b/crates/bench/src/burst/setup.rs
@@ -243,6 +243,7 @@
         });
         Plan {
             targets,
+            engine_bundle: None,
             engines: Vec::new(),
             seed: 1,
             steps: vec![Step {
@@ -262,6 +263,7 @@
                 most: 40,
             },
             deadline: Some(Duration::from_secs(30)),
+            lost_allowed: false,
             drain: Duration::from_secs(30),
             warm_up: Duration::from_secs(2),
         }
--- a/crates/bench/src/load/plan.rs
+++ b/crates/bench/src/load/plan.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 use snafu::ensure;
-use wagtailreel_core::{CustomerId, Priority, ServiceName};
+use wagtailreel_core::{CustomerId, Digest, Priority, ServiceName};
 
 use crate::error::{ParseSnafu, PlanSnafu, Result};
 
@@ -19,6 +19,10 @@
 pub struct Plan {
     /// Callers' addresses of the entries; they get requests in equal shares.
     pub targets: Vec<SocketAddr>,
+    /// Asks the targets as engines, past entries and agents, for answers from this bundle: what the
+    /// system adds is measured against such a run.
+    #[serde(default)]
+    pub engine_bundle: Option<Digest>,
     /// Base URLs of stand-ins whose statistics the outcomes are counted against.
     #[serde(default)]
     pub engines: Vec<String>,
@@ -47,6 +51,10 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default, rename = "deadline_ms")]
     pub deadline: Option<Duration>,
+    /// Whether connections may fail, as where an entry is killed during the run. They are counted
+    /// as `lost`, but are no problem.
+    #[serde(default)]
+    pub lost_allowed: bool,
     /// How long is waited for the last answers after the last request.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     #[serde(default = "drain", rename = "drain_s")]
