--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,3 @@
 //! The agent process: the one gate before an engine or plain service.
+
+pub mod requests;
