--- a/crates/agent/tests/requests.rs
+++ b/crates/agent/tests/requests.rs
@@ -151,13 +151,15 @@
         for step in steps {
             match step {
                 Step::Accept(id) => {
-                    if ledger.accept(ids[id], fresh, now) == Accepted::Pending {
+                    let accepted = ledger.accept(ids[id], fresh, now);
+                    if accepted == Accepted::Pending {
                         prop_assert!(pending.insert(id), "two attempts pending");
                         prop_assert!(!running.contains(&id), "accepted while it runs");
                     }
                 }
                 Step::Start(id) if pending.remove(&id) => {
-                    if ledger.start(ids[id], fresh) == Started::Go {
+                    let started = ledger.start(ids[id], fresh);
+                    if started == Started::Go {
                         prop_assert!(!told_not_run.contains(&id), "started after not-run");
                         *starts.entry(id).or_default() += 1;
                         prop_assert_eq!(starts[&id], 1, "started twice");
@@ -171,7 +173,8 @@
                 }
                 Step::Finish(id) if running.remove(&id) => ledger.finish(ids[id], now),
                 Step::Cancel(id) => {
-                    if ledger.cancel(ids[id], now) == CancelState::NotRun {
+                    let state = ledger.cancel(ids[id], now);
+                    if state == CancelState::NotRun {
                         prop_assert!(!starts.contains_key(&id), "not-run after a start");
                         told_not_run.insert(id);
                     }
