--- /dev/null
+++ b/crates/agent/src/engine_app.rs
@@ -0,0 +1,289 @@
+//! Requests to a model engine: `/run` and `/cancel`.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::response::Response;
+use axum::routing::post;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use serde::Deserialize;
+use wagtailreel_core::{NotRunReason, RequestId};
+use wagtailreel_platform::{Effect, Engine, GenerateRequest, PlatformError};
+use wagtailreel_switch::Admission;
+
+use crate::answers;
+use crate::headers::{EPOCH, WEIGHTS, Wanted};
+use crate::hub::Hub;
+use crate::passage::{Passage, Refusal};
+use crate::requests::CancelState;
+use crate::tokens::TokenBody;
+
+/// Longest body of a request, in bytes. The entries hold callers to a limit of their own.
+pub(crate) const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Tokens of an answer if the caller does not say.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Reason of a request whose stream the engine broke off.
+const CUT: &str = "cut";
+
+/// Reason of a request whose caller went before the end of its answer.
+pub(crate) const CALLER_GONE: &str = "caller-gone";
+
+/// What a caller sends.
+#[derive(Deserialize)]
+struct CallerRequest {
+    prompt: String,
+    #[serde(default = "default_max_tokens")]
+    max_tokens: u32,
+}
+
+const fn default_max_tokens() -> u32 {
+    DEFAULT_MAX_TOKENS
+}
+
+/// The agent's shared parts and its engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineApp<E> {
+    /// What every request shares.
+    pub(crate) hub: Arc<Hub>,
+    /// The engine behind the gate.
+    pub(crate) engine: E,
+}
+
+/// Returns the routes of an engine's agent.
+pub(crate) fn router<E>(app: EngineApp<E>) -> Router
+where
+    E: Engine + Unpin,
+{
+    Router::new()
+        .route("/run/{request}", post(run::<E>))
+        .route("/cancel/{request}", post(cancel::<E>))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
+        .with_state(app)
+}
+
+/// Runs one request.
+async fn run<E>(
+    State(app): State<EngineApp<E>>,
+    Path(request): Path<RequestId>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response
+where
+    E: Engine + Unpin,
+{
+    let arrived = Instant::now();
+    let wanted = match Wanted::read(&request, &headers, arrived) {
+        Ok(wanted) => wanted,
+        Err(name) => return app.hub.refuse_bad(name),
+    };
+    let caller: CallerRequest = match serde_json::from_slice(&body) {
+        Ok(caller) => caller,
+        Err(_) => return app.hub.refuse_bad("body"),
+    };
+    match start(&app, request, wanted, caller, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => app.hub.refuse(refusal),
+    }
+}
+
+/// Takes a request through the gate and to the engine.
+async fn start<E>(
+    app: &EngineApp<E>,
+    request: RequestId,
+    wanted: Wanted,
+    caller: CallerRequest,
+    arrived: Instant,
+) -> Result<Response, Refusal>
+where
+    E: Engine + Unpin,
+{
+    let mut passage = app.hub.enter(wanted.wish)?;
+    let admission = passage.admission();
+    let req = GenerateRequest {
+        request: request.clone(),
+        bundle: admission.weights,
+        prompt: caller.prompt,
+        max_tokens: caller.max_tokens,
+        priority: wanted.priority,
+        resume_from: wanted.resume_from,
+    };
+    passage.start()?;
+    app.hub.metrics.observe_admit(arrived.elapsed());
+    let mut run = Run::new(app, request, passage);
+    match app.engine.generate(&req).await {
+        Ok(tokens) => Ok(answer(
+            TokenBody::new(tokens, run, wanted.resume_from),
+            admission,
+        )),
+        Err(err) => run.fail(&err),
+    }
+}
+
+/// Answers with the stream of tokens.
+fn answer<E>(tokens: TokenBody<E>, admission: Admission) -> Response
+where
+    E: Engine + Unpin,
+{
+    let mut response = Response::new(Body::from_stream(tokens));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    headers.insert(EPOCH, HeaderValue::from(admission.epoch));
+    if let Ok(weights) = HeaderValue::from_str(&admission.weights.to_string()) {
+        headers.insert(WEIGHTS, weights);
+    }
+    response
+}
+
+/// Cancels one request.
+async fn cancel<E>(
+    State(app): State<EngineApp<E>>,
+    Path(request): Path<RequestId>,
+) -> axum::Json<crate::answers::Cancelled>
+where
+    E: Engine + Unpin,
+{
+    let state = app.hub.requests.cancel(&request);
+    if state == CancelState::Started {
+        // The answer does not depend on it: the request was started, whatever the engine says.
+        let _ = app.engine.cancel(&request).await;
+    }
+    axum::Json(answers::Cancelled { state })
+}
+
+/// A request that the engine has been given.
+///
+/// Invariant: dropped without an end, because the entry has gone or the stream was cut, it is
+/// cancelled at the engine, and counted as running until the engine has answered to that.
+#[derive(Debug)]
+pub(crate) struct Run<E>
+where
+    E: Engine,
+{
+    hub: Arc<Hub>,
+    engine: E,
+    request: RequestId,
+    started: Instant,
+    first_token: bool,
+    tokens: u64,
+    admission: Admission,
+    counted: bool,
+    /// None once the request has ended.
+    passage: Option<Passage>,
+}
+
+impl<E> Run<E>
+where
+    E: Engine,
+{
+    fn new(app: &EngineApp<E>, request: RequestId, passage: Passage) -> Self {
+        Self {
+            hub: Arc::clone(&app.hub),
+            engine: app.engine.clone(),
+            request,
+            started: Instant::now(),
+            first_token: false,
+            tokens: 0,
+            admission: passage.admission(),
+            counted: false,
+            passage: Some(passage),
+        }
+    }
+
+    /// Returns what the request was admitted to.
+    pub(crate) fn admission(&self) -> Admission {
+        self.admission
+    }
+
+    /// Takes note of a token that passes.
+    pub(crate) fn note_token(&mut self, now: Instant) {
+        self.tokens += 1;
+        if !self.first_token {
+            self.first_token = true;
+            let delay = now.saturating_duration_since(self.started);
+            self.hub.metrics.observe_first_token(delay);
+        }
+    }
+
+    /// Ends the request: it was answered whole.
+    pub(crate) fn end_answered(&mut self) {
+        self.hub.metrics.count_answered();
+        self.passage = None;
+    }
+
+    /// Ends the request: its answer is not to be trusted.
+    pub(crate) fn end_unknown(&mut self, reason: &str) {
+        self.count_unknown(reason);
+        self.passage = None;
+    }
+
+    /// Counts the request as cut; it is cancelled when this is dropped.
+    pub(crate) fn cut(&mut self) {
+        self.hub.metrics.count_cut();
+        self.count_unknown(CUT);
+    }
+
+    fn count_unknown(&mut self, reason: &str) {
+        self.counted = true;
+        self.hub.metrics.count_unknown(reason);
+    }
+
+    /// Answers a request that the engine did not take, or may have taken.
+    fn fail(mut self, err: &PlatformError) -> Result<Response, Refusal> {
+        if err.took_effect() == Effect::Maybe {
+            self.count_unknown(answers::ANSWER_LOST);
+            // Dropped with its passage: the engine is told to cancel what it may have started.
+            return Ok(answers::unknown(
+                StatusCode::BAD_GATEWAY,
+                answers::ANSWER_LOST,
+            ));
+        }
+        if let Some(mut passage) = self.passage.take() {
+            passage.void();
+        }
+        let reason = match err.status() {
+            Some(StatusCode::NOT_FOUND) => {
+                self.hub.bundle_missing(self.admission.epoch);
+                NotRunReason::Weights
+            }
+            Some(StatusCode::TOO_MANY_REQUESTS) => NotRunReason::Full,
+            Some(_) => NotRunReason::Refused,
+            None => {
+                self.hub.look_at_upstream();
+                NotRunReason::Refused
+            }
+        };
+        Err(reason.into())
+    }
+}
+
+impl<E> Drop for Run<E>
+where
+    E: Engine,
+{
+    fn drop(&mut self) {
+        self.hub.metrics.count_tokens(self.tokens);
+        let Some(passage) = self.passage.take() else {
+            return;
+        };
+        if !self.counted {
+            self.hub.metrics.count_unknown(CALLER_GONE);
+        }
+        let (engine, request) = (self.engine.clone(), std::mem::take(&mut self.request));
+        // Without a runtime the process is ending, and the engine sees the connection close.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            // The engine may not know the request or be gone: then there is nothing to cancel.
+            let _ = engine.cancel(&request).await;
+            drop(passage);
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/headers.rs
@@ -0,0 +1,94 @@
+//! Headers between entries and the agent, and what a request's headers say.
+
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use wagtailreel_core::{Digest, Priority};
+
+use crate::passage::Wish;
+use crate::requests::{Entrance, RequestKey};
+
+/// Priority of the request.
+pub const PRIORITY: &str = "wagtailreel-priority";
+
+/// Digest of the bundle that must answer.
+pub const PIN: &str = "wagtailreel-pin";
+
+/// Index of the first token that is wanted, of a request whose stream was cut.
+pub const RESUME_FROM: &str = "wagtailreel-resume-from";
+
+/// Milliseconds that are left until the request is no longer worth starting.
+pub const DEADLINE: &str = "wagtailreel-deadline-ms";
+
+/// Digest of the bundle that answers.
+pub const WEIGHTS: &str = "wagtailreel-weights";
+
+/// Epoch of the bundle that answers.
+pub const EPOCH: &str = "wagtailreel-epoch";
+
+/// What the headers of a request say.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    /// What the request asks of the gate.
+    pub(crate) wish: Wish,
+    /// Index of the first token that is wanted.
+    pub(crate) resume_from: u32,
+    /// Place in the engine's queue.
+    pub(crate) priority: Priority,
+}
+
+impl Wanted {
+    /// Reads the headers of the request `request`, which came in at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the name of a header that can't be read: to guess at a pin or a deadline would be
+    /// worse than to refuse.
+    pub(crate) fn read(
+        request: &str,
+        headers: &HeaderMap,
+        now: Instant,
+    ) -> Result<Self, &'static str> {
+        let resume_from: Option<u32> = read_header(headers, RESUME_FROM)?;
+        let left_ms: Option<u64> = read_header(headers, DEADLINE)?;
+        let entrance = match resume_from {
+            Some(_) => Entrance::Resume,
+            None => Entrance::Fresh,
+        };
+        let left = left_ms.map(Duration::from_millis);
+        Ok(Self {
+            wish: Wish {
+                key: RequestKey::new(request),
+                entrance,
+                pin: read_header::<Digest>(headers, PIN)?,
+                deadline: left.and_then(|left| now.checked_add(left)),
+            },
+            resume_from: resume_from.unwrap_or(0),
+            priority: read_priority(headers)?,
+        })
+    }
+}
+
+/// Reads one header, if it is there.
+fn read_header<T>(headers: &HeaderMap, name: &'static str) -> Result<Option<T>, &'static str>
+where
+    T: FromStr,
+{
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok();
+    let parsed = text.and_then(|text| text.parse().ok());
+    parsed.map(Some).ok_or(name)
+}
+
+/// Reads the priority; normal without one.
+fn read_priority(headers: &HeaderMap) -> Result<Priority, &'static str> {
+    match headers.get(PRIORITY).map(http::HeaderValue::as_bytes) {
+        None | Some(b"normal") => Ok(Priority::Normal),
+        Some(b"low") => Ok(Priority::Low),
+        Some(b"high") => Ok(Priority::High),
+        Some(_) => Err(PRIORITY),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/passage.rs
@@ -0,0 +1,173 @@
+//! One request's way through the agent: remembered, admitted, started, ended.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use wagtailreel_core::{Digest, NotRunReason};
+use wagtailreel_switch::Admission;
+
+use crate::admitter::Admitter;
+use crate::requests::{Accepted, CancelState, Entrance, Ledger, RequestKey, Started};
+
+/// Shards of the ledger, each under its own lock.
+const SHARDS: usize = 64;
+
+/// Requests that one shard remembers; over all shards about two million, which is 3,500 requests
+/// a second for as long as they are kept.
+const SHARD_LIMIT: usize = 32_768;
+
+/// The ledger of all requests, in shards.
+#[derive(Debug)]
+pub(crate) struct Requests {
+    shards: Vec<Mutex<Ledger>>,
+}
+
+impl Requests {
+    /// Makes an empty ledger.
+    pub(crate) fn new() -> Self {
+        let shards = (0..SHARDS).map(|_| Mutex::new(Ledger::new(SHARD_LIMIT)));
+        Self {
+            shards: shards.collect(),
+        }
+    }
+
+    /// Cancels a request.
+    pub(crate) fn cancel(&self, request: &str) -> CancelState {
+        let key = RequestKey::new(request);
+        self.lock(key).cancel(key, Instant::now())
+    }
+
+    /// Locks the shard of `key`, under which a cancel and a start are told apart.
+    fn lock(&self, key: RequestKey) -> MutexGuard<'_, Ledger> {
+        let shard = &self.shards[key.shard(SHARDS)];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Why a request does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// This attempt was not run.
+    NotRun(NotRunReason),
+    /// The request is or was running: nothing is known of its outcome here.
+    Duplicate,
+}
+
+impl From<NotRunReason> for Refusal {
+    fn from(reason: NotRunReason) -> Self {
+        Self::NotRun(reason)
+    }
+}
+
+/// What a request asks of the gate.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wish {
+    /// Stands for the request's id.
+    pub(crate) key: RequestKey,
+    /// From the beginning or resumed.
+    pub(crate) entrance: Entrance,
+    /// The bundle that must answer, if the caller wants a certain one.
+    pub(crate) pin: Option<Digest>,
+    /// When the request is no longer worth starting.
+    pub(crate) deadline: Option<Instant>,
+}
+
+/// Where a passage is, so that its drop tells the ledger the truth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Accepted,
+    Started,
+    Void,
+}
+
+/// A request that was admitted and is counted until this is dropped.
+///
+/// Invariant: dropped before [`Passage::start`] the request is forgotten, after it remembered as
+/// done, unless [`Passage::void`] says that the upstream started nothing.
+#[derive(Debug)]
+pub(crate) struct Passage {
+    requests: Arc<Requests>,
+    admitter: Arc<Admitter>,
+    wish: Wish,
+    admission: Admission,
+    stage: Stage,
+}
+
+impl Passage {
+    /// Checks a request against the ledger, the capacity and the gate, in this order, and counts
+    /// it.
+    pub(crate) fn enter(
+        requests: &Arc<Requests>,
+        admitter: &Arc<Admitter>,
+        wish: Wish,
+    ) -> Result<Self, Refusal> {
+        let now = Instant::now();
+        let accepted = requests.lock(wish.key).accept(wish.key, wish.entrance, now);
+        match accepted {
+            Accepted::Pending => {}
+            Accepted::Cancelled => return Err(NotRunReason::Cancelled.into()),
+            Accepted::Full => return Err(NotRunReason::Full.into()),
+            Accepted::Duplicate => return Err(Refusal::Duplicate),
+        }
+        match admitter.enter(now, wish.pin) {
+            Ok(admission) => Ok(Self {
+                requests: Arc::clone(requests),
+                admitter: Arc::clone(admitter),
+                wish,
+                admission,
+                stage: Stage::Accepted,
+            }),
+            Err(reason) => {
+                requests.lock(wish.key).withdraw(wish.key, now);
+                Err(reason.into())
+            }
+        }
+    }
+
+    /// Returns the epoch and weights that the request was admitted to.
+    pub(crate) fn admission(&self) -> Admission {
+        self.admission
+    }
+
+    /// Marks the request as started; the caller sends it to the upstream right after.
+    ///
+    /// The ledger alone decides between the start and a cancel. The gate is asked again as the
+    /// very last thing, with a fresh time: a process that was frozen since the request entered
+    /// finds its lease lapsed here.
+    pub(crate) fn start(&mut self) -> Result<(), Refusal> {
+        let key = self.wish.key;
+        if self.wish.deadline.is_some_and(|at| Instant::now() >= at) {
+            return Err(NotRunReason::Deadline.into());
+        }
+        let started = self.requests.lock(key).start(key, self.wish.entrance);
+        match started {
+            Started::Go => self.stage = Stage::Started,
+            Started::Cancelled => return Err(NotRunReason::Cancelled.into()),
+            Started::Duplicate => return Err(Refusal::Duplicate),
+        }
+        let confirmed = self.admitter.confirm(Instant::now(), self.admission);
+        if confirmed.is_err() {
+            self.void();
+        }
+        confirmed.map_err(Refusal::from)
+    }
+
+    /// Takes the start back: the upstream says for certain that it started nothing.
+    pub(crate) fn void(&mut self) {
+        self.stage = Stage::Void;
+    }
+}
+
+impl Drop for Passage {
+    fn drop(&mut self) {
+        let (key, now) = (self.wish.key, Instant::now());
+        let mut ledger = self.requests.lock(key);
+        match self.stage {
+            Stage::Accepted => ledger.withdraw(key, now),
+            Stage::Started => ledger.finish(key, now),
+            Stage::Void => ledger.void(key, self.wish.entrance, now),
+        }
+        drop(ledger);
+        self.admitter.leave(self.admission.epoch);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/plain_app.rs
@@ -0,0 +1,274 @@
+//! Requests to a plain service: `/call` and `/cancel`.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, Request, State};
+use axum::response::Response;
+use axum::routing::{any, post};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use serde::Deserialize;
+use wagtailreel_core::{NotRunReason, Outcome, RequestId};
+use wagtailreel_platform::{Effect, PlainService, PlatformError};
+
+use crate::answers::{self, Cancelled};
+use crate::engine_app::{BODY_LIMIT, CALLER_GONE};
+use crate::headers::Wanted;
+use crate::hub::Hub;
+use crate::passage::{Passage, Refusal};
+
+/// Headers that concern one connection, and are not passed on.
+const HOP_HEADERS: &[HeaderName] = &[
+    CONNECTION,
+    HOST,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Start of the names of the system's own headers.
+const OWN_HEADERS: &str = "wagtailreel-";
+
+/// Slashes before the service's own path in `/call/{request}/{path}`.
+const SLASHES_BEFORE_PATH: usize = 3;
+
+/// The agent's shared parts and its plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct PlainApp<P> {
+    /// What every request shares.
+    pub(crate) hub: Arc<Hub>,
+    /// The service behind the gate.
+    pub(crate) service: P,
+}
+
+/// Parts of the path of a call.
+#[derive(Deserialize)]
+struct CallPath {
+    request: RequestId,
+}
+
+/// Returns the routes of a plain service's agent.
+pub(crate) fn router<P>(app: PlainApp<P>) -> Router
+where
+    P: PlainService,
+{
+    Router::new()
+        .route("/call/{request}", any(call::<P>))
+        .route("/call/{request}/", any(call::<P>))
+        .route("/call/{request}/{*path}", any(call::<P>))
+        .route("/cancel/{request}", post(cancel::<P>))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
+        .with_state(app)
+}
+
+/// Passes one call on.
+async fn call<P>(
+    State(app): State<PlainApp<P>>,
+    Path(path): Path<CallPath>,
+    req: Request,
+) -> Response
+where
+    P: PlainService,
+{
+    let arrived = Instant::now();
+    let wanted = match Wanted::read(&path.request, req.headers(), arrived) {
+        Ok(wanted) => wanted,
+        Err(name) => return app.hub.refuse_bad(name),
+    };
+    let (head, body) = req.into_parts();
+    // The whole body is here before the service sees any of it, so that a caller which breaks
+    // off leaves no half call behind.
+    let Ok(body) = axum::body::to_bytes(body, BODY_LIMIT).await else {
+        return app.hub.refuse_bad("body");
+    };
+    let Some(uri) = service_uri(&head.uri) else {
+        return app.hub.refuse_bad("path");
+    };
+    let mut out = http::Request::new(body);
+    *out.method_mut() = head.method;
+    *out.uri_mut() = uri;
+    *out.headers_mut() = passed_on(head.headers);
+    match start(&app, wanted, out, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => app.hub.refuse(refusal),
+    }
+}
+
+/// Takes a call through the gate and to the service.
+async fn start<P>(
+    app: &PlainApp<P>,
+    wanted: Wanted,
+    req: http::Request<Bytes>,
+    arrived: Instant,
+) -> Result<Response, Refusal>
+where
+    P: PlainService,
+{
+    let mut passage = app.hub.enter(wanted.wish)?;
+    passage.start()?;
+    app.hub.metrics.observe_admit(arrived.elapsed());
+    let mut run = CallRun {
+        hub: Arc::clone(&app.hub),
+        passage,
+        is_counted: false,
+    };
+    match app.service.call(req).await {
+        Ok(response) => Ok(answer(response, run)),
+        Err(err) => run.fail(&err),
+    }
+}
+
+/// Answers with the service's answer.
+fn answer(response: http::Response<Incoming>, run: CallRun) -> Response {
+    let (mut head, inner) = response.into_parts();
+    let length = head.headers.get(CONTENT_LENGTH).cloned();
+    head.headers = passed_on(head.headers);
+    if let Some(length) = length {
+        head.headers.insert(CONTENT_LENGTH, length);
+    }
+    let answered = HeaderValue::from_static("answered");
+    head.headers.insert(Outcome::HEADER, answered);
+    Response::from_parts(head, Body::new(CallBody { inner, run }))
+}
+
+/// Cancels one call. A call that was started can't be stopped, only forgotten.
+async fn cancel<P>(
+    State(app): State<PlainApp<P>>,
+    Path(request): Path<RequestId>,
+) -> axum::Json<Cancelled>
+where
+    P: PlainService,
+{
+    let state = app.hub.requests.cancel(&request);
+    axum::Json(Cancelled { state })
+}
+
+/// Returns the service's own path and query, as they were encoded.
+fn service_uri(uri: &Uri) -> Option<Uri> {
+    let text = uri.path_and_query()?.as_str();
+    let slash = text.match_indices('/').nth(SLASHES_BEFORE_PATH - 1);
+    let path = match slash {
+        Some((at, _)) => PathAndQuery::try_from(&text[at..]).ok()?,
+        None => PathAndQuery::from_static("/"),
+    };
+    Some(Uri::from(path))
+}
+
+/// Removes the headers that concern the connection or the system itself.
+fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    // The length is written anew, from the body.
+    headers.remove(CONTENT_LENGTH);
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_HEADERS))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// A call that the service has been given; it counts as running until this is dropped.
+#[derive(Debug)]
+struct CallRun {
+    hub: Arc<Hub>,
+    passage: Passage,
+    is_counted: bool,
+}
+
+impl CallRun {
+    /// Answers a call that the service did not take, or may have taken.
+    fn fail(&mut self, err: &PlatformError) -> Result<Response, Refusal> {
+        self.is_counted = true;
+        self.hub.look_at_upstream();
+        if err.took_effect() == Effect::No {
+            self.passage.void();
+            return Err(NotRunReason::Refused.into());
+        }
+        self.hub.metrics.count_unknown(answers::ANSWER_LOST);
+        let (status, reason) = (StatusCode::BAD_GATEWAY, answers::ANSWER_LOST);
+        Ok(answers::unknown(status, reason))
+    }
+
+    fn count_answered(&mut self) {
+        if !self.is_counted {
+            self.is_counted = true;
+            self.hub.metrics.count_answered();
+        }
+    }
+
+    fn count_cut(&mut self) {
+        self.is_counted = true;
+        self.hub.metrics.count_cut();
+        self.hub.metrics.count_unknown(answers::ANSWER_LOST);
+    }
+}
+
+impl Drop for CallRun {
+    fn drop(&mut self) {
+        if !self.is_counted {
+            self.hub.metrics.count_unknown(CALLER_GONE);
+        }
+    }
+}
+
+/// The service's answer on its way; an answer that is cut stays cut.
+struct CallBody {
+    inner: Incoming,
+    run: CallRun,
+}
+
+impl HttpBody for CallBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = &mut *self;
+        let frame = ready!(Pin::new(&mut this.inner).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) if this.inner.is_end_stream() => this.run.count_answered(),
+            Some(Ok(_)) => {}
+            Some(Err(_)) => this.run.count_cut(),
+            None => this.run.count_answered(),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for CallBody {
+    fn drop(&mut self) {
+        // An answer without a body is never polled.
+        if self.inner.is_end_stream() {
+            self.run.count_answered();
+        }
+    }
+}
