--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -63,7 +63,7 @@
             problems.add(
                 self.at.spot(),
                 &place,
-                "the key is missing",
+                "the key is missing or empty",
                 "add it with its value",
             );
             return None;
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -33,7 +33,9 @@
         if self.line.is_some() {
             f.write_str(" ")?;
         }
-        if !self.place.is_empty() {
+        if self.place.is_empty() {
+            f.write_str("the file")?;
+        } else {
             write!(f, "`{}`", self.place)?;
         }
         write!(f, ": {}: {}", self.what, self.remedy)
