--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -41,7 +41,8 @@
 pub(crate) fn bad_request(problem: &str) -> Response<Body> {
     let mut response = not_run(NotRunReason::Refused);
     *response.status_mut() = StatusCode::BAD_REQUEST;
-    *response.body_mut() = Body::from(json!({ "outcome": "not-run", "reason": problem }).to_string());
+    *response.body_mut() =
+        Body::from(json!({ "outcome": "not-run", "reason": problem }).to_string());
     response
 }
 
--- a/crates/agent/src/engine_app.rs
+++ b/crates/agent/src/engine_app.rs
@@ -170,7 +170,7 @@
     engine: E,
     request: RequestId,
     started: Instant,
-    first_token: bool,
+    last_token: Option<Instant>,
     tokens: u64,
     admission: Admission,
     counted: bool,
@@ -188,7 +188,7 @@
             engine: app.engine.clone(),
             request,
             started: Instant::now(),
-            first_token: false,
+            last_token: None,
             tokens: 0,
             admission: passage.admission(),
             counted: false,
@@ -204,10 +204,12 @@
     /// Takes note of a token that passes.
     pub(crate) fn note_token(&mut self, now: Instant) {
         self.tokens += 1;
-        if !self.first_token {
-            self.first_token = true;
-            let delay = now.saturating_duration_since(self.started);
-            self.hub.metrics.observe_first_token(delay);
+        match self.last_token.replace(now) {
+            Some(last) => self.hub.gaps.add(now.saturating_duration_since(last)),
+            None => {
+                let delay = now.saturating_duration_since(self.started);
+                self.hub.metrics.observe_first_token(delay);
+            }
         }
     }
 
--- a/crates/agent/src/headers.rs
+++ b/crates/agent/src/headers.rs
@@ -9,6 +9,9 @@
 use crate::passage::Wish;
 use crate::requests::{Entrance, RequestKey};
 
+/// Id of the request, for a plain service.
+pub const REQUEST: &str = "wagtailreel-request";
+
 /// Priority of the request.
 pub const PRIORITY: &str = "wagtailreel-priority";
 
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -8,8 +8,8 @@
 use axum::response::Response;
 use tokio::sync::Notify;
 use wagtailreel_core::{
-    DataCentre, Digest, EngineLoad, Epoch, Incarnation, NotRunReason, Offset, Region, Report, ServiceName,
-    ServiceState, VmId, WeightsPhase,
+    DataCentre, Digest, EngineLoad, Epoch, Incarnation, NotRunReason, Offset, Region, Report,
+    ServiceName, ServiceState, VmId, WeightsPhase,
 };
 use wagtailreel_switch::GateChange;
 
@@ -18,6 +18,7 @@
 use crate::events;
 use crate::metrics::Metrics;
 use crate::passage::{Passage, Refusal, Requests, Wish};
+use crate::pressure::Gaps;
 
 /// What stays the same while the process runs.
 #[derive(Clone, Debug)]
@@ -63,6 +64,8 @@
     pub(crate) admitter: Arc<Admitter>,
     /// Metrics.
     pub(crate) metrics: Metrics,
+    /// Gaps between tokens of late.
+    pub(crate) gaps: Gaps,
     known: Mutex<Known>,
     report_now: Notify,
     look_now: Notify,
@@ -76,6 +79,7 @@
             requests: Arc::new(Requests::new()),
             admitter: Arc::new(Admitter::new(capacity)),
             metrics,
+            gaps: Gaps::default(),
             known: Mutex::new(Known::default()),
             report_now: Notify::new(),
             look_now: Notify::new(),
@@ -137,24 +141,14 @@
     }
 
     /// Tells the gate how far an epoch is.
-    pub(crate) fn set_phase(
-        &self,
-        epoch: Epoch,
-        phase: WeightsPhase,
-        bundle: Option<Digest>,
-    ) {
+    pub(crate) fn set_phase(&self, epoch: Epoch, phase: WeightsPhase, bundle: Option<Digest>) {
         let change = self.admitter.lock().gate.set_phase(epoch, phase, bundle);
         self.note_change(change);
         self.report_at_once();
     }
 
     /// Tells the gate how far an epoch is, if that is news to it.
-    pub(crate) fn update_phase(
-        &self,
-        epoch: Epoch,
-        phase: WeightsPhase,
-        bundle: Option<Digest>,
-    ) {
+    pub(crate) fn update_phase(&self, epoch: Epoch, phase: WeightsPhase, bundle: Option<Digest>) {
         let told = self.admitter.lock().gate.phase(epoch);
         if told != Some(phase) {
             self.set_phase(epoch, phase, bundle);
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -155,7 +155,11 @@
             self.set_load(load);
         }
         for (phase, label) in PHASES {
-            let count = report.weights.values().filter(|held| *held == phase).count();
+            let count = report
+                .weights
+                .values()
+                .filter(|held| *held == phase)
+                .count();
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.phase.with_label_values(&[label]).set(count);
         }
--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -23,7 +23,7 @@
 
 use crate::answers::{self, Cancelled};
 use crate::engine_app::{BODY_LIMIT, CALLER_GONE};
-use crate::headers::Wanted;
+use crate::headers::{REQUEST, Wanted};
 use crate::hub::Hub;
 use crate::passage::{Passage, Refusal};
 
@@ -101,6 +101,10 @@
     *out.method_mut() = head.method;
     *out.uri_mut() = uri;
     *out.headers_mut() = passed_on(head.headers);
+    // The service may tell a call that it has seen before by this.
+    if let Ok(request) = HeaderValue::from_str(&path.request) {
+        out.headers_mut().insert(REQUEST, request);
+    }
     match start(&app, wanted, out, arrived).await {
         Ok(response) => response,
         Err(refusal) => app.hub.refuse(refusal),
--- a/crates/agent/src/plain_watch.rs
+++ b/crates/agent/src/plain_watch.rs
@@ -16,7 +16,8 @@
 const AWAY_AFTER: u32 = 3;
 
 /// Trouble of a service that is not well.
-const UNWELL: &str = "the plain service does not say it is well: check that it runs at upstream.url";
+const UNWELL: &str =
+    "the plain service does not say it is well: check that it runs at upstream.url";
 
 /// Watches a plain service and tells the gate.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,263 @@
+//! The agent process: starts the parts, and ends them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use axum::Router;
+use axum::serve::ListenerExt as _;
+use prometheus::Registry;
+use snafu::{OptionExt as _, ResultExt as _};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use wagtailreel_control::{AgentControl, AgentControlConfig};
+use wagtailreel_core::{Incarnation, ServiceKind, VmEntry};
+use wagtailreel_platform::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList};
+use wagtailreel_settings::AgentSettings;
+
+use crate::AgentError;
+use crate::engine_app::{self, EngineApp};
+use crate::error::{AddressSnafu, ControlSnafu, ListenSnafu, MetricsSnafu, NoOriginSnafu};
+use crate::events;
+use crate::follow::{Follower, ListFollower, send_reports};
+use crate::hub::{Facts, Hub};
+use crate::metrics::Metrics;
+use crate::ops::{self, Ops};
+use crate::plain_app::{self, PlainApp};
+use crate::plain_watch::PlainWatch;
+use crate::steward::Steward;
+
+/// How long the word of leaving may take to reach an entry.
+const WORD_OF_LEAVING: Duration = Duration::from_secs(1);
+
+/// How long answers that are already written may take to be read at the end.
+const LAST_ANSWERS: Duration = Duration::from_secs(30);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentProcess {
+    hub: Arc<Hub>,
+    control: AgentControl,
+    heard: watch::Receiver<Option<Instant>>,
+    stop: CancellationToken,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// What the parts of one kind of upstream add.
+struct Upstream {
+    router: Router,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl AgentProcess {
+    /// Starts an agent on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AgentError`] if a listener can't be opened or a setting can't be used.
+    pub async fn start(settings: AgentSettings) -> Result<Self, AgentError> {
+        let registry = Registry::new();
+        let metrics = Metrics::new(&registry).context(MetricsSnafu)?;
+        let (listener, data) = listen(settings.listen.data).await?;
+        let control = start_control(&settings, &registry)?;
+        let facts = facts_of(&settings, data, control.addr());
+        let hub = Arc::new(Hub::new(facts, settings.upstream.capacity, metrics));
+        let (peers_tx, peers_rx) = watch::channel(Vec::new());
+        let (heard_tx, heard) = watch::channel(None);
+        let upstream = start_upstream(&settings, &hub, peers_rx, &registry)?;
+        let mut tasks = upstream.tasks;
+        let follower = Follower {
+            hub: Arc::clone(&hub),
+            control: control.clone(),
+            peers: peers_tx,
+            heard: heard_tx,
+        };
+        tasks.push(tokio::spawn(follower.run()));
+        tasks.push(follow_list(&settings, &hub, &control)?);
+        let reports = send_reports(Arc::clone(&hub), control.clone(), settings.report);
+        tasks.push(tokio::spawn(reports));
+        let ops = Ops {
+            hub: Arc::clone(&hub),
+            registry,
+        };
+        let stop = CancellationToken::new();
+        let router = upstream.router.merge(ops::router(ops));
+        let server = tokio::spawn(serve(listener, router, stop.clone()));
+        events::AGENT_STARTED.emit(&[("vm", &settings.vm), ("data", &data.to_string())]);
+        Ok(Self {
+            hub,
+            control,
+            heard,
+            stop,
+            server,
+            tasks,
+        })
+    }
+
+    /// Returns the address of the HTTP listener.
+    pub fn data_addr(&self) -> SocketAddr {
+        self.hub.facts.data
+    }
+
+    /// Returns the address of the control listener.
+    pub fn control_addr(&self) -> SocketAddr {
+        self.hub.facts.control
+    }
+
+    /// Ends the agent: it says at once that it is leaving, takes no new work, finishes what runs,
+    /// and gives chunks until then.
+    pub async fn shutdown(mut self) {
+        events::AGENT_LEAVING.emit(&[]);
+        let left_at = Instant::now();
+        self.hub.leave();
+        self.word_received(left_at).await;
+        self.hub.admitter.drained().await;
+        self.stop.cancel();
+        // Every request has ended; what is left are answers that their readers have yet to take.
+        let _ = tokio::time::timeout(LAST_ANSWERS, &mut self.server).await;
+        events::AGENT_STOPPED.emit(&[]);
+    }
+
+    /// Waits until an entry has answered a report that says that the agent is leaving.
+    async fn word_received(&mut self, left_at: Instant) {
+        let heard = self.heard.wait_for(|sent_at| *sent_at > Some(left_at));
+        // Without an entry there is nobody to tell.
+        let _ = tokio::time::timeout(WORD_OF_LEAVING, heard).await;
+    }
+}
+
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        self.server.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.control.stop();
+    }
+}
+
+async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), AgentError> {
+    let listener = TcpListener::bind(addr)
+        .await
+        .context(ListenSnafu { addr })?;
+    let bound = listener.local_addr().context(ListenSnafu { addr })?;
+    Ok((listener, bound))
+}
+
+fn start_control(
+    settings: &AgentSettings,
+    registry: &Registry,
+) -> Result<AgentControl, AgentError> {
+    let cfg = AgentControlConfig {
+        vm: settings.vm.clone(),
+        listen: settings.listen.control,
+        report_every: settings.report,
+    };
+    AgentControl::start(cfg, registry).context(ControlSnafu)
+}
+
+fn facts_of(settings: &AgentSettings, data: SocketAddr, control: SocketAddr) -> Facts {
+    let bundles = match settings.upstream.kind {
+        ServiceKind::Engine => settings.upstream.bundles,
+        ServiceKind::Plain => 0,
+    };
+    Facts {
+        vm: settings.vm.clone(),
+        incarnation: incarnation(),
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        service: settings.service.clone(),
+        data,
+        control,
+        bundles,
+    }
+}
+
+/// Returns the time of the start in microseconds, which is higher for each later start.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    Incarnation::try_from(micros).unwrap_or(Incarnation::MAX)
+}
+
+fn start_upstream(
+    settings: &AgentSettings,
+    hub: &Arc<Hub>,
+    peers: watch::Receiver<Vec<VmEntry>>,
+    registry: &Registry,
+) -> Result<Upstream, AgentError> {
+    match settings.upstream.kind {
+        ServiceKind::Engine => start_engine(settings, hub, peers, registry),
+        ServiceKind::Plain => start_plain(settings, hub),
+    }
+}
+
+fn start_engine(
+    settings: &AgentSettings,
+    hub: &Arc<Hub>,
+    peers: watch::Receiver<Vec<VmEntry>>,
+    registry: &Registry,
+) -> Result<Upstream, AgentError> {
+    let origin = settings.platform.origin.as_ref().context(NoOriginSnafu)?;
+    let origin = HttpOrigin::new(address("platform.origin", origin)?);
+    let engine = HttpEngine::new(address("upstream.url", &settings.upstream.url)?);
+    let _ = (registry, origin, peers);
+    let app = EngineApp {
+        hub: Arc::clone(hub),
+        engine,
+    };
+    Ok(Upstream {
+        router: engine_app::router(app),
+        tasks: vec![],
+    })
+}
+
+fn start_plain(settings: &AgentSettings, hub: &Arc<Hub>) -> Result<Upstream, AgentError> {
+    let service = HttpPlainService::new(address("upstream.url", &settings.upstream.url)?);
+    let watch = PlainWatch::new(Arc::clone(hub), service.clone());
+    let app = PlainApp {
+        hub: Arc::clone(hub),
+        service,
+    };
+    Ok(Upstream {
+        router: plain_app::router(app),
+        tasks: vec![tokio::spawn(watch.run())],
+    })
+}
+
+fn follow_list(
+    settings: &AgentSettings,
+    hub: &Arc<Hub>,
+    control: &AgentControl,
+) -> Result<JoinHandle<()>, AgentError> {
+    let list = HttpVmList::new(address("platform.vms", &settings.platform.vms)?);
+    let follower = ListFollower {
+        hub: Arc::clone(hub),
+        control: control.clone(),
+        list,
+        seeds: settings.seeds.clone(),
+    };
+    Ok(tokio::spawn(follower.run()))
+}
+
+/// Reads the address of an outside system.
+fn address(setting: &'static str, text: &str) -> Result<BaseUrl, AgentError> {
+    BaseUrl::new(text).context(AddressSnafu { setting })
+}
+
+async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let listener = listener.tap_io(|stream| {
+        // Without it a token waits for the next one.
+        let _ = stream.set_nodelay(true);
+    });
+    let served = axum::serve(listener, router)
+        .with_graceful_shutdown(stop.cancelled_owned())
+        .await;
+    if let Err(err) = served {
+        log::error!("the data listener failed: {err}");
+    }
+}
--- /dev/null
+++ b/crates/agent/src/steward.rs
@@ -0,0 +1,293 @@
+//! Keeps an engine with the weights that the document names: looks, decides, orders.
+//!
+//! One task looks at the engine and gives its orders, so that a look is never older than an
+//! answer taken in before it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::timeout;
+use wagtailreel_core::{Digest, Epoch, ServiceState, VmEntry, WeightsPhase};
+use wagtailreel_platform::{Engine, EngineStatus, PlatformError};
+
+use crate::chunks::{Chunks, ChunksView};
+use crate::events;
+use crate::hub::Hub;
+use crate::loader::{Action, EngineView, Loader, Staged, View};
+use crate::pressure::PressureGauge;
+
+/// Time between two looks at the engine.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// How long the engine's status is waited for.
+const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two samples of the pressure on live answers.
+const SAMPLE_EVERY: Duration = Duration::from_secs(1);
+
+/// The answer to an order.
+#[derive(Debug)]
+enum Answer {
+    Load(Result<Digest, PlatformError>),
+    Unload(Result<(), PlatformError>),
+}
+
+/// Keeps one engine with its weights.
+#[derive(Debug)]
+pub(crate) struct Steward<E, C> {
+    hub: Arc<Hub>,
+    engine: E,
+    chunks: C,
+    peers: tokio::sync::watch::Receiver<Vec<VmEntry>>,
+    loader: Loader,
+    orders: JoinSet<Answer>,
+    load: Option<AbortHandle>,
+    started_at: Option<SystemTime>,
+    is_away: bool,
+    wanted: Epoch,
+    loaded: BTreeSet<Epoch>,
+    gauge: PressureGauge,
+    sampled: Instant,
+}
+
+impl<E, C> Steward<E, C>
+where
+    E: Engine,
+    C: Chunks,
+{
+    /// Makes a steward that has not looked yet. `seed` feeds the jitter of retries.
+    pub(crate) fn new(
+        hub: Arc<Hub>,
+        engine: E,
+        chunks: C,
+        peers: tokio::sync::watch::Receiver<Vec<VmEntry>>,
+        seed: u64,
+    ) -> Self {
+        let loader = Loader::new(hub.facts.bundles, seed);
+        let objective = wagtailreel_core::Objectives::default().between_tokens;
+        Self {
+            hub,
+            engine,
+            chunks,
+            peers,
+            loader,
+            orders: JoinSet::new(),
+            load: None,
+            started_at: None,
+            is_away: false,
+            wanted: 0,
+            loaded: BTreeSet::new(),
+            gauge: PressureGauge::new(objective),
+            sampled: Instant::now(),
+        }
+    }
+
+    /// Keeps the engine for as long as the process runs.
+    pub(crate) async fn run(mut self) {
+        loop {
+            for epoch in self.hub.take_missing() {
+                self.loader.on_missing(epoch);
+            }
+            self.look().await;
+            self.fetch();
+            self.decide();
+            self.sample();
+            self.wait().await;
+        }
+    }
+
+    /// Waits until there is something to look at, and takes in the answer to an order.
+    async fn wait(&mut self) {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+            () = self.hub.look_wanted() => {}
+            () = self.chunks.changed() => {}
+            Some(answer) = self.orders.join_next() => self.take_answer(answer),
+        }
+    }
+
+    /// Looks at the engine.
+    async fn look(&mut self) {
+        let status = timeout(LOOK_TIMEOUT, self.engine.status()).await;
+        let status = status.ok().and_then(Result::ok);
+        self.hub.set_load(status.as_ref().map(|status| status.load));
+        self.note_away(status.is_none());
+        if let Some(status) = &status {
+            self.note_restart(status);
+        }
+        let view = status.map(|status| EngineView {
+            bundles: status.bundles.into_iter().collect(),
+        });
+        self.loader.on_status(view);
+    }
+
+    fn note_away(&mut self, is_away: bool) {
+        if is_away && !self.is_away {
+            events::ENGINE_AWAY.emit(&[]);
+        }
+        self.is_away = is_away;
+    }
+
+    fn note_restart(&mut self, status: &EngineStatus) {
+        let before = self.started_at.replace(status.started_at);
+        if before.is_some_and(|before| before != status.started_at) {
+            events::ENGINE_RESTARTED.emit(&[]);
+        }
+    }
+
+    /// Has the chunks of the state's epoch fetched.
+    fn fetch(&mut self) {
+        if self.peers.has_changed().unwrap_or(false) {
+            let peers = self.peers.borrow_and_update().clone();
+            self.chunks.set_peers(peers);
+        }
+        let Some(state) = self.hub.state() else {
+            return;
+        };
+        let Some(document) = &state.document else {
+            return;
+        };
+        self.gauge.set_objective(document.objectives.between_tokens);
+        if state.epoch > self.wanted && self.is_wanted(&state) {
+            self.wanted = state.epoch;
+            self.chunks
+                .want(state.epoch, document.parts(), document.spread.clone());
+        }
+    }
+
+    /// Says whether the state has weights for this VM.
+    fn is_wanted(&self, state: &ServiceState) -> bool {
+        let facts = &self.hub.facts;
+        state.document.as_ref().is_some_and(|document| {
+            document.model.is_some() && document.names_vm(&facts.data_centre, &facts.vm)
+        })
+    }
+
+    /// Has the loader decide, and does what it says.
+    fn decide(&mut self) {
+        let Some(state) = self.hub.state() else {
+            return;
+        };
+        let chunks = self.chunks.view();
+        let staged = staged_of(&chunks);
+        let gated = self.hub.admitter.lock();
+        let droppable = gated.gate.droppable(state.epoch);
+        let view = View {
+            now: Instant::now(),
+            epoch: state.epoch,
+            wanted: self.is_wanted(&state),
+            closed_below: gated.gate.closed_below(),
+            staged: &staged,
+            droppable: &droppable,
+            may_swap: gated.gate.may_swap(state.epoch),
+            running: gated.running(),
+        };
+        let actions = self.loader.decide(&view);
+        drop(gated);
+        for action in actions {
+            self.act(action);
+        }
+        self.hub.set_chunks(chunks.count, chunks.bytes);
+        self.hub
+            .set_trouble(self.loader.trouble().or(chunks.trouble));
+    }
+
+    /// Does one thing that the loader decided.
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::SetPhase {
+                epoch,
+                phase,
+                bundle,
+            } => {
+                self.note_loaded(epoch, phase, bundle);
+                self.hub.set_phase(epoch, phase, bundle);
+            }
+            Action::GiveUp { epoch } => self.hub.forget(epoch),
+            Action::Load { epoch, fence, .. } => self.order_load(epoch, fence),
+            Action::AbortLoad => {
+                if let Some(load) = &self.load {
+                    load.abort();
+                }
+            }
+            Action::Unload { bundle, fence } => self.order_unload(bundle, fence),
+            Action::Forget { epoch } => {
+                self.loaded.remove(&epoch);
+                self.chunks.forget(epoch);
+                self.hub.forget(epoch);
+            }
+        }
+    }
+
+    fn note_loaded(&mut self, epoch: Epoch, phase: WeightsPhase, bundle: Option<Digest>) {
+        if phase != WeightsPhase::Loaded {
+            self.loaded.remove(&epoch);
+            return;
+        }
+        if self.loaded.insert(epoch) {
+            let bundle = bundle.map_or_else(String::new, |bundle| bundle.short());
+            events::BUNDLE_LOADED.emit(&[("epoch", &epoch.to_string()), ("bundle", &bundle)]);
+        }
+    }
+
+    fn order_load(&mut self, epoch: Epoch, fence: Epoch) {
+        events::LOAD_ORDERED.emit(&[("epoch", &epoch.to_string())]);
+        let engine = self.engine.clone();
+        let load = self.chunks.load(engine, epoch, fence);
+        self.load = Some(self.orders.spawn(async move { Answer::Load(load.await) }));
+    }
+
+    fn order_unload(&mut self, bundle: Digest, fence: Epoch) {
+        events::BUNDLE_DROPPED.emit(&[("bundle", &bundle.short())]);
+        let engine = self.engine.clone();
+        self.orders
+            .spawn(async move { Answer::Unload(engine.unload(bundle, fence).await) });
+    }
+
+    /// Takes in the answer to an order; the next look tells what has become of it.
+    fn take_answer(&mut self, answer: Result<Answer, tokio::task::JoinError>) {
+        let now = Instant::now();
+        match answer {
+            Ok(Answer::Load(answer)) => {
+                let answer = answer.map_err(|err| err.to_string());
+                if let Err(why) = &answer {
+                    events::LOAD_FAILED.emit(&[("why", why)]);
+                }
+                self.loader.load_answered(now, answer);
+            }
+            Ok(Answer::Unload(answer)) => {
+                let answer = answer.map_err(|err| err.to_string());
+                self.loader.unload_answered(now, answer);
+            }
+            // Only a load is ever broken off.
+            Err(err) => self.loader.load_answered(now, Err(err.to_string())),
+        }
+    }
+
+    /// Has transfers give way if they slow down the agent's own answers.
+    fn sample(&mut self) {
+        if self.sampled.elapsed() < SAMPLE_EVERY {
+            return;
+        }
+        self.sampled = Instant::now();
+        let gap = self.hub.gaps.take_mean();
+        let pressure = self.gauge.sample(gap, self.chunks.view().is_active);
+        self.chunks.set_live_pressure(pressure);
+    }
+}
+
+/// Returns what the loader needs to know of the chunks.
+fn staged_of(chunks: &ChunksView) -> BTreeMap<Epoch, Staged> {
+    let epochs = chunks.epochs.iter();
+    epochs
+        .map(|(epoch, held)| {
+            let staged = Staged {
+                bundle: held.bundle.as_ref().map(|bundle| bundle.digest()),
+                complete: held.complete,
+            };
+            (*epoch, staged)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/agent/tests/cancel.rs
@@ -0,0 +1,59 @@
+//! Cancels that race the start of their request.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, eventually};
+use http_body_util::BodyExt as _;
+use wagtailreel_standins::{EngineConfig, RequestState};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn before_start() {
+    let world = World::serving(EngineConfig::default()).await;
+    assert_eq!(world.cancel("r1").await, "not-run");
+    let answer = world.run("r1", &[], 4).await;
+    assert_eq!(answer.refusal(), (409, "not-run", "cancelled"));
+    assert!(world.engine.request("r1").is_none());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_running() {
+    let cfg = EngineConfig {
+        between_tokens: Duration::from_millis(20),
+        ..EngineConfig::default()
+    };
+    let world = World::serving(cfg).await;
+    let mut running = world.start("r1", &[], 1000).await;
+    running.body_mut().frame().await.unwrap().unwrap();
+    assert_eq!(world.cancel("r1").await, "started");
+    eventually("the engine has stopped", async || {
+        let stats = world.engine.request("r1")?;
+        (stats.state == RequestState::Cancelled).then_some(())
+    })
+    .await;
+    // A cancelled stream has no end.
+    let answer = common::Answer::read(running).await;
+    assert!(answer.is_cut, "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn races_start() {
+    let world = World::serving(EngineConfig::default()).await;
+    let (mut not_run, mut started) = (0, 0);
+    for n in 0..200 {
+        let request = format!("r{n}");
+        let (answer, state) = tokio::join!(world.run(&request, &[], 2), world.cancel(&request));
+        let ran = world.engine.request(&request).is_some();
+        if state == "not-run" {
+            not_run += 1;
+            assert!(!ran, "{request} ran after not-run");
+            assert_eq!(answer.refusal(), (409, "not-run", "cancelled"));
+        } else {
+            started += 1;
+            assert!(ran, "{request} did not run after {state}");
+        }
+    }
+    assert_eq!(not_run + started, 200);
+}
--- /dev/null
+++ b/crates/agent/tests/leaving.rs
@@ -0,0 +1,69 @@
+//! Graceful shutdown.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Answer, World, eventually};
+use http_body_util::BodyExt as _;
+use wagtailreel_standins::EngineConfig;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_stream() {
+    let cfg = EngineConfig {
+        between_tokens: Duration::from_millis(20),
+        ..EngineConfig::default()
+    };
+    let world = World::serving(cfg).await;
+    let bundle = world.bundle("1");
+    let addr = world.agent.data_addr();
+    let mut running = world.start("long", &[], 100).await;
+    // The head of the answer is read, its body not: it is still the answer of a running request.
+    assert_eq!(running.status(), 200);
+    let first = running.body_mut().frame().await.unwrap().unwrap();
+    let first = first.into_data().unwrap();
+
+    let World {
+        hall,
+        origin,
+        engine,
+        agent,
+    } = world;
+    let shutdown = tokio::spawn(agent.shutdown());
+    let mut agents = hall.entry.agents();
+    eventually("the entry knows that the agent is leaving", async || {
+        let views = agents.borrow_and_update().clone();
+        let view = views.get(common::VM)?;
+        view.report.leaving.then_some(())
+    })
+    .await;
+    let body = r#"{"prompt": "late", "max_tokens": 4}"#;
+    let late = hall.send(addr, http::Method::POST, "/run/late", &[], body);
+    let late = Answer::read(late.await).await;
+    assert_eq!(late.refusal(), (503, "not-run", "leaving"));
+    assert!(!shutdown.is_finished());
+
+    let mut answer = Answer::read(running).await;
+    let mut decoder = wagtailreel_platform::SseDecoder::new();
+    decoder.push(&first);
+    let mut before = Vec::new();
+    while let Some(event) = decoder.next_event().unwrap() {
+        before.push(event);
+    }
+    answer.events.splice(0..0, before);
+    answer.assert_whole("long", bundle, 0, 100);
+    tokio::time::timeout(common::BOUND, shutdown)
+        .await
+        .unwrap()
+        .unwrap();
+    assert!(engine.request("late").is_none());
+    drop((origin, engine));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_agent() {
+    let world = World::serving(EngineConfig::default()).await;
+    let shutdown = world.agent.shutdown();
+    tokio::time::timeout(common::BOUND, shutdown).await.unwrap();
+}
--- /dev/null
+++ b/crates/agent/tests/streams.rs
@@ -0,0 +1,83 @@
+//! Streams that break, and answers that are not to be trusted.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Answer, World, eventually};
+use http_body_util::BodyExt as _;
+use wagtailreel_core::Digest;
+use wagtailreel_standins::{EngineConfig, RequestState};
+
+fn slow() -> EngineConfig {
+    EngineConfig {
+        between_tokens: Duration::from_millis(20),
+        ..EngineConfig::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_stays_cut() {
+    let world = World::serving(EngineConfig::default()).await;
+    world.engine.faults().update(|f| f.cut_after = Some(5));
+    let answer = world.run("r1", &[], 20).await;
+    assert!(answer.is_cut, "{answer:?}");
+    assert!(answer.tokens().len() <= 5);
+    assert!(answer.events.iter().all(|event| event.name == "token"));
+    world.engine.faults().clear();
+    let from = answer.tokens().len() as u32;
+    let resumed = world
+        .run("r1", &[("wagtailreel-resume-from", &from.to_string())], 20)
+        .await;
+    resumed.assert_whole("r1", world.bundle("1"), from, 20);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_killed() {
+    let world = World::serving(slow()).await;
+    let mut running = world.start("r1", &[], 500).await;
+    running.body_mut().frame().await.unwrap().unwrap();
+    world.engine.crash();
+    let answer = Answer::read(running).await;
+    assert!(answer.is_cut, "{answer:?}");
+    eventually("the request is no longer counted", async || {
+        (world.report().await.in_flight == 0).then_some(())
+    })
+    .await;
+    assert_eq!(world.cancel("r1").await, "done");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wrong_weights() {
+    // The engine says it holds the bundle, but what it has read is something else.
+    let world = World::serving(EngineConfig::default()).await;
+    world.engine.faults().update(|f| f.accept_anything = true);
+    world.engine.restart().unwrap();
+    let named = world.bundle("1");
+    world.engine.hold_as(named, Digest::of(b"other bytes"));
+    world.opened(5).await;
+    let answer = world.run("r1", &[], 4).await;
+    let (name, data) = answer.last();
+    assert_eq!(name, "error");
+    assert_eq!(data["outcome"], "unknown");
+    assert!(answer.events.iter().all(|event| event.name != "end"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_gone() {
+    let world = World::serving(slow()).await;
+    let mut running = world.start("r1", &[], 1000).await;
+    running.body_mut().frame().await.unwrap().unwrap();
+    assert_eq!(world.report().await.in_flight, 1);
+    drop(running);
+    eventually("the engine was told to cancel", async || {
+        let stats = world.engine.request("r1")?;
+        (stats.state == RequestState::Cancelled).then_some(())
+    })
+    .await;
+    eventually("the request is no longer counted", async || {
+        (world.report().await.in_flight == 0).then_some(())
+    })
+    .await;
+}
