--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::{Answer, World, eventually};
+use http::Method;
 use http_body_util::BodyExt as _;
 use wagtailreel_core::Digest;
 use wagtailreel_standins::{EngineConfig, RequestState};
@@ -51,11 +52,17 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn wrong_weights() {
     // The engine says it holds the bundle, but what it has read is something else.
-    let world = World::serving(EngineConfig::default()).await;
+    let world = World::new(EngineConfig::default()).await;
     world.engine.faults().update(|f| f.accept_anything = true);
-    world.engine.restart().unwrap();
-    let named = world.bundle("1");
-    world.engine.hold_as(named, Digest::of(b"other bytes"));
+    let (named, other) = (world.bundle("1"), b"other bytes");
+    let path = format!("/v1/weights/{named}?fence=1");
+    let parts = format!("{}:{}", Digest::of(other), other.len());
+    let headers = [("wagtailreel-parts", parts.as_str())];
+    let body = str::from_utf8(other).unwrap();
+    let addr = world.engine.addr();
+    let loaded = world.hall.send(addr, Method::POST, &path, &headers, body);
+    assert_eq!(loaded.await.status(), 200);
+    world.want(5, "1");
     world.opened(5).await;
     let answer = world.run("r1", &[], 4).await;
     let (name, data) = answer.last();
--- a/crates/settings/tests/entry_settings.rs
+++ b/crates/settings/tests/entry_settings.rs
@@ -65,6 +65,15 @@
     assert!(settings.seeds.is_empty());
 }
 
+#[test]
+fn keyrings_made() {
+    let settings = EntrySettings::from_yaml(&documented()).unwrap();
+    assert_eq!(settings.team_keyring().find("team token"), Some("scribes"));
+    assert_eq!(settings.team_keyring().find("customer key"), None);
+    let customers = settings.customer_keyring();
+    assert_eq!(customers.find("customer key"), Some("mason-1"));
+}
+
 #[test]
 fn hashes_hidden() {
     let settings = EntrySettings::from_yaml(&documented()).unwrap();
