--- a/crates/agent/src/admitter.rs
+++ b/crates/agent/src/admitter.rs
@@ -14,27 +14,27 @@
 
 /// Gate and counts.
 #[derive(Debug, Default)]
-pub(crate) struct Gated {
+pub struct Gated {
     /// The gate.
-    pub(crate) gate: Gate,
+    pub gate: Gate,
     running: BTreeMap<Epoch, u32>,
 }
 
 impl Gated {
     /// Returns how many requests run in each epoch.
-    pub(crate) fn running(&self) -> &BTreeMap<Epoch, u32> {
+    pub fn running(&self) -> &BTreeMap<Epoch, u32> {
         &self.running
     }
 
     /// Returns how many requests run in all.
-    pub(crate) fn in_flight(&self) -> u32 {
+    pub fn in_flight(&self) -> u32 {
         self.running.values().sum()
     }
 }
 
 /// Admits requests up to a capacity and counts them until they end.
 #[derive(Debug)]
-pub(crate) struct Admitter {
+pub struct Admitter {
     capacity: u32,
     gated: Mutex<Gated>,
     in_flight: watch::Sender<u32>,
@@ -42,7 +42,7 @@
 
 impl Admitter {
     /// Makes an admitter whose gate is closed.
-    pub(crate) fn new(capacity: u32) -> Self {
+    pub fn new(capacity: u32) -> Self {
         Self {
             capacity,
             gated: Mutex::new(Gated::default()),
@@ -51,22 +51,22 @@
     }
 
     /// Returns the most requests that run at once.
-    pub(crate) fn capacity(&self) -> u32 {
+    pub fn capacity(&self) -> u32 {
         self.capacity
     }
 
     /// Locks the gate.
-    pub(crate) fn lock(&self) -> MutexGuard<'_, Gated> {
+    pub fn lock(&self) -> MutexGuard<'_, Gated> {
         // No code panics while it holds the lock, so that the state is whole in any case.
         self.gated.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Admits a request and counts it; [`Admitter::leave`] must follow.
-    pub(crate) fn enter(
-        &self,
-        now: Instant,
-        pin: Option<Digest>,
-    ) -> Result<Admission, NotRunReason> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run.
+    pub fn enter(&self, now: Instant, pin: Option<Digest>) -> Result<Admission, NotRunReason> {
         let mut gated = self.lock();
         if gated.gate.is_leaving() {
             return Err(NotRunReason::Leaving);
@@ -81,7 +81,11 @@
     }
 
     /// Checks once more that an admitted request may go to the upstream now.
-    pub(crate) fn confirm(&self, now: Instant, admission: Admission) -> Result<(), NotRunReason> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run after all.
+    pub fn confirm(&self, now: Instant, admission: Admission) -> Result<(), NotRunReason> {
         let gated = self.lock();
         match gated.gate.admit(now, None)? {
             same if same == admission => Ok(()),
@@ -90,7 +94,7 @@
     }
 
     /// Takes a request out of the count.
-    pub(crate) fn leave(&self, epoch: Epoch) {
+    pub fn leave(&self, epoch: Epoch) {
         let mut gated = self.lock();
         if let Some(count) = gated.running.get_mut(&epoch) {
             *count -= 1;
@@ -102,7 +106,7 @@
     }
 
     /// Waits until no request runs.
-    pub(crate) async fn drained(&self) {
+    pub async fn drained(&self) {
         let mut rx = self.in_flight.subscribe();
         // The sender lives as long as `self`, so that the wait ends only with the condition.
         let _ = rx.wait_for(|count| *count == 0).await;
--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -46,6 +46,13 @@
     response
 }
 
+/// Answers a request for something that this agent does not have, such as a call to an engine.
+pub(crate) async fn no_such_route() -> Response<Body> {
+    let mut response = not_run(NotRunReason::Refused);
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
+
 /// Answers that the request may have been run.
 pub(crate) fn unknown(status: StatusCode, reason: &str) -> Response<Body> {
     with_outcome(status, Outcome::Unknown, reason)
--- a/crates/agent/src/engine_app.rs
+++ b/crates/agent/src/engine_app.rs
@@ -1,21 +1,25 @@
 //! Requests to a model engine: `/run` and `/cancel`.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Instant;
 
-use axum::Router;
 use axum::body::{Body, Bytes};
+use axum::extract::rejection::BytesRejection;
 use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::response::Response;
 use axum::routing::post;
+use axum::{Json, Router};
+use futures::Stream as _;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
 use wagtailreel_core::{NotRunReason, RequestId};
-use wagtailreel_platform::{Effect, Engine, GenerateRequest, PlatformError};
+use wagtailreel_platform::{Effect, Engine, EngineEvent, GenerateRequest, PlatformError};
 use wagtailreel_switch::Admission;
 
-use crate::answers;
+use crate::answers::{self, Cancelled};
 use crate::headers::{EPOCH, WEIGHTS, Wanted};
 use crate::hub::Hub;
 use crate::passage::{Passage, Refusal};
@@ -72,7 +76,7 @@
     State(app): State<EngineApp<E>>,
     Path(request): Path<RequestId>,
     headers: HeaderMap,
-    body: Bytes,
+    body: Result<Bytes, BytesRejection>,
 ) -> Response
 where
     E: Engine + Unpin,
@@ -82,9 +86,11 @@
         Ok(wanted) => wanted,
         Err(name) => return app.hub.refuse_bad(name),
     };
-    let caller: CallerRequest = match serde_json::from_slice(&body) {
-        Ok(caller) => caller,
-        Err(_) => return app.hub.refuse_bad("body"),
+    let caller = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok());
+    let Some(caller) = caller else {
+        return app.hub.refuse_bad("body");
     };
     match start(&app, request, wanted, caller, arrived).await {
         Ok(response) => response,
@@ -117,10 +123,10 @@
     app.hub.metrics.observe_admit(arrived.elapsed());
     let mut run = Run::new(app, request, passage);
     match app.engine.generate(&req).await {
-        Ok(tokens) => Ok(answer(
-            TokenBody::new(tokens, run, wanted.resume_from),
-            admission,
-        )),
+        Ok(tokens) => {
+            run.tokens = Some(tokens);
+            Ok(answer(TokenBody::new(run, wanted.resume_from), admission))
+        }
         Err(err) => run.fail(&err),
     }
 }
@@ -145,7 +151,7 @@
 async fn cancel<E>(
     State(app): State<EngineApp<E>>,
     Path(request): Path<RequestId>,
-) -> axum::Json<crate::answers::Cancelled>
+) -> Json<Cancelled>
 where
     E: Engine + Unpin,
 {
@@ -154,14 +160,13 @@
         // The answer does not depend on it: the request was started, whatever the engine says.
         let _ = app.engine.cancel(&request).await;
     }
-    axum::Json(answers::Cancelled { state })
+    Json(Cancelled { state })
 }
 
 /// A request that the engine has been given.
 ///
 /// Invariant: dropped without an end, because the entry has gone or the stream was cut, it is
 /// cancelled at the engine, and counted as running until the engine has answered to that.
-#[derive(Debug)]
 pub(crate) struct Run<E>
 where
     E: Engine,
@@ -171,7 +176,10 @@
     request: RequestId,
     started: Instant,
     last_token: Option<Instant>,
-    tokens: u64,
+    passed: u64,
+    /// The engine's stream, once there is one. It is kept open until a cancel was answered, so
+    /// that the engine hears the order and not just a closed connection.
+    tokens: Option<E::Tokens>,
     admission: Admission,
     counted: bool,
     /// None once the request has ended.
@@ -189,7 +197,8 @@
             request,
             started: Instant::now(),
             last_token: None,
-            tokens: 0,
+            passed: 0,
+            tokens: None,
             admission: passage.admission(),
             counted: false,
             passage: Some(passage),
@@ -201,9 +210,24 @@
         self.admission
     }
 
-    /// Takes note of a token that passes.
-    pub(crate) fn note_token(&mut self, now: Instant) {
-        self.tokens += 1;
+    /// Polls the engine's stream.
+    pub(crate) fn poll_tokens(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<EngineEvent, PlatformError>>> {
+        match &mut self.tokens {
+            Some(tokens) => Pin::new(tokens).poll_next(cx),
+            None => Poll::Ready(None),
+        }
+    }
+
+    /// Counts a token that passes.
+    pub(crate) fn count_token(&mut self) {
+        self.passed += 1;
+    }
+
+    /// Takes note of when tokens passed, one or several at once.
+    pub(crate) fn note_tokens(&mut self, now: Instant) {
         match self.last_token.replace(now) {
             Some(last) => self.hub.gaps.add(now.saturating_duration_since(last)),
             None => {
@@ -270,7 +294,7 @@
     E: Engine,
 {
     fn drop(&mut self) {
-        self.hub.metrics.count_tokens(self.tokens);
+        self.hub.metrics.count_tokens(self.passed);
         let Some(passage) = self.passage.take() else {
             return;
         };
@@ -278,6 +302,7 @@
             self.hub.metrics.count_unknown(CALLER_GONE);
         }
         let (engine, request) = (self.engine.clone(), std::mem::take(&mut self.request));
+        let tokens = self.tokens.take();
         // Without a runtime the process is ending, and the engine sees the connection close.
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -285,6 +310,7 @@
         runtime.spawn(async move {
             // The engine may not know the request or be gone: then there is nothing to cancel.
             let _ = engine.cancel(&request).await;
+            drop(tokens);
             drop(passage);
         });
     }
--- a/crates/agent/src/error.rs
+++ b/crates/agent/src/error.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 use wagtailreel_control::ControlError;
 use wagtailreel_platform::BaseUrlError;
+use wagtailreel_transfer::TransferError;
 
 /// The agent can't start.
 #[derive(Debug, Snafu)]
@@ -42,4 +43,10 @@
         /// What the registry says.
         source: prometheus::Error,
     },
+    /// The transfer of chunks can't be started.
+    #[snafu(display("{source}"))]
+    Transfer {
+        /// What is wrong, with the remedy.
+        source: TransferError,
+    },
 }
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -142,7 +142,7 @@
     id: 2032,
     name: "ledger-full",
     level: Level::Error,
-    meaning: "The agent remembers as many requests as it can and refuses more.",
+    meaning: "The agent remembers as many requests as it can and refuses more; logged once.",
     remedy: "Spread the load over more VMs.",
 };
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,7 +5,7 @@
 //! list of VMs, reports) and the watch over the upstream: `steward` for an engine, which does what
 //! `loader` decides, `plain_watch` for a plain service. They share the `hub`.
 
-mod admitter;
+pub mod admitter;
 mod answers;
 mod chunks;
 mod engine_app;
@@ -17,12 +17,13 @@
 pub mod loader;
 mod metrics;
 mod ops;
-mod passage;
+pub mod passage;
 mod plain_app;
 mod plain_watch;
 mod pressure;
 mod process;
 pub mod requests;
+mod spread_chunks;
 mod steward;
 mod tokens;
 
--- a/crates/agent/src/passage.rs
+++ b/crates/agent/src/passage.rs
@@ -1,5 +1,6 @@
 //! One request's way through the agent: remembered, admitted, started, ended.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use wagtailreel_switch::Admission;
 
 use crate::admitter::Admitter;
+use crate::events;
 use crate::requests::{Accepted, CancelState, Entrance, Ledger, RequestKey, Started};
 
 /// Shards of the ledger, each under its own lock.
@@ -18,25 +20,40 @@
 
 /// The ledger of all requests, in shards.
 #[derive(Debug)]
-pub(crate) struct Requests {
+pub struct Requests {
     shards: Vec<Mutex<Ledger>>,
+    was_full: AtomicBool,
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Requests {
     /// Makes an empty ledger.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::new(Ledger::new(SHARD_LIMIT)));
         Self {
             shards: shards.collect(),
+            was_full: AtomicBool::new(false),
         }
     }
 
     /// Cancels a request.
-    pub(crate) fn cancel(&self, request: &str) -> CancelState {
+    pub fn cancel(&self, request: &str) -> CancelState {
         let key = RequestKey::new(request);
         self.lock(key).cancel(key, Instant::now())
     }
 
+    /// Logs that the ledger is full, once.
+    fn warn_full(&self) {
+        if !self.was_full.swap(true, Ordering::Relaxed) {
+            events::LEDGER_FULL.emit(&[]);
+        }
+    }
+
     /// Locks the shard of `key`, under which a cancel and a start are told apart.
     fn lock(&self, key: RequestKey) -> MutexGuard<'_, Ledger> {
         let shard = &self.shards[key.shard(SHARDS)];
@@ -46,7 +63,7 @@
 
 /// Why a request does not go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refusal {
+pub enum Refusal {
     /// This attempt was not run.
     NotRun(NotRunReason),
     /// The request is or was running: nothing is known of its outcome here.
@@ -61,15 +78,15 @@
 
 /// What a request asks of the gate.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Wish {
+pub struct Wish {
     /// Stands for the request's id.
-    pub(crate) key: RequestKey,
+    pub key: RequestKey,
     /// From the beginning or resumed.
-    pub(crate) entrance: Entrance,
+    pub entrance: Entrance,
     /// The bundle that must answer, if the caller wants a certain one.
-    pub(crate) pin: Option<Digest>,
+    pub pin: Option<Digest>,
     /// When the request is no longer worth starting.
-    pub(crate) deadline: Option<Instant>,
+    pub deadline: Option<Instant>,
 }
 
 /// Where a passage is, so that its drop tells the ledger the truth.
@@ -85,7 +102,7 @@
 /// Invariant: dropped before [`Passage::start`] the request is forgotten, after it remembered as
 /// done, unless [`Passage::void`] says that the upstream started nothing.
 #[derive(Debug)]
-pub(crate) struct Passage {
+pub struct Passage {
     requests: Arc<Requests>,
     admitter: Arc<Admitter>,
     wish: Wish,
@@ -96,7 +113,11 @@
 impl Passage {
     /// Checks a request against the ledger, the capacity and the gate, in this order, and counts
     /// it.
-    pub(crate) fn enter(
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request does not go on.
+    pub fn enter(
         requests: &Arc<Requests>,
         admitter: &Arc<Admitter>,
         wish: Wish,
@@ -106,7 +127,10 @@
         match accepted {
             Accepted::Pending => {}
             Accepted::Cancelled => return Err(NotRunReason::Cancelled.into()),
-            Accepted::Full => return Err(NotRunReason::Full.into()),
+            Accepted::Full => {
+                requests.warn_full();
+                return Err(NotRunReason::Full.into());
+            }
             Accepted::Duplicate => return Err(Refusal::Duplicate),
         }
         match admitter.enter(now, wish.pin) {
@@ -125,7 +149,7 @@
     }
 
     /// Returns the epoch and weights that the request was admitted to.
-    pub(crate) fn admission(&self) -> Admission {
+    pub fn admission(&self) -> Admission {
         self.admission
     }
 
@@ -134,7 +158,11 @@
     /// The ledger alone decides between the start and a cancel. The gate is asked again as the
     /// very last thing, with a fresh time: a process that was frozen since the request entered
     /// finds its lease lapsed here.
-    pub(crate) fn start(&mut self) -> Result<(), Refusal> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request does not go on; nothing was sent then.
+    pub fn start(&mut self) -> Result<(), Refusal> {
         let key = self.wish.key;
         if self.wish.deadline.is_some_and(|at| Instant::now() >= at) {
             return Err(NotRunReason::Deadline.into());
@@ -153,7 +181,7 @@
     }
 
     /// Takes the start back: the upstream says for certain that it started nothing.
-    pub(crate) fn void(&mut self) {
+    pub fn void(&mut self) {
         self.stage = Stage::Void;
     }
 }
--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -5,11 +5,11 @@
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
-use axum::Router;
 use axum::body::{Body, Bytes};
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
 use axum::response::Response;
 use axum::routing::{any, post};
+use axum::{Json, Router};
 use http::header::{
     CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -152,12 +152,12 @@
 async fn cancel<P>(
     State(app): State<PlainApp<P>>,
     Path(request): Path<RequestId>,
-) -> axum::Json<Cancelled>
+) -> Json<Cancelled>
 where
     P: PlainService,
 {
     let state = app.hub.requests.cancel(&request);
-    axum::Json(Cancelled { state })
+    Json(Cancelled { state })
 }
 
 /// Returns the service's own path and query, as they were encoded.
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -16,10 +16,14 @@
 use wagtailreel_core::{Incarnation, ServiceKind, VmEntry};
 use wagtailreel_platform::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList};
 use wagtailreel_settings::AgentSettings;
+use wagtailreel_transfer::{Transfer, TransferConfig};
 
 use crate::AgentError;
+use crate::answers;
 use crate::engine_app::{self, EngineApp};
-use crate::error::{AddressSnafu, ControlSnafu, ListenSnafu, MetricsSnafu, NoOriginSnafu};
+use crate::error::{
+    AddressSnafu, ControlSnafu, ListenSnafu, MetricsSnafu, NoOriginSnafu, TransferSnafu,
+};
 use crate::events;
 use crate::follow::{Follower, ListFollower, send_reports};
 use crate::hub::{Facts, Hub};
@@ -27,6 +31,7 @@
 use crate::ops::{self, Ops};
 use crate::plain_app::{self, PlainApp};
 use crate::plain_watch::PlainWatch;
+use crate::spread_chunks::SpreadChunks;
 use crate::steward::Steward;
 
 /// How long the word of leaving may take to reach an entry.
@@ -84,7 +89,10 @@
             registry,
         };
         let stop = CancellationToken::new();
-        let router = upstream.router.merge(ops::router(ops));
+        let router = upstream
+            .router
+            .merge(ops::router(ops))
+            .fallback(answers::no_such_route);
         let server = tokio::spawn(serve(listener, router, stop.clone()));
         events::AGENT_STARTED.emit(&[("vm", &settings.vm), ("data", &data.to_string())]);
         Ok(Self {
@@ -111,8 +119,9 @@
     /// and gives chunks until then.
     pub async fn shutdown(mut self) {
         events::AGENT_LEAVING.emit(&[]);
-        let left_at = Instant::now();
         self.hub.leave();
+        self.control.set_report(self.hub.report());
+        let left_at = Instant::now();
         self.word_received(left_at).await;
         self.hub.admitter.drained().await;
         self.stop.cancel();
@@ -205,17 +214,37 @@
     let origin = settings.platform.origin.as_ref().context(NoOriginSnafu)?;
     let origin = HttpOrigin::new(address("platform.origin", origin)?);
     let engine = HttpEngine::new(address("upstream.url", &settings.upstream.url)?);
-    let _ = (registry, origin, peers);
+    let transfer =
+        Transfer::start(transfer_config(settings), origin, registry).context(TransferSnafu)?;
+    let chunk_routes = transfer.router();
+    let steward = Steward::new(
+        Arc::clone(hub),
+        engine.clone(),
+        SpreadChunks::new(transfer),
+        peers,
+        hub.facts.incarnation,
+    );
     let app = EngineApp {
         hub: Arc::clone(hub),
         engine,
     };
     Ok(Upstream {
-        router: engine_app::router(app),
-        tasks: vec![],
+        router: engine_app::router(app).merge(chunk_routes),
+        tasks: vec![tokio::spawn(steward.run())],
     })
 }
 
+fn transfer_config(settings: &AgentSettings) -> TransferConfig {
+    TransferConfig {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        memory: settings.weights.memory,
+        ingress: settings.weights.ingress.unwrap_or(0),
+        egress: settings.weights.egress.unwrap_or(0),
+    }
+}
+
 fn start_plain(settings: &AgentSettings, hub: &Arc<Hub>) -> Result<Upstream, AgentError> {
     let service = HttpPlainService::new(address("upstream.url", &settings.upstream.url)?);
     let watch = PlainWatch::new(Arc::clone(hub), service.clone());
--- a/crates/agent/src/steward.rs
+++ b/crates/agent/src/steward.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 use wagtailreel_core::{Digest, Epoch, ServiceState, VmEntry, WeightsPhase};
@@ -21,6 +22,9 @@
 /// Time between two looks at the engine.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
+/// Time between two looks at least: chunks may come by the hundred a second.
+const LOOK_GAP: Duration = Duration::from_millis(20);
+
 /// How long the engine's status is waited for.
 const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,7 +44,7 @@
     hub: Arc<Hub>,
     engine: E,
     chunks: C,
-    peers: tokio::sync::watch::Receiver<Vec<VmEntry>>,
+    peers: watch::Receiver<Vec<VmEntry>>,
     loader: Loader,
     orders: JoinSet<Answer>,
     load: Option<AbortHandle>,
@@ -62,7 +66,7 @@
         hub: Arc<Hub>,
         engine: E,
         chunks: C,
-        peers: tokio::sync::watch::Receiver<Vec<VmEntry>>,
+        peers: watch::Receiver<Vec<VmEntry>>,
         seed: u64,
     ) -> Self {
         let loader = Loader::new(hub.facts.bundles, seed);
@@ -95,6 +99,7 @@
             self.decide();
             self.sample();
             self.wait().await;
+            tokio::time::sleep(LOOK_GAP).await;
         }
     }
 
--- a/crates/agent/src/tokens.rs
+++ b/crates/agent/src/tokens.rs
@@ -56,7 +56,6 @@
 where
     E: Engine,
 {
-    tokens: E::Tokens,
     run: Run<E>,
     buf: BytesMut,
     next_index: u32,
@@ -69,9 +68,8 @@
     E: Engine,
 {
     /// Makes the body of a request that runs, from token `resume_from` on.
-    pub(crate) fn new(tokens: E::Tokens, run: Run<E>, resume_from: u32) -> Self {
+    pub(crate) fn new(run: Run<E>, resume_from: u32) -> Self {
         Self {
-            tokens,
             run,
             buf: BytesMut::with_capacity(PIECE),
             next_index: resume_from,
@@ -85,7 +83,7 @@
         match event {
             EngineEvent::Token { index, token } if *index == self.next_index => {
                 self.next_index += 1;
-                self.run.note_token(Instant::now());
+                self.run.count_token();
                 let data = TokenData {
                     index: *index,
                     token,
@@ -144,8 +142,18 @@
 
     /// Takes in every event that is here, until a piece is full.
     fn fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let before = self.next_index;
+        let filled = self.poll_events(cx);
+        // Tokens that came together count as one: there is no gap between them to be measured.
+        if self.next_index != before {
+            self.run.note_tokens(Instant::now());
+        }
+        filled
+    }
+
+    fn poll_events(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while !self.over && self.buf.len() < PIECE {
-            match ready!(Pin::new(&mut self.tokens).poll_next(cx)) {
+            match ready!(self.run.poll_tokens(cx)) {
                 Some(Ok(event)) => self.take(&event),
                 Some(Err(err)) => self.break_off(err.to_string()),
                 None => self.break_off("it ended early".to_owned()),
--- /dev/null
+++ b/crates/agent/tests/passage.rs
@@ -0,0 +1,131 @@
+//! The way to the upstream: the gate's last word, and exact counts.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wagtailreel_agent_core::admitter::Admitter;
+use wagtailreel_agent_core::passage::{Passage, Refusal, Requests, Wish};
+use wagtailreel_agent_core::requests::{CancelState, Entrance, RequestKey};
+use wagtailreel_core::{Digest, Directive, Epoch, NotRunReason, WeightsPhase};
+
+const LEASE: Duration = Duration::from_millis(50);
+
+struct Agent {
+    requests: Arc<Requests>,
+    admitter: Arc<Admitter>,
+}
+
+impl Agent {
+    fn new() -> Self {
+        Self {
+            requests: Arc::new(Requests::new()),
+            admitter: Arc::new(Admitter::new(2)),
+        }
+    }
+
+    /// Opens `epoch` for the time of a lease, and returns the end of the lease.
+    fn open(&self, epoch: Epoch, lease: Duration) -> Instant {
+        let directive = Directive {
+            config: epoch,
+            state: None,
+            lease,
+            close_below: epoch,
+            open: Some(epoch),
+            swap_to: None,
+            peers: Vec::new(),
+        };
+        let now = Instant::now();
+        let weights = Some(Digest::of(&epoch.to_be_bytes()));
+        let mut gated = self.admitter.lock();
+        gated.gate.set_phase(epoch, WeightsPhase::Loaded, weights);
+        gated
+            .gate
+            .on_directive(now, now, &"e1".to_owned(), &directive);
+        now + lease
+    }
+
+    fn enter(&self, request: &str) -> Result<Passage, Refusal> {
+        let wish = Wish {
+            key: RequestKey::new(request),
+            entrance: Entrance::Fresh,
+            pin: None,
+            deadline: None,
+        };
+        Passage::enter(&self.requests, &self.admitter, wish)
+    }
+
+    fn in_flight(&self) -> u32 {
+        self.admitter.lock().in_flight()
+    }
+}
+
+#[test]
+fn frozen_past_lease() {
+    let agent = Agent::new();
+    let end = agent.open(5, LEASE);
+    let mut passage = agent.enter("r1").unwrap();
+    // The process is frozen here, and wakes when its lease has lapsed.
+    std::thread::sleep(end.saturating_duration_since(Instant::now()));
+    let refused = passage.start();
+    assert_eq!(refused, Err(Refusal::NotRun(NotRunReason::Lease)));
+    drop(passage);
+    assert_eq!(agent.in_flight(), 0);
+    // It was never started, and may come again.
+    agent.open(5, Duration::from_secs(60));
+    assert_eq!(agent.enter("r1").unwrap().start(), Ok(()));
+}
+
+#[test]
+fn frozen_past_switch() {
+    let agent = Agent::new();
+    agent.open(5, Duration::from_secs(60));
+    let mut passage = agent.enter("r1").unwrap();
+    agent.open(9, Duration::from_secs(60));
+    let refused = passage.start();
+    assert_eq!(refused, Err(Refusal::NotRun(NotRunReason::Closed)));
+}
+
+#[test]
+fn cancelled_in_between() {
+    let agent = Agent::new();
+    agent.open(5, Duration::from_secs(60));
+    let mut passage = agent.enter("r1").unwrap();
+    assert_eq!(agent.requests.cancel("r1"), CancelState::NotRun);
+    let refused = passage.start();
+    assert_eq!(refused, Err(Refusal::NotRun(NotRunReason::Cancelled)));
+    drop(passage);
+    let again = agent.enter("r1").map(drop);
+    assert_eq!(again, Err(Refusal::NotRun(NotRunReason::Cancelled)));
+}
+
+#[test]
+fn exact_counts() {
+    let agent = Agent::new();
+    agent.open(5, Duration::from_secs(60));
+    let first = agent.enter("r1").unwrap();
+    agent.open(9, Duration::from_secs(60));
+    let second = agent.enter("r2").unwrap();
+    assert_eq!(agent.in_flight(), 2);
+    let full = agent.enter("r3").map(drop);
+    assert_eq!(full, Err(Refusal::NotRun(NotRunReason::Full)));
+    drop(first);
+    assert!(!agent.admitter.lock().running().contains_key(&5));
+    assert_eq!(agent.admitter.lock().running().get(&9), Some(&1));
+    drop(second);
+    assert_eq!(agent.in_flight(), 0);
+}
+
+#[test]
+fn leaving_first() {
+    let agent = Agent::new();
+    agent.open(5, Duration::from_secs(60));
+    let mut entered = agent.enter("r1").unwrap();
+    let mut started = agent.enter("r2").unwrap();
+    started.start().unwrap();
+    agent.admitter.lock().gate.leave();
+    let leaving = Err(Refusal::NotRun(NotRunReason::Leaving));
+    assert_eq!(entered.start(), leaving);
+    assert_eq!(agent.enter("r3").map(drop), leaving);
+    assert_eq!(agent.in_flight(), 2);
+}
--- a/crates/agent/tests/reload.rs
+++ b/crates/agent/tests/reload.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::{World, eventually};
+use http::Method;
 use wagtailreel_agent_core::AgentProcess;
 use wagtailreel_core::ServiceKind;
 use wagtailreel_standins::EngineConfig;
@@ -89,3 +90,25 @@
     let answer = world.run("r1", &[], 4).await;
     answer.assert_whole("r1", world.bundle("1"), 0, 4);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn missing_bundle() {
+    let world = World::serving(EngineConfig::default()).await;
+    let bundle = world.bundle("1");
+    let path = format!("/v1/weights/{bundle}?fence=5");
+    let addr = world.engine.addr();
+    let dropped = world.hall.send(addr, Method::DELETE, &path, &[], "");
+    assert_eq!(dropped.await.status(), 200);
+    let refused = world.run("r1", &[], 4).await;
+    let (status, outcome, reason) = refused.refusal();
+    assert_eq!((status, outcome), (503, "not-run"));
+    // `closed` if the agent has noticed by itself already.
+    assert!(matches!(reason, "weights" | "closed"), "{reason}");
+    // The refused request was never started, so that it may come again.
+    eventually("the engine has its weights back", async || {
+        let answer = world.run("r1", &[], 4).await;
+        (answer.status == 200).then(|| answer.assert_whole("r1", bundle, 0, 4))
+    })
+    .await;
+    assert_eq!(world.engine.stats().loads, 2);
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -10,7 +10,6 @@
 mod submit;
 
 use std::ffi::OsString;
-use std::future::Future;
 
 use crate::ExitCode;
 use crate::error::{CommandError, StartSnafu, UsageSnafu};
