Have the stand-ins tell prompts and paths

An engine knows a request by the id of its attempt, which the entry chooses; a caller's own request could not be found there. The engine's statistics now name the prompt's digest of each request, the plain service's count the runs of each path. So a test can hold what a caller was told against what ran.

--- a/crates/standins/src/engine/requests.rs
+++ b/crates/standins/src/engine/requests.rs
@@ -36,6 +36,8 @@
     pub tokens: u64,
     /// Bundle that it last ran on: the digest of the bytes that the engine really held.
     pub bundle: Option<Digest>,
+    /// Digest of its prompt, by which a caller's request is found whatever id it comes under.
+    pub prompt: Option<Digest>,
     /// How far it is.
     pub state: RequestState,
 }
@@ -81,7 +83,8 @@
     }
 
     /// Notes that a request was let in.
-    pub(super) fn receive(&self, request: &str) -> Track {
+    pub(super) fn receive(&self, request: &str, prompt: &str) -> Track {
+        let prompt = Digest::of(prompt.as_bytes());
         let mut state = self.lock();
         if !state.entries.contains_key(request) {
             state.order.push_back(request.to_owned());
@@ -93,6 +96,7 @@
         }
         entry.active += 1;
         entry.stats.received += 1;
+        entry.stats.prompt = Some(prompt);
         entry.stats.state = RequestState::Waiting;
         Track {
             tokens: entry.tokens.clone(),
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -64,6 +64,8 @@
     pub lost: u64,
     /// How often each request ran.
     pub runs: BTreeMap<String, u64>,
+    /// How often each path ran, under whatever id.
+    pub paths: BTreeMap<String, u64>,
 }
 
 /// Stand-in for a plain service. It stops when dropped.
--- a/crates/standins/src/plain/http.rs
+++ b/crates/standins/src/plain/http.rs
@@ -43,7 +43,7 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    let run = store.count(&headers);
+    let run = store.count(uri.path(), &headers);
     if store.loses_answer() {
         return lose_answer();
     }
@@ -63,9 +63,10 @@
 
 impl Store {
     /// Counts a call as run, and returns how often its request has run.
-    fn count(&self, headers: &HeaderMap) -> u64 {
+    fn count(&self, path: &str, headers: &HeaderMap) -> u64 {
         let mut stats = self.stats();
         stats.calls += 1;
+        *stats.paths.entry(path.to_owned()).or_default() += 1;
         let request = headers.get(&self.request_header);
         let Some(request) = request.and_then(|request| request.to_str().ok()) else {
             return 0;
