Let only the agent's start that got a request say that it was not run

Cause: after a lost answer the entry asks the agent to cancel. An agent that was restarted meanwhile has an empty ledger, left a tombstone and said `not-run`, though the start before it had given the request to its upstream. The entry told the caller "not run" and released an order's claim, so that the order could run a second time. An entry that was frozen, or a slow network, while the agent restarts is enough.

Ruled out: the agent remembers over a restart (it has no disk); the entry compares the incarnations itself at the time of the cancel (its last report may be older than the restart).

Now the cancel names the incarnation that the attempt was sent to, and any other start answers `started`: it can't know, so the outcome is unknown.

Conclusion: a tombstone is worth as much as the ledger it stands in.

--- a/crates/agent/src/engine_app.rs
+++ b/crates/agent/src/engine_app.rs
@@ -151,11 +151,12 @@
 async fn cancel<E>(
     State(app): State<EngineApp<E>>,
     Path(request): Path<RequestId>,
+    headers: HeaderMap,
 ) -> Json<Cancelled>
 where
     E: Engine + Unpin,
 {
-    let state = app.hub.requests.cancel(&request);
+    let state = app.hub.cancel(&request, &headers);
     if state == CancelState::Started {
         // The answer does not depend on it: the request was started, whatever the engine says.
         let _ = app.engine.cancel(&request).await;
--- a/crates/agent/src/headers.rs
+++ b/crates/agent/src/headers.rs
@@ -24,6 +24,9 @@
 /// Milliseconds that are left until the request is no longer worth starting.
 pub const DEADLINE: &str = "wagtailreel-deadline-ms";
 
+/// Start of the agent that a request was sent to, in a cancel.
+pub const INCARNATION: &str = "wagtailreel-incarnation";
+
 /// Digest of the bundle that answers.
 pub const WEIGHTS: &str = "wagtailreel-weights";
 
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use axum::response::Response;
+use http::{HeaderMap, HeaderValue};
 use tokio::sync::Notify;
 use wagtailreel_core::{
     DataCentre, Digest, EngineLoad, Epoch, Incarnation, NotRunReason, Offset, Region, Report,
@@ -16,9 +17,11 @@
 use crate::admitter::Admitter;
 use crate::answers;
 use crate::events;
+use crate::headers::INCARNATION;
 use crate::metrics::Metrics;
 use crate::passage::{Passage, Refusal, Requests, Wish};
 use crate::pressure::Gaps;
+use crate::requests::CancelState;
 
 /// What stays the same while the process runs.
 #[derive(Clone, Debug)]
@@ -91,6 +94,21 @@
         Passage::enter(&self.requests, &self.admitter, wish)
     }
 
+    /// Cancels a request that an entry sent to the start of the agent that `headers` name.
+    ///
+    /// Invariant: only the start that a request was sent to says that it was not run. The ledger
+    /// of an earlier start is gone, and with it what the upstream was given then.
+    pub(crate) fn cancel(&self, request: &str, headers: &HeaderMap) -> CancelState {
+        let state = self.requests.cancel(request);
+        let sent_to = headers.get(INCARNATION).map(HeaderValue::as_bytes);
+        let is_other =
+            sent_to.is_some_and(|it| it != self.facts.incarnation.to_string().as_bytes());
+        match state {
+            CancelState::NotRun if is_other => CancelState::Started,
+            state => state,
+        }
+    }
+
     /// Answers a request that does not go on.
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response {
         match refusal {
--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -152,11 +152,12 @@
 async fn cancel<P>(
     State(app): State<PlainApp<P>>,
     Path(request): Path<RequestId>,
+    headers: HeaderMap,
 ) -> Json<Cancelled>
 where
     P: PlainService,
 {
-    let state = app.hub.requests.cancel(&request);
+    let state = app.hub.cancel(&request, &headers);
     Json(Cancelled { state })
 }
 
--- a/crates/agent/tests/cancel.rs
+++ b/crates/agent/tests/cancel.rs
@@ -18,6 +18,25 @@
     assert!(world.engine.request("r1").is_none());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_another_start() {
+    let world = World::serving(EngineConfig::default()).await;
+    let incarnation = common::report_of(&world.hall, &world.agent)
+        .await
+        .incarnation;
+    let own = incarnation.to_string();
+    let earlier = (incarnation - 1).to_string();
+    let header = "wagtailreel-incarnation";
+    assert_eq!(world.cancel_with("r1", &[(header, &own)]).await, "not-run");
+    // What an earlier start ran went with its ledger.
+    assert_eq!(
+        world.cancel_with("r2", &[(header, &earlier)]).await,
+        "started"
+    );
+    let answer = world.run("r2", &[], 4).await;
+    assert_eq!(answer.refusal(), (409, "not-run", "cancelled"));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn while_running() {
     let cfg = EngineConfig {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -338,9 +338,13 @@
     }
 
     pub async fn cancel(&self, request: &str) -> String {
+        self.cancel_with(request, &[]).await
+    }
+
+    pub async fn cancel_with(&self, request: &str, headers: &[(&str, &str)]) -> String {
         let addr = self.agent.data_addr();
         let path = format!("/cancel/{request}");
-        let response = self.hall.send(addr, Method::POST, &path, &[], "").await;
+        let response = self.hall.send(addr, Method::POST, &path, headers, "").await;
         let body = response.into_body().collect().await.unwrap().to_bytes();
         let answer: serde_json::Value = serde_json::from_slice(&body).unwrap();
         answer["state"].as_str().unwrap().to_owned()
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -10,7 +10,9 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time::{Interval, MissedTickBehavior};
-use wagtailreel_core::{Digest, Epoch, NotRunReason, Outcome, RequestId, ServiceKind, VmId};
+use wagtailreel_core::{
+    Digest, Epoch, Incarnation, NotRunReason, Outcome, RequestId, ServiceKind, VmId,
+};
 use wagtailreel_platform::{
     Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
 };
@@ -48,6 +50,7 @@
 const SERVICE: HeaderName = HeaderName::from_static("wagtailreel-service");
 const CUSTOMER: HeaderName = HeaderName::from_static("wagtailreel-customer");
 const PIN: HeaderName = HeaderName::from_static("wagtailreel-pin");
+const INCARNATION: HeaderName = HeaderName::from_static("wagtailreel-incarnation");
 const RESUME_FROM: HeaderName = HeaderName::from_static("wagtailreel-resume-from");
 
 /// What is sent to an agent.
@@ -178,14 +181,14 @@
             return;
         }
         let client = self.cx.client.clone();
-        let addr = self.slot.addr;
+        let (addr, incarnation) = (self.slot.addr, self.slot.incarnation);
         let id = std::mem::take(&mut self.id);
         let claim = self.claim.take();
         // Without a runtime the process ends, and the agent sees the connection close.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             let cleanup = self.cx.cleanups.token();
             runtime.spawn(async move {
-                let state = ask_cancel(&client, addr, &id).await;
+                let state = ask_cancel(&client, addr, incarnation, &id).await;
                 if let (Some(CancelState::NotRun), Some(mut claim)) = (state, claim) {
                     claim.not_run();
                 }
@@ -365,7 +368,8 @@
 
     /// Asks the agent whether the request was started, after its answer was lost.
     async fn find_out(&mut self, mut attempt: Attempt, vm: &str) -> Next {
-        let state = ask_cancel(&self.cx.client, attempt.slot.addr, &attempt.id).await;
+        let (addr, incarnation) = (attempt.slot.addr, attempt.slot.incarnation);
+        let state = ask_cancel(&self.cx.client, addr, incarnation, &attempt.id).await;
         attempt.set_over();
         self.claim = attempt.claim.take();
         drop(attempt);
@@ -543,11 +547,21 @@
 }
 
 /// Asks the agent at `addr` to cancel the attempt `id`; none if it does not answer.
-async fn ask_cancel(client: &HttpClient, addr: SocketAddr, id: &str) -> Option<CancelState> {
+///
+/// The attempt went to the start `incarnation`: a later one can't know what that one ran, and
+/// must not take a request that it never saw for one that was not run.
+async fn ask_cancel(
+    client: &HttpClient,
+    addr: SocketAddr,
+    incarnation: Incarnation,
+    id: &str,
+) -> Option<CancelState> {
     let uri = format!("http://{addr}/cancel/{}", encode_segment(id));
     let mut req = Request::new(Body::empty());
     *req.method_mut() = Method::POST;
     *req.uri_mut() = Uri::try_from(uri).ok()?;
+    req.headers_mut()
+        .insert(INCARNATION, HeaderValue::from(incarnation));
     let response = client.request_within(req, CANCEL_TIMEOUT).await.ok()?;
     if !response.status().is_success() {
         return None;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{oneshot, watch};
 use wagtailreel_control::AgentView;
 use wagtailreel_core::{
-    CustomerId, DataCentre, Document, NotRunReason, Priority, Region, Report, ServiceKind,
-    ServiceName, VmEntry, VmId,
+    CustomerId, DataCentre, Document, Incarnation, NotRunReason, Priority, Region, Report,
+    ServiceKind, ServiceName, VmEntry, VmId,
 };
 use wagtailreel_route::{
     Admission, Attempts, BudgetConfig, Choice, Chooser, Ended, Heard, LimitVerdict, Limits,
@@ -61,6 +61,8 @@
     service: Arc<Service>,
     pub(crate) vm: VmId,
     pub(crate) addr: SocketAddr,
+    /// Start of the agent that the attempt goes to.
+    pub(crate) incarnation: Incarnation,
 }
 
 /// A request that was admitted. Counts as in flight until it is dropped.
@@ -238,12 +240,14 @@
             return Err(attempts.short(wagtailreel_route::Shortage::NoUpstream, now));
         };
         let addr = member.report.data;
+        let incarnation = member.report.incarnation;
         inner.membership.started(&vm);
         attempts.sending(&vm);
         Ok(Slot {
             service: Arc::clone(self),
             vm,
             addr,
+            incarnation,
         })
     }
 
