Let a process that starts in a cut data centre take manifests from its peers

Cause: an agent asked only the origin for manifests, so one that was restarted while its data centre was cut from the platform never served again, though its neighbours held all the weights. And an entry that was restarted there has not seen the list of VMs; its directives named no peers and wiped out those that other entries named.

Ruled out: the chunks, which came from peers already once the manifest was there.

A directive without any peer no longer replaces known ones: the own VM is always listed.

Conclusion: what is needed to serve has to be held by the peers, not just the bytes.

--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -7,7 +7,7 @@
 use rand::RngExt as _;
 use tokio::sync::watch;
 use wagtailreel_control::{AgentControl, FromEntry};
-use wagtailreel_core::{VmEntry, VmId, VmRole};
+use wagtailreel_core::{VmEntry, VmId, VmRole, VmState};
 use wagtailreel_platform::{PlatformError, VmList, VmListPage};
 
 use crate::events;
@@ -65,13 +65,24 @@
         if directive.open.is_some() {
             self.hub.note_lease(from.sent_at + directive.lease);
         }
+        self.take_peers(directive.peers);
+        self.heard
+            .send_modify(|heard| *heard = (*heard).max(Some(from.sent_at)));
+    }
+
+    /// Takes the VMs of the service.
+    ///
+    /// The own VM is among them, so that no VM at all comes from an entry that has not seen the
+    /// list: one that was started while the platform is away. What is known is worth more.
+    fn take_peers(&self, known: Vec<VmEntry>) {
+        if known.is_empty() {
+            return;
+        }
         self.peers.send_if_modified(|peers| {
-            let is_new = *peers != directive.peers;
-            *peers = directive.peers;
+            let is_new = *peers != known;
+            *peers = known;
             is_new
         });
-        self.heard
-            .send_modify(|heard| *heard = (*heard).max(Some(from.sent_at)));
     }
 
     /// Offers the state that was just taken to entries, and has it acted on.
@@ -115,6 +126,7 @@
                     is_away = false;
                     if let Some(page) = page {
                         seen = Some(page.version);
+                        self.leave_if_listed(&page);
                         self.control.set_entries(self.entries(&page));
                     }
                 }
@@ -140,6 +152,15 @@
         self.control.set_entries(entries.collect());
     }
 
+    /// Takes no new work once the list says that the own VM leaves: the notice to this process may
+    /// be lost, and entries whose list lags know of it only by its reports.
+    fn leave_if_listed(&self, page: &VmListPage) {
+        let own = page.vms.iter().find(|entry| entry.vm == self.hub.facts.vm);
+        if own.is_some_and(|entry| entry.state == VmState::Leaving) && self.hub.leave() {
+            events::LISTED_LEAVING.emit(&[]);
+        }
+    }
+
     /// Returns the entries of the agent's data centre, leaving ones too: they finish what they
     /// began, and need the agent's word for that.
     fn entries(&self, page: &VmListPage) -> Vec<(VmId, SocketAddr)> {
--- a/crates/transfer/src/driver.rs
+++ b/crates/transfer/src/driver.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Interval, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -64,6 +64,8 @@
 pub(crate) struct Driver<O> {
     around: Surroundings<O>,
     peers: Vec<VmEntry>,
+    /// The same peers, for the fetch of manifests.
+    manifest_peers: watch::Sender<Vec<VmEntry>>,
     epochs: BTreeMap<Epoch, Kept>,
     under_way: Option<UnderWay<O>>,
     /// What a replaced transfer had, until it is known which of it the new one needs.
@@ -81,6 +83,7 @@
         Self {
             around,
             peers: Vec::new(),
+            manifest_peers: watch::Sender::new(Vec::new()),
             epochs: BTreeMap::new(),
             under_way: None,
             left_over: None,
@@ -140,6 +143,7 @@
     }
 
     fn set_peers(&mut self, peers: Vec<VmEntry>) {
+        self.manifest_peers.send_replace(peers.clone());
         self.peers = peers;
         self.lost
             .retain(|vm| self.peers.iter().any(|peer| peer.vm == *vm));
@@ -166,8 +170,13 @@
         self.around.shared.staged().remove(&epoch);
         self.generation += 1;
         events::WANTED.emit(&[("epoch", &epoch.to_string())]);
+        let givers = manifests::Givers {
+            origin: self.around.origin.clone(),
+            peers: self.manifest_peers.subscribe(),
+            data_centre: self.around.shared.cfg.data_centre.clone(),
+        };
         let fetching = manifests::fetch(
-            self.around.origin.clone(),
+            givers,
             wanted.parts.clone(),
             self.generation,
             self.around.notes.clone(),
--- a/crates/transfer/src/events.rs
+++ b/crates/transfer/src/events.rs
@@ -47,6 +47,15 @@
     remedy: "Look at the origin, and check that the version was published.",
 };
 
+/// A manifest came from a peer.
+pub const PEER_MANIFEST: Event = Event {
+    id: 4013,
+    name: "manifest-from-peer",
+    level: Level::Info,
+    meaning: "The origin is out of reach; a VM that holds the weights gave their manifest.",
+    remedy: "Nothing for the weights; look why the origin is out of reach.",
+};
+
 /// The origin fails.
 pub const ORIGIN_FAILS: Event = Event {
     id: 4011,
@@ -99,6 +108,7 @@
     NO_MEMORY,
     BAD_MANIFEST,
     NO_MANIFEST,
+    PEER_MANIFEST,
     ORIGIN_FAILS,
     ORIGIN_GIVES,
     CORRUPT,
--- a/crates/transfer/src/serve.rs
+++ b/crates/transfer/src/serve.rs
@@ -14,7 +14,7 @@
 use futures::stream::unfold;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::Deserialize;
-use wagtailreel_core::Digest;
+use wagtailreel_core::{Digest, Manifest};
 
 use crate::gives::Give;
 use crate::shared::Shared;
@@ -49,6 +49,7 @@
     Router::new()
         .route("/weights/{digest}/have", get(have))
         .route("/chunks/{digest}", get(chunk))
+        .route("/manifests/{name}/{version}", get(manifest))
         .with_state(shared)
 }
 
@@ -66,6 +67,24 @@
     Json(answer).into_response()
 }
 
+/// Gives the manifest of weights that are here whole and verified, to a peer that can't reach the
+/// origin.
+async fn manifest(
+    State(shared): State<Arc<Shared>>,
+    Path((name, version)): Path<(String, String)>,
+) -> Response {
+    let is_wanted = |it: &&Manifest| it.name == name && it.version == version;
+    let staged = shared.staged();
+    let mut parts = staged.values().flat_map(|layout| &layout.bundle.parts);
+    match parts.find(is_wanted) {
+        Some(manifest) => Json(manifest).into_response(),
+        None => {
+            let text = "the weights aren't here: ask another VM";
+            (StatusCode::NOT_FOUND, text).into_response()
+        }
+    }
+}
+
 /// Gives a chunk.
 async fn chunk(State(shared): State<Arc<Shared>>, Path(digest): Path<String>) -> Response {
     let Ok(digest) = digest.parse::<Digest>() else {
