Leave also when only the list of VMs says so

Cause: an agent whose notice was lost went on admitting, and an entry whose own list lags behind knows of a leaving upstream only by that agent's reports. So with the notice lost and one data centre's list late, its entries sent new work for as long as the list lagged.

Now the agent watches the list for its own VM, and leaves for good when it is marked so; its reports tell every entry.

Left: a mark that only another data centre's list shows is known to nobody near the agent; its own entries send work until one list near it shows it.

--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -29,6 +29,15 @@
     remedy: "Nothing.",
 };
 
+/// The list of VMs says that the own VM leaves.
+pub const LISTED_LEAVING: Event = Event {
+    id: 2003,
+    name: "listed-leaving",
+    level: Level::Info,
+    meaning: "The list of VMs marks this VM as leaving; the agent takes no new work.",
+    remedy: "Stop the agent; if the VM is to stay after all, restart it once the list says so.",
+};
+
 /// A higher revision of the service was taken.
 pub const STATE_TAKEN: Event = Event {
     id: 2010,
@@ -160,6 +169,7 @@
     AGENT_STARTED,
     AGENT_LEAVING,
     AGENT_STOPPED,
+    LISTED_LEAVING,
     STATE_TAKEN,
     EPOCH_OPENED,
     EPOCH_CLOSED,
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -262,10 +262,14 @@
         }
     }
 
-    /// Stops admission for good.
-    pub(crate) fn leave(&self) {
-        self.admitter.lock().gate.leave();
+    /// Stops admission for good; returns whether it was not stopped before.
+    pub(crate) fn leave(&self) -> bool {
+        let mut gated = self.admitter.lock();
+        let is_first = !gated.gate.is_leaving();
+        gated.gate.leave();
+        drop(gated);
         self.report_at_once();
+        is_first
     }
 
     /// Returns the report of this moment; the sequence is filled in where it is sent.
