Wait for the start before its count in lost_answer

The stand-in loses its answer first and starts the request in a task of its own, so that the count could still be 0: the test failed in 2 of 5 runs on a busy machine. It now waits for the start and counts again at the end, which is as strict: a second start fails it.

--- a/crates/agent/tests/outcomes.rs
+++ b/crates/agent/tests/outcomes.rs
@@ -112,11 +112,16 @@
     world.engine.faults().update(|f| f.lose_answers = 1);
     let answer = world.run("r1", &[], 4).await;
     assert_eq!(answer.refusal(), (502, "unknown", "answer-lost"));
-    assert_eq!(world.engine.stats().started, 1);
+    // The stand-in loses its answer before it starts the request.
+    eventually("the engine has started it", async || {
+        (world.engine.stats().started == 1).then_some(())
+    })
+    .await;
     // Whoever asks again is never told that it was not run.
     assert_eq!(world.cancel("r1").await, "done");
     let again = world.run("r1", &[], 4).await;
     assert_eq!(again.refusal(), (409, "unknown", "duplicate"));
+    assert_eq!(world.engine.stats().started, 1);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
