--- a/crates/transfer/src/bucket.rs
+++ b/crates/transfer/src/bucket.rs
@@ -14,14 +14,15 @@
 /// How much of the rate comes back each second once live answers are fast again.
 const RECOVERY: f64 = 0.2;
 
-/// Smallest rate, in bytes a second.
-const MIN_RATE: f64 = 64.0 * 1024.0;
+/// Rate of an unlimited link that was never measured, in bytes a second: 10 Gbit/s.
+const ASSUMED: f64 = 1.25e9;
 
 /// Span over which the rate of an unlimited link is measured.
 const WINDOW: Duration = Duration::from_millis(250);
 
-/// What a measured rate keeps of itself when the next span was slower.
-const MEASURE_DECAY: f64 = 0.9;
+/// What a measured rate keeps of itself when the next span was slower. Spans with little to
+/// carry say nothing of the link, so it is much.
+const MEASURE_DECAY: f64 = 0.998;
 
 /// A limit in bytes a second, of which a part can be given up for a while.
 ///
@@ -43,8 +44,8 @@
     stepped_at: Instant,
     /// When the link is free for the next taker.
     free_at: Instant,
-    /// Rate that an unlimited link was seen to have, in bytes a second.
-    measured: f64,
+    /// Highest rate that was seen lately, in bytes a second.
+    measured: Option<f64>,
     window_from: Instant,
     window_bytes: u64,
 }
@@ -60,7 +61,7 @@
                 target: 1.0,
                 stepped_at: now,
                 free_at: now,
-                measured: 0.0,
+                measured: None,
                 window_from: now,
                 window_bytes: 0,
             }),
@@ -118,10 +119,10 @@
     fn rate(&self) -> Option<f64> {
         let full = match self.limit {
             Some(limit) => limit,
-            None if self.share < 1.0 => self.measured,
+            None if self.share < 1.0 => self.measured.unwrap_or(ASSUMED),
             None => return None,
         };
-        Some((full * self.share).max(MIN_RATE.min(full.max(1.0))))
+        Some((full * self.share).max(1.0))
     }
 
     /// Moves the share a bit back to its target.
@@ -141,7 +142,8 @@
         }
         let seen = self.window_bytes as f64 / span.as_secs_f64();
         if self.share >= 1.0 {
-            self.measured = seen.max(self.measured * MEASURE_DECAY);
+            let before = self.measured.unwrap_or_default();
+            self.measured = Some(seen.max(before * MEASURE_DECAY));
         }
         self.window_bytes = 0;
         self.window_from = now;
--- a/crates/transfer/src/driver.rs
+++ b/crates/transfer/src/driver.rs
@@ -157,12 +157,13 @@
             return;
         }
         let epoch = wanted.epoch;
-        if let Some(before) = self.under_way.take() {
-            self.epochs.remove(&before.epoch);
-            if let Stage::Chunks(current) = before.stage {
-                self.left_over = Some(current.layout);
-            }
+        if let Some(before) = self.under_way.take()
+            && let Stage::Chunks(current) = before.stage
+        {
+            self.left_over = Some(current.layout);
         }
+        self.epochs
+            .retain(|_, kept| kept.phase == WeightsPhase::Staged);
         self.around.shared.staged().remove(&epoch);
         self.generation += 1;
         events::WANTED.emit(&[("epoch", &epoch.to_string())]);
@@ -395,6 +396,7 @@
         self.emit(events::BAD_MANIFEST, &[("trouble", &trouble)]);
         if let Some(kept) = self.kept() {
             kept.phase = WeightsPhase::Failed;
+            kept.have = 0;
         }
         self.set_trouble(Some(trouble));
         self.under_way = None;
--- a/crates/transfer/src/gives.rs
+++ b/crates/transfer/src/gives.rs
@@ -7,7 +7,7 @@
 /// Most chunks on their way to peers at once.
 ///
 /// More would only make each slower, and a peer can give a chunk on only once it is whole.
-const MOST: usize = 8;
+const MOST: usize = 4;
 
 /// A reader that takes nothing for so long no longer keeps others from being served.
 const STALL: Duration = Duration::from_secs(5);
--- a/crates/transfer/src/serve.rs
+++ b/crates/transfer/src/serve.rs
@@ -105,11 +105,11 @@
     })
 }
 
-/// Sends a peer away until a place is likely free: about when one of the chunks on their way,
-/// which share the link, is through.
+/// Sends a peer away until a place may be free. In the time that the link takes for one chunk,
+/// one of those on their way, which share the link, gets through on average.
 fn busy(shared: &Shared, length: usize) -> Response {
     let wait = shared.egress.rate().map_or(BUSY, |rate| {
-        Duration::from_secs_f64(length as f64 / rate).clamp(BUSY_RANGE.0, BUSY_RANGE.1)
+        Duration::from_secs_f64(length as f64 / rate / 2.0).clamp(BUSY_RANGE.0, BUSY_RANGE.1)
     });
     let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
     let mut headers = HeaderMap::new();
--- a/crates/transfer/src/transfer.rs
+++ b/crates/transfer/src/transfer.rs
@@ -68,7 +68,9 @@
 
     /// Starts to fetch an epoch's weights, in place of a transfer under way.
     ///
-    /// Chunks that both have are kept. Epochs that are staged stay until they are forgotten.
+    /// Chunks that both have are kept. Epochs that are staged stay until they are forgotten. What
+    /// is there or under way already is not fetched again; an epoch that failed is tried again
+    /// only after [`forget`](Self::forget).
     pub fn want(&self, wanted: Wanted) {
         self.send(Command::Want(wanted));
     }
--- a/crates/transfer/tests/common/mod.rs
+++ b/crates/transfer/tests/common/mod.rs
@@ -8,13 +8,16 @@
 use axum::Router;
 use bytes::BytesMut;
 use futures::TryStreamExt as _;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use prometheus::Registry;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use wagtailreel_core::{
     Epoch, ModelRef, SpreadPolicy, SpreadSettings, VmEntry, VmRole, VmState, Weigh, WeightsPhase,
 };
-use wagtailreel_platform::HttpOrigin;
+use wagtailreel_platform::{HttpOrigin, Origin};
 use wagtailreel_standins::{OriginConfig, OriginModel, OriginStandin};
 use wagtailreel_transfer::{EpochProgress, Progress, Transfer, TransferConfig, Wanted};
 
@@ -55,12 +58,22 @@
     OriginStandin::start(cfg, local()).unwrap()
 }
 
-/// Serves `router` on a free port.
+/// Serves `router` on a free port, until the handle's task is aborted.
 pub(crate) async fn serve(router: Router) -> (SocketAddr, JoinHandle<()>) {
     let listener = TcpListener::bind(local()).await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let server = tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
-    (addr, server)
+    (addr, tokio::spawn(accept(listener, router)))
+}
+
+/// Serves connections, all of which end with this future.
+async fn accept(listener: TcpListener, router: Router) {
+    let mut connections = JoinSet::new();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let service = TowerToHyperService::new(router.clone());
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        connections.spawn(connection);
+    }
 }
 
 /// Returns the entry of a VM in the list.
@@ -96,6 +109,15 @@
     pub(crate) async fn start_with<F>(vm: &str, origin: &OriginStandin, change: F) -> Self
     where
         F: FnOnce(&mut TransferConfig),
+    {
+        Self::start_on(vm, HttpOrigin::new(origin.addr()), change).await
+    }
+
+    /// Starts a VM with another adapter for the origin.
+    pub(crate) async fn start_on<O, F>(vm: &str, origin: O, change: F) -> Self
+    where
+        O: Origin,
+        F: FnOnce(&mut TransferConfig),
     {
         let mut cfg = TransferConfig {
             vm: vm.to_owned(),
@@ -108,7 +130,7 @@
         change(&mut cfg);
         let registry = Registry::new();
         let data_centre = cfg.data_centre.clone();
-        let transfer = Transfer::start(cfg, HttpOrigin::new(origin.addr()), &registry).unwrap();
+        let transfer = Transfer::start(cfg, origin, &registry).unwrap();
         let (addr, server) = serve(transfer.router()).await;
         Self {
             transfer,
