Keep a bundle known whose chunks gave way to newer ones

The transfer drops an epoch that is not staged when a newer one is wanted. The loader then took the bundle of that epoch, which the engine still held and served, for a stray one, and an engine with room for one would have been ordered to drop it under running requests. The loader now keeps an epoch known until it is forgotten.

The steward no longer copies whole bundles at each look, wants chunks anew when the document changes how they are spread, and tries failed manifests again after 15 s. The trait over the one transfer is gone.

A lost answer's request is "started" until the engine has answered the cancel; the test now waits for "done" and fails on any "not-run".

--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -1,24 +1,23 @@
-//! What the steward needs of the transfer of chunks.
+//! The transfer of chunks as the steward needs it.
 
 use std::collections::BTreeMap;
 
-use wagtailreel_core::{Bundle, Digest, Epoch, ModelRef, SpreadSettings, VmEntry};
-use wagtailreel_platform::{Engine, PlatformError};
+use tokio::sync::watch;
+use wagtailreel_core::{Digest, Epoch, VmEntry, WeightsPhase};
+use wagtailreel_platform::Engine;
+use wagtailreel_transfer::{EpochProgress, Progress, Transfer, Wanted};
 
-/// How far the chunks of one epoch are.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct EpochChunks {
-    /// The bundle, once its manifests are there.
-    pub(crate) bundle: Option<Bundle>,
-    /// All chunks are there and verified.
-    pub(crate) complete: bool,
-}
+use crate::loader::Staged;
+
+/// Why a load failed whose chunks were dropped between the decision and the order.
+const NO_CHUNKS: &str =
+    "the chunks were dropped before the load: nothing to do, it is decided anew";
 
 /// How far all chunks are.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ChunksView {
     /// Per epoch.
-    pub(crate) epochs: BTreeMap<Epoch, EpochChunks>,
+    pub(crate) epochs: BTreeMap<Epoch, Staged>,
     /// Chunks of the newest epoch that are there, and how many there are in all.
     pub(crate) count: (u32, u32),
     /// Bytes of verified chunks in memory.
@@ -29,33 +28,91 @@
     pub(crate) trouble: Option<String>,
 }
 
-/// Brings chunks, and gives them to an engine.
-pub(crate) trait Chunks: Send + Sync + 'static {
-    /// Starts to fetch an epoch's parts.
-    fn want(&self, epoch: Epoch, parts: Vec<ModelRef>, settings: SpreadSettings);
+/// Brings chunks, and gives them to the engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Chunks {
+    transfer: Transfer,
+    progress: watch::Receiver<Progress>,
+}
+
+impl Chunks {
+    /// Makes the steward's view of `transfer`.
+    pub(crate) fn new(transfer: Transfer) -> Self {
+        let progress = transfer.progress();
+        Self { transfer, progress }
+    }
+
+    /// Has an epoch's chunks fetched, in place of those under way.
+    pub(crate) fn want(&self, wanted: Wanted) {
+        self.transfer.want(wanted);
+    }
 
     /// Drops an epoch's chunks, but for those that another epoch needs.
-    fn forget(&self, epoch: Epoch);
+    pub(crate) fn forget(&self, epoch: Epoch) {
+        self.transfer.forget(epoch);
+    }
 
     /// Sets the VMs that chunks may be fetched from.
-    fn set_peers(&self, peers: Vec<VmEntry>);
+    pub(crate) fn set_peers(&self, peers: Vec<VmEntry>) {
+        self.transfer.set_peers(peers);
+    }
+
+    /// Sets how much transfers slow down live answers, from 0 to 1.
+    pub(crate) fn set_live_pressure(&self, pressure: f64) {
+        self.transfer.set_live_pressure(pressure);
+    }
 
     /// Returns how far all chunks are.
-    fn view(&self) -> ChunksView;
+    pub(crate) fn view(&self) -> ChunksView {
+        let progress = self.progress.borrow();
+        let newest = progress.epochs.values().next_back();
+        let epochs = progress.epochs.iter();
+        ChunksView {
+            epochs: epochs.map(|(epoch, it)| (*epoch, staged_of(it))).collect(),
+            count: newest.map_or((0, 0), |it| (it.have, it.total)),
+            bytes: progress.bytes,
+            is_active: newest.is_some_and(|it| it.phase == WeightsPhase::Fetching),
+            trouble: newest.and_then(|it| it.trouble.clone()),
+        }
+    }
 
     /// Waits until that has changed.
-    fn changed(&mut self) -> impl Future<Output = ()> + Send;
+    pub(crate) async fn changed(&mut self) {
+        if self.progress.changed().await.is_err() {
+            // The transfer has ended: nothing changes any more.
+            std::future::pending::<()>().await;
+        }
+    }
 
-    /// Has `engine` load an epoch whose chunks are complete.
-    fn load<E>(
+    /// Has `engine` load an epoch whose chunks are complete, and returns the digest that the
+    /// engine computed, or why there is none.
+    pub(crate) fn load<E>(
         &self,
         engine: E,
         epoch: Epoch,
         fence: Epoch,
-    ) -> impl Future<Output = Result<Digest, PlatformError>> + Send + 'static
+    ) -> impl Future<Output = Result<Digest, String>> + Send + use<E>
     where
-        E: Engine;
+        E: Engine,
+    {
+        let body = self.transfer.body(epoch);
+        let progress = self.progress.borrow();
+        let bundle = progress.epochs.get(&epoch).and_then(|it| it.bundle.clone());
+        async move {
+            let (Some(body), Some(bundle)) = (body, bundle) else {
+                return Err(NO_CHUNKS.to_owned());
+            };
+            let loaded = engine.load(&bundle, fence, body).await;
+            loaded.map_err(|err| err.to_string())
+        }
+    }
+}
 
-    /// Sets how much transfers slow down live answers, from 0 to 1.
-    fn set_live_pressure(&self, pressure: f64);
+/// Returns what the loader needs to know of an epoch's chunks.
+fn staged_of(it: &EpochProgress) -> Staged {
+    Staged {
+        bundle: it.bundle.as_ref().map(|bundle| bundle.digest()),
+        complete: it.phase == WeightsPhase::Staged,
+        failed: it.phase == WeightsPhase::Failed,
+    }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,7 +23,6 @@
 mod pressure;
 mod process;
 pub mod requests;
-mod spread_chunks;
 mod steward;
 mod tokens;
 
--- a/crates/agent/src/loader.rs
+++ b/crates/agent/src/loader.rs
@@ -38,6 +38,8 @@
     pub bundle: Option<Digest>,
     /// All chunks are there and verified.
     pub complete: bool,
+    /// The chunks can't be brought.
+    pub failed: bool,
 }
 
 /// What the loader decides by.
@@ -51,7 +53,7 @@
     pub wanted: bool,
     /// Epochs below this are closed.
     pub closed_below: Epoch,
-    /// How far the chunks of each epoch are.
+    /// How far the chunks of each epoch are. An epoch whose chunks are gone is not in it.
     pub staged: &'a BTreeMap<Epoch, Staged>,
     /// Epochs that the gate lets go.
     pub droppable: &'a [Epoch],
@@ -133,7 +135,11 @@
     /// An order was answered, and the engine has not been looked at since.
     unverified: bool,
     retry: Option<Retry>,
+    /// Epochs with chunks here or a bundle in the engine.
+    epochs: BTreeMap<Epoch, Staged>,
     given_up: BTreeSet<Epoch>,
+    /// Epochs that are let go of, until their chunks are gone too.
+    forgotten: BTreeSet<Epoch>,
     told: BTreeMap<Epoch, (WeightsPhase, Option<Digest>)>,
     rng: SmallRng,
 }
@@ -151,7 +157,9 @@
             order: None,
             unverified: true,
             retry: None,
+            epochs: BTreeMap::new(),
             given_up: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
             told: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -242,25 +250,45 @@
             self.retry = None;
             self.fence = view.epoch;
         }
+        self.take_staged(view);
         if self.is_settled(view) {
             // A load whose answer was lost has taken effect.
             self.retry = None;
         }
-        self.given_up
-            .retain(|epoch| view.staged.contains_key(epoch));
         let mut actions = Vec::new();
         self.act(view, &mut actions);
-        let mut all = self.phases(view, &actions);
+        let mut all = self.phases();
         all.append(&mut actions);
         all
     }
 
+    /// Takes in how far the chunks are.
+    ///
+    /// An epoch whose chunks were replaced by those of a newer one may still have its bundle in
+    /// the engine, and requests that run on it: it stays known until it is forgotten.
+    fn take_staged(&mut self, view: &View<'_>) {
+        self.forgotten
+            .retain(|epoch| view.staged.contains_key(epoch));
+        for (epoch, known) in &mut self.epochs {
+            if !view.staged.contains_key(epoch) {
+                known.complete = false;
+                known.failed = false;
+            }
+        }
+        for (epoch, staged) in view.staged {
+            if self.forgotten.contains(epoch) {
+                continue;
+            }
+            let known = self.epochs.entry(*epoch).or_default();
+            known.bundle = staged.bundle.or(known.bundle);
+            known.complete = staged.complete;
+            known.failed = staged.failed;
+        }
+    }
+
     /// Says whether the engine itself reports the wanted bundle.
     fn is_settled(&self, view: &View<'_>) -> bool {
-        let bundle = view
-            .staged
-            .get(&view.epoch)
-            .and_then(|staged| staged.bundle);
+        let bundle = self.bundle_of(view.epoch);
         !self.unverified && bundle.is_some_and(|bundle| self.holds(&bundle))
     }
 
@@ -296,8 +324,8 @@
         else {
             return;
         };
-        let target = view.staged.get(&view.epoch).filter(|_| view.wanted);
-        let same_bundle = target.is_some_and(|target| target.bundle == Some(bundle));
+        let target = self.bundle_of(view.epoch).filter(|_| view.wanted);
+        let same_bundle = target == Some(bundle);
         let live = epoch >= view.closed_below && !view.droppable.contains(&epoch);
         if live || same_bundle || (epoch == view.epoch && view.wanted) {
             return;
@@ -314,55 +342,80 @@
     fn drop_drained(&mut self, view: &View<'_>, actions: &mut Vec<Action>) -> bool {
         let gone = self.leaving_epochs(view);
         for epoch in gone.iter().filter(|epoch| is_drained(view, **epoch)) {
-            let bundle = view.staged.get(epoch).and_then(|staged| staged.bundle);
-            let held = bundle.filter(|bundle| self.holds(bundle));
-            if let Some(bundle) = held.filter(|bundle| !is_shared(view, &gone, *bundle)) {
+            let held = self.bundle_of(*epoch).filter(|bundle| self.holds(bundle));
+            if let Some(bundle) = held.filter(|bundle| !self.is_shared(view, &gone, *bundle)) {
                 self.order_unload(bundle, actions);
                 return true;
             }
+            self.forget(*epoch);
             actions.push(Action::Forget { epoch: *epoch });
         }
         false
     }
 
-    /// Returns the epochs whose bundles and chunks are to go.
+    /// Returns the epochs whose bundles and chunks are to go, or have gone.
     fn leaving_epochs(&self, view: &View<'_>) -> BTreeSet<Epoch> {
-        let mut gone = self.given_up.clone();
+        let has_gone = |epoch: &Epoch| {
+            let bundle = self.bundle_of(*epoch);
+            !view.staged.contains_key(epoch) && !bundle.is_some_and(|it| self.holds(&it))
+        };
+        let mut gone: BTreeSet<Epoch> = self.epochs.keys().copied().filter(has_gone).collect();
+        gone.extend(&self.given_up);
         gone.extend(view.droppable);
-        gone.retain(|epoch| view.staged.contains_key(epoch));
+        gone.retain(|epoch| self.epochs.contains_key(epoch));
         if view.wanted {
             gone.remove(&view.epoch);
         }
         gone
     }
 
+    /// Says whether an epoch that stays needs `bundle`, or a leaving one still runs requests on
+    /// it.
+    fn is_shared(&self, view: &View<'_>, gone: &BTreeSet<Epoch>, bundle: Digest) -> bool {
+        self.epochs
+            .iter()
+            .filter(|(epoch, _)| !gone.contains(epoch) || !is_drained(view, **epoch))
+            .any(|(_, staged)| staged.bundle == Some(bundle))
+    }
+
+    fn forget(&mut self, epoch: Epoch) {
+        self.epochs.remove(&epoch);
+        self.given_up.remove(&epoch);
+        self.told.remove(&epoch);
+        self.forgotten.insert(epoch);
+    }
+
+    fn bundle_of(&self, epoch: Epoch) -> Option<Digest> {
+        self.epochs.get(&epoch).and_then(|staged| staged.bundle)
+    }
+
     /// Returns the epoch to load next: the open one that an engine lost, then the wanted one.
     fn next_load(&self, view: &View<'_>) -> Option<(Epoch, Digest)> {
         let lost_open = Some(view.closed_below)
             .filter(|epoch| *epoch != view.epoch)
             // With room for one bundle, the new one is loaded rather than the old one again.
-            .filter(|_| self.room > 1 || !self.is_ready(view, view.epoch));
+            .filter(|_| self.room > 1 || !self.is_ready(view));
         let wanted = Some(view.epoch).filter(|_| view.wanted);
         lost_open
             .into_iter()
             .chain(wanted)
             .filter(|epoch| !self.given_up.contains(epoch) && !view.droppable.contains(epoch))
             .find_map(|epoch| {
-                let staged = view.staged.get(&epoch).filter(|staged| staged.complete)?;
+                let staged = self.epochs.get(&epoch).filter(|staged| staged.complete)?;
                 let bundle = staged.bundle.filter(|bundle| !self.holds(bundle))?;
                 Some((epoch, bundle))
             })
     }
 
-    /// Says whether the chunks of `epoch` are all there.
-    fn is_ready(&self, view: &View<'_>, epoch: Epoch) -> bool {
-        let staged = view.staged.get(&epoch);
+    /// Says whether the chunks of the wanted epoch are all there.
+    fn is_ready(&self, view: &View<'_>) -> bool {
+        let staged = self.epochs.get(&view.epoch);
         view.wanted && staged.is_some_and(|staged| staged.complete)
     }
 
     /// Drops a bundle that no epoch needs, or gives up the open epoch if the gate lets it.
     fn make_room(&mut self, view: &View<'_>, target: Epoch, actions: &mut Vec<Action>) {
-        let known: BTreeSet<Digest> = view.staged.values().filter_map(|s| s.bundle).collect();
+        let known: BTreeSet<Digest> = self.epochs.values().filter_map(|s| s.bundle).collect();
         let stray = self
             .bundles()
             .find(|bundle| !known.contains(*bundle))
@@ -374,8 +427,8 @@
         if target != view.epoch || !view.may_swap || !self.given_up.is_empty() {
             return;
         }
-        let victim = view
-            .staged
+        let victim = self
+            .epochs
             .iter()
             .find(|(epoch, staged)| {
                 **epoch < target && staged.bundle.is_some_and(|bundle| self.holds(&bundle))
@@ -389,23 +442,20 @@
     }
 
     /// Returns the phases that the gate has not been told yet.
-    fn phases(&mut self, view: &View<'_>, next: &[Action]) -> Vec<Action> {
+    fn phases(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.told.retain(|epoch, _| view.staged.contains_key(epoch));
-        for (epoch, staged) in view.staged {
-            if self.given_up.contains(epoch) || next.contains(&Action::Forget { epoch: *epoch }) {
+        for (epoch, staged) in &self.epochs {
+            if self.given_up.contains(epoch) {
                 continue;
             }
             let now = (self.phase(*epoch, staged), staged.bundle);
-            if self.told.get(epoch) == Some(&now) {
-                continue;
+            if self.told.insert(*epoch, now) != Some(now) {
+                actions.push(Action::SetPhase {
+                    epoch: *epoch,
+                    phase: now.0,
+                    bundle: now.1,
+                });
             }
-            self.told.insert(*epoch, now);
-            actions.push(Action::SetPhase {
-                epoch: *epoch,
-                phase: now.0,
-                bundle: now.1,
-            });
         }
         actions
     }
@@ -428,6 +478,7 @@
             (true, _) => WeightsPhase::Loaded,
             (false, true) if self.retry.is_some() && epoch == self.fence => WeightsPhase::Failed,
             (false, true) => WeightsPhase::Staged,
+            (false, false) if staged.failed => WeightsPhase::Failed,
             (false, false) => WeightsPhase::Fetching,
         }
     }
@@ -489,11 +540,3 @@
 fn is_drained(view: &View<'_>, epoch: Epoch) -> bool {
     view.running.get(&epoch).copied().unwrap_or(0) == 0
 }
-
-/// Says whether an epoch that stays needs `bundle`, or a leaving one still runs requests on it.
-fn is_shared(view: &View<'_>, gone: &BTreeSet<Epoch>, bundle: Digest) -> bool {
-    view.staged
-        .iter()
-        .filter(|(epoch, _)| !gone.contains(epoch) || !is_drained(view, **epoch))
-        .any(|(_, staged)| staged.bundle == Some(bundle))
-}
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -20,6 +20,7 @@
 
 use crate::AgentError;
 use crate::answers;
+use crate::chunks::Chunks;
 use crate::engine_app::{self, EngineApp};
 use crate::error::{
     AddressSnafu, ControlSnafu, ListenSnafu, MetricsSnafu, NoOriginSnafu, TransferSnafu,
@@ -31,7 +32,6 @@
 use crate::ops::{self, Ops};
 use crate::plain_app::{self, PlainApp};
 use crate::plain_watch::PlainWatch;
-use crate::spread_chunks::SpreadChunks;
 use crate::steward::Steward;
 
 /// How long the word of leaving may take to reach an entry.
@@ -220,7 +220,7 @@
     let steward = Steward::new(
         Arc::clone(hub),
         engine.clone(),
-        SpreadChunks::new(transfer),
+        Chunks::new(transfer),
         peers,
         hub.facts.incarnation,
     );
--- a/crates/agent/src/steward.rs
+++ b/crates/agent/src/steward.rs
@@ -3,20 +3,21 @@
 //! One task looks at the engine and gives its orders, so that a look is never older than an
 //! answer taken in before it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
-use wagtailreel_core::{Digest, Epoch, ServiceState, VmEntry, WeightsPhase};
+use wagtailreel_core::{Digest, Epoch, Objectives, ServiceState, VmEntry, WeightsPhase};
 use wagtailreel_platform::{Engine, EngineStatus, PlatformError};
+use wagtailreel_transfer::Wanted;
 
 use crate::chunks::{Chunks, ChunksView};
 use crate::events;
 use crate::hub::Hub;
-use crate::loader::{Action, EngineView, Loader, Staged, View};
+use crate::loader::{Action, EngineView, Loader, View};
 use crate::pressure::PressureGauge;
 
 /// Time between two looks at the engine.
@@ -28,49 +29,53 @@
 /// How long the engine's status is waited for.
 const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Wait before chunks that can't be brought, for a manifest that can't be right, are wanted anew.
+const FAILED_RETRY: Duration = Duration::from_secs(15);
+
 /// Time between two samples of the pressure on live answers.
 const SAMPLE_EVERY: Duration = Duration::from_secs(1);
 
 /// The answer to an order.
 #[derive(Debug)]
 enum Answer {
-    Load(Result<Digest, PlatformError>),
+    Load(Result<Digest, String>),
     Unload(Result<(), PlatformError>),
 }
 
 /// Keeps one engine with its weights.
 #[derive(Debug)]
-pub(crate) struct Steward<E, C> {
+pub(crate) struct Steward<E> {
     hub: Arc<Hub>,
     engine: E,
-    chunks: C,
+    chunks: Chunks,
     peers: watch::Receiver<Vec<VmEntry>>,
     loader: Loader,
     orders: JoinSet<Answer>,
     load: Option<AbortHandle>,
     started_at: Option<SystemTime>,
     is_away: bool,
-    wanted: Epoch,
+    wanted: Option<Wanted>,
+    failed_at: Option<Instant>,
+    is_fetching: bool,
     loaded: BTreeSet<Epoch>,
     gauge: PressureGauge,
     sampled: Instant,
 }
 
-impl<E, C> Steward<E, C>
+impl<E> Steward<E>
 where
     E: Engine,
-    C: Chunks,
 {
     /// Makes a steward that has not looked yet. `seed` feeds the jitter of retries.
     pub(crate) fn new(
         hub: Arc<Hub>,
         engine: E,
-        chunks: C,
+        chunks: Chunks,
         peers: watch::Receiver<Vec<VmEntry>>,
         seed: u64,
     ) -> Self {
         let loader = Loader::new(hub.facts.bundles, seed);
-        let objective = wagtailreel_core::Objectives::default().between_tokens;
+        let objective = Objectives::default().between_tokens;
         Self {
             hub,
             engine,
@@ -81,7 +86,9 @@
             load: None,
             started_at: None,
             is_away: false,
-            wanted: 0,
+            wanted: None,
+            failed_at: None,
+            is_fetching: false,
             loaded: BTreeSet::new(),
             gauge: PressureGauge::new(objective),
             sampled: Instant::now(),
@@ -155,10 +162,37 @@
             return;
         };
         self.gauge.set_objective(document.objectives.between_tokens);
-        if state.epoch > self.wanted && self.is_wanted(&state) {
-            self.wanted = state.epoch;
-            self.chunks
-                .want(state.epoch, document.parts(), document.spread.clone());
+        if !self.is_wanted(&state) {
+            return;
+        }
+        let wanted = Wanted {
+            epoch: state.epoch,
+            parts: document.parts(),
+            settings: document.spread.clone(),
+        };
+        if self.wanted.as_ref() != Some(&wanted) {
+            self.chunks.want(wanted.clone());
+            self.wanted = Some(wanted);
+            self.failed_at = None;
+        }
+    }
+
+    /// Has chunks that could not be brought wanted anew after a while, in case that the weights
+    /// were published again.
+    fn retry_failed(&mut self, chunks: &ChunksView) {
+        let Some(wanted) = &self.wanted else {
+            return;
+        };
+        let has_failed = chunks.epochs.get(&wanted.epoch).is_some_and(|it| it.failed);
+        if !has_failed {
+            self.failed_at = None;
+            return;
+        }
+        let failed_at = self.failed_at.get_or_insert_with(Instant::now);
+        if failed_at.elapsed() >= FAILED_RETRY {
+            self.failed_at = None;
+            self.chunks.forget(wanted.epoch);
+            self.chunks.want(wanted.clone());
         }
     }
 
@@ -176,7 +210,7 @@
             return;
         };
         let chunks = self.chunks.view();
-        let staged = staged_of(&chunks);
+        self.retry_failed(&chunks);
         let gated = self.hub.admitter.lock();
         let droppable = gated.gate.droppable(state.epoch);
         let view = View {
@@ -184,7 +218,7 @@
             epoch: state.epoch,
             wanted: self.is_wanted(&state),
             closed_below: gated.gate.closed_below(),
-            staged: &staged,
+            staged: &chunks.epochs,
             droppable: &droppable,
             may_swap: gated.gate.may_swap(state.epoch),
             running: gated.running(),
@@ -194,6 +228,7 @@
         for action in actions {
             self.act(action);
         }
+        self.is_fetching = chunks.is_active;
         self.hub.set_chunks(chunks.count, chunks.bytes);
         self.hub
             .set_trouble(self.loader.trouble().or(chunks.trouble));
@@ -256,7 +291,6 @@
         let now = Instant::now();
         match answer {
             Ok(Answer::Load(answer)) => {
-                let answer = answer.map_err(|err| err.to_string());
                 if let Err(why) = &answer {
                     events::LOAD_FAILED.emit(&[("why", why)]);
                 }
@@ -278,21 +312,7 @@
         }
         self.sampled = Instant::now();
         let gap = self.hub.gaps.take_mean();
-        let pressure = self.gauge.sample(gap, self.chunks.view().is_active);
+        let pressure = self.gauge.sample(gap, self.is_fetching);
         self.chunks.set_live_pressure(pressure);
     }
 }
-
-/// Returns what the loader needs to know of the chunks.
-fn staged_of(chunks: &ChunksView) -> BTreeMap<Epoch, Staged> {
-    let epochs = chunks.epochs.iter();
-    epochs
-        .map(|(epoch, held)| {
-            let staged = Staged {
-                bundle: held.bundle.as_ref().map(|bundle| bundle.digest()),
-                complete: held.complete,
-            };
-            (*epoch, staged)
-        })
-        .collect()
-}
--- a/crates/agent/tests/loader.rs
+++ b/crates/agent/tests/loader.rs
@@ -56,9 +56,14 @@
             "document" => (self.epoch, self.wanted) = (number(1), words[2] == "wanted"),
             "chunks" => {
                 let bundle = Some(self.digest(words[2]));
-                let complete = words[3] == "complete";
-                self.staged.insert(number(1), Staged { bundle, complete });
+                let staged = Staged {
+                    bundle,
+                    complete: words[3] == "complete",
+                    failed: words[3] == "failed",
+                };
+                self.staged.insert(number(1), staged);
             }
+            "chunks-gone" => drop(self.staged.remove(&number(1))),
             "engine" if words[1] == "silent" => self.loader.on_status(None),
             "engine" => {
                 let names = words[2..].to_vec();
@@ -263,3 +268,40 @@
          gate closed 9 drop 5"
     ));
 }
+
+#[test]
+fn chunks_replaced() {
+    // The engine serves epoch 5 whose chunks gave way to those of epoch 9.
+    insta::assert_snapshot!(play(
+        1,
+        "engine holds a
+         document 5 wanted
+         chunks 5 a partial
+         gate closed 5
+         running 5 1
+         document 9 wanted
+         chunks-gone 5
+         chunks 9 b partial
+         chunks 9 b complete
+         gate closed 5 swap
+         running 5 0
+         unloaded
+         engine holds
+         loaded b
+         engine holds b"
+    ));
+}
+
+#[test]
+fn bad_chunks() {
+    insta::assert_snapshot!(play(
+        2,
+        "engine holds
+         document 5 wanted
+         chunks 5 a failed
+         chunks 5 a partial
+         document 9 wanted
+         chunks-gone 5
+         chunks 9 b complete"
+    ));
+}
--- a/crates/agent/tests/outcomes.rs
+++ b/crates/agent/tests/outcomes.rs
@@ -114,7 +114,12 @@
     assert_eq!(answer.refusal(), (502, "unknown", "answer-lost"));
     assert_eq!(world.engine.stats().started, 1);
     // Whoever asks again is never told that it was not run.
-    assert_eq!(world.cancel("r1").await, "done");
+    eventually("the request has ended", async || {
+        let state = world.cancel("r1").await;
+        assert_ne!(state, "not-run");
+        (state == "done").then_some(())
+    })
+    .await;
     let again = world.run("r1", &[], 4).await;
     assert_eq!(again.refusal(), (409, "unknown", "duplicate"));
 }
--- a/crates/agent/tests/requests.rs
+++ b/crates/agent/tests/requests.rs
@@ -76,6 +76,22 @@
     ));
 }
 
+#[test]
+fn overlapping_resume() {
+    // The first attempt's stream is cut where the agent does not see it yet.
+    insta::assert_snapshot!(play(
+        100,
+        "0 accept a
+         0 start a
+         1 accept a resume
+         1 start a resume
+         2 finish a
+         3 cancel a
+         4 finish a
+         5 cancel a"
+    ));
+}
+
 #[test]
 fn full_ledger() {
     insta::assert_snapshot!(play(
