Prove the folds, and say when a re-send can't be judged

Properties: any fold of a log agrees with the fold that read all of it, nothing reverts under any order of reading, restore, learn and lapse; merging is idempotent and in any order the same; an order is dispatched once under copies, frozen entries, clock steps and replacement.

Found and mended on the way: - A fold restored from a peer called a re-send of an accepted edit refused. It now says `unclear` unless it knows which edit was accepted on that base. - The property of orders failed when the log's clock went back by 81 s in all: a fold that starts late can't know of claims on keys beyond the time of its first record. Keys up to 60 s more are void for such a fold, and a clock that steps back further is outside what the fold holds for; the model of the test is bounded to the same 60 s.

What a record did has a text form in the crate, as entries show it too.

--- a/crates/fold/src/config.rs
+++ b/crates/fold/src/config.rs
@@ -2,12 +2,10 @@
 
 use std::time::SystemTime;
 
-use serde::Serialize;
 use serde_json::Value;
-use wagtailreel_core::{
-    ConfigRecord, Digest, EditId, Epoch, Offset, ServiceName, ServiceState, StateView,
-};
+use wagtailreel_core::{ConfigRecord, Digest, Epoch, Offset, ServiceState, StateView};
 
+use crate::applied::Applied;
 use crate::codec::decode;
 use crate::cursor::{Cursor, record_digest};
 use crate::edits::{EditMemory, EditResult, Verdict};
@@ -16,59 +14,6 @@
 use crate::snapshot::{LogHead, SnapshotMark, SnapshotRule, SnapshotState};
 use crate::stop::{FoldStop, UnknownFormatSnafu};
 
-/// What a record did.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(tag = "applied", rename_all = "kebab-case")]
-pub enum Applied {
-    /// An edit is the service's state now.
-    Accepted {
-        /// Name of the service.
-        service: ServiceName,
-        /// Identifies the submission.
-        edit_id: EditId,
-        /// The new revision: the record's offset.
-        revision: Offset,
-        /// The epoch of the revision.
-        epoch: Epoch,
-    },
-    /// An edit was refused; nothing changed.
-    Refused {
-        /// Name of the service.
-        service: ServiceName,
-        /// Identifies the submission.
-        edit_id: EditId,
-        /// Why, and what stands instead.
-        refusal: Refusal,
-    },
-    /// An edit was sent again; nothing changed.
-    Repeated {
-        /// Name of the service.
-        service: ServiceName,
-        /// What became of it the first time.
-        first: EditResult,
-    },
-    /// The service's state came from a peer that had seen this edit; nothing changed.
-    Known {
-        /// Name of the service.
-        service: ServiceName,
-        /// Offset of the record.
-        offset: Offset,
-    },
-    /// A snapshot gave the state; the records after it follow.
-    SnapshotTaken {
-        /// Offset of the last record that it contains.
-        at: Offset,
-    },
-    /// A snapshot told nothing new.
-    SnapshotIgnored {
-        /// Offset of the last record that it contains.
-        at: Offset,
-        /// Services for which it says something else than this fold had at `at`. There are none
-        /// unless the log was written anew or an entry has a fault.
-        contradicts: Vec<ServiceName>,
-    },
-}
-
 /// The configuration, from the records of the stream `config`.
 ///
 /// Invariant: each service is as the whole log up to some offset makes it, and that offset is at
@@ -214,6 +159,7 @@
     }
 
     /// Checks whether an edit may be appended: one that this state already refuses may not.
+    /// Look for its [`ConfigFold::edit_result`] first, in case it is sent again.
     ///
     /// An edit that is based on a revision which no fold has reached must never be appended. It
     /// is refused when first read, but the same edit sent again later could fit by chance.
@@ -223,7 +169,7 @@
     /// Returns the refusal. [`RefusalReason::BaseAhead`] may only mean that this fold is behind.
     pub fn check_edit(&self, service: &str, team: &str, base: Offset) -> Result<(), Refusal> {
         let current = self.view.services.get(service);
-        check_base(current, team, base).map_err(|reason| self.refusal(service, reason))
+        check_base(current, team, base).map_err(|reason| self.refusal(service, base, reason))
     }
 
     /// Returns the state as a record, unless the fold has stopped, waits for a snapshot itself or
@@ -387,7 +333,7 @@
         if let Some(first) = first.cloned() {
             return Applied::Repeated { service, first };
         }
-        let refusal = self.refusal(&service, reason);
+        let refusal = self.refusal(&service, edit.base, reason);
         let verdict = Verdict::Refused {
             refusal: refusal.clone(),
         };
@@ -411,7 +357,13 @@
         self.edits.push(&edit.service, result);
     }
 
-    fn refusal(&self, service: &str, reason: RefusalReason) -> Refusal {
+    fn refusal(&self, service: &str, base: Offset, reason: RefusalReason) -> Refusal {
+        let stale = reason == RefusalReason::StaleBase;
+        let reason = if stale && !self.edits.knows_successor(service, base) {
+            RefusalReason::Unclear
+        } else {
+            reason
+        };
         let current = self.view.services.get(service);
         let winner = current.map(|state| Winner {
             revision: state.revision,
--- a/crates/fold/src/edits.rs
+++ b/crates/fold/src/edits.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use wagtailreel_core::{Digest, EditId, Epoch, Offset, ServiceName, TeamName};
 
@@ -18,17 +19,19 @@
 const LISTED: usize = 64;
 
 /// What the fold decided about an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(tag = "verdict", rename_all = "kebab-case")]
 pub enum Verdict {
     /// The edit is the service's state as of `revision`.
+    #[display("accepted at revision {revision}, epoch {epoch}")]
     Accepted {
         /// The new revision.
         revision: Offset,
         /// The epoch of the revision.
         epoch: Epoch,
     },
-    /// The edit changed nothing and never will.
+    /// The edit changed nothing.
+    #[display("refused: {refusal}")]
     Refused {
         /// Why, and what stands instead.
         refusal: Refusal,
@@ -36,7 +39,8 @@
 }
 
 /// One edit and what became of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("{edit_id} was {verdict}")]
 pub struct EditResult {
     /// Offset of the record.
     pub offset: Offset,
@@ -98,6 +102,13 @@
             .map(|result| &result.edit_id)
     }
 
+    /// Says whether the edit is known that was accepted on top of `base`. There is one at most, so
+    /// any other edit on that base is sure to have been refused.
+    pub(crate) fn knows_successor(&self, service: &str, base: Offset) -> bool {
+        self.newest_first(service)
+            .any(|result| result.base == base && matches!(result.verdict, Verdict::Accepted { .. }))
+    }
+
     /// Returns the latest edits of `service`, newest first.
     pub(crate) fn history(&self, service: &str) -> Vec<EditResult> {
         self.newest_first(service).take(LISTED).cloned().collect()
--- a/crates/fold/src/keys.rs
+++ b/crates/fold/src/keys.rs
@@ -6,6 +6,9 @@
 use snafu::{OptionExt, Snafu, ensure};
 
 /// How far a key may lie ahead of the clock that it is held against.
+///
+/// All folds have to go by the same, or one could pass over a claim that counts for another. A
+/// change needs a new record format.
 pub const MAX_KEY_SKEW: Duration = Duration::from_secs(60);
 
 /// Most characters of a key's text.
--- a/crates/fold/src/lib.rs
+++ b/crates/fold/src/lib.rs
@@ -9,11 +9,13 @@
 //! that reach the same offset therefore hold the same state, whether they read every record, took
 //! a snapshot, or took the state of a peer.
 
+mod applied;
 mod codec;
 mod config;
 mod cursor;
 mod edits;
 mod keys;
+mod order_applied;
 mod orders;
 mod releases;
 mod rules;
@@ -21,11 +23,13 @@
 mod snapshot;
 mod stop;
 
+pub use applied::Applied;
 pub use codec::{EncodeError, MAX_RECORD_BYTES, encode_config, encode_orders};
-pub use config::{Applied, ConfigFold};
+pub use config::ConfigFold;
 pub use edits::{EditResult, Verdict};
 pub use keys::{KeyProblem, MAX_KEY_SKEW, MAX_KEY_TEXT, check_key};
-pub use orders::{ClaimView, OrderApplied, OrderFold};
+pub use order_applied::OrderApplied;
+pub use orders::{ClaimView, OrderFold};
 pub use releases::Claimant;
 pub use rules::{Refusal, RefusalReason, Winner};
 pub use snapshot::{LogHead, SnapshotRule, snapshot_wait};
--- a/crates/fold/src/orders.rs
+++ b/crates/fold/src/orders.rs
@@ -10,81 +10,15 @@
 use crate::codec::decode;
 use crate::cursor::{Cursor, record_digest};
 use crate::keys::{Key, KeyProblem, MAX_KEY_SKEW, unix_seconds};
+use crate::order_applied::OrderApplied;
 use crate::releases::{Claimant, Releases};
 use crate::stop::{FoldStop, UnknownFormatSnafu};
 
 /// How many windows claims are remembered for. The second is a reserve: one would do.
 const WINDOWS_KEPT: u32 = 2;
 
-/// What a claim or a release did.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(tag = "applied", rename_all = "kebab-case")]
-pub enum OrderApplied {
-    /// The claimant holds the key and may dispatch the order, once.
-    Won {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who holds it.
-        claimant: Claimant,
-    },
-    /// The claimant's claim was appended twice; it held the key before. This permits nothing: the
-    /// order may have been dispatched since.
-    Repeated {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who holds it.
-        claimant: Claimant,
-    },
-    /// Another claimant holds the key.
-    Lost {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-        /// Who holds it.
-        holder: Claimant,
-    },
-    /// The claim is void, because the key is not honoured.
-    Void {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-        /// Why the key is not honoured.
-        problem: KeyProblem,
-    },
-    /// The claim is void, because the claimant gave it up before it reached the log.
-    GivenUp {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-    },
-    /// The key can be claimed again.
-    Released {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who held it.
-        claimant: Claimant,
-    },
-    /// The claimant held nothing.
-    ReleaseIgnored {
-        /// Who gave up.
-        claimant: Claimant,
-    },
-}
+/// How far the log's clock may step back. More could hide claims from a fold that starts later.
+const MAX_STEP_BACK: Duration = Duration::from_secs(60);
 
 /// Who holds a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -251,17 +185,19 @@
         self.len() == 0
     }
 
-    /// Returns about how many bytes the claims and releases take up.
+    /// Returns about how many bytes the claims and releases take up, without what the allocator
+    /// and the maps add.
     pub fn approx_bytes(&self) -> usize {
         let claims = self.claims.values().flatten();
         let claims: usize = claims.map(|(key, claim)| claim_bytes(key, claim)).sum();
         let held = self.held.iter();
         let held: usize = held
             .map(|(claimant, (service, key))| {
-                claimant_bytes(claimant) + size_of::<Key>() + service.len() + key.text.len()
+                let texts = service.len() + key.text.len();
+                claimant.approx_bytes() + size_of::<(ServiceName, Key)>() + texts
             })
             .sum();
-        claims + held + self.releases.len() * size_of::<Claimant>() * 2
+        claims + held + self.releases.approx_bytes()
     }
 
     fn take_in(
@@ -290,10 +226,10 @@
     fn advance(&mut self, at: SystemTime) {
         self.time = self.time.max(at);
         if self.unseen == Unseen::BeforeNext {
-            // What lapsed is older than this record, and a key lies at most the skew ahead of the
-            // record that claims it.
-            let seconds = unix_seconds(self.time) + MAX_KEY_SKEW.as_secs();
-            self.unseen = Unseen::KeysUpTo(seconds);
+            // What lapsed is older than this record, unless the log's clock stepped back, and a
+            // key lies at most the skew ahead of the record that claims it.
+            let ahead = MAX_STEP_BACK + MAX_KEY_SKEW;
+            self.unseen = Unseen::KeysUpTo(unix_seconds(self.time) + ahead.as_secs());
         }
         let kept = self.window * WINDOWS_KEPT;
         self.releases.prune(self.time, kept);
@@ -302,9 +238,8 @@
             text: String::new(),
         };
         for claims in self.claims.values_mut() {
-            let newer = claims.split_off(&oldest);
-            for claim in std::mem::replace(claims, newer).values() {
-                self.held.remove(&claim.claimant);
+            while let Some(entry) = claims.first_entry().filter(|entry| *entry.key() < oldest) {
+                self.held.remove(&entry.remove().claimant);
             }
         }
         self.claims.retain(|_, claims| !claims.is_empty());
@@ -461,10 +396,6 @@
 }
 
 fn claim_bytes(key: &Key, claim: &Claim) -> usize {
-    let claimant = claimant_bytes(&claim.claimant) - size_of::<Claimant>();
-    size_of::<Key>() + key.text.len() + size_of::<Claim>() + claimant
-}
-
-fn claimant_bytes(claimant: &Claimant) -> usize {
-    size_of::<Claimant>() + claimant.holder.len() + claimant.request.len()
+    let texts = claim.claimant.approx_bytes() - size_of::<Claimant>();
+    size_of::<Key>() + key.text.len() + size_of::<Claim>() + texts
 }
--- a/crates/fold/src/releases.rs
+++ b/crates/fold/src/releases.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, SystemTime};
 
+use derive_more::Display;
 use serde::Serialize;
 use wagtailreel_core::{Incarnation, RequestId, VmId};
 
 /// Who made a claim. Two are never the same unless one claim was appended twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
+#[display("{request} of {holder} (start {incarnation})")]
 pub struct Claimant {
     /// Entry that made the claim.
     pub holder: VmId,
@@ -17,6 +19,13 @@
     pub request: RequestId,
 }
 
+impl Claimant {
+    /// Returns about how many bytes it takes up.
+    pub(crate) fn approx_bytes(&self) -> usize {
+        size_of::<Self>() + self.holder.len() + self.request.len()
+    }
+}
+
 /// The claimants that gave up, for as long as a late copy of their claims could come.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Releases {
@@ -47,8 +56,9 @@
         }
     }
 
-    /// Returns how many there are.
-    pub(crate) fn len(&self) -> usize {
-        self.by_time.len()
+    /// Returns about how many bytes they take up.
+    pub(crate) fn approx_bytes(&self) -> usize {
+        let claimants = self.given_up.iter().map(Claimant::approx_bytes);
+        claimants.sum::<usize>() * 2
     }
 }
--- a/crates/fold/src/rules.rs
+++ b/crates/fold/src/rules.rs
@@ -17,6 +17,10 @@
     /// The edit is based on a revision that the service has not reached.
     #[display("its base is not a revision of the service: read the document again and edit that")]
     BaseAhead,
+    /// The base has been built upon, by an edit that the fold has not read: it may be this one,
+    /// sent before.
+    #[display("it may have been accepted before: read the document again and compare")]
+    Unclear,
     /// The service belongs to another team.
     #[display("the service belongs to another team: take another name")]
     NotOwner,
@@ -26,7 +30,8 @@
 }
 
 /// The accepted edit that stands where a refused one wanted to go.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("{} of {team} at revision {revision}", edit_id.as_deref().unwrap_or("unknown edit"))]
 pub struct Winner {
     /// The service's revision.
     pub revision: Offset,
@@ -38,7 +43,7 @@
 
 /// A refusal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Snafu)]
-#[snafu(display("{reason}"))]
+#[snafu(display("{reason}{}", standing(winner.as_ref())))]
 pub struct Refusal {
     /// Why the edit is refused.
     pub reason: RefusalReason,
@@ -46,6 +51,10 @@
     pub winner: Option<Winner>,
 }
 
+fn standing(winner: Option<&Winner>) -> String {
+    winner.map_or_else(String::new, |winner| format!(" [stands: {winner}]"))
+}
+
 /// One edit as the log carries it.
 #[derive(Clone, Debug)]
 pub(crate) struct Edit {
