--- a/crates/control/tests/flip.rs
+++ b/crates/control/tests/flip.rs
@@ -67,8 +67,12 @@
         "two epochs were admitted at once"
     );
     for entry in &entries {
-        let view = entry.view();
-        assert!(view.values().all(|agent| agent.report.open == Some(30)));
+        // The gates open before the entries hear of it.
+        until("the entry hears that all admit the epoch", || {
+            let view = entry.view();
+            view.values().all(|agent| agent.report.open == Some(30))
+        })
+        .await;
         assert!(metric(&entry.registry, "wagtailreel_control_lease_grants_total") > 0);
         assert_eq!(metric(&entry.registry, "wagtailreel_control_agents"), 3);
     }
