--- a/crates/switch/src/opener.rs
+++ b/crates/switch/src/opener.rs
@@ -376,7 +376,7 @@
     fn is_calm(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
         let silent = |row: &AgentRow| {
             let age = now.saturating_duration_since(row.contact);
-            age >= self.timing.fresh() && age < self.timing.hold()
+            age >= self.timing.silent() && age < self.timing.hold()
         };
         let none_silent = self
             .table
--- a/crates/switch/src/timing.rs
+++ b/crates/switch/src/timing.rs
@@ -43,6 +43,12 @@
         self.lease / 2
     }
 
+    /// Returns how long an agent may be silent before it looks as if it had died. An agent has a
+    /// word for its entries every quarter of a lease.
+    pub fn silent(self) -> Duration {
+        self.lease * 3 / 8
+    }
+
     /// Returns how long an agent may hold a lease after the last word from it.
     pub fn hold(self) -> Duration {
         self.lease + self.lease / 8
--- a/crates/switch/tests/agreement.rs
+++ b/crates/switch/tests/agreement.rs
@@ -65,6 +65,7 @@
                 delay,
                 loss,
                 edits,
+                versions: Vec::new(),
                 lag,
                 faults,
             }
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -32,6 +32,8 @@
     At(u64),
     /// At the n-th step of any switch, in the middle of the handler that takes it.
     Step(usize),
+    /// When the first entry begins to close below an epoch, in the middle of that handler.
+    Close(Epoch),
 }
 
 /// Who is struck.
@@ -58,6 +60,8 @@
     pub(crate) loss: u64,
     /// Times of edits in ms; the epoch of the n-th is 10(n+1).
     pub(crate) edits: Vec<u64>,
+    /// The weights of each edit; the n-th has its own if the list is too short.
+    pub(crate) versions: Vec<u64>,
     /// Highest lag of a new state or list at a process in ms.
     pub(crate) lag: u64,
     pub(crate) faults: Vec<(When, Victim, Fault)>,
@@ -75,6 +79,7 @@
             delay: 1,
             loss: 0,
             edits: vec![0],
+            versions: Vec::new(),
             lag: 0,
             faults: Vec::new(),
         }
@@ -138,6 +143,8 @@
     sequence: u64,
     config: Offset,
     target: Epoch,
+    /// Epochs that were loaded once.
+    loaded: BTreeSet<Epoch>,
     /// Version of the list of VMs that the agent has.
     list: u64,
     entries: Vec<VmId>,
@@ -158,8 +165,10 @@
     list: u64,
     state: StateView,
     starts: u64,
+    replaced: usize,
     steps: usize,
-    delayed_sends: u64,
+    /// Highest epoch below which an entry has begun to close.
+    closing: Epoch,
     pub(crate) calm: bool,
     pub(crate) log: String,
     /// Epochs that some gate admitted, in order of time.
@@ -181,8 +190,9 @@
             list: 0,
             state: StateView::default(),
             starts: 0,
+            replaced: 0,
             steps: 0,
-            delayed_sends: 0,
+            closing: 0,
             calm: false,
             log: String::new(),
             admitted: Vec::new(),
@@ -293,7 +303,7 @@
         let mut send_after = 0;
         if before != after {
             self.note(vm, &after.to_string());
-            send_after = self.step(vm);
+            send_after = self.step(vm, before, after);
         }
         for (delay, to, event) in out {
             self.send(vm, incarnation, &to, delay, send_after, event);
@@ -301,12 +311,23 @@
     }
 
     /// Counts a step and strikes if a fault is planned for it. Returns how long sending is held up.
-    fn step(&mut self, actor: &VmId) -> u64 {
+    fn step(&mut self, actor: &VmId, before: Summary, after: Summary) -> u64 {
         let step = self.steps;
         self.steps += 1;
+        let closes = match (before, after) {
+            (Summary::Entry(before, _), Summary::Entry(after, _)) if after > before => after,
+            _ => 0,
+        };
+        let first = self.closing < closes;
+        self.closing = self.closing.max(closes);
         let mut held_up = 0;
         for (when, victim, fault) in self.plan.faults.clone() {
-            if !matches!(when, When::Step(at) if at == step) || self.calm {
+            let strikes = match when {
+                When::At(_) => false,
+                When::Step(at) => at == step,
+                When::Close(epoch) => first && epoch == closes,
+            };
+            if !strikes || self.calm {
                 continue;
             }
             let vm = self.name(victim, Some(actor));
@@ -372,8 +393,7 @@
                 {
                     agent.config = state.revision;
                     agent.target = state.epoch;
-                    let staged = 20 + self.draw(400);
-                    out.push((Some(staged), vm.clone(), Event::Staged(state.epoch)));
+                    report |= self.take_target(vm, agent, out);
                 }
             }
             Event::Staged(epoch) if epoch == agent.target => {
@@ -381,10 +401,12 @@
                 report = true;
             }
             Event::Loaded(epoch) if agent.gate.phase(epoch) == Some(WeightsPhase::Loading) => {
-                let digest = Digest::of(&epoch.to_be_bytes());
+                let digest = self.digest(epoch);
                 agent
                     .gate
                     .set_phase(epoch, WeightsPhase::Loaded, Some(digest));
+                agent.loaded.insert(epoch);
+                self.note(vm, &format!("has loaded {epoch}"));
                 report = true;
             }
             Event::List(version, entries) if version > agent.list => {
@@ -403,6 +425,38 @@
         }
     }
 
+    /// Begins to bring the target's weights, unless the engine holds them already.
+    fn take_target(
+        &mut self,
+        vm: &VmId,
+        agent: &mut Agent,
+        out: &mut Vec<(Option<u64>, VmId, Event)>,
+    ) -> bool {
+        let epoch = agent.target;
+        let digest = self.digest(epoch);
+        let same = |old: &Epoch| {
+            agent.gate.phase(*old) == Some(WeightsPhase::Loaded) && self.digest(*old) == digest
+        };
+        if agent.loaded.iter().any(same) {
+            agent
+                .gate
+                .set_phase(epoch, WeightsPhase::Loaded, Some(digest));
+            agent.loaded.insert(epoch);
+            self.note(vm, &format!("holds the weights of {epoch} already"));
+            return true;
+        }
+        let staged = 20 + self.draw(400);
+        out.push((Some(staged), vm.clone(), Event::Staged(epoch)));
+        false
+    }
+
+    /// Returns the digest of the weights of an epoch.
+    fn digest(&self, epoch: Epoch) -> Digest {
+        let index = usize::try_from(epoch / 10 - 1).unwrap();
+        let version = self.plan.versions.get(index).copied().unwrap_or(epoch);
+        Digest::of(&version.to_be_bytes())
+    }
+
     /// Loads the target if the engine has a place for it, as an agent would.
     fn load(
         &mut self,
@@ -411,23 +465,18 @@
         out: &mut Vec<(Option<u64>, VmId, Event)>,
     ) -> bool {
         let target = agent.target;
-        for epoch in agent.gate.droppable(target) {
-            agent.gate.forget(epoch);
-            self.note(vm, &format!("drops {epoch}"));
-        }
         if agent.gate.phase(target) != Some(WeightsPhase::Staged) {
             return false;
         }
-        let mut report = make_report(vm, 0, agent, 0);
-        agent.gate.fill_report(&mut report);
-        let held: Vec<Epoch> = report
-            .weights
-            .iter()
-            .filter(|(_, phase)| **phase >= WeightsPhase::Loading)
-            .map(|(epoch, _)| *epoch)
-            .collect();
-        if held.len() >= usize::try_from(self.plan.bundles).unwrap() {
-            let gives_up = agent.gate.open().filter(|_| self.plan.bundles == 1);
+        let places = usize::try_from(self.plan.bundles).unwrap();
+        if held(agent).len() >= places {
+            for epoch in agent.gate.droppable(target) {
+                agent.gate.forget(epoch);
+                self.note(vm, &format!("drops {epoch}"));
+            }
+        }
+        if held(agent).len() >= places {
+            let gives_up = agent.gate.open().filter(|_| places == 1);
             let Some(open) = gives_up.filter(|_| agent.gate.may_swap(target)) else {
                 return false;
             };
@@ -458,7 +507,9 @@
             };
             let mut opener = Opener::new(cfg, now);
             // A process has its list of VMs before it starts its rounds.
-            opener.on_entries(now, &vm_entries(&self.listed));
+            opener.on_entries(now, &vm_entries(&self.listed, VmRole::Entry));
+            let agents: Vec<VmId> = (0..self.plan.agents).map(agent_name).collect();
+            opener.on_vms(now, &vm_entries(&agents, VmRole::Upstream));
             Kind::Entry(
                 Box::new(opener),
                 Words {
@@ -518,7 +569,8 @@
             }
             Fault::Replace(after) if vm.starts_with('e') => {
                 self.kill(vm);
-                let fresh = entry_name(usize::try_from(self.starts).unwrap() + 10);
+                self.replaced += 1;
+                let fresh = entry_name(self.plan.entries + self.replaced - 1);
                 self.listed.retain(|name| name != vm);
                 self.listed.push(fresh.clone());
                 self.list += 1;
@@ -657,7 +709,7 @@
         }
         Event::List(version, entries) if version > words.list => {
             words.list = version;
-            opener.on_entries(now, &vm_entries(&entries));
+            opener.on_entries(now, &vm_entries(&entries, VmRole::Entry));
         }
         _ => {}
     }
@@ -726,6 +778,18 @@
     }
 }
 
+/// Returns the epochs that take a place in the engine.
+fn held(agent: &Agent) -> Vec<Epoch> {
+    let mut report = make_report(&String::new(), 0, agent, 0);
+    agent.gate.fill_report(&mut report);
+    report
+        .weights
+        .into_iter()
+        .filter(|(_, phase)| *phase >= WeightsPhase::Loading)
+        .map(|(epoch, _)| epoch)
+        .collect()
+}
+
 fn make_report(vm: &VmId, incarnation: Incarnation, agent: &Agent, bundles: u32) -> Report {
     let mut report = Report {
         vm: vm.clone(),
@@ -773,14 +837,14 @@
     }
 }
 
-fn vm_entries(names: &[VmId]) -> Vec<VmEntry> {
+fn vm_entries(names: &[VmId], role: VmRole) -> Vec<VmEntry> {
     let make = |vm: &VmId| VmEntry {
         vm: vm.clone(),
         data_centre: DATA_CENTRE.to_owned(),
         region: "sierra".to_owned(),
-        role: VmRole::Entry,
+        role,
         state: VmState::Live,
-        service: None,
+        service: (role == VmRole::Upstream).then(|| SERVICE.to_owned()),
         control: "127.0.0.1:1".parse().unwrap(),
         data: "127.0.0.1:1".parse().unwrap(),
     };
