--- /dev/null
+++ b/crates/switch/tests/rules.rs
@@ -0,0 +1,334 @@
+//! The rules under which an entry grants leases, one by one.
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_core::*;
+use wagtailreel_switch::{Opener, OpenerConfig};
+use world::{SERVICE, document, make_report, vm_entries};
+
+/// Time in ms after which a lone entry is settled, with a margin.
+const SETTLED: u64 = 2000;
+
+/// One entry, `e0`, and a clock.
+struct Bench {
+    opener: Opener,
+    base: Instant,
+    now: u64,
+    sequence: u64,
+}
+
+impl Bench {
+    /// Starts the entry with these others in its list, and an agent that is open at 10.
+    fn new(listed: &[&str]) -> Self {
+        let base = Instant::now();
+        let cfg = OpenerConfig {
+            vm: "e0".to_owned(),
+            incarnation: 1,
+            data_centre: "quito-hall".to_owned(),
+            control: "127.0.0.1:1".parse().unwrap(),
+            lease: Duration::from_secs(1),
+        };
+        let mut bench = Self {
+            opener: Opener::new(cfg, base),
+            base,
+            now: 0,
+            sequence: 0,
+        };
+        bench.list(listed);
+        bench
+    }
+
+    fn list(&mut self, listed: &[&str]) {
+        let names: Vec<VmId> = listed.iter().map(|vm| (*vm).to_owned()).collect();
+        let now = self.at(self.now);
+        let entries = vm_entries(&names, VmRole::Entry);
+        self.opener.on_entries(now, &entries);
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.base + Duration::from_millis(ms)
+    }
+
+    /// Goes on for `ms`, in rounds in which `answers` are given and all other peers fail.
+    fn run(&mut self, ms: u64, answers: &[PeerState]) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.round(answers);
+            self.now += 125;
+        }
+    }
+
+    fn round(&mut self, answers: &[PeerState]) {
+        let now = self.at(self.now);
+        self.opener.on_round(now);
+        for vm in self.opener.peers().into_keys() {
+            match answers.iter().find(|state| state.vm == vm) {
+                Some(state) => self.opener.on_peer_answer(now, now, state),
+                None => self.opener.on_peer_failure(now, now, &vm),
+            }
+        }
+    }
+
+    /// Lets the agent `a0` report, which is open at `epoch`. Returns what it is granted.
+    fn grants(&mut self, epoch: Epoch) -> Option<Epoch> {
+        self.sequence += 1;
+        let mut report = make_report(&"a0".to_owned(), 1, &world::Agent::default(), 2);
+        report.sequence = self.sequence;
+        report.closed_below = epoch;
+        report.weights = BTreeMap::from([(epoch, WeightsPhase::Loaded)]);
+        let now = self.at(self.now);
+        assert!(self.opener.on_report(now, &report));
+        let directive = self.opener.directive(now, "a0");
+        assert_eq!(directive.open.is_some(), !directive.lease.is_zero());
+        directive.open
+    }
+}
+
+/// Makes what the peer `vm` says, which closes below `epoch` and whose agents have all done so.
+fn peer(vm: &str, epoch: Epoch, settled: bool) -> PeerState {
+    let service = ServicePeerState {
+        close_below: epoch,
+        open: epoch,
+        all_closed_below: epoch,
+    };
+    PeerState {
+        vm: vm.to_owned(),
+        incarnation: 5,
+        config: 10,
+        settled,
+        entries: BTreeMap::from([(vm.to_owned(), "127.0.0.1:1".parse().unwrap())]),
+        services: BTreeMap::from([(SERVICE.to_owned(), service)]),
+        demand: BTreeMap::new(),
+    }
+}
+
+/// Returns an entry that has the peers `e1` and `e2`, both settled, and grants 10.
+fn granting() -> Bench {
+    let mut bench = Bench::new(&["e1", "e2"]);
+    bench.grants(10);
+    bench.run(SETTLED, &[peer("e1", 10, true), peer("e2", 10, true)]);
+    assert_eq!(bench.grants(10), Some(10));
+    bench
+}
+
+#[test]
+fn waits_alone() {
+    let mut bench = Bench::new(&[]);
+    bench.run(1500, &[]);
+    assert_eq!(bench.grants(10), None, "before earlier leases have lapsed");
+    bench.run(500, &[]);
+    assert_eq!(bench.grants(10), Some(10));
+}
+
+#[test]
+fn woken_alone() {
+    let mut bench = Bench::new(&[]);
+    bench.grants(10);
+    bench.run(SETTLED, &[]);
+    assert_eq!(bench.grants(10), Some(10));
+    // Another entry may have come, opened an epoch and gone meanwhile.
+    bench.now += 10_000;
+    assert_eq!(bench.grants(10), None, "before a round");
+    bench.run(500, &[]);
+    assert_eq!(bench.grants(10), None, "before those leases have lapsed");
+    bench.run(1500, &[]);
+    assert_eq!(bench.grants(10), Some(10));
+}
+
+#[test]
+fn hears_all() {
+    let mut bench = granting();
+    bench.now += 10_000;
+    bench.run(500, &[peer("e1", 10, true)]);
+    assert_eq!(bench.grants(10), None, "e2 hasn't answered");
+    bench.run(125, &[peer("e1", 10, true), peer("e2", 10, true)]);
+    assert_eq!(bench.grants(10), Some(10));
+}
+
+#[test]
+fn unsettled_peers() {
+    let mut bench = granting();
+    bench.now += 10_000;
+    let answers = [peer("e1", 10, false), peer("e2", 10, false)];
+    bench.run(500, &answers);
+    assert_eq!(bench.grants(10), None, "nobody knows what was open");
+    bench.run(1500, &answers);
+    assert_eq!(bench.grants(10), Some(10));
+}
+
+#[test]
+fn old_answer() {
+    let mut bench = granting();
+    let before = bench.at(bench.now);
+    bench.now += 10_000;
+    let now = bench.at(bench.now);
+    bench.opener.on_round(now);
+    for vm in ["e1", "e2"] {
+        // The answers lay unread while the entry stood still.
+        bench
+            .opener
+            .on_peer_answer(now, before, &peer(vm, 10, true));
+    }
+    assert_eq!(bench.grants(10), None);
+}
+
+#[test]
+fn late_answer() {
+    let mut bench = granting();
+    bench.now += 10_000;
+    let started = bench.at(bench.now);
+    bench.opener.on_round(started);
+    bench.now += 450;
+    bench.opener.on_round(bench.at(bench.now));
+    bench.now += 100;
+    let now = bench.at(bench.now);
+    for vm in ["e1", "e2"] {
+        bench
+            .opener
+            .on_peer_answer(now, started, &peer(vm, 10, true));
+    }
+    assert_eq!(bench.grants(10), None, "550 ms after the call");
+}
+
+#[test]
+fn peer_dies() {
+    let mut bench = granting();
+    // A settled entry goes on for what is open, however long a peer is away.
+    for _ in 0..40 {
+        bench.run(125, &[peer("e1", 10, true)]);
+        assert_eq!(bench.grants(10), Some(10));
+    }
+}
+
+/// Lets `bench` adopt a close below 20, which `e1` has completed, and its own agent too.
+fn closing(bench: &mut Bench) {
+    bench.run(125, &[peer("e1", 20, true)]);
+    assert_eq!(bench.grants(20), None, "e2 may have granted 10");
+}
+
+#[rstest]
+#[case::listed(&["e1", "e2"])]
+#[case::unlisted(&["e1"])]
+fn silence_waited(#[case] listed: &[&str]) {
+    let mut bench = granting();
+    bench.list(listed);
+    closing(&mut bench);
+    bench.run(1500, &[peer("e1", 20, true)]);
+    assert_eq!(bench.grants(20), None, "its leases may not have lapsed");
+    bench.run(500, &[peer("e1", 20, true)]);
+    assert_eq!(bench.grants(20), Some(20));
+}
+
+#[test]
+fn silence_begins() {
+    let mut bench = granting();
+    let early = bench.at(bench.now);
+    bench.run(1000, &[peer("e1", 10, true), peer("e2", 10, true)]);
+    // A call from before e2's last word fails only now.
+    let now = bench.at(bench.now);
+    bench.opener.on_peer_failure(now, early, "e2");
+    closing(&mut bench);
+    bench.run(1000, &[peer("e1", 20, true)]);
+    assert_eq!(bench.grants(20), None, "e2 has been silent for 1125 ms");
+}
+
+#[test]
+fn own_absence() {
+    let mut bench = granting();
+    bench.run(125, &[peer("e1", 10, true)]);
+    bench.now += 10_000;
+    // The one call that failed before this entry stood still says nothing of e2.
+    bench.run(250, &[peer("e1", 20, true)]);
+    assert_eq!(bench.grants(20), None);
+}
+
+#[test]
+fn third_named() {
+    let mut bench = Bench::new(&["e1"]);
+    let mut knows_third = peer("e1", 10, true);
+    let third = ("e3".to_owned(), "127.0.0.1:1".parse().unwrap());
+    knows_third.entries.extend([third]);
+    bench.grants(10);
+    bench.run(1500, &[knows_third.clone()]);
+    assert_eq!(bench.grants(10), None, "e3 hasn't answered");
+    bench.run(125, &[knows_third, peer("e3", 10, true)]);
+    assert_eq!(bench.grants(10), Some(10));
+}
+
+#[test]
+fn earlier_start() {
+    let mut bench = granting();
+    let restarted = PeerState {
+        incarnation: 6,
+        services: BTreeMap::new(),
+        ..peer("e2", 0, false)
+    };
+    bench.run(125, &[peer("e1", 20, true), restarted]);
+    assert_eq!(bench.grants(20), None);
+    // What the start before said of its own agents comes late.
+    let now = bench.at(bench.now);
+    bench.opener.on_peer_call(now, &peer("e2", 20, true));
+    assert_eq!(bench.grants(20), None);
+}
+
+#[test]
+fn checked_anew() {
+    let mut bench = granting();
+    bench.now += 10_000;
+    // After standing still, what was granted before is granted on only if all have closed below.
+    let restarted = PeerState {
+        incarnation: 6,
+        services: BTreeMap::new(),
+        ..peer("e2", 0, false)
+    };
+    bench.run(250, &[peer("e1", 10, true), restarted]);
+    assert_eq!(bench.grants(10), None);
+}
+
+#[test]
+fn late_report() {
+    let mut bench = granting();
+    let mut report = make_report(&"a0".to_owned(), 1, &world::Agent::default(), 2);
+    let now = bench.at(bench.now);
+    assert!(!bench.opener.on_report(now, &report), "sequence 0 is late");
+    report.sequence = 100;
+    report.data_centre = "guayaquil-hall".to_owned();
+    assert!(!bench.opener.on_report(now, &report), "another data centre");
+    report.data_centre = "quito-hall".to_owned();
+    report.incarnation = 0;
+    assert!(!bench.opener.on_report(now, &report), "an earlier start");
+    assert_eq!(bench.opener.refusal().lease, Duration::ZERO);
+}
+
+#[rstest]
+#[case::deleted(None)]
+#[case::moved_away(Some("guayaquil-hall"))]
+fn no_longer_served(#[case] data_centre: Option<&str>) {
+    let mut bench = granting();
+    let document = data_centre.map(|data_centre| {
+        let mut document = document(1);
+        data_centre.clone_into(&mut document.places[0].data_centre);
+        Box::new(document)
+    });
+    let state = ServiceState {
+        service: SERVICE.to_owned(),
+        team: "scribes".to_owned(),
+        revision: 30,
+        epoch: 30,
+        document,
+    };
+    let view = StateView {
+        offset: 30,
+        services: BTreeMap::from([(SERVICE.to_owned(), state)]),
+    };
+    let now = bench.at(bench.now);
+    bench.opener.on_state(now, &view);
+    assert_eq!(bench.opener.directive(now, "a0").close_below, 30);
+    bench.run(125, &[peer("e1", 30, true), peer("e2", 30, true)]);
+    assert_eq!(bench.grants(30), None, "there is nothing to serve");
+}
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) const LEASE_MS: u64 = 1000;
 pub(crate) const REPORT_MS: u64 = 200;
-const SERVICE: &str = "scribes";
+pub(crate) const SERVICE: &str = "scribes";
 const DATA_CENTRE: &str = "quito-hall";
 
 /// What befalls a process.
@@ -138,7 +138,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Agent {
+pub(crate) struct Agent {
     gate: Gate,
     sequence: u64,
     config: Offset,
@@ -790,7 +790,12 @@
         .collect()
 }
 
-fn make_report(vm: &VmId, incarnation: Incarnation, agent: &Agent, bundles: u32) -> Report {
+pub(crate) fn make_report(
+    vm: &VmId,
+    incarnation: Incarnation,
+    agent: &Agent,
+    bundles: u32,
+) -> Report {
     let mut report = Report {
         vm: vm.clone(),
         incarnation,
@@ -817,7 +822,7 @@
     report
 }
 
-fn document(ready: u32) -> Document {
+pub(crate) fn document(ready: u32) -> Document {
     let place = Place {
         data_centre: DATA_CENTRE.to_owned(),
         vms: VmSelection::All,
@@ -837,7 +842,7 @@
     }
 }
 
-fn vm_entries(names: &[VmId], role: VmRole) -> Vec<VmEntry> {
+pub(crate) fn vm_entries(names: &[VmId], role: VmRole) -> Vec<VmEntry> {
     let make = |vm: &VmId| VmEntry {
         vm: vm.clone(),
         data_centre: DATA_CENTRE.to_owned(),
