--- a/crates/control/src/agent/reporter.rs
+++ b/crates/control/src/agent/reporter.rs
@@ -176,7 +176,7 @@
             Ok(read_directive(response.get_directive()?)?)
         };
         let message = self.link.call(REPORT_TIMEOUT, call).await?;
-        self.take(sent_at, &seen, message);
+        self.take(sent_at, message);
         Ok(())
     }
 
@@ -201,23 +201,24 @@
             Ok(read_directive(response.get_directive()?)?)
         };
         let message = self.link.call(wait + WATCH_SLACK, call).await?;
-        self.take(sent_at, &seen, message);
+        self.take(sent_at, message);
         Ok(())
     }
 
     /// Hands a directive to the agent, with the whole list of peers, and notes what was seen.
-    fn take(&self, sent_at: Instant, asked: &Seen, message: DirectiveMessage) {
+    fn take(&self, sent_at: Instant, message: DirectiveMessage) {
         let DirectiveMessage {
             mut directive,
             peers_version,
             has_peers,
         } = message;
+        let before = self.memory.seen.get();
         let mut seen = Seen {
             close_below: directive.close_below,
             open: directive.open,
             swap_to: directive.swap_to,
-            revision: asked.revision,
-            peers_version: self.memory.seen.get().peers_version,
+            revision: before.revision,
+            peers_version: before.peers_version,
         };
         if has_peers {
             self.memory.peers.replace(directive.peers);
@@ -225,7 +226,7 @@
         }
         directive.peers = self.memory.peers.borrow().clone();
         if let Some(state) = &directive.state {
-            seen.revision = state.revision;
+            seen.revision = seen.revision.max(state.revision);
         }
         let taken = self.shell.deliver(FromEntry {
             entry: self.vm.clone(),
--- a/crates/control/src/entry/shell.rs
+++ b/crates/control/src/entry/shell.rs
@@ -292,10 +292,15 @@
         let now = Instant::now();
         let mut views = self.views.borrow_mut();
         for (report, age) in agents {
-            if report.data_centre == self.cfg.data_centre {
+            let vm = report.vm.clone();
+            // Another entry was asked last time, which may have heard more.
+            let known = views.get(&vm).is_some_and(|view| {
+                let known = (view.report.incarnation, view.report.sequence);
+                known > (report.incarnation, report.sequence)
+            });
+            if known || report.data_centre == self.cfg.data_centre {
                 continue;
             }
-            let vm = report.vm.clone();
             let view = AgentView {
                 report: Arc::new(report),
                 received: now.checked_sub(age).unwrap_or(now),
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -26,6 +26,8 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(20);
 /// Longest time that the listener pauses after it could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Connections that a listener serves at once; far above the agents and entries of a data centre.
+const MAX_CONNECTIONS: usize = 4096;
 /// Calls in a row without an answer after which the connection is made anew.
 const MAX_SILENT_CALLS: u32 = 4;
 
@@ -210,7 +212,7 @@
     let mut connections = tokio::task::JoinSet::new();
     loop {
         let stream = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => accepted,
             Some(_) = connections.join_next() => continue,
         };
         match stream {
--- a/crates/switch/tests/agreement.rs
+++ b/crates/switch/tests/agreement.rs
@@ -4,8 +4,11 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use world::{Fault, Plan, Victim, When, World};
 
+/// Seed of the search unless the environment sets another.
+const SEED: u64 = 20;
 /// Faults may strike until this time in ms.
 const STORM: u64 = 15_000;
 /// Time in ms that the data centre has to recover in once nothing fails any more.
@@ -73,8 +76,23 @@
     )
 }
 
+/// Returns a configuration with a fixed seed, so that every run of the same code gives the same
+/// verdict; `PROPTEST_RNG_SEED` and `PROPTEST_CASES` set others for a longer search.
+fn config() -> ProptestConfig {
+    let cfg = ProptestConfig::default();
+    let rng_seed = match cfg.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        fixed => fixed,
+    };
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed,
+        ..cfg
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     #[test]
     fn one_epoch(plan in plans()) {
--- a/crates/switch/tests/rules.rs
+++ b/crates/switch/tests/rules.rs
@@ -241,8 +241,12 @@
 fn own_absence() {
     let mut bench = granting();
     bench.run(125, &[peer("e1", 10, true)]);
+    let before = bench.at(bench.now);
     bench.now += 10_000;
-    // The one call that failed before this entry stood still says nothing of e2.
+    // Calls that failed because this entry stood still say nothing of e2.
+    let now = bench.at(bench.now);
+    bench.opener.on_round(now);
+    bench.opener.on_peer_failure(now, before, "e2");
     bench.run(250, &[peer("e1", 20, true)]);
     assert_eq!(bench.grants(20), None);
 }
