--- a/crates/switch/src/opener.rs
+++ b/crates/switch/src/opener.rs
@@ -376,7 +376,7 @@
     fn is_calm(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
         let silent = |row: &AgentRow| {
             let age = now.saturating_duration_since(row.contact);
-            age >= self.timing.fresh() && age < self.timing.hold()
+            age >= self.timing.silent() && age < self.timing.hold()
         };
         let none_silent = self
             .table
@@ -416,9 +416,7 @@
     }
 
     fn granted(&self, now: Instant, switch: &Switch) -> Option<Epoch> {
-        switch
-            .granting
-            .filter(|epoch| *epoch == switch.close_below && self.peers.may_grant(now))
+        switch.granting.filter(|_| self.peers.may_grant(now))
     }
 
     /// Says whether the VM is to serve `epoch`, as far as this entry has its document.
