--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -11,6 +11,10 @@
 /// Bytes at the head of a prompt that make its prefix; prompts that share them share cache.
 const PREFIX_BYTES: usize = 256;
 
+/// How much a request of another entry counts beside an own one. At 1 all entries run to where
+/// the last reports saw little load; at 0 an upstream that others load is not spared.
+const OTHERS_WEIGHT: f64 = 0.5;
+
 /// A preferred upstream may be busier than the least busy one by this share of its capacity.
 const AFFINITY_SLACK: f64 = 0.125;
 
@@ -256,7 +260,8 @@
 
 /// Returns the share of `member`'s capacity in use: the own count is exact and the others' late.
 fn cost(member: &Member) -> f64 {
-    f64::from(member.in_flight()) / f64::from(member.report.capacity.max(1))
+    let in_flight = f64::from(member.own) + OTHERS_WEIGHT * f64::from(member.others);
+    in_flight / f64::from(member.report.capacity.max(1))
 }
 
 fn own_first<'a, R>(near: &[&'a Member], prefix: Option<u64>, rng: &mut R) -> Option<&'a Member>
