--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time::{Interval, MissedTickBehavior};
@@ -343,7 +345,7 @@
         let sent = client.request_within(req, HEAD_TIMEOUT);
         let answer = attempt.while_alive(sent).await;
         let ended = match answer {
-            Some(Ok(response)) => match refusal_of(&response) {
+            Some(Ok(response)) => match self.refusal_of(&response) {
                 None => {
                     self.note_ended("opened");
                     return Ok(opened(response, attempt));
@@ -363,6 +365,30 @@
         Err(self.ended(&vm, ended))
     }
 
+    /// Returns how the attempt ended if the answer is the agent's own and not the upstream's.
+    fn refusal_of(&self, response: &Response<Incoming>) -> Option<Ended> {
+        let headers = response.headers();
+        let text = |name| headers.get(name)?.to_str().ok();
+        match text(OUTCOME).and_then(Outcome::from_wire) {
+            Some(Outcome::NotRun) => {
+                let reason = text(REASON).and_then(reason_of);
+                let reason = reason.unwrap_or(NotRunReason::Refused);
+                Some(Ended::Refused(reason, retry_after(headers)))
+            }
+            Some(Outcome::Unknown) => Some(Ended::Cancelled(CancelState::Started)),
+            Some(Outcome::Answered) => None,
+            // A stream begins with 200; anything else comes from neither agent nor engine.
+            None if self.is_generate() && response.status() != StatusCode::OK => {
+                Some(Ended::Broken)
+            }
+            None => None,
+        }
+    }
+
+    fn is_generate(&self) -> bool {
+        matches!(self.payload, Payload::Generate(_))
+    }
+
     /// Asks the agent whether the request was started, after its answer was lost.
     async fn find_out(&mut self, mut attempt: Attempt, vm: &str) -> Next {
         let state = ask_cancel(&self.cx.client, attempt.slot.addr, &attempt.id).await;
@@ -500,22 +526,6 @@
     }
 }
 
-/// Returns how the attempt ended if the answer is the agent's own and not the upstream's.
-fn refusal_of(response: &Response<Incoming>) -> Option<Ended> {
-    let headers = response.headers();
-    let text = |name| headers.get(name)?.to_str().ok();
-    let outcome = Outcome::from_wire(text(OUTCOME)?)?;
-    match outcome {
-        Outcome::Answered => None,
-        Outcome::NotRun => {
-            let reason = text(REASON).and_then(reason_of);
-            let reason = reason.unwrap_or(NotRunReason::Refused);
-            Some(Ended::Refused(reason, retry_after(headers)))
-        }
-        Outcome::Unknown => Some(Ended::Cancelled(CancelState::Started)),
-    }
-}
-
 fn reason_of(text: &str) -> Option<NotRunReason> {
     serde_json::from_value(serde_json::Value::from(text)).ok()
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -171,7 +171,6 @@
     /// Counts a request of `customer` and says whether it is within the limit.
     pub(crate) fn limit(&self, customer: &str) -> LimitVerdict {
         let inner = &mut *self.lock();
-        inner.budget.request();
         inner.limits.ask(customer, Instant::now(), &mut inner.rng)
     }
 
@@ -227,6 +226,9 @@
     pub(crate) fn choose(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Slot, Next> {
         let now = Instant::now();
         let inner = &mut *self.lock();
+        if attempts.sent() == 0 && !attempts.is_at_switch() {
+            inner.budget.request();
+        }
         let choice = inner
             .chooser
             .choose(&inner.membership, attempts.ask(), now, &mut inner.rng);
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -55,6 +55,87 @@
     bench.stop().await;
 }
 
+/// An agent that falls silent in mid-stream is given up on, and the stream goes on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_agent() {
+    let bench = two_agents().await;
+    bench.script([Act::Hold]);
+    let asked = tokio::spawn(Request::generate(bench.callers(0), 5).send());
+    until("the request is in", || async { bench.runs().len() == 1 }).await;
+    let vm = bench.runs()[0].vm.clone();
+    let silent = bench.agents.iter().find(|agent| agent.listed().vm == vm);
+    silent.unwrap().control.stop();
+    assert_snapshot!("resumed_whole", asked.await.unwrap().session());
+    assert_eq!(bench.runs().len(), 2);
+    bench.stop().await;
+}
+
+/// Whoever says first that an upstream leaves, it gets nothing new.
+#[rstest]
+#[case::listed(|bench: &Bench| bench.vms.leave("u1"))]
+#[case::reported(|bench: &Bench| bench.agents[0].set_report(|report| report.leaving = true))]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream(#[case] leave: fn(&Bench)) {
+    let bench = two_agents().await;
+    leave(&bench);
+    until("the entry knows", || async {
+        let rollout = bench.rollout(0, SERVICE).await;
+        rollout["data_centres"]["quito-hall"]["vms"][0]["standing"] == "leaving"
+    })
+    .await;
+    for _ in 0..10 {
+        assert_eq!(
+            Request::generate(bench.callers(0), 1).send().await.status,
+            200
+        );
+    }
+    assert_eq!(bench.agents[0].runs(), []);
+    bench.stop().await;
+}
+
+/// What is over the capacity waits within bounds, and the rest hears so at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_service() {
+    let bench = Bench::start(SERVICE, 1, &["u1"]).await;
+    bench.script(vec![Act::Hold; 8]);
+    let ask = |priority: &str| {
+        Request::generate(bench.callers(0), 2)
+            .with("wagtailreel-priority", priority)
+            .with("wagtailreel-deadline-ms", "20000")
+    };
+    let mut held = Vec::new();
+    for _ in 0..8 {
+        held.push(ask("high").open().await);
+    }
+    let low = tokio::spawn(ask("low").send());
+    let waits = |count: u32| {
+        let admin = bench.admin(0);
+        until("requests wait", move || async move {
+            let metrics = Request::get(admin, "/metrics").send().await.text();
+            let line = format!("\nwagtailreel_requests_waiting{{service=\"scribes\"}} {count}\n");
+            metrics.contains(&line)
+        })
+    };
+    waits(1).await;
+    let high = [
+        tokio::spawn(ask("high").send()),
+        tokio::spawn(ask("high").send()),
+    ];
+    let gave_way = low.await.unwrap();
+    assert_eq!(gave_way.verdict(), "429 not-run full");
+    waits(2).await;
+    assert_eq!(ask("high").send().await.verdict(), "429 not-run full");
+    bench.agents[0].release();
+    for response in held {
+        assert!(Answer::read(response).await.session().contains("end "));
+    }
+    for waited in high {
+        assert_eq!(waited.await.unwrap().status, 200);
+    }
+    assert_eq!(bench.runs().len(), 10);
+    bench.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_for_good() {
     let bench = Bench::start(SERVICE, 1, &["u1"]).await;
