--- a/crates/entry/tests/common/caller.rs
+++ b/crates/entry/tests/common/caller.rs
@@ -69,7 +69,9 @@
 
     /// Sends it and returns the whole answer.
     pub(crate) async fn send(self) -> Answer {
-        Answer::read(self.open().await).await
+        let whole = async { Answer::read(self.open().await).await };
+        let answer = tokio::time::timeout(super::PATIENCE, whole).await;
+        answer.expect("an answer")
     }
 }
 
