--- a/crates/bench/src/burst/run.rs
+++ b/crates/bench/src/burst/run.rs
@@ -112,7 +112,7 @@
 ) -> Result<Times> {
     let document = burst.document(fleet.spec(), version);
     let bundle = fleet.bundle_of(&document)?;
-    wait_for(
+    let held = wait_for(
         "the required replicas to hold the weights",
         bound,
         || async {
@@ -123,7 +123,11 @@
             }
         },
     )
-    .await?;
+    .await;
+    if let Err(error) = held {
+        let what = format!("{error}{}", fleet.progress(SERVICE).await);
+        return BrokenSnafu { what }.fail();
+    }
     let loaded = submitted.elapsed();
     for entry in fleet.entries() {
         let ask = fleet.ask_of(0, SERVICE, "Are you there?", 1);
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -119,7 +119,8 @@
         if holders >= replicas {
             Look::Found(())
         } else {
-            Look::NotYet(format!("{holders} do"))
+            let progress = fleet.progress(SERVICE).await;
+            Look::NotYet(format!("{holders} do{progress}"))
         }
     })
     .await?;
--- a/crates/bench/src/fleet/members.rs
+++ b/crates/bench/src/fleet/members.rs
@@ -18,7 +18,7 @@
 
     /// Returns the folder with the settings and logs.
     pub fn folder(&self) -> &Path {
-        self.folder.path()
+        self.folder.dir.path()
     }
 
     /// Returns the names of the entry VMs.
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -37,6 +37,9 @@
 use standins::Links;
 use vm::Vm;
 
+/// Variable that has every fleet keep its settings and logs.
+const KEEP: &str = "WAGTAILREEL_KEEP_LOGS";
+
 /// The two programs of the product.
 #[derive(Clone, Debug)]
 pub struct FleetBinaries {
@@ -74,5 +77,24 @@
     links: Links,
     vms: BTreeMap<VmId, Vm>,
     // The last to go, since the processes log into it.
-    folder: tempfile::TempDir,
+    folder: Folder,
+}
+
+/// The folder with the settings and logs; it is kept where a test fails, so that the logs can be
+/// read.
+#[derive(Debug)]
+struct Folder {
+    dir: tempfile::TempDir,
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::thread::panicking() || std::env::var_os(KEEP).is_some() {
+            self.dir.disable_cleanup(true);
+            eprintln!(
+                "settings and logs are kept in {}",
+                self.dir.path().display()
+            );
+        }
+    }
 }
--- a/crates/bench/src/fleet/operators.rs
+++ b/crates/bench/src/fleet/operators.rs
@@ -85,6 +85,29 @@
         Ok(revision)
     }
 
+    /// Says in a line for each upstream VM of `service` how far its agent is, for errors.
+    pub async fn progress(&self, service: &str) -> String {
+        let mut text = String::new();
+        for vm in self.upstreams(service) {
+            text.push_str(&format!("\n  {vm}: {}", self.progress_of(&vm).await));
+        }
+        text
+    }
+
+    async fn progress_of(&self, vm: &str) -> String {
+        match self.status(vm).await {
+            Ok(it) => {
+                let (have, all) = it.chunks;
+                let trouble = it.trouble.unwrap_or_default();
+                format!(
+                    "{have} of {all} chunks, {:?}, open {:?} {trouble}",
+                    it.weights, it.open
+                )
+            }
+            Err(error) => error.to_string(),
+        }
+    }
+
     /// Waits until the agent of `vm` admits requests to `bundle`.
     ///
     /// # Errors
@@ -94,8 +117,7 @@
         wait_for(&format!("{vm} to serve the weights"), bound, || async {
             match self.status(vm).await {
                 Ok(it) if it.open_weights == Some(bundle) => Look::Found(()),
-                Ok(it) => Look::NotYet(format!("{:?} {:?}", it.weights, it.trouble)),
-                Err(error) => Look::NotYet(error.to_string()),
+                _ => Look::NotYet(self.progress_of(vm).await),
             }
         })
         .await
--- a/crates/bench/src/fleet/start.rs
+++ b/crates/bench/src/fleet/start.rs
@@ -13,7 +13,7 @@
 use super::spec::{FleetSpec, VmSpec};
 use super::standins::{Links, Standins};
 use super::vm::{Listen, Vm};
-use super::{Fleet, FleetBinaries};
+use super::{Fleet, FleetBinaries, Folder};
 use crate::error::{IoSnafu, ParseSnafu, Result};
 use crate::http_client::HttpClient;
 use crate::ports::Ports;
@@ -68,7 +68,7 @@
             spec,
             links,
             vms,
-            folder,
+            folder: Folder { dir: folder },
         };
         for vm in fleet.vms.values() {
             vm.listen.release(&mut ports);
