Find the engines' requests by their prompts

Each request's prompt is now asked only once, and the stand-in engine's stats name the prompt's hash and how often a request started from its first token, which a resumed answer does not.

--- a/crates/bench/src/burst/run.rs
+++ b/crates/bench/src/burst/run.rs
@@ -6,7 +6,6 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_core::{DataCentre, Digest, Document, Offset};
-use wagtailreel_standins::token_text;
 
 use super::fault::bring_about;
 use super::outcome::{BurstOutcome, Latency};
@@ -50,7 +49,7 @@
     let stop = CancellationToken::new();
     let plan = burst.load(fleet.spec(), fleet.callers());
     let load_start = Instant::now();
-    let load = tokio::spawn(run_load(plan, token_text, stop.clone()));
+    let load = tokio::spawn(run_load(plan, stop.clone()));
     sleep(burst.before).await;
     let (version, times) = {
         let faults = bring_about(burst, &fleet);
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -9,9 +9,7 @@
 use lexopt::prelude::*;
 use serde::de::DeserializeOwned;
 use tokio_util::sync::CancellationToken;
-use wagtailreel_standins::{
-    EngineStandin, LogStandin, OriginStandin, PlainStandin, VmListStandin, token_text,
-};
+use wagtailreel_standins::{EngineStandin, LogStandin, OriginStandin, PlainStandin, VmListStandin};
 
 use crate::burst_cli::BurstArgs;
 use crate::demo::run_demo;
@@ -227,7 +225,7 @@
 
 async fn load(plan: &std::path::Path, json: Option<PathBuf>) -> Result<()> {
     let plan = Plan::read(plan)?;
-    let report = run_load(plan, token_text, CancellationToken::new()).await?;
+    let report = run_load(plan, CancellationToken::new()).await?;
     print!("{}", report.to_text());
     write_json(json, &report.to_json())?;
     if report.holds() {
--- a/crates/bench/src/hop.rs
+++ b/crates/bench/src/hop.rs
@@ -9,7 +9,6 @@
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_core::Digest;
-use wagtailreel_standins::token_text;
 
 use crate::error::{BrokenSnafu, Result};
 use crate::fleet::{DataCentreSpec, Fleet, FleetBinaries, FleetSpec, UpstreamSpec};
@@ -151,7 +150,7 @@
 
 /// Runs a load in which every request has to be answered.
 async fn run(plan: Plan) -> Result<LoadReport> {
-    let report = run_load(plan, token_text, CancellationToken::new()).await?;
+    let report = run_load(plan, CancellationToken::new()).await?;
     if report.holds() && report.total.ended("answered") == report.total.sent {
         return Ok(report);
     }
--- a/crates/bench/src/load/schedule.rs
+++ b/crates/bench/src/load/schedule.rs
@@ -18,9 +18,8 @@
     pub step: usize,
     /// Position of the entry in the plan's targets.
     pub target: usize,
-    /// Position of the prompt in the pool.
-    pub prompt: usize,
-    /// The request; its prompt is filled in from the pool.
+    /// The request. Its prompt is one of the pool's with the request's id behind it, so that it is
+    /// asked only once and the engines' requests can be found by it.
     pub ask: Ask,
 }
 
@@ -28,6 +27,7 @@
 #[derive(Debug)]
 pub struct Schedule<'a> {
     plan: &'a Plan,
+    prompts: Vec<String>,
     rng: StdRng,
     run: String,
     epoch_seconds: u64,
@@ -46,6 +46,7 @@
     pub fn new(plan: &'a Plan, run: &str, epoch_seconds: u64) -> Self {
         Self {
             plan,
+            prompts: prompt_pool(plan),
             rng: StdRng::seed_from_u64(plan.seed),
             run: run.to_owned(),
             epoch_seconds,
@@ -82,19 +83,19 @@
         let tokens = plan.max_tokens;
         let max_tokens = self.rng.random_range(tokens.least..=tokens.most);
         let id = self.next_id();
+        let prompt = self.rng.random_range(0..self.prompts.len());
         let is_order = self.rng.random_bool(plan.orders.share);
         Arrival {
             at: self.at,
             step: self.step,
             target: self.rng.random_range(0..plan.targets.len()),
-            prompt: self.rng.random_range(0..plan.prompts.pool),
             ask: Ask {
                 service: service.name.clone(),
                 key: customer.key.clone(),
                 customer: customer.name.clone(),
                 order: is_order.then(|| format!("{}.{id}", self.epoch_seconds)),
+                prompt: format!("{} {id}", self.prompts[prompt]),
                 request: Some(id),
-                prompt: String::new(),
                 max_tokens,
                 priority: self.draw_priority(),
                 deadline: plan.deadline,
@@ -124,7 +125,9 @@
         }
         let mut again = first.clone();
         again.target = (first.target + 1) % self.plan.targets.len();
-        again.ask.request = Some(self.next_id());
+        let id = self.next_id();
+        again.ask.prompt = format!("{} again as {id}", first.ask.prompt);
+        again.ask.request = Some(id);
         Some(again)
     }
 
@@ -166,7 +169,7 @@
 }
 
 /// Makes the pool of prompts: groups with a shared beginning, then each prompt's own words.
-pub(crate) fn prompt_pool(plan: &Plan) -> Vec<String> {
+fn prompt_pool(plan: &Plan) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(plan.seed ^ 0x70_72_6f_6d_70_74);
     let spec = &plan.prompts;
     let prefixes: Vec<String> = (0..spec.prefixes)
--- a/crates/bench/src/load/tally.rs
+++ b/crates/bench/src/load/tally.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(crate) struct Observation {
     pub(crate) request: RequestId,
+    /// Hash of the prompt.
+    pub(crate) prompt: String,
     pub(crate) order: Option<OrderKey>,
     pub(crate) customer: CustomerId,
     pub(crate) priority: Option<Priority>,
@@ -119,6 +121,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Claimed {
     pub(crate) word: &'static str,
+    /// Hash of the prompt.
+    pub(crate) prompt: String,
     pub(crate) order: Option<OrderKey>,
 }
 
@@ -164,6 +168,7 @@
         }
         let claimed = Claimed {
             word: seen.ending.word(),
+            prompt: seen.prompt,
             order: seen.order,
         };
         if self
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_core::{VmEntry, VmId, VmRole, VmState};
-use wagtailreel_standins::{OriginModel, VmChange, token_text};
+use wagtailreel_standins::{OriginModel, VmChange};
 
 use super::cost::{Cost, read_cost};
 use super::fit::fit_line;
@@ -322,7 +322,7 @@
         drain: Duration::from_secs(30),
         warm_up: Duration::ZERO,
     };
-    let report = run_load(plan, token_text, CancellationToken::new()).await?;
+    let report = run_load(plan, CancellationToken::new()).await?;
     let answered = report.total.ended("answered");
     if report.holds() && answered == report.total.sent {
         return Ok(());
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -105,7 +105,9 @@
         if let Some(end) = self.ended() {
             return self.end(end);
         }
-        let started = self.store.requests.start(&self.req.request, self.held.real);
+        let from = self.req.resume_from;
+        let requests = &self.store.requests;
+        let started = requests.start(&self.req.request, self.held.real, from);
         if !started {
             return self.end(RequestState::Cancelled);
         }
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -157,7 +157,7 @@
         store.counts.refused_full.fetch_add(1, Ordering::Relaxed);
         return refuse(StatusCode::TOO_MANY_REQUESTS, "full", FULL_RETRY);
     };
-    let track = store.requests.receive(&req.request);
+    let track = store.requests.receive(&req.request, &req.prompt);
     let loses = store
         .faults
         .take(|faults| count_down(&mut faults.lose_answers));
--- a/crates/standins/src/engine/requests.rs
+++ b/crates/standins/src/engine/requests.rs
@@ -8,6 +8,8 @@
 use tokio_util::sync::CancellationToken;
 use wagtailreel_core::{Digest, RequestId};
 
+use crate::token::prompt_hash;
+
 /// How far a request is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -32,6 +34,11 @@
     pub received: u32,
     /// How often it was started. Above 1 it ran more than once.
     pub started: u32,
+    /// How many of its starts were from the first token on. Above 1 it ran anew, not resumed.
+    pub from_first: u32,
+    /// Hash of the prompt as [`prompt_hash`](crate::prompt_hash) gives it, by which a caller who
+    /// does not know the system's ids finds its own requests.
+    pub prompt: String,
     /// Tokens given.
     pub tokens: u64,
     /// Bundle that it last ran on: the digest of the bytes that the engine really held.
@@ -81,7 +88,7 @@
     }
 
     /// Notes that a request was let in.
-    pub(super) fn receive(&self, request: &str) -> Track {
+    pub(super) fn receive(&self, request: &str, prompt: &str) -> Track {
         let mut state = self.lock();
         if !state.entries.contains_key(request) {
             state.order.push_back(request.to_owned());
@@ -93,6 +100,7 @@
         }
         entry.active += 1;
         entry.stats.received += 1;
+        entry.stats.prompt = prompt_hash(prompt);
         entry.stats.state = RequestState::Waiting;
         Track {
             tokens: entry.tokens.clone(),
@@ -100,9 +108,10 @@
         }
     }
 
-    /// Notes that a request starts to generate on the bytes with the digest `bundle`; false if
+    /// Notes that a request starts to generate, from the token `from` on, on the bytes with the
+    /// digest `bundle`; false if
     /// it was cancelled and must not start.
-    pub(super) fn start(&self, request: &str, bundle: Digest) -> bool {
+    pub(super) fn start(&self, request: &str, bundle: Digest, from: u32) -> bool {
         let mut state = self.lock();
         let Some(entry) = state.entries.get_mut(request) else {
             return true;
@@ -112,6 +121,7 @@
             return false;
         }
         entry.stats.started += 1;
+        entry.stats.from_first += u32::from(from == 0);
         entry.stats.bundle = Some(bundle);
         entry.stats.state = RequestState::Running;
         true
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -26,5 +26,5 @@
 pub use origin::{OriginConfig, OriginFaults, OriginModel, OriginStandin, OriginStats};
 pub use plain::{PlainConfig, PlainFaults, PlainStandin, PlainStats};
 pub use server::StartError;
-pub use token::{TokenSource, prefix_hash, token_text};
+pub use token::{TokenSource, prefix_hash, prompt_hash, token_text};
 pub use vms::{VmChange, VmListConfig, VmListFaults, VmListStandin, VmListStats};
--- a/crates/standins/src/token.rs
+++ b/crates/standins/src/token.rs
@@ -48,6 +48,11 @@
     TokenSource::new(bundle, prompt).text(index)
 }
 
+/// Returns the hash of a whole prompt as the engine's stats name it: 16 hexadecimal digits.
+pub fn prompt_hash(prompt: &str) -> String {
+    blake3::hash(prompt.as_bytes()).to_hex()[..PREFIX_CHARS].to_owned()
+}
+
 /// Returns the hash of a prompt's prefix as the engine's cache events name it: 16 hexadecimal
 /// digits of the `blake3` of its first 64 bytes.
 pub fn prefix_hash(prompt: &str) -> String {
