--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -247,7 +247,7 @@
     Ok(second)
 }
 
-/// Asks again and again and returns the weights of each answer.
+/// Asks again and again, and once more after `stop`, and returns the weights of each answer.
 async fn keep_asking(
     fleet: Arc<Fleet>,
     entry: String,
@@ -255,13 +255,16 @@
     stop: CancellationToken,
 ) -> Result<Vec<Digest>> {
     let mut seen = Vec::new();
-    while !stop.is_cancelled() {
+    loop {
+        let is_last = stop.is_cancelled();
         let prompt = format!("Caller {caller} asks for the {}th time", seen.len());
         let ask = fleet.ask_of(caller % 3, SERVICE, &prompt, 10);
         let answer = fleet.ask(&entry, &ask).await?;
         seen.push(check_answer(&ask, &answer)?);
+        if is_last {
+            return Ok(seen);
+        }
     }
-    Ok(seen)
 }
 
 /// Checks that one caller saw both versions and never the first after the second.
