Keep outages, long pages and slow engines true to life

A read that waits when the log or the list goes down gets 503, not a late page. The log's pages stay below 8 MiB (a first record that is longer comes alone), and the adapter takes as long a page as the limit it asked for allows: 100 records of 1 MiB were over its 64 MiB and could never be read. An engine's tokens can be slowed while it runs. Adapters can share one client's pool. A short range beside a long one is seen to take turns.

--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Uses `client` and its pool in place of one of its own.
+    pub fn with_client(mut self, client: HttpClient) -> Self {
+        self.client = client;
+        self
+    }
+
     /// Sets how long a small answer (status, cancel, unload) is waited for.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
--- a/crates/platform/src/http/log.rs
+++ b/crates/platform/src/http/log.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use wagtailreel_core::Offset;
 
-use super::exchange::{build_request, call_json, read_json, refusal};
+use super::exchange::{build_request, call_json, collect_body, parse_json, read_json, refusal};
 use super::{BaseUrl, Body, HttpClient, encode_segment};
 use crate::error::GoneSnafu;
 use crate::{LogPage, LogService, PlatformError};
@@ -15,6 +15,12 @@
 /// How long an answer is waited for, over and above a wait that was asked for.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest record in bytes, as the log takes it.
+const MAX_RECORD: usize = 1024 * 1024;
+
+/// Most bytes of a page round each record, and round them all.
+const RECORD_FRAME: usize = 256;
+
 /// The log service over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpLog {
@@ -47,6 +53,12 @@
         }
     }
 
+    /// Uses `client` and its pool in place of one of its own.
+    pub fn with_client(mut self, client: HttpClient) -> Self {
+        self.client = client;
+        self
+    }
+
     /// Sets how long an answer is waited for, over and above a wait that was asked for.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -80,7 +92,12 @@
         let timeout = self.timeout + wait;
         let response = self.client.request_within(req, timeout).await?;
         match response.status() {
-            StatusCode::OK => read_json(&self.base, response.into_body(), self.timeout).await,
+            StatusCode::OK => {
+                let peer = self.base.peer();
+                let most = longest_page(limit);
+                let json = collect_body(peer, response.into_body(), most, self.timeout).await?;
+                parse_json(&self.base, &json)
+            }
             StatusCode::GONE => {
                 let kept: Kept = read_json(&self.base, response.into_body(), self.timeout).await?;
                 GoneSnafu {
@@ -93,3 +110,10 @@
         }
     }
 }
+
+/// Returns the most bytes that a page of `limit` records may have.
+fn longest_page(limit: usize) -> usize {
+    limit
+        .saturating_add(1)
+        .saturating_mul(MAX_RECORD + RECORD_FRAME)
+}
--- a/crates/platform/src/http/origin.rs
+++ b/crates/platform/src/http/origin.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Uses `client` and its pool in place of one of its own.
+    pub fn with_client(mut self, client: HttpClient) -> Self {
+        self.client = client;
+        self
+    }
+
     /// Sets how long the origin may give nothing before a transfer is given up.
     pub fn with_stall_timeout(mut self, stall: Duration) -> Self {
         self.stall = stall;
--- a/crates/platform/src/http/plain.rs
+++ b/crates/platform/src/http/plain.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Uses `client` and its pool in place of one of its own.
+    pub fn with_client(mut self, client: HttpClient) -> Self {
+        self.client = client;
+        self
+    }
+
     /// Sets how long the head of an answer is waited for.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = Some(timeout);
--- a/crates/platform/src/http/vms.rs
+++ b/crates/platform/src/http/vms.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Uses `client` and its pool in place of one of its own.
+    pub fn with_client(mut self, client: HttpClient) -> Self {
+        self.client = client;
+        self
+    }
+
     /// Sets how long an answer is waited for, over and above a wait that was asked for.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
--- a/crates/standins/src/admin.rs
+++ b/crates/standins/src/admin.rs
@@ -15,6 +15,9 @@
 use crate::faults::{FaultSet, Faults};
 use crate::server::Port;
 
+/// When a client is told to come back to a stand-in that is down.
+const DOWN_RETRY: Duration = Duration::from_secs(1);
+
 /// How long a stand-in stays away after `POST /standin/crash`.
 #[serde_as]
 #[derive(Deserialize)]
@@ -81,17 +84,18 @@
         tokio::time::sleep(slow).await;
     }
     if down {
-        return refuse(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "down",
-            Duration::from_secs(1),
-        );
+        return refuse_down();
     }
     let response = next.run(req).await;
     faults.thawed().await;
     response
 }
 
+/// Refuses as a system does that is down.
+pub(crate) fn refuse_down() -> Response {
+    refuse(StatusCode::SERVICE_UNAVAILABLE, "down", DOWN_RETRY)
+}
+
 /// Refuses with the time to come back, rounded up to seconds.
 pub(crate) fn refuse(status: StatusCode, reason: &str, retry_after: Duration) -> Response {
     let seconds = retry_after.as_millis().div_ceil(1000);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -97,6 +97,7 @@
 }
 
 /// Faults of the stand-in for an engine.
+#[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct EngineFaults {
@@ -105,6 +106,10 @@
     pub common: CommonFaults,
     /// Cuts each answer after so many tokens, before its end.
     pub cut_after: Option<u32>,
+    /// Time added to each token but the first, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "slow_tokens_ms")]
+    pub slow_tokens: Duration,
     /// Loads, from the next on, that take effect without an answer.
     pub lose_loads: u64,
     /// Requests, from the next on, that start and run to their end without an answer.
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -202,11 +202,12 @@
     /// Returns the time to the next token, which grows with the batch.
     fn between_tokens(&self) -> Duration {
         let cfg = &self.store.cfg;
+        let fault = self.store.faults.read(|faults| faults.slow_tokens);
         if cfg.batch_slowdown == 0.0 || cfg.between_tokens.is_zero() {
-            return cfg.between_tokens;
+            return cfg.between_tokens + fault;
         }
         let slower = 1.0 + cfg.batch_slowdown * self.store.batch.crowding();
-        cfg.between_tokens.mul_f64(slower)
+        cfg.between_tokens.mul_f64(slower) + fault
     }
 
     /// Says whether the answer was cancelled or its bundle dropped.
--- a/crates/standins/src/log/http.rs
+++ b/crates/standins/src/log/http.rs
@@ -17,7 +17,7 @@
 
 use super::Store;
 use super::stream::Page;
-use crate::admin::{error, refuse, with_admin};
+use crate::admin::{error, refuse, refuse_down, with_admin};
 use crate::faults::count_down;
 use crate::server::{Port, lose_answer};
 
@@ -105,7 +105,12 @@
                 return (StatusCode::GONE, kept).into_response();
             }
             Page::Empty(json) => {
-                if timeout_at(deadline, changes.changed()).await.is_err() {
+                let waited = timeout_at(deadline, changes.changed()).await;
+                // It may have gone down while the read waited.
+                if store.faults.read(|faults| faults.common.down) {
+                    return refuse_down();
+                }
+                if waited.is_err() {
                     return json_bytes(json);
                 }
             }
--- a/crates/standins/src/log/stream.rs
+++ b/crates/standins/src/log/stream.rs
@@ -7,6 +7,9 @@
 use bytes::Bytes;
 use wagtailreel_core::Offset;
 
+/// Most bytes of records in a page; a first record that is longer comes alone.
+const MAX_PAGE: usize = 8 * 1024 * 1024;
+
 /// Bytes of a page round each record's own.
 const RECORD_FRAME: usize = 64;
 
@@ -102,7 +105,14 @@
             return Page::Gone { first, next };
         }
         let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
-        let found: Vec<&Stored> = self.records.iter().skip(skip).take(limit).collect();
+        let mut bytes = 0;
+        let fits = |record: &&Stored| {
+            let is_first = bytes == 0;
+            bytes += record.data.len();
+            is_first || bytes <= MAX_PAGE
+        };
+        let records = self.records.iter().skip(skip).take(limit);
+        let found: Vec<&Stored> = records.take_while(fits).collect();
         let json = self.write_page(from, &found);
         if found.is_empty() {
             return Page::Empty(json);
--- a/crates/standins/src/vms/http.rs
+++ b/crates/standins/src/vms/http.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{Store, VmChange};
-use crate::admin::with_admin;
+use crate::admin::{refuse_down, with_admin};
 use crate::server::Port;
 
 /// Longest wait of a read.
@@ -54,6 +54,10 @@
         let until = next_at.map_or(deadline, |at| at.min(deadline));
         // Woken by a change or by the time: either way the list is looked at again.
         let _ = timeout_at(until, changes.changed()).await;
+        // It may have gone down while the read waited.
+        if store.faults.read(|faults| faults.common.down) {
+            return refuse_down();
+        }
     }
 }
 
--- a/crates/standins/tests/engine_faults.rs
+++ b/crates/standins/tests/engine_faults.rs
@@ -396,3 +396,15 @@
     tokens.try_collect::<Vec<_>>().await.unwrap();
     assert!(engine.cache_events(0).await.unwrap().events.is_empty());
 }
+
+#[tokio::test]
+async fn slow_tokens() {
+    let (standin, engine) = start(EngineConfig::default());
+    let digest = bundle(1).digest();
+    standin.hold(digest);
+    standin.faults().update(|faults| faults.slow_tokens = LONG);
+    let mut tokens = engine.generate(&request("r1", digest)).await.unwrap();
+    tokens.next().await.unwrap().unwrap();
+    until(|| standin.stats().tokens == 1).await;
+    assert_eq!(engine.status().await.unwrap().load.running, 1);
+}
--- a/crates/standins/tests/log.rs
+++ b/crates/standins/tests/log.rs
@@ -167,3 +167,33 @@
     assert_eq!((page.next, page.records.len()), (3, 2));
     assert_eq!(append(&log, 9).await.unwrap(), 3);
 }
+
+#[tokio::test]
+async fn outage_while_waiting() {
+    let (standin, log) = start();
+    let reader = tokio::spawn(async move { log.read(STREAM, 1, 10, LONG).await });
+    while standin.stats().reads == 0 {
+        tokio::task::yield_now().await;
+    }
+    standin.faults().update(|faults| faults.common.down = true);
+    standin.append(STREAM, &json!({}));
+    let err = reader.await.unwrap().unwrap_err();
+    assert_eq!(err.status().unwrap(), 503);
+}
+
+/// Pages of long records stay short enough to be read.
+#[tokio::test]
+async fn long_records() {
+    let (standin, log) = start();
+    let text = "a".repeat(1_000_000);
+    for _ in 0..20 {
+        standin.append(STREAM, &json!(text));
+    }
+    let mut next = 1;
+    while next < 21 {
+        let page = log.read(STREAM, next, 100, Duration::ZERO).await.unwrap();
+        assert_eq!(page.records[0].offset, next);
+        next += page.records.len() as u64;
+    }
+    assert_eq!(next, 21);
+}
--- a/crates/standins/tests/origin.rs
+++ b/crates/standins/tests/origin.rs
@@ -147,3 +147,19 @@
     assert!(begin.elapsed() >= Duration::from_millis(365));
     assert_eq!(standin.stats().bytes, 380_000);
 }
+
+/// A short range beside a long one doesn't wait until the long one has passed.
+#[tokio::test]
+async fn readers_take_turns() {
+    let (standin, origin, part) = start(200_000);
+    let long = tokio::spawn({
+        let (origin, part) = (origin.clone(), part.clone());
+        async move { origin.range(&part, 0, 95_000).await }
+    });
+    while standin.stats().bytes == 0 {
+        tokio::task::yield_now().await;
+    }
+    origin.range(&part, 0, 10_000).await.unwrap();
+    assert!(!long.is_finished());
+    assert_eq!(long.await.unwrap().unwrap().len(), 95_000);
+}
