Wait for a base that this entry has not read yet

Found by racing_edits, which failed once in 15 runs of the suite at a load of 37: the second entry had not read revision 1 and refused the edit as ahead of it, naming no winner. Behind a balancer an operator would meet that too, so an edit whose base is ahead is held for up to 2 s. base_ahead fails without the wait.

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -23,6 +23,9 @@
 /// How long an accepted append is waited for to be read back.
 const READ_BACK: Duration = Duration::from_secs(5);
 
+/// How long this entry may take to read a revision that the operator saw at another.
+const CATCH_UP: Duration = Duration::from_secs(2);
+
 /// How an edit is named and what it is based on.
 #[derive(Debug, Deserialize)]
 pub(crate) struct EditQuery {
@@ -89,8 +92,7 @@
     if let Some(decided) = decided_before(book, service, &query, &document) {
         return decided;
     }
-    let fits = book.with_fold(|fold| fold.check_edit(service, team, query.base));
-    if let Err(refusal) = fits {
+    if let Err(refusal) = check_edit(book, service, team, query.base).await {
         return Submitted::Refused(refusal);
     }
     let record = ConfigRecord::Edit {
@@ -103,6 +105,30 @@
     append(admin, service, &query.edit, &record).await
 }
 
+/// Checks an edit's base. This entry may not have read yet what the operator saw at another, so
+/// a base that is ahead is waited for.
+async fn check_edit(
+    book: &ConfigBook,
+    service: &str,
+    team: &str,
+    base: Offset,
+) -> Result<(), Refusal> {
+    let mut offset = book.offset();
+    let until = Instant::now() + CATCH_UP;
+    loop {
+        let fits = book.with_fold(|fold| fold.check_edit(service, team, base));
+        match fits {
+            Err(refusal) if refusal.reason == RefusalReason::BaseAhead => {
+                let changed = tokio::time::timeout_at(until, offset.changed()).await;
+                if !matches!(changed, Ok(Ok(()))) {
+                    return Err(refusal);
+                }
+            }
+            fits => return fits,
+        }
+    }
+}
+
 /// Answers an edit that was sent again from what the fold remembers.
 ///
 /// The same id with another document is another edit: it goes on and is judged by its base.
--- a/crates/entry/tests/administration.rs
+++ b/crates/entry/tests/administration.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::caller::Request;
 use common::{Bench, SERVICE, TOKEN, document, until};
 use rstest::rstest;
@@ -42,6 +44,25 @@
     bench.stop().await;
 }
 
+/// An entry that has not read the base yet waits for it rather than refuse the edit.
+#[tokio::test(flavor = "multi_thread")]
+async fn base_ahead() {
+    let bench = Bench::start(SERVICE, 1, &[]).await;
+    let yaml = format!("{}priority: low\n", document(SERVICE));
+    let record = bench.log.records("config").remove(0).1;
+    let (late, _) = tokio::join!(bench.submit_yaml(0, SERVICE, 2, "late", &yaml), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let mut second = record;
+        second["edit_id"] = "second".into();
+        second["base"] = 1.into();
+        bench.log.append("config", &second)
+    });
+    assert_eq!(late.status, 200, "{}", late.text());
+    let ahead = bench.submit_yaml(0, SERVICE, 9, "ahead", &yaml).await;
+    assert_eq!(ahead.status, 409);
+    bench.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_append() {
     let bench = Bench::start(SERVICE, 1, &[]).await;
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -179,7 +179,7 @@
                 let usable = vms.map_or(0, |vms| {
                     vms.iter().filter(|vm| vm["standing"] == "usable").count()
                 });
-                usable == self.agents.len()
+                usable == self.agents.len() && rollout["revision"].as_u64() >= Some(1)
             })
             .await;
         }
