--- a/crates/fold/tests/orders.rs
+++ b/crates/fold/tests/orders.rs
@@ -71,7 +71,7 @@
         let applied = applied.unwrap();
         self.say(&format!("record {offset} at {seconds} s"));
         for applied in &applied {
-            self.say(&format!("  {}", show(applied)));
+            self.say(&format!("  {applied}"));
         }
         applied
     }
@@ -85,54 +85,6 @@
     }
 }
 
-fn show(applied: &OrderApplied) -> String {
-    match applied {
-        OrderApplied::Won { key, claimant, .. } => {
-            format!("{} of {} won {key}", claimant.request, claimant.holder)
-        }
-        OrderApplied::Repeated { key, claimant, .. } => {
-            format!(
-                "{} of {} held {key} before",
-                claimant.request, claimant.holder
-            )
-        }
-        OrderApplied::Lost {
-            key,
-            claimant,
-            holder,
-            ..
-        } => format!(
-            "{} of {} lost {key}: {} of {} holds it",
-            claimant.request, claimant.holder, holder.request, holder.holder
-        ),
-        OrderApplied::Void {
-            key,
-            claimant,
-            problem,
-            ..
-        } => format!(
-            "{} of {} void, {key}: {problem}",
-            claimant.request, claimant.holder
-        ),
-        OrderApplied::GivenUp { key, claimant, .. } => {
-            format!(
-                "{} of {} void, {key}: was given up",
-                claimant.request, claimant.holder
-            )
-        }
-        OrderApplied::Released { key, claimant, .. } => {
-            format!("{} of {} released {key}", claimant.request, claimant.holder)
-        }
-        OrderApplied::ReleaseIgnored { claimant } => {
-            let start = claimant.incarnation;
-            format!(
-                "{} of {} (start {start}) held nothing",
-                claimant.request, claimant.holder
-            )
-        }
-    }
-}
-
 #[test]
 fn two_entries() {
     let mut s = Session::new();
