Tighten what the transfer's tests prove

Each proof was broken once and restored. Found by it: an overflowing peer was refused in the end anyway, so its test now gives without an end; one line of the pressure's code did nothing, and is gone.

Break -> test that failed: chunk digest unchecked -> lying_peer, corrupt_origin; length unchecked while read -> overflowing_peer; whole digest unchecked -> wrong_whole; memory unchecked -> memory_refused; shared chunks counted twice -> memory_refused, memory_just_fits; replaced transfer keeps nothing -> replaced_midway; corrupt told as broken -> lying_peer, corrupt_origin; Retry-After dropped -> retry_after; gives without a bound -> busy_link; document's rate not applied -> rate_of_document; pressure not applied, or without a floor -> live_pressure; have answers without news -> long_poll; forgotten chunks kept -> staged_stays, replaced_midway, wrong_whole.

--- a/crates/transfer/src/bucket.rs
+++ b/crates/transfer/src/bucket.rs
@@ -78,9 +78,9 @@
     pub(crate) fn give_up(&self, share: f64) {
         let share = if share.is_nan() { 0.0 } else { share };
         let mut state = self.lock();
+        // What came back before belongs to the old target.
         state.step(Instant::now());
         state.target = 1.0 - share.clamp(0.0, 1.0) * (1.0 - MIN_SHARE);
-        state.share = state.share.min(state.target);
     }
 
     /// Returns the rate now, in bytes a second; none if nothing limits it.
@@ -125,7 +125,7 @@
         Some((full * self.share).max(1.0))
     }
 
-    /// Moves the share a bit back to its target.
+    /// Moves the share to its target: down at once, up a bit.
     fn step(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.stepped_at);
         self.stepped_at = now;
--- a/crates/transfer/tests/faults.rs
+++ b/crates/transfer/tests/faults.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,8 @@
 use axum::routing::get;
 use bytes::Bytes;
 use common::{CHUNK, Vm, entry, introduce, model, origin, serve};
+use futures::StreamExt as _;
+use tokio_stream::wrappers::IntervalStream;
 use wagtailreel_core::{Bundle, Digest, Manifest, ModelRef, VmEntry, WeightsPhase};
 use wagtailreel_platform::{HttpOrigin, Origin, PlatformError};
 use wagtailreel_spread::ChunkSet;
@@ -25,7 +28,7 @@
 enum Trick {
     /// Gives other bytes of the same length.
     Lies,
-    /// Gives more bytes than the chunk has.
+    /// Gives more and more bytes without an end.
     Overflows,
     /// Gives nothing and doesn't end.
     Stalls,
@@ -70,6 +73,13 @@
     }
 }
 
+/// Returns a body of many bytes a second without an end.
+fn endless() -> axum::body::Body {
+    let pieces = tokio::time::interval(Duration::from_millis(5));
+    let pieces = IntervalStream::new(pieces).map(|_| Ok::<_, Infallible>(vec![7; CHUNK / 4]));
+    axum::body::Body::from_stream(pieces)
+}
+
 /// Starts a false peer that says it has the first `chunks` chunks of a bundle of `total`.
 async fn false_peer(trick: Trick, chunks: u32, total: u32) -> (VmEntry, Asked) {
     let mut set = ChunkSet::new(total);
@@ -86,8 +96,8 @@
         *seen.lock().unwrap().entry(digest).or_default() += 1;
         async move {
             match trick {
-                Trick::Lies => vec![7; CHUNK],
-                Trick::Overflows => vec![7; CHUNK + 1],
+                Trick::Lies => axum::body::Body::from(vec![7; CHUNK]),
+                Trick::Overflows => endless(),
                 Trick::Stalls => std::future::pending().await,
             }
         }
@@ -123,6 +133,7 @@
     assert_eq!(corrupt, asked.len() as u64);
 }
 
+/// A peer whose chunk doesn't end is cut off after the chunk's length.
 #[tokio::test]
 async fn overflowing_peer() {
     let (vm, asked) = outlast(Trick::Overflows).await;
