Let chunks go to the origin in a moving window

A window of 12 chunks after the last one seen mends it. A second copy is drawn only if the own data centre has none.

--- a/crates/spread/src/draw.rs
+++ b/crates/spread/src/draw.rs
@@ -14,9 +14,13 @@
 /// Up to this many other VMs, one draw each would not fill the origin's link.
 const FEW_VMS: usize = 3;
 
+/// Fetches from peers in a row until a chunk is seen among the neighbours.
+const HOPS: u32 = 4;
+
 impl Planner {
     /// Starts draws that are due.
     pub(crate) fn draw(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.note_moved(now);
         self.note_drawn(now);
         let most = if self.peers.iter().count() <= FEW_VMS {
             FEW_VMS_DRAWS
@@ -45,10 +49,12 @@
         if !self.has_learned(now) {
             return None;
         }
-        if let Some(chunk) = self.first_draw() {
+        if let Some(chunk) = self.first_draw(now) {
             return Some((chunk, Reason::Draw));
         }
-        let second = self.second_copy().map(|chunk| (chunk, Reason::SecondCopy));
+        let second = self
+            .second_copy(now)
+            .map(|chunk| (chunk, Reason::SecondCopy));
         second.or_else(|| self.takeover(now).map(|chunk| (chunk, Reason::Takeover)))
     }
 
@@ -60,37 +66,71 @@
         is_late || self.settings.policy != SpreadPolicy::Balanced || self.peers.all_answered()
     }
 
-    /// Returns a chunk that the VM is first for and that no neighbour has.
-    fn first_draw(&self) -> Option<ChunkIndex> {
+    /// Returns the first chunk that the VM is first for and that no neighbour has.
+    fn first_draw(&self, now: Instant) -> Option<ChunkIndex> {
+        let frontier = self.frontier(now);
         self.wanted()
+            .take_while(|chunk| *chunk < frontier)
             .filter(|chunk| self.ranking.position(*chunk) == 0)
-            .filter(|chunk| self.peers.holders(*chunk) == 0)
-            .min_by_key(|chunk| self.order[*chunk as usize])
+            .find(|chunk| self.peers.holders(*chunk) == 0)
+    }
+
+    /// Returns up to where chunks are drawn now: a window after the last chunk that was seen.
+    ///
+    /// The origin shares its link evenly. Were all VMs to draw at once, then all draws would end
+    /// late and together, and until then nobody would have anything to give. A window that never
+    /// moves, because its VMs are gone, opens with time.
+    fn frontier(&self, now: Instant) -> ChunkIndex {
+        let count = self.have.capacity();
+        if self.settings.policy != SpreadPolicy::Balanced {
+            return count;
+        }
+        let from = self.last_seen.map_or(0, |chunk| chunk + 1);
+        let quiet = now.saturating_duration_since(self.moved_at);
+        let stalls = quiet.as_secs_f64() / self.stall().as_secs_f64();
+        // The value is small and not negative.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let windows = 1 + stalls as u32;
+        from.saturating_add(self.tuning.window.saturating_mul(windows))
     }
 
-    /// Returns the rarest chunk that the VM is second for, if time is weighed and the VM has
-    /// drawn all that it is first for.
-    fn second_copy(&self) -> Option<ChunkIndex> {
+    /// Returns the rarest chunk that the VM is second for and that its data centre lacks, if time
+    /// is weighed. First copies go before second ones: at every VM, all first draws must have been
+    /// let go.
+    fn second_copy(&self, now: Instant) -> Option<ChunkIndex> {
         let is_apt = self.settings.policy == SpreadPolicy::Balanced
             && self.settings.weigh == Weigh::Time
-            && self.drawn_at.is_some();
+            && self.drawn_at.is_some()
+            && self.frontier(now) >= self.have.capacity();
         if !is_apt {
             return None;
         }
         self.wanted()
             .filter(|chunk| self.ranking.position(*chunk) == 1)
+            .filter(|chunk| !self.is_at_home(*chunk))
             .min_by_key(|chunk| (self.peers.holders(*chunk), self.order[*chunk as usize]))
     }
 
+    /// Says whether a neighbour in the own data centre has `chunk`.
+    fn is_at_home(&self, chunk: ChunkIndex) -> bool {
+        self.peers
+            .neighbours()
+            .any(|(_, peer)| peer.has(chunk) && peer.site.data_centre == self.own.data_centre)
+    }
+
     /// Returns a chunk that the VM draws in the place of those that rank before it.
     fn takeover(&self, now: Instant) -> Option<ChunkIndex> {
         let drawn_at = self.drawn_at?;
+        let frontier = self.frontier(now);
         let unseen = self
             .wanted()
+            .take_while(|chunk| *chunk < frontier)
             .filter(|chunk| self.peers.holders(*chunk) == 0)
             .filter(|chunk| self.ranking.position(*chunk) != NEVER)
             .find(|chunk| {
-                let since = self.peers.unseen_since(*chunk).max(drawn_at);
+                // Until a chunk was let go, nobody was late with it.
+                let let_go = self.let_go_at[*chunk as usize].unwrap_or(now);
+                let since = self.peers.unseen_since(*chunk).max(drawn_at).max(let_go);
                 now.saturating_duration_since(since) >= self.stall_of(*chunk)
             });
         unseen.or_else(|| self.rescue(now))
@@ -113,6 +153,21 @@
             .filter(|chunk| self.flying[*chunk as usize] == 0)
     }
 
+    /// Notes when the last chunk that was seen moved on.
+    fn note_moved(&mut self, now: Instant) {
+        let seen = (0..self.have.capacity())
+            .rev()
+            .find(|chunk| self.have.contains(*chunk) || self.peers.holders(*chunk) > 0);
+        if seen > self.last_seen {
+            self.last_seen = seen;
+            self.moved_at = now;
+        }
+        let frontier = self.frontier(now) as usize;
+        for let_go in self.let_go_at.iter_mut().take(frontier) {
+            let_go.get_or_insert(now);
+        }
+    }
+
     /// Notes when the VM has drawn all that it is first for.
     fn note_drawn(&mut self, now: Instant) {
         if self.drawn_at.is_some() || !self.has_learned(now) {
@@ -130,13 +185,15 @@
     /// Returns how long a VM waits for the one before it in a ranking.
     ///
     /// It grows with what the own draws took: an origin that is slow for this VM is slow for the
-    /// others, and those are no reason to draw in their place.
+    /// others. A chunk drawn by a VM that is no neighbour takes some hops to be
+    /// seen. Neither is a reason to draw in the others' place.
     fn stall(&self) -> Duration {
         let span = self.drawn_at.map_or(Duration::ZERO, |at| {
             at.saturating_duration_since(self.started)
         });
         let draw = self.origin_pace.usual() * 2;
-        self.tuning.stall.max(draw).max(span / 2)
+        let hops = self.peer_pace.usual() * HOPS;
+        self.tuning.stall.max(draw).max(span / 2).max(hops)
     }
 
     /// Returns how long the own VM waits for those that rank before it for `chunk`.
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -68,6 +68,11 @@
     pub(crate) started: Instant,
     /// When the last of the draws that the VM is first for was done.
     pub(crate) drawn_at: Option<Instant>,
+    /// The last chunk that the VM or a neighbour has had, and since when.
+    pub(crate) last_seen: Option<ChunkIndex>,
+    pub(crate) moved_at: Instant,
+    /// Since when each chunk may be drawn by the VM that is first for it.
+    pub(crate) let_go_at: Vec<Option<Instant>>,
     /// When the last chunk arrived.
     pub(crate) arrived_at: Instant,
     lost: BTreeSet<VmId>,
@@ -102,6 +107,9 @@
             tuning,
             started: now,
             drawn_at: None,
+            last_seen: None,
+            moved_at: now,
+            let_go_at: vec![None; count as usize],
             arrived_at: now,
             lost: BTreeSet::new(),
             watched: BTreeSet::new(),
--- a/crates/spread/src/tuning.rs
+++ b/crates/spread/src/tuning.rs
@@ -16,6 +16,8 @@
     pub far: usize,
     /// How long the first draw waits for the neighbours to say what they have.
     pub learn: Duration,
+    /// How many chunks after the last one seen may be drawn by those first in their ranking.
+    pub window: u32,
     /// How long the next in a chunk's ranking waits before it draws in place of the one before.
     pub stall: Duration,
     /// Highest number of stalls that a VM far down a ranking waits.
@@ -48,6 +50,7 @@
             near: 10,
             far: 5,
             learn: Duration::from_millis(250),
+            window: 12,
             stall: Duration::from_secs(1),
             stall_ranks: 8,
             lost_after: Duration::from_secs(1),
