--- a/crates/switch/tests/agreement.rs
+++ b/crates/switch/tests/agreement.rs
@@ -1,4 +1,5 @@
-//! At no instant do two gates of one data centre admit different epochs, whatever fails.
+//! At no instant do two gates of one data centre admit different epochs, and none goes back,
+//! whatever fails.
 
 mod world;
 
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -214,7 +214,8 @@
         world
     }
 
-    /// Runs to the time `end` in ms. Returns a violation if two gates admit different epochs.
+    /// Runs to the time `end` in ms. Returns a violation if two gates admit different epochs, or
+    /// if an epoch is admitted after a later one.
     pub(crate) fn run(&mut self, end: u64) -> Result<(), String> {
         while let Some((&(at, count), _)) = self.queue.first_key_value() {
             if at > end {
@@ -253,9 +254,17 @@
                 self.now, self.log
             ));
         }
-        if let Some(epoch) = epochs.first().copied()
-            && self.admitted.last() != Some(&epoch)
-        {
+        let Some(epoch) = epochs.first().copied() else {
+            return Ok(());
+        };
+        let last = self.admitted.last().copied().unwrap_or(0);
+        if epoch < last {
+            return Err(format!(
+                "{epoch} admitted after {last} at {} ms\n{}",
+                self.now, self.log
+            ));
+        }
+        if epoch > last {
             self.admitted.push(epoch);
         }
         Ok(())
