--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{oneshot, watch};
 use wagtailreel_control::AgentView;
 use wagtailreel_core::{
-    CustomerId, DataCentre, Document, NotRunReason, Priority, Region, Report, ServiceKind,
-    ServiceName, VmEntry, VmId,
+    CustomerId, DataCentre, Document, Incarnation, NotRunReason, Priority, Region, Report,
+    ServiceKind, ServiceName, VmEntry, VmId,
 };
 use wagtailreel_route::{
     Admission, Attempts, BudgetConfig, Choice, Chooser, Ended, Heard, LimitVerdict, Limits,
@@ -61,6 +61,8 @@
     service: Arc<Service>,
     pub(crate) vm: VmId,
     pub(crate) addr: SocketAddr,
+    /// Start of the agent that the attempt goes to.
+    pub(crate) incarnation: Incarnation,
 }
 
 /// A request that was admitted. Counts as in flight until it is dropped.
@@ -171,7 +173,6 @@
     /// Counts a request of `customer` and says whether it is within the limit.
     pub(crate) fn limit(&self, customer: &str) -> LimitVerdict {
         let inner = &mut *self.lock();
-        inner.budget.request();
         inner.limits.ask(customer, Instant::now(), &mut inner.rng)
     }
 
@@ -227,6 +228,9 @@
     pub(crate) fn choose(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Slot, Next> {
         let now = Instant::now();
         let inner = &mut *self.lock();
+        if attempts.sent() == 0 && !attempts.is_at_switch() {
+            inner.budget.request();
+        }
         let choice = inner
             .chooser
             .choose(&inner.membership, attempts.ask(), now, &mut inner.rng);
@@ -238,12 +242,14 @@
             return Err(attempts.short(wagtailreel_route::Shortage::NoUpstream, now));
         };
         let addr = member.report.data;
+        let incarnation = member.report.incarnation;
         inner.membership.started(&vm);
         attempts.sending(&vm);
         Ok(Slot {
             service: Arc::clone(self),
             vm,
             addr,
+            incarnation,
         })
     }
 
--- a/crates/fold/src/orders.rs
+++ b/crates/fold/src/orders.rs
@@ -10,6 +10,7 @@
 use crate::codec::decode;
 use crate::cursor::{Cursor, record_digest};
 use crate::keys::{Key, KeyProblem, MAX_KEY_SKEW, unix_seconds};
+use crate::order_applied::OrderApplied;
 use crate::releases::{Claimant, Releases};
 use crate::stop::{FoldStop, UnknownFormatSnafu};
 
@@ -19,76 +20,6 @@
 /// How far the log's clock may step back. More could hide claims from a fold that starts later.
 const MAX_STEP_BACK: Duration = Duration::from_secs(60);
 
-/// What a claim or a release did.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(tag = "applied", rename_all = "kebab-case")]
-pub enum OrderApplied {
-    /// The claimant holds the key and may dispatch the order, once.
-    Won {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who holds it.
-        claimant: Claimant,
-    },
-    /// The claimant's claim was appended twice; it held the key before. This permits nothing: the
-    /// order may have been dispatched since.
-    Repeated {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who holds it.
-        claimant: Claimant,
-    },
-    /// Another claimant holds the key.
-    Lost {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-        /// Who holds it.
-        holder: Claimant,
-    },
-    /// The claim is void, because the key is not honoured.
-    Void {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-        /// Why the key is not honoured.
-        problem: KeyProblem,
-    },
-    /// The claim is void, because the claimant gave it up before it reached the log.
-    GivenUp {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who claimed in vain.
-        claimant: Claimant,
-    },
-    /// The key can be claimed again.
-    Released {
-        /// Service that the order is for.
-        service: ServiceName,
-        /// Key of the order.
-        key: OrderKey,
-        /// Who held it.
-        claimant: Claimant,
-    },
-    /// The claimant held nothing.
-    ReleaseIgnored {
-        /// Who gave up.
-        claimant: Claimant,
-    },
-}
-
 /// Who holds a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct ClaimView<'a> {
@@ -254,7 +185,8 @@
         self.len() == 0
     }
 
-    /// Returns about how many bytes the claims and releases take up.
+    /// Returns about how many bytes the claims and releases take up, without what the allocator
+    /// and the maps add.
     pub fn approx_bytes(&self) -> usize {
         let claims = self.claims.values().flatten();
         let claims: usize = claims.map(|(key, claim)| claim_bytes(key, claim)).sum();
