--- a/crates/agent/src/steward.rs
+++ b/crates/agent/src/steward.rs
@@ -26,8 +26,9 @@
 /// Time between two looks at least: chunks may come by the hundred a second.
 const LOOK_GAP: Duration = Duration::from_millis(20);
 
-/// How long the engine's status is waited for.
-const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the engine's status is waited for. An engine that is only slow, because it is busy,
+/// shall not count as away.
+const LOOK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Wait before chunks that can't be brought, for a manifest that can't be right, are wanted anew.
 const FAILED_RETRY: Duration = Duration::from_secs(15);
