Count control bytes with relays, and split the slopes by what they do

Bytes of control connections are counted by relays within a data centre, so that no product's own counter has to be trusted.

--- a/crates/bench/src/burst_cli.rs
+++ b/crates/bench/src/burst_cli.rs
@@ -8,7 +8,7 @@
 use wagtailreel_core::SpreadPolicy;
 
 use crate::burst::{Burst, BurstOutcome, Fault, House, run_burst, to_json, to_svg, to_table};
-use crate::cli::write_file;
+use crate::cli::{list, write_file};
 use crate::error::{BrokenSnafu, IoSnafu, Result};
 use crate::fleet::FleetBinaries;
 
@@ -137,15 +137,3 @@
 fn policy_from_name(name: &str) -> Option<SpreadPolicy> {
     POLICIES.into_iter().find(|it| it.0 == name).map(|it| it.1)
 }
-
-fn list<T, F>(text: &str, read: F) -> Result<Vec<T>, lexopt::Error>
-where
-    F: Fn(&str) -> Option<T>,
-{
-    let names = text.split(',');
-    let items = names.map(|name| {
-        let unknown = || lexopt::Error::from(format!("there is no `{name}`"));
-        read(name.trim()).ok_or_else(unknown)
-    });
-    items.collect()
-}
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -34,7 +34,8 @@
                             bring new weights to whole fleets and measure it
   hop [--entries N] [--engines N] [--rates 50,100,200] [--tokens N] [--span-s N] [--json FILE]
                             measure what entry and agent add to an answer
-  slopes [--span-s N] [--json FILE]
+  slopes [--only requests,tokens,streams,known-vms,agents,records,chunks,order-keys]
+         [--span-s N] [--json FILE]
                             measure what one more request, VM or chunk costs
   standin KIND --listen ADDR [--config FILE]
                             run one stand-in: log, vms, origin, engine or plain
@@ -68,6 +69,7 @@
         json: Option<PathBuf>,
     },
     Slopes {
+        measures: Vec<Measure>,
         scale: Scale,
         json: Option<PathBuf>,
     },
@@ -172,15 +174,21 @@
     let mut scale = Scale {
         span: Duration::from_secs(SPAN_SECONDS),
     };
+    let mut measures = Measure::ALL.to_vec();
     let mut json = None;
     while let Some(arg) = parser.next()? {
         match arg {
+            Long("only") => measures = list(&parser.value()?.string()?, Measure::from_name)?,
             Long("span-s") => scale.span = Duration::from_secs(parser.value()?.parse()?),
             Long("json") => json = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
         }
     }
-    Ok(Command::Slopes { scale, json })
+    Ok(Command::Slopes {
+        measures,
+        scale,
+        json,
+    })
 }
 
 fn parse_standin(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
@@ -213,7 +221,11 @@
         Command::Demo => run_demo(FleetBinaries::beside_current()?).await,
         Command::Load { plan, json } => load(&plan, json).await,
         Command::Hop { plan, json } => hop(&plan, json).await,
-        Command::Slopes { scale, json } => slopes(scale, json).await,
+        Command::Slopes {
+            measures,
+            scale,
+            json,
+        } => slopes(&measures, scale, json).await,
         Command::Burst(args) => args.run(FleetBinaries::beside_current()?).await,
         Command::Standin {
             kind,
@@ -246,9 +258,9 @@
     write_json(json, &serde_json::to_value(&outcomes).unwrap_or_default())
 }
 
-async fn slopes(scale: Scale, json: Option<PathBuf>) -> Result<()> {
+async fn slopes(measures: &[Measure], scale: Scale, json: Option<PathBuf>) -> Result<()> {
     let binaries = FleetBinaries::beside_current()?;
-    let slopes = run_slopes(&Measure::ALL, scale, &binaries).await?;
+    let slopes = run_slopes(measures, scale, &binaries).await?;
     print!("{}", to_table(&slopes));
     write_json(json, &to_json(&slopes))
 }
@@ -309,6 +321,23 @@
     serde_saphyr::from_str(&text).map_err(|source| parse(source.to_string()))
 }
 
+/// Reads names that are separated by commas.
+///
+/// # Errors
+///
+/// Returns an error that names the first which `read` does not know.
+pub(crate) fn list<T, F>(text: &str, read: F) -> Result<Vec<T>, lexopt::Error>
+where
+    F: Fn(&str) -> Option<T>,
+{
+    let names = text.split(',');
+    let items = names.map(|name| {
+        let unknown = || lexopt::Error::from(format!("there is no `{name}`"));
+        read(name.trim()).ok_or_else(unknown)
+    });
+    items.collect()
+}
+
 fn write_json(path: Option<PathBuf>, value: &serde_json::Value) -> Result<()> {
     match path {
         Some(path) => write_file(&path, &format!("{value:#}\n")),
--- a/crates/bench/src/fleet/links.rs
+++ b/crates/bench/src/fleet/links.rs
@@ -7,6 +7,12 @@
 use super::standins::Site;
 
 impl Fleet {
+    /// Returns how many bytes have passed over control connections within data centres, both ways;
+    /// needs a fleet with counted control.
+    pub fn control_bytes(&self) -> u64 {
+        self.links.control_bytes()
+    }
+
     /// Changes every link of a data centre to the platform and to other data centres; needs a
     /// fleet with cuttable links.
     pub fn cut(&self, data_centre: &str, state: LinkState) {
--- a/crates/bench/src/fleet/relay.rs
+++ b/crates/bench/src/fleet/relay.rs
@@ -1,6 +1,8 @@
 //! A TCP relay that stands for one link, so that the link can be cut.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use snafu::ResultExt;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -31,6 +33,7 @@
 pub struct Relay {
     addr: SocketAddr,
     state: watch::Sender<LinkState>,
+    bytes: Arc<AtomicU64>,
     _stop: DropGuard,
 }
 
@@ -52,10 +55,16 @@
         let (tx, rx) = watch::channel(LinkState::Open);
         let stop = CancellationToken::new();
         let guard = stop.clone().drop_guard();
-        tokio::spawn(stop.run_until_cancelled_owned(accept(listener, target, rx)));
+        let bytes = Arc::new(AtomicU64::new(0));
+        let link = Link {
+            state: rx,
+            bytes: Arc::clone(&bytes),
+        };
+        tokio::spawn(stop.run_until_cancelled_owned(accept(listener, target, link)));
         Ok(Self {
             addr,
             state: tx,
+            bytes,
             _stop: guard,
         })
     }
@@ -65,20 +74,40 @@
         self.addr
     }
 
+    /// Returns how many bytes have passed, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Changes how the link behaves, for open connections too.
     pub fn set(&self, state: LinkState) {
         self.state.send_replace(state);
     }
 }
 
+/// What the connections of one link share.
+#[derive(Clone, Debug)]
+struct Link {
+    state: watch::Receiver<LinkState>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Link {
+    /// Waits until the link passes bytes; says no if the relay is gone.
+    async fn opened(&mut self) -> bool {
+        let open = self.state.wait_for(|it| *it == LinkState::Open);
+        open.await.is_ok()
+    }
+}
+
 /// Accepts connections until cancelled; the set ends its connections with it.
-async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Receiver<LinkState>) {
+async fn accept(listener: TcpListener, target: SocketAddr, link: Link) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((caller, _)) = accepted {
-                    connections.spawn(carry(caller, target, state.clone()));
+                    connections.spawn(carry(caller, target, link.clone()));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -87,14 +116,14 @@
 }
 
 /// Carries one connection until either side ends it or the link refuses.
-async fn carry(caller: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
-    let mut refused = state.clone();
+async fn carry(caller: TcpStream, target: SocketAddr, mut link: Link) {
+    let mut refused = link.state.clone();
     let refusal = async move {
         // The sender lives as long as the relay, whose end cancels this task anyway.
         let _ = refused.wait_for(|it| *it == LinkState::Refused).await;
     };
     let passage = async move {
-        if !opened(&mut state).await {
+        if !link.opened().await {
             return;
         }
         let Ok(callee) = TcpStream::connect(target).await else {
@@ -106,8 +135,8 @@
         let (caller_rx, caller_tx) = caller.into_split();
         let (callee_rx, callee_tx) = callee.into_split();
         tokio::join!(
-            copy(caller_rx, callee_tx, state.clone()),
-            copy(callee_rx, caller_tx, state),
+            copy(caller_rx, callee_tx, link.clone()),
+            copy(callee_rx, caller_tx, link),
         );
     };
     tokio::select! {
@@ -117,7 +146,7 @@
 }
 
 /// Copies one direction, and holds what was read back while the link is stalled.
-async fn copy<R, W>(mut rx: R, mut tx: W, mut state: watch::Receiver<LinkState>)
+async fn copy<R, W>(mut rx: R, mut tx: W, mut link: Link)
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
@@ -127,7 +156,7 @@
         let Ok(read) = rx.read(&mut buf).await else {
             return;
         };
-        if !opened(&mut state).await {
+        if !link.opened().await {
             return;
         }
         if read == 0 {
@@ -138,10 +167,6 @@
         if tx.write_all(&buf[..read]).await.is_err() {
             return;
         }
+        link.bytes.fetch_add(read as u64, Ordering::Relaxed);
     }
 }
-
-/// Waits until the link passes bytes; says no if the relay is gone.
-async fn opened(state: &mut watch::Receiver<LinkState>) -> bool {
-    state.wait_for(|it| *it == LinkState::Open).await.is_ok()
-}
--- a/crates/bench/src/fleet/spec.rs
+++ b/crates/bench/src/fleet/spec.rs
@@ -37,6 +37,8 @@
     /// Whether every link between data centres and to the platform goes through a relay, so that
     /// it can be cut.
     pub cuttable: bool,
+    /// Whether control connections within a data centre go through relays that count their bytes.
+    pub counted_control: bool,
     /// Value of `RUST_LOG` for the processes.
     pub log_level: String,
 }
@@ -65,6 +67,7 @@
             body_limit: 1 << 20,
             snapshot_every: 500,
             cuttable: false,
+            counted_control: false,
             log_level: "info".to_owned(),
         }
     }
--- a/crates/bench/src/fleet/standins.rs
+++ b/crates/bench/src/fleet/standins.rs
@@ -112,6 +112,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     relays: Vec<(DataCentre, Site, Relay)>,
+    /// Control connections within a data centre, whose bytes are counted.
+    control: Vec<Relay>,
 }
 
 impl Links {
@@ -159,12 +161,22 @@
         let mut seen = vms.to_vec();
         for vm in &mut seen {
             let to = Site::DataCentre(vm.data_centre.clone());
+            if spec.counted_control && vm.data_centre == from {
+                let relay = Relay::start(vm.control).await?;
+                vm.control = relay.addr();
+                self.control.push(relay);
+            }
             vm.control = self.via(spec, from, to.clone(), vm.control).await?;
             vm.data = self.via(spec, from, to, vm.data).await?;
         }
         Ok(seen)
     }
 
+    /// Returns how many bytes have passed over control connections within data centres.
+    pub(super) fn control_bytes(&self) -> u64 {
+        self.control.iter().map(Relay::bytes).sum()
+    }
+
     /// Changes every link for which `concerns` says yes; it is given both sides.
     pub(super) fn set<F>(&self, state: LinkState, concerns: F)
     where
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -6,9 +6,13 @@
 mod cost;
 mod fit;
 mod measure;
+mod reading;
+mod run;
 mod table;
+mod workload;
 
 pub use cost::{Cost, read_cost};
 pub use fit::{Fit, FitError, fit_line};
-pub use measure::{Measure, Scale, run_slopes};
+pub use measure::{Measure, Scale};
+pub use run::run_slopes;
 pub use table::{Slope, to_json, to_table};
--- a/crates/bench/tests/links.rs
+++ b/crates/bench/tests/links.rs
@@ -45,6 +45,7 @@
     let relay = Relay::start(echo().await).await.unwrap();
     let mut old = TcpStream::connect(relay.addr()).await.unwrap();
     exchange(&mut old, b"before").await;
+    assert_eq!(relay.bytes(), 12);
     relay.set(LinkState::Stalled);
     old.write_all(b"held").await.unwrap();
     let mut new = TcpStream::connect(relay.addr()).await.unwrap();
