--- a/crates/switch/src/gate.rs
+++ b/crates/switch/src/gate.rs
@@ -238,7 +238,10 @@
         if epoch < self.closed_below || length.is_zero() {
             return;
         }
-        let until = sent_at + length;
+        // A length that no clock can count comes from no entry of ours.
+        let Some(until) = sent_at.checked_add(length) else {
+            return;
+        };
         let renewed = self
             .lease
             .filter(|lease| lease.epoch == epoch)
