--- a/crates/fold/src/releases.rs
+++ b/crates/fold/src/releases.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, SystemTime};
 
+use derive_more::Display;
 use serde::Serialize;
 use wagtailreel_core::{Incarnation, RequestId, VmId};
 
 /// Who made a claim. Two are never the same unless one claim was appended twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
+#[display("{request} of {holder} (start {incarnation})")]
 pub struct Claimant {
     /// Entry that made the claim.
     pub holder: VmId,
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -105,7 +105,9 @@
         if let Some(end) = self.ended() {
             return self.end(end);
         }
-        let started = self.store.requests.start(&self.req.request, self.held.real);
+        let from = self.req.resume_from;
+        let requests = &self.store.requests;
+        let started = requests.start(&self.req.request, self.held.real, from);
         if !started {
             return self.end(RequestState::Cancelled);
         }
@@ -202,11 +204,12 @@
     /// Returns the time to the next token, which grows with the batch.
     fn between_tokens(&self) -> Duration {
         let cfg = &self.store.cfg;
+        let fault = self.store.faults.read(|faults| faults.slow_tokens);
         if cfg.batch_slowdown == 0.0 || cfg.between_tokens.is_zero() {
-            return cfg.between_tokens;
+            return cfg.between_tokens + fault;
         }
         let slower = 1.0 + cfg.batch_slowdown * self.store.batch.crowding();
-        cfg.between_tokens.mul_f64(slower)
+        cfg.between_tokens.mul_f64(slower) + fault
     }
 
     /// Says whether the answer was cancelled or its bundle dropped.
