Prove the outcomes of requests with real processes

A stream is resumed on a replica when its engine or agent is killed, and is whole and its own; without a replica it ends with an error event. A killed entry, an agent killed or restarted unseen, and engines that lose their answers never make a caller hear "not run" of what ran. What a caller is told is held against the engines' own counts by the prompt.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,7 @@
 //! Tests of the whole system with real processes, one file a feature.
+// A test that can't go on says so by a panic.
+#![allow(clippy::unwrap_used)]
+
+mod outcomes;
+#[path = "support/requests.rs"]
+mod requests;
