Prove refusal at once, priorities and limits with real processes

At twice and five times the capacity every request is answered or refused as full, with when to come back; none that was refused ran, none ran twice, high priority is held above low, and attempts at agents are at most 1.1 a request. A customer over its limit is held to it over two entries together while the others have all their answers.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod membership;
 mod orders;
 mod outcomes;
+mod overload;
 #[path = "support/requests.rs"]
 mod requests;
