Let an entry that starts without the platform ask the agents that report to it

Cause: an entry that starts while the log and the list of VMs are away asks its seeds, which are entries. A data centre's only entry has none, so it never got a configuration, though the agents around it held it and went on reporting to it.

Now it also asks the agents of its data centre whose reports have come.

Conclusion: who reports is a peer, listed or not.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,12 +35,18 @@
     book: Arc<ConfigBook>,
     seeds: Vec<SocketAddr>,
     vms: Arc<KnownVms>,
+    control: EntryControl,
     data_centre: DataCentre,
     cancel: CancellationToken,
 ) {
+    let agents = control.agents();
     while !book.is_known() {
         let mut addrs = vms.control_addrs(&data_centre);
         addrs.extend(&seeds);
+        // Agents that know this entry report to it, also while it has no list of VMs.
+        let views = Arc::clone(&agents.borrow());
+        let near = views.values().filter(|view| !view.remote);
+        addrs.extend(near.map(|view| view.report.control));
         addrs.sort();
         addrs.dedup();
         rand::seq::SliceRandom::shuffle(addrs.as_mut_slice(), &mut rand::rng());
