Prove that a cut data centre goes on serving

A data centre is cut from the platform and the other one, with links that stall and with links that refuse. Streams go on on both sides; an entry and then an agent that are restarted in it serve again, with state and weights from their peers; a data centre's only entry does, with state from its agents. After healing both sides take a new version and every entry answers from it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod orders;
 mod outcomes;
 mod overload;
+mod partition;
 #[path = "support/requests.rs"]
 mod requests;
