--- a/tests/all/support/requests.rs
+++ b/tests/all/support/requests.rs
@@ -10,7 +10,7 @@
     DataCentreSpec, Fleet, FleetBinaries, FleetSpec, UpstreamSpec, check_answer,
 };
 use wagtailreel_bench::metrics::sum_metric;
-use wagtailreel_bench::{Look, wait_for};
+use wagtailreel_bench::{Look, wait_for, wait_until};
 use wagtailreel_core::{Digest, Document, Offset};
 use wagtailreel_standins::{OriginModel, RequestState, RequestStats, TokenSource, prompt_hash};
 
@@ -116,6 +116,18 @@
     matches!(ending, Ending::NotRun { retry_after, .. } if retry_after.is_some())
 }
 
+/// Says whether every thread of a process is stopped by a signal, as the system tells it.
+fn all_stopped(pid: u32) -> bool {
+    let mut tasks = std::fs::read_dir(format!("/proc/{pid}/task")).unwrap();
+    tasks.all(|task| {
+        let stat = task.unwrap().path().join("stat");
+        let stat = std::fs::read_to_string(stat).unwrap_or_default();
+        // The state follows the name, which stands in brackets.
+        let rest = stat.rsplit(") ").next().unwrap_or_default();
+        rest.starts_with('T')
+    })
+}
+
 impl Live {
     /// Makes an ordinary request of the first customer.
     pub(crate) fn ask(&self, prompt: &str, tokens: u32) -> Ask {
@@ -226,6 +238,17 @@
         .unwrap()
     }
 
+    /// Stops the process of `vm`, and waits until each of its threads has stopped: one that runs
+    /// on for a moment could still pass an answer on.
+    pub(crate) async fn freeze(&self, vm: &str) {
+        self.fleet.freeze(vm).await.unwrap();
+        let pid = self.fleet.pid(vm).await.unwrap().unwrap();
+        let stopped = || std::future::ready(all_stopped(pid));
+        wait_until("the process to stop", BOUND, stopped)
+            .await
+            .unwrap();
+    }
+
     /// Returns the sum of a metric over the entries.
     pub(crate) async fn entries_sum(&self, name: &str, labels: &[&str]) -> f64 {
         let entries = self.fleet.entries();
