Read what VMs give under the transfer's own metric name, from the burst on

Cause: the burst's table said 'not told' for the busiest VM, since it read a name that the transfer does not export; and it would have counted what was given of the version before. Ruled out: that the agents do not count. After: the difference of wagtailreel_transfer_bytes_out_total between two looks, in copies.

--- a/crates/bench/src/burst/run.rs
+++ b/crates/bench/src/burst/run.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
-use wagtailreel_core::{DataCentre, Digest, Document, Offset};
+use wagtailreel_core::{DataCentre, Digest, Document, Offset, VmId};
 
 use super::fault::bring_about;
 use super::outcome::{BurstOutcome, Latency};
@@ -27,7 +27,7 @@
 const AFTER: Duration = Duration::from_secs(2);
 
 /// Counter of bytes of chunks that an agent gave to others.
-const OUT_BYTES: &str = "wagtailreel_transfer_out_bytes_total";
+const OUT_BYTES: &str = "wagtailreel_transfer_bytes_out_total";
 
 /// When the new weights were where.
 struct Times {
@@ -51,6 +51,8 @@
     let load_start = Instant::now();
     let load = tokio::spawn(run_load(plan, stop.clone()));
     sleep(burst.before).await;
+    // The version before was spread too; only what is given from here on counts.
+    let given_before = given_bytes(&fleet).await;
     let (version, times) = {
         let faults = bring_about(burst, &fleet);
         let spread = spread(burst, &fleet, base);
@@ -67,7 +69,8 @@
             return BrokenSnafu { what }.fail();
         }
     };
-    let out = out_copies(&fleet, burst).await;
+    let given = given_bytes(&fleet).await;
+    let out = out_copies(&given_before, &given, burst.length);
     Ok(assemble(
         burst, &fleet, version, load_start, &times, out, &report,
     ))
@@ -168,17 +171,31 @@
     })
 }
 
-/// Returns how many copies each VM gave to others, as far as its process still tells.
-async fn out_copies(fleet: &Fleet, burst: &Burst) -> Vec<f64> {
-    let mut copies = Vec::new();
+/// Returns how many bytes each VM gave to others so far, as far as its process still tells.
+async fn given_bytes(fleet: &Fleet) -> BTreeMap<VmId, f64> {
+    let mut given = BTreeMap::new();
     for vm in fleet.upstreams(SERVICE) {
         if let Ok(text) = fleet.metrics(&vm).await
             && let Some(bytes) = sum_metric(&text, OUT_BYTES, &[])
         {
-            copies.push(bytes / burst.length as f64);
+            given.insert(vm, bytes);
         }
     }
-    copies
+    given
+}
+
+/// Returns how many copies of `length` bytes each VM gave between two looks.
+fn out_copies(
+    before: &BTreeMap<VmId, f64>,
+    after: &BTreeMap<VmId, f64>,
+    length: usize,
+) -> Vec<f64> {
+    let copies = |(vm, bytes): (&VmId, &f64)| {
+        // A process that was started anew counts from 0.
+        let base = before.get(vm).filter(|base| *base <= bytes).unwrap_or(&0.0);
+        (bytes - base) / length as f64
+    };
+    after.iter().map(copies).collect()
 }
 
 fn assemble(
