--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -1,49 +1,26 @@
 //! `wagtailreel entry`: the process on an entry VM.
 
-use std::ffi::OsString;
-use std::path::Path;
-
 use wagtailreel_entry::EntryProcess;
 use wagtailreel_settings::EntrySettings;
 
-use super::block_on;
-use crate::args::{Options, read_text};
-use crate::error::{BadInputSnafu, CommandError, StartSnafu};
-use crate::signals::wait_for_end;
+use super::process::Process;
+
+impl Process for EntryProcess {
+    type Settings = EntrySettings;
 
-pub(super) fn run(args: Vec<OsString>) -> Result<(), CommandError> {
-    let options = Options::parse(args, &["settings", "check"])?;
-    options.no_words()?;
-    let path = Path::new(options.require("settings")?);
-    let settings = match EntrySettings::from_yaml(&read_text(path)?) {
-        Ok(settings) => settings,
-        Err(e) => {
-            return BadInputSnafu {
-                path,
-                problems: e.to_string(),
-            }
-            .fail();
-        }
-    };
-    if options.get("check").is_some() {
-        println!("{}: no mistakes", path.display());
-        return Ok(());
+    fn settings(yaml: &str) -> Result<EntrySettings, String> {
+        EntrySettings::from_yaml(yaml).map_err(|e| e.to_string())
+    }
+
+    fn vm(settings: &EntrySettings) -> &str {
+        &settings.vm
+    }
+
+    async fn start(settings: EntrySettings) -> Result<Self, String> {
+        Self::start(settings).await.map_err(|e| e.to_string())
     }
-    wagtailreel_telemetry::init_logging(&settings.vm);
-    block_on(serve(settings))?
-}
 
-async fn serve(settings: EntrySettings) -> Result<(), CommandError> {
-    let process = match EntryProcess::start(settings).await {
-        Ok(process) => process,
-        Err(e) => {
-            return StartSnafu {
-                what: e.to_string(),
-            }
-            .fail();
-        }
-    };
-    wait_for_end().await;
-    process.shutdown().await;
-    Ok(())
+    async fn shutdown(self) {
+        self.shutdown().await;
+    }
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,12 +5,16 @@
 mod entry;
 mod events;
 mod hash;
+mod process;
 mod report;
 mod service;
 mod submit;
 
 use std::ffi::OsString;
 
+use wagtailreel_agent_core::AgentProcess;
+use wagtailreel_entry::EntryProcess;
+
 use crate::ExitCode;
 use crate::error::{CommandError, StartSnafu, UsageSnafu};
 
@@ -64,7 +68,7 @@
     if let Some(code) = help_or_version(&args, "wagtailreel-agent", AGENT_HELP) {
         return code;
     }
-    finish(agent::run(args))
+    finish(process::run::<AgentProcess>(args))
 }
 
 fn tool(mut args: Vec<OsString>) -> Result<(), CommandError> {
@@ -79,7 +83,7 @@
     }
     let command = args.remove(0);
     match command.to_str() {
-        Some("entry") => entry::run(args),
+        Some("entry") => process::run::<EntryProcess>(args),
         Some("check") => check::run(args),
         Some("submit") => submit::run(args),
         Some("status") => service::run(args, service::View::Rollout),
