Tell a submission's outcome in the header too

Cause: the proof of a log outage saw `503` without the header `wagtailreel-outcome`: the outcome stood in the body alone. `wagtailreel submit` and the tests' operator read the header, so an edit whose append may have taken effect was reported as merely unavailable, not as unknown.

Ruled out: reading the body in the tool instead.

Before: tests/all agreement::log_outage and shorter_log saw the outcome "". After: `not-run` with the log refusing, `unknown` with the log silent; both pass.

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -5,7 +5,7 @@
 use axum::Json;
 use axum::extract::{Path, Query, State};
 use axum::response::{IntoResponse, Response};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -19,6 +19,7 @@
 use crate::config::ConfigBook;
 use crate::events;
 use crate::follower::StreamSink as _;
+use crate::front::OUTCOME;
 
 /// How long an accepted append is waited for to be read back.
 const READ_BACK: Duration = Duration::from_secs(5);
@@ -65,7 +66,19 @@
         ("edit", &edit),
         ("status", &code),
     ]);
-    Ok((status, Json(body)).into_response())
+    Ok(with_outcome(status, body))
+}
+
+/// Makes the response, with the outcome that the body names as a header too: the tool that
+/// submits tells by it whether sending again is safe.
+fn with_outcome(status: StatusCode, body: Value) -> Response {
+    let outcome = body["outcome"].as_str().unwrap_or_default();
+    let outcome = HeaderValue::from_str(outcome).ok();
+    let mut response = (status, Json(body)).into_response();
+    if let Some(outcome) = outcome.filter(|outcome| !outcome.is_empty()) {
+        response.headers_mut().insert(OUTCOME, outcome);
+    }
+    response
 }
 
 async fn run<L>(
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -13,6 +13,7 @@
 use axum::Router;
 use axum::routing::{any, post};
 
+pub(crate) use answer::OUTCOME;
 pub(crate) use head::bearer;
 
 use crate::shared::Shared;
