Ask reporting agents for the configuration at a start without the platform

Cause: when all entries of a data centre started anew while the log and the list of VMs were both away, none got the configuration back: they asked the seeds (each other) and the VMs of the list, which they never saw, although the agents reported to them all the time. And an entry that had its services from agents alone said `not ready`, so that no balancer would send it requests.

Ruled out: the agents' side. They keep the state and offer it; with just the log away the list named them and they were asked.

Before: agreement::restarts_in_outage waited 30 s and saw no document at either entry. After: both serve the revision that was in force, say that they are ready, and go on from the log once it is back; it passes.

--- a/crates/entry/src/admin/health.rs
+++ b/crates/entry/src/admin/health.rs
@@ -35,7 +35,7 @@
     if admin.cx.is_leaving() {
         return (StatusCode::SERVICE_UNAVAILABLE, "leaving").into_response();
     }
-    if !admin.cx.book.is_known() {
+    if !admin.cx.book.can_serve() {
         return (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet").into_response();
     }
     "ok".into_response()
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -73,6 +73,11 @@
         (self.head.borrow().is_some() && ready) || offset > 0
     }
 
+    /// Says whether anything can be served: an agent's word for its service is enough for that.
+    pub(crate) fn can_serve(&self) -> bool {
+        self.is_known() || !self.view().services.is_empty()
+    }
+
     /// Takes a peer's state, of which an agent's has one service and no offset.
     pub(crate) fn take_state(&self, view: &StateView) {
         let applied = self.with_fold(|fold| {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,12 +35,17 @@
     book: Arc<ConfigBook>,
     seeds: Vec<SocketAddr>,
     vms: Arc<KnownVms>,
+    control: EntryControl,
     data_centre: DataCentre,
     cancel: CancellationToken,
 ) {
+    let agents = control.agents();
     while !book.is_known() {
         let mut addrs = vms.control_addrs(&data_centre);
         addrs.extend(&seeds);
+        // With the list of VMs away too, agents are known by their reports alone.
+        let views = Arc::clone(&agents.borrow());
+        addrs.extend(views.values().map(|view| view.report.control));
         addrs.sort();
         addrs.dedup();
         rand::seq::SliceRandom::shuffle(addrs.as_mut_slice(), &mut rand::rng());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -251,6 +251,7 @@
         Arc::clone(&cx.book),
         cx.settings.seeds.clone(),
         Arc::clone(&known),
+        cx.control.clone(),
         cx.settings.data_centre.clone(),
         cancel(),
     ));
