Don't believe a peer that gives mostly corrupt chunks

Cause: a peer that says it has every chunk and gives wrong bytes for each was asked for one chunk after the other, each time after a longer pause, up to 8 to 16 s. As long as it claimed a chunk that nobody else had, nobody drew that chunk from the origin; only the rescue of a VM to which nothing at all arrives did, one chunk at a time.

Ruled out: wrong bytes never got further than the digest's check; nothing corrupt was loaded.

A peer with chance errors of 1 in 100 keeps its place.

--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -8,6 +8,12 @@
 use crate::pace::Pause;
 use crate::{ChunkSet, Site};
 
+/// Corrupt chunks that are put down to chance before a peer is judged by its share of them.
+const CORRUPT_BY_CHANCE: usize = 2;
+
+/// A peer is not believed if it gave one corrupt chunk or more for so many good ones.
+const GOOD_FOR_A_CORRUPT: usize = 8;
+
 /// One other VM.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -38,6 +44,16 @@
         }
     }
 
+    /// Says whether what the peer says of its chunks is believed.
+    ///
+    /// One that gives mostly corrupt chunks has none to give, whatever it says. Were its word
+    /// taken, nobody would draw the chunks that it alone claims to have.
+    pub(crate) fn is_believed(&self) -> bool {
+        let corrupt = self.corrupt.len();
+        let good = usize::try_from(self.given).unwrap_or(usize::MAX);
+        corrupt <= CORRUPT_BY_CHANCE || corrupt.saturating_mul(GOOD_FOR_A_CORRUPT) < good
+    }
+
     /// Says whether the peer is there to give `chunk`.
     pub(crate) fn has(&self, chunk: ChunkIndex) -> bool {
         self.have.as_ref().is_some_and(|have| have.contains(chunk))
@@ -106,6 +122,9 @@
             have.remove(*chunk);
         }
         peer.lost_since = None;
+        if !peer.is_believed() {
+            return;
+        }
         let before = peer.have.replace(have.clone());
         if !self.neighbours.contains(vm) {
             return;
@@ -132,6 +151,25 @@
         }
     }
 
+    /// Notes that `vm` gave `chunk` corrupted. Its other chunks stop counting once it is not
+    /// believed any more.
+    pub(crate) fn note_corrupt(&mut self, vm: &str, chunk: ChunkIndex, now: Instant) {
+        self.remove_chunk(vm, chunk, now);
+        let Some(peer) = self.all.get_mut(vm) else {
+            return;
+        };
+        peer.corrupt.insert(chunk);
+        if peer.is_believed() {
+            return;
+        }
+        let claimed = peer.have.take();
+        if self.neighbours.contains(vm) {
+            for chunk in claimed.iter().flat_map(ChunkSet::iter) {
+                self.drop_holder(chunk, now);
+            }
+        }
+    }
+
     /// Counts one neighbour less that has `chunk`.
     fn drop_holder(&mut self, chunk: ChunkIndex, now: Instant) {
         let holders = &mut self.holders[chunk as usize];
@@ -185,8 +223,8 @@
     /// Says whether every neighbour has said what it has, or can't be reached.
     pub(crate) fn all_answered(&self) -> bool {
         !self.neighbours.is_empty()
-            && self
-                .neighbours()
-                .all(|(_, peer)| peer.have.is_some() || peer.lost_since.is_some())
+            && self.neighbours().all(|(_, peer)| {
+                peer.have.is_some() || peer.lost_since.is_some() || !peer.is_believed()
+            })
     }
 }
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -283,9 +283,8 @@
             }
             Failure::Absent => self.peers.remove_chunk(vm, chunk, now),
             Failure::Corrupt => {
-                peer.corrupt.insert(chunk);
                 peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
-                self.peers.remove_chunk(vm, chunk, now);
+                self.peers.note_corrupt(vm, chunk, now);
             }
             Failure::Broken => peer.pause.fail(now, first, first * PENALTY_MOST, stretch),
         }
