--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,5 +2,11 @@
 // A test that can't go on says so by a panic.
 #![allow(clippy::unwrap_used)]
 
+mod membership;
+mod orders;
+mod outcomes;
+mod overload;
+#[path = "support/requests.rs"]
+mod requests;
 mod support;
 mod whole_session;
