Show what a token costs entry and agent in processor time

Cause: hop gave cores alone, so that runs at different rates could not be compared, and the time between tokens only at the 99th percentile and not as what is added. Now: microseconds of a core per token for all entries and all agents, and the added time between tokens at the median and at the 99th percentile.

--- a/crates/bench/src/hop.rs
+++ b/crates/bench/src/hop.rs
@@ -56,6 +56,10 @@
     pub entry_cores: f64,
     /// Cores that one agent used on average.
     pub agent_cores: f64,
+    /// Microseconds of a core that a token cost all entries, its share of the request included.
+    pub entry_token_us: f64,
+    /// Microseconds of a core that a token cost all agents, its share of the request included.
+    pub agent_token_us: f64,
 }
 
 /// Measures every rate of `plan` on one fleet.
@@ -79,14 +83,18 @@
         let after = cores_used(&fleet).await?;
         let busy = WARM_UP + plan.span;
         let cores = |role| (after[role] - before[role]) / busy.as_secs_f64();
-        let span = plan.span.as_secs_f64();
+        let tokens_per_second = through.total.tokens as f64 / plan.span.as_secs_f64();
+        // The processes' times hold the warm-up too, whose tokens come at the same rate.
+        let token_us = |cores: f64, processes: f64| cores * processes * 1e6 / tokens_per_second;
         outcomes.push(HopOutcome {
             rate: *rate,
-            tokens_per_second: through.total.tokens as f64 / span,
+            tokens_per_second,
             direct: direct.total,
             through: through.total,
             entry_cores: cores("entry"),
             agent_cores: cores("agent"),
+            entry_token_us: token_us(cores("entry"), f64::from(plan.entries)),
+            agent_token_us: token_us(cores("agent"), plan.engines as f64),
         });
     }
     Ok(outcomes)
@@ -183,8 +191,9 @@
 pub fn to_table(outcomes: &[HopOutcome]) -> String {
     let mut table = String::from(
         "| requests/s | tokens/s | first token p50 direct | through | added | p99 direct | through \
-         | added | whole p50 added | whole p99 added | between p99 direct | through | entry cores \
-         | agent cores |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         | added | whole p50 added | whole p99 added | between p50 added | between p99 direct | through \
+         | added | entry cores | agent cores | entry us/token | agent us/token |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for it in outcomes {
         let (direct, through) = (&it.direct, &it.through);
@@ -192,7 +201,7 @@
         let _ = writeln!(
             table,
             "| {:.0} | {:.0} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | \
-             {:.3} | {:.3} | {:.2} | {:.2} |",
+             {:.3} | {:.3} | {:.3} | {:.3} | {:.2} | {:.2} | {:.1} | {:.1} |",
             it.rate,
             it.tokens_per_second,
             first.p50_ms,
@@ -203,10 +212,14 @@
             first_through.p99_ms - first.p99_ms,
             through.whole.p50_ms - direct.whole.p50_ms,
             through.whole.p99_ms - direct.whole.p99_ms,
+            through.between_tokens.p50_ms - direct.between_tokens.p50_ms,
             direct.between_tokens.p99_ms,
             through.between_tokens.p99_ms,
+            through.between_tokens.p99_ms - direct.between_tokens.p99_ms,
             it.entry_cores,
             it.agent_cores,
+            it.entry_token_us,
+            it.agent_token_us,
         );
     }
     table
