Measure the time until new weights are live

The entry awaits each epoch from the moment it folds the accepted edit until the document's number of VMs of every data centre are open on it, reports from other data centres included, and observes wagtailreel_time_to_live_seconds{service} once. Epochs older than the process are left to others. wagtailreel_config_in_force_seconds gets the label service too: the burn report counted every service's changes as each one's.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -11,6 +11,7 @@
 
 use crate::events;
 use crate::follower::StreamSink;
+use crate::live::TimeToLive;
 use crate::metrics::Metrics;
 use crate::services::Services;
 
@@ -26,12 +27,18 @@
     services: Arc<Services>,
     control: EntryControl,
     metrics: Metrics,
+    live: Arc<TimeToLive>,
     started: SystemTime,
 }
 
 impl ConfigBook {
     /// Makes a book that has read nothing.
-    pub(crate) fn new(services: Arc<Services>, control: EntryControl, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        services: Arc<Services>,
+        control: EntryControl,
+        metrics: Metrics,
+        live: Arc<TimeToLive>,
+    ) -> Self {
         Self {
             fold: Mutex::default(),
             view: RwLock::default(),
@@ -40,6 +47,7 @@
             services,
             control,
             metrics,
+            live,
             started: SystemTime::now(),
         }
     }
@@ -117,7 +125,8 @@
                         ("edit", edit_id),
                         ("revision", &revision),
                     ]);
-                    self.note_lag(at);
+                    self.note_lag(service, at);
+                    self.await_live(service, at);
                 }
                 Applied::Refused {
                     service,
@@ -142,12 +151,27 @@
     }
 
     /// Notes how late a document came into force; not for those that are older than the process.
-    fn note_lag(&self, at: Option<SystemTime>) {
+    fn note_lag(&self, service: &str, at: Option<SystemTime>) {
         let Some(at) = at.filter(|at| *at >= self.started) else {
             return;
         };
         let lag = SystemTime::now().duration_since(at).unwrap_or_default();
-        self.metrics.in_force_lag.observe(lag.as_secs_f64());
+        self.metrics
+            .in_force_lag
+            .with_label_values(&[service])
+            .observe(lag.as_secs_f64());
+    }
+
+    /// Starts to await that an accepted edit's weights are live; what is older than the process
+    /// was awaited by others, and its beginning is not known here.
+    fn await_live(&self, service: &str, at: Option<SystemTime>) {
+        if at.is_none_or(|at| at < self.started) {
+            return;
+        }
+        let state = self.with_fold(|fold| fold.state().services.get(service).cloned());
+        if let Some(state) = state {
+            self.live.accepted(&state);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/live.rs
@@ -0,0 +1,131 @@
+//! When new weights are live: open at as many VMs as the document wants, in every data centre.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use wagtailreel_control::{AgentView, AgentViews};
+use wagtailreel_core::{Document, Epoch, Place, ServiceKind, ServiceName, ServiceState};
+
+use crate::metrics::Metrics;
+
+/// An epoch that was accepted and is not live everywhere yet.
+#[derive(Clone, Debug)]
+struct Awaited {
+    epoch: Epoch,
+    since: Instant,
+    document: Box<Document>,
+}
+
+/// The epochs that are awaited, the newest of each service.
+///
+/// Each epoch is told once: it is forgotten when it is live, when a newer one takes its place, and
+/// when the service is deleted.
+#[derive(Debug, Default)]
+struct AwaitedEpochs {
+    services: BTreeMap<ServiceName, Awaited>,
+}
+
+impl AwaitedEpochs {
+    /// Takes an accepted edit, which this entry folded at `now`.
+    fn accepted(&mut self, state: &ServiceState, now: Instant) {
+        let Some(document) = &state.document else {
+            self.services.remove(&state.service);
+            return;
+        };
+        // An edit that keeps the epoch moves the bounds of the one awaited, not its beginning.
+        if state.epoch != state.revision {
+            if let Some(awaited) = self.services.get_mut(&state.service) {
+                awaited.document = document.clone();
+            }
+            return;
+        }
+        if document.kind != ServiceKind::Engine {
+            self.services.remove(&state.service);
+            return;
+        }
+        let awaited = Awaited {
+            epoch: state.epoch,
+            since: now,
+            document: document.clone(),
+        };
+        self.services.insert(state.service.clone(), awaited);
+    }
+
+    /// Takes the agents' reports as of `now`; returns the services whose epoch is live, and how
+    /// long that took.
+    fn reports(&mut self, agents: &AgentViews, now: Instant) -> Vec<(ServiceName, Duration)> {
+        let live: Vec<(ServiceName, Duration)> = self
+            .services
+            .iter()
+            .filter(|(name, awaited)| awaited.is_live(name, agents))
+            .map(|(name, awaited)| (name.clone(), now.saturating_duration_since(awaited.since)))
+            .collect();
+        for (name, _) in &live {
+            self.services.remove(name);
+        }
+        live
+    }
+}
+
+impl Awaited {
+    fn is_live(&self, service: &str, agents: &AgentViews) -> bool {
+        let open = |place: &Place| {
+            agents
+                .values()
+                .filter(|view| self.is_open(service, place, view))
+                .count()
+        };
+        self.document
+            .places
+            .iter()
+            .all(|place| open(place) >= usize::try_from(place.ready).unwrap_or(usize::MAX))
+    }
+
+    /// Says whether the agent is one of `place` that takes work with the awaited epoch.
+    fn is_open(&self, service: &str, place: &Place, view: &AgentView) -> bool {
+        let report = &view.report;
+        report.service == service
+            && report.data_centre == place.data_centre
+            && self.document.names_vm(&report.data_centre, &report.vm)
+            && report.open == Some(self.epoch)
+            && !report.leaving
+    }
+}
+
+/// Measures the time until new weights are live.
+#[derive(Debug)]
+pub(crate) struct TimeToLive {
+    awaited: Mutex<AwaitedEpochs>,
+    metrics: Metrics,
+}
+
+impl TimeToLive {
+    /// Makes a measure that awaits nothing.
+    pub(crate) fn new(metrics: Metrics) -> Self {
+        Self {
+            awaited: Mutex::default(),
+            metrics,
+        }
+    }
+
+    /// Takes the state of a service after an edit that was accepted just now.
+    pub(crate) fn accepted(&self, state: &ServiceState) {
+        self.lock().accepted(state, Instant::now());
+    }
+
+    /// Takes the agents' latest reports, those from other data centres included.
+    pub(crate) fn reports(&self, agents: &AgentViews) {
+        let live = self.lock().reports(agents, Instant::now());
+        for (service, took) in live {
+            self.metrics
+                .time_to_live
+                .with_label_values(&[&service])
+                .observe(took.as_secs_f64());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AwaitedEpochs> {
+        self.awaited.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,6 +13,12 @@
     0.001, 0.002, 0.004, 0.008, 0.016, 0.033, 0.066, 0.1, 0.16, 0.32, 0.5, 1.0, 2.0, 5.0, 10.0,
 ];
 
+/// Bounds in seconds of the time to live: a bring-up takes seconds to minutes. The usual objective
+/// (300) is a bound.
+const LIVE_BUCKETS: &[f64] = &[
+    0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0, 180.0, 240.0, 300.0, 450.0, 600.0, 900.0,
+];
+
 /// Metrics of the request path, the log and the administration.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -31,7 +37,8 @@
     pub(crate) config_offset: IntGauge,
     pub(crate) config_reading: IntGauge,
     pub(crate) config_stopped: IntGauge,
-    pub(crate) in_force_lag: Histogram,
+    pub(crate) in_force_lag: HistogramVec,
+    pub(crate) time_to_live: HistogramVec,
     pub(crate) log_errors: IntCounterVec,
 }
 
@@ -53,21 +60,25 @@
                 registry,
                 "wagtailreel_first_token_seconds",
                 "Time from a request's arrival to its first token.",
+                BUCKETS,
             )?,
             between_tokens: histograms(
                 registry,
                 "wagtailreel_between_tokens_seconds",
                 "Time between two tokens of a stream.",
+                BUCKETS,
             )?,
             switch_wait: histograms(
                 registry,
                 "wagtailreel_switch_wait_seconds",
                 "Time that requests waited because every upstream was closed for a switch.",
+                BUCKETS,
             )?,
             admission_wait: histograms(
                 registry,
                 "wagtailreel_admission_wait_seconds",
                 "Time that admitted requests waited for room.",
+                BUCKETS,
             )?,
             attempts: counters(
                 registry,
@@ -123,10 +134,18 @@
                 "wagtailreel_config_stopped",
                 "1 if the fold of the configuration has stopped.",
             )?,
-            in_force_lag: histogram(
+            in_force_lag: histograms(
                 registry,
                 "wagtailreel_config_in_force_seconds",
                 "Time from a document's record to its being in force at this entry.",
+                BUCKETS,
+            )?,
+            time_to_live: histograms(
+                registry,
+                "wagtailreel_time_to_live_seconds",
+                "Time from a new epoch's being in force at this entry to its being open at the \
+                 wanted VMs of every data centre.",
+                LIVE_BUCKETS,
             )?,
             log_errors: counters(
                 registry,
@@ -175,8 +194,9 @@
     registry: &Registry,
     name: &str,
     help: &str,
+    buckets: &[f64],
 ) -> Result<HistogramVec, prometheus::Error> {
-    let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
     let metric = HistogramVec::new(opts, &["service"])?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::config::ConfigBook;
 use crate::events;
+use crate::live::TimeToLive;
 use crate::services::Services;
 use crate::vms::KnownVms;
 
@@ -79,6 +80,7 @@
 /// Takes the agents' reports to the request path, until `cancel`.
 pub(crate) async fn follow_agents(
     services: Arc<Services>,
+    live: Arc<TimeToLive>,
     control: EntryControl,
     cancel: CancellationToken,
 ) {
@@ -86,6 +88,7 @@
     loop {
         let views = Arc::clone(&agents.borrow_and_update());
         services.reports(&views);
+        live.reports(&views);
         if !matches!(
             cancel.run_until_cancelled(agents.changed()).await,
             Some(Ok(()))
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -25,6 +25,7 @@
 use crate::config::ConfigBook;
 use crate::error::{ControlSnafu, EntryError, ListenSnafu, MetricsSnafu, UrlSnafu};
 use crate::follower::follow;
+use crate::live::TimeToLive;
 use crate::metrics::Metrics;
 use crate::services::Services;
 use crate::shared::Shared;
@@ -179,7 +180,13 @@
         settings.region.clone(),
         metrics.clone(),
     ));
-    let book = ConfigBook::new(Arc::clone(&services), control.clone(), metrics.clone());
+    let live = Arc::new(TimeToLive::new(metrics.clone()));
+    let book = ConfigBook::new(
+        Arc::clone(&services),
+        control.clone(),
+        metrics.clone(),
+        Arc::clone(&live),
+    );
     let claims = Claims::new(
         settings.vm.clone(),
         incarnation,
@@ -204,6 +211,7 @@
         metrics,
         book: Arc::new(book),
         services,
+        live,
         claims: Arc::new(claims),
         requests: TaskTracker::new(),
         cleanups: TaskTracker::new(),
@@ -261,6 +269,7 @@
     ));
     tasks.spawn(peers::follow_agents(
         Arc::clone(&cx.services),
+        Arc::clone(&cx.live),
         cx.control.clone(),
         cancel(),
     ));
