--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::config::ConfigBook;
 use crate::events;
+use crate::live::TimeToLive;
 use crate::services::Services;
 use crate::vms::KnownVms;
 
@@ -43,10 +44,9 @@
     while !book.is_known() {
         let mut addrs = vms.control_addrs(&data_centre);
         addrs.extend(&seeds);
-        // Agents that know this entry report to it, also while it has no list of VMs.
+        // With the list of VMs away too, agents are known by their reports alone.
         let views = Arc::clone(&agents.borrow());
-        let near = views.values().filter(|view| !view.remote);
-        addrs.extend(near.map(|view| view.report.control));
+        addrs.extend(views.values().map(|view| view.report.control));
         addrs.sort();
         addrs.dedup();
         rand::seq::SliceRandom::shuffle(addrs.as_mut_slice(), &mut rand::rng());
@@ -85,6 +85,7 @@
 /// Takes the agents' reports to the request path, until `cancel`.
 pub(crate) async fn follow_agents(
     services: Arc<Services>,
+    live: Arc<TimeToLive>,
     control: EntryControl,
     cancel: CancellationToken,
 ) {
@@ -92,6 +93,7 @@
     loop {
         let views = Arc::clone(&agents.borrow_and_update());
         services.reports(&views);
+        live.reports(&views);
         if !matches!(
             cancel.run_until_cancelled(agents.changed()).await,
             Some(Ok(()))
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 // A test that can't go on says so by a panic.
 #![allow(clippy::unwrap_used)]
 
+mod cli;
 mod membership;
 mod orders;
 mod outcomes;
@@ -9,3 +10,5 @@
 mod partition;
 #[path = "support/requests.rs"]
 mod requests;
+mod support;
+mod whole_session;
