Go on asking peers for the configuration while the log is away

Cause: an entry that started anew in a log outage asked its seeds once, took the first answer and asked nobody again. If that came from an entry that had missed the last edit, the data centre went back to the older document although an agent had the newer one: an accepted document reverted until the log was back.

Ruled out: the merge. It kept the higher revision of those that it was given; the others were never asked. An entry that had slept and was not restarted never asked either, since peers compare offsets and a state learned from agents has none.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -24,6 +24,7 @@
     view: RwLock<Arc<StateView>>,
     offset: watch::Sender<Offset>,
     head: watch::Sender<Option<LogHead>>,
+    reading: watch::Sender<bool>,
     services: Arc<Services>,
     control: EntryControl,
     metrics: Metrics,
@@ -44,6 +45,7 @@
             view: RwLock::default(),
             offset: watch::Sender::new(0),
             head: watch::Sender::new(None),
+            reading: watch::Sender::new(false),
             services,
             control,
             metrics,
@@ -86,8 +88,15 @@
         self.is_known() || !self.view().services.is_empty()
     }
 
-    /// Takes a peer's state, of which an agent's has one service and no offset.
-    pub(crate) fn take_state(&self, view: &StateView) {
+    /// Returns a receiver of whether the log can be read. It counts as read once the fold has
+    /// stopped for good, because a stopped fold takes nothing from peers either.
+    pub(crate) fn reading(&self) -> watch::Receiver<bool> {
+        self.reading.subscribe()
+    }
+
+    /// Takes a peer's state, of which an agent's has one service and no offset. Returns whether
+    /// any of it was news.
+    pub(crate) fn take_state(&self, view: &StateView) -> bool {
         let applied = self.with_fold(|fold| {
             let applied = fold.restore(view);
             for state in view.services.values() {
@@ -96,14 +105,14 @@
             applied
         });
         self.note(&applied, None);
-        self.publish();
+        self.publish()
     }
 
-    /// Puts the fold's state in force, if it is news.
-    pub(crate) fn publish(&self) {
+    /// Puts the fold's state in force, if it is news; returns whether it was.
+    pub(crate) fn publish(&self) -> bool {
         let state = self.with_fold(|fold| fold.state().clone());
         if state == *self.view() {
-            return;
+            return false;
         }
         let state = Arc::new(state);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&state);
@@ -113,6 +122,7 @@
             .config_offset
             .set(i64::try_from(state.offset).unwrap_or(i64::MAX));
         self.offset.send_replace(state.offset);
+        true
     }
 
     fn note(&self, applied: &[Applied], at: Option<SystemTime>) {
@@ -230,9 +240,11 @@
 
     fn set_reading(&self, reading: bool) {
         self.metrics.config_reading.set(i64::from(reading));
+        self.reading.send_replace(reading);
     }
 
     fn stopped(&self, _stop: &FoldStop) {
         self.metrics.config_stopped.set(1);
+        self.reading.send_replace(true);
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,19 +20,23 @@
 /// How long a peer may take to answer when it is asked for its configuration.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Pause between rounds of asking peers.
+/// Pause between rounds of asking peers while nothing is known.
 const PULL_EVERY: Duration = Duration::from_millis(500);
 
+/// The same once something is known.
+const PULL_ON: Duration = Duration::from_secs(2);
+
 /// Peers asked in one round.
 const PULL_MOST: usize = 8;
 
 /// How often shares of limits are dealt.
 const SHARES_EVERY: Duration = Duration::from_millis(200);
 
-/// Asks peers for the configuration until it is known.
+/// Asks peers for the configuration as long as the log can't be read.
 ///
-/// The log is asked at the same time; the higher offset wins, whichever comes first.
-pub(crate) async fn pull_at_start(
+/// The higher revision wins, whichever comes first. One answer is not enough: the peer that gave
+/// it may have missed the last edits, which another entry or an agent has.
+pub(crate) async fn pull_without_log(
     book: Arc<ConfigBook>,
     seeds: Vec<SocketAddr>,
     vms: Arc<KnownVms>,
@@ -41,7 +45,12 @@
     cancel: CancellationToken,
 ) {
     let agents = control.agents();
-    while !book.is_known() {
+    let mut reading = book.reading();
+    loop {
+        let away = reading.wait_for(|reading| !reading);
+        if !matches!(cancel.run_until_cancelled(away).await, Some(Ok(_))) {
+            return;
+        }
         let mut addrs = vms.control_addrs(&data_centre);
         addrs.extend(&seeds);
         // With the list of VMs away too, agents are known by their reports alone.
@@ -56,13 +65,13 @@
             return;
         };
         for view in answers.into_iter().flatten() {
-            let offset = view.offset.to_string();
-            events::STATE_PULLED.emit(&[("offset", &offset)]);
-            book.take_state(&view);
+            if book.take_state(&view) {
+                let offset = view.offset.to_string();
+                events::STATE_PULLED.emit(&[("offset", &offset)]);
+            }
         }
-        let slept = cancel
-            .run_until_cancelled(tokio::time::sleep(PULL_EVERY))
-            .await;
+        let pause = if book.is_known() { PULL_ON } else { PULL_EVERY };
+        let slept = cancel.run_until_cancelled(tokio::time::sleep(pause)).await;
         if slept.is_none() {
             return;
         }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -255,7 +255,7 @@
         rule,
         cancel(),
     ));
-    tasks.spawn(peers::pull_at_start(
+    tasks.spawn(peers::pull_without_log(
         Arc::clone(&cx.book),
         cx.settings.seeds.clone(),
         Arc::clone(&known),
