--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 // A test that can't go on says so by a panic.
 #![allow(clippy::unwrap_used)]
 
+mod agreement;
 mod cli;
 mod membership;
 mod orders;
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -72,11 +72,31 @@
         let document = self.document(version, ready);
         let yaml = to_yaml(&document).unwrap();
         let submitted = self.fleet.submit(SERVICE, &yaml, base).await.unwrap();
-        let Submission::Accepted { revision, epoch } = submitted else {
-            panic!("version {version} over {base}: {submitted:?}");
+        self.live(&document, &submitted)
+    }
+
+    /// Submits like [`Rig::submit`], again and again under the same id while the log is away.
+    pub(crate) async fn resubmit(&self, version: &str, ready: u32, base: Offset) -> Live {
+        let document = self.document(version, ready);
+        let yaml = to_yaml(&document).unwrap();
+        let scribe = self.fleet.owner(SERVICE).await.unwrap();
+        let edit = format!("edit-of-{version}");
+        let submitted = wait_for("the log to be back", BOUND, || async {
+            match scribe.submit(SERVICE, &yaml, base, &edit).await.unwrap() {
+                it @ Submission::Away { .. } => Look::NotYet(format!("{it:?}")),
+                it => Look::Found(it),
+            }
+        });
+        self.live(&document, &submitted.await.unwrap())
+    }
+
+    /// Returns the version that was accepted.
+    pub(crate) fn live(&self, document: &Document, submitted: &Submission) -> Live {
+        let Submission::Accepted { revision, epoch } = *submitted else {
+            panic!("not accepted: {submitted:?}");
         };
         Live {
-            bundle: self.fleet.bundle_of(&document).unwrap(),
+            bundle: self.fleet.bundle_of(document).unwrap(),
             revision,
             epoch,
         }
