Prove the switch under load and under failure with real processes

Callers at every entry ask without a pause; every answer is checked token by token, and across all callers of a data centre none that was sent after the first token of a newer epoch may come from an older one. No engine may be sent a request for a bundle that it does not hold.

flip_under_load, flips_in_a_row (the third while the second loads, then back), frozen_agent, frozen_entry, killed_entry, killed_agent (engine with and without fencing), engines_without_fencing, one_bundle_engines, cut_data_centre (links stalled and refused).

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,4 +11,5 @@
 #[path = "support/requests.rs"]
 mod requests;
 mod support;
+mod switch;
 mod whole_session;
