Prove weights under failure with real processes

corrupt_origin (5 wrong ranges in 100: a small model has too few chunks for 1), lying_peer, changed_version, killed_in_transfer, origin_outage, restarted_engine, little_memory. Most run on engines that take any bytes under any name, so that only the agents stand between wrong bytes and callers; what the engines really hold is compared with what they say.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,4 +12,5 @@
 mod requests;
 mod support;
 mod switch;
+mod weights;
 mod whole_session;
