--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 // A test that can't go on says so by a panic.
 #![allow(clippy::unwrap_used)]
 
+mod agreement;
 mod cli;
 mod membership;
 mod orders;
@@ -11,4 +12,6 @@
 #[path = "support/requests.rs"]
 mod requests;
 mod support;
+mod switch;
+mod weights;
 mod whole_session;
