Look for a submitted edit and for what is in force under one lock

Cause: the wait for an edit's read-back looked first for its result, then at the offset, then at the state in force. When the fold took the record between the first two looks, and the state was not published yet at the third, an edit that was accepted was answered 503, unknown, "read by a peer".

Ruled out: a slow log (the log of the entry shows the edit applied 0.2 ms before the answer), a peer's state (none was taken).

Now result, offset and state come from the fold in one look.

Before: seen once in four full runs of tests/all, at the start of orders::cut_order_once.

Conclusion: what is compared has to be read together.

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -205,14 +205,18 @@
     let mut offset = book.offset();
     let until = Instant::now() + READ_BACK;
     loop {
-        let found = book.with_fold(|fold| fold.edit_result(service, edit).cloned());
+        // Under one lock: between two the fold may take the record, and the edit would be there by
+        // the second look only.
+        let (found, applied, state) = book.with_fold(|fold| {
+            let found = fold.edit_result(service, edit).cloned();
+            let state = fold.state().services.get(service).cloned();
+            (found, fold.offset(), state)
+        });
         if let Some(result) = found.filter(|result| is_of(result, appended)) {
             return Submitted::Decided(result);
         }
         // A state from a peer leaves out how its edits were decided, but not what is in force.
-        if appended.is_some_and(|appended| appended <= book.applied()) {
-            let view = book.view();
-            let state = view.services.get(service);
+        if appended.is_some_and(|appended| appended <= applied) {
             if let Some(state) = state.filter(|state| Some(state.revision) == appended) {
                 return accepted(state.revision, state.epoch, edit, &state.team);
             }
