--- a/crates/bench/src/fleet/admin.rs
+++ b/crates/bench/src/fleet/admin.rs
@@ -36,10 +36,12 @@
         /// The problems as JSON text.
         problems: String,
     },
-    /// The log is away.
+    /// The log is away, or the entry does not know the configuration yet.
     Away {
-        /// The outcome header: `not-run` or `unknown`.
+        /// The outcome: `not-run` or `unknown`.
         outcome: String,
+        /// Why, in the entry's words.
+        error: String,
     },
     /// The token is unknown or another team's.
     Denied {
@@ -54,6 +56,12 @@
     epoch: Epoch,
 }
 
+#[derive(Deserialize)]
+struct AwayBody {
+    outcome: String,
+    error: String,
+}
+
 #[derive(Deserialize)]
 struct LostBody {
     revision: Offset,
@@ -112,12 +120,13 @@
             StatusCode::UNPROCESSABLE_ENTITY => Ok(Submission::Invalid {
                 problems: fetched.text(),
             }),
-            StatusCode::SERVICE_UNAVAILABLE => Ok(Submission::Away {
-                outcome: fetched
-                    .header(wagtailreel_core::Outcome::HEADER)
-                    .unwrap_or_default()
-                    .to_owned(),
-            }),
+            StatusCode::SERVICE_UNAVAILABLE => {
+                let body: AwayBody = read(&path, &fetched)?;
+                Ok(Submission::Away {
+                    outcome: body.outcome,
+                    error: body.error,
+                })
+            }
             status @ (StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) => {
                 Ok(Submission::Denied { status })
             }
--- a/crates/bench/src/fleet/processes.rs
+++ b/crates/bench/src/fleet/processes.rs
@@ -111,8 +111,21 @@
     ///
     /// Returns an error if it ends or is not healthy within `bound`.
     pub async fn wait_healthy(&self, vm: &str, bound: Duration) -> Result<()> {
-        let url = url_of(self.health_addr(vm)?, "/healthz");
-        wait_for(&format!("{vm} to be healthy"), bound, || async {
+        self.wait_ok(vm, "/healthz", bound).await
+    }
+
+    /// Waits until the entry `vm` answers `/readyz`: it knows the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it ends or is not ready within `bound`.
+    pub async fn wait_ready(&self, vm: &str, bound: Duration) -> Result<()> {
+        self.wait_ok(vm, "/readyz", bound).await
+    }
+
+    async fn wait_ok(&self, vm: &str, path: &str, bound: Duration) -> Result<()> {
+        let url = url_of(self.health_addr(vm)?, path);
+        wait_for(&format!("{vm} to answer {path}"), bound, || async {
             if let Err(error) = self.check_running(vm).await {
                 return Look::Found(Err(error));
             }
--- a/crates/bench/src/fleet/start.rs
+++ b/crates/bench/src/fleet/start.rs
@@ -33,7 +33,8 @@
 }
 
 impl Fleet {
-    /// Starts the stand-ins and all processes, and waits until each process is healthy.
+    /// Starts the stand-ins and all processes, and waits until each process is healthy
+    /// and each entry ready.
     ///
     /// # Errors
     ///
@@ -77,6 +78,9 @@
         for vm in fleet.vms.keys() {
             fleet.wait_healthy(vm, START_BOUND).await?;
         }
+        for entry in fleet.entries() {
+            fleet.wait_ready(&entry, START_BOUND).await?;
+        }
         Ok(fleet)
     }
 }
