Stop a tool's fleet at a signal

A tool that was ended by a signal dropped nothing, so its processes would go on without it. Now it gives its command up: a demo ended by SIGTERM after 4 s left no process (run once).

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -8,6 +8,7 @@
 
 use lexopt::prelude::*;
 use serde::de::DeserializeOwned;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use wagtailreel_standins::{EngineStandin, LogStandin, OriginStandin, PlainStandin, VmListStandin};
 
@@ -99,7 +100,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(execute(command)) {
+    match runtime.block_on(execute_until_signal(command)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -208,6 +209,32 @@
     })
 }
 
+/// Executes a command, but gives it up at a signal: what it holds is dropped, so that no process
+/// of a fleet outlives it.
+async fn execute_until_signal(command: Command) -> Result<()> {
+    tokio::select! {
+        // A stand-in ends well at a signal, so that the command is asked first.
+        biased;
+        result = execute(command) => result,
+        () = signalled() => BrokenSnafu { what: "stopped by a signal" }.fail(),
+    }
+}
+
+/// Waits for SIGINT or SIGTERM; without a handler the process just ends at one.
+async fn signalled() {
+    let listen = |kind| signal(kind).ok();
+    let (Some(mut interrupt), Some(mut terminate)) = (
+        listen(SignalKind::interrupt()),
+        listen(SignalKind::terminate()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
 async fn execute(command: Command) -> Result<()> {
     match command {
         Command::Help => {
@@ -300,8 +327,7 @@
 /// Keeps a stand-in until the process is interrupted.
 async fn serve<T>(addr: SocketAddr, standin: T) -> Result<()> {
     println!("listening at {addr}");
-    // Without a signal handler the process ends at the signal anyway.
-    let _ = tokio::signal::ctrl_c().await;
+    signalled().await;
     drop(standin);
     Ok(())
 }
