Name the protocol's headers once, in core

The names stood in entry, agent, platform, transfer, bench and stand-ins, some three times. They are in wagtailreel_core::headers now; Outcome::HEADER and NotRunReason::HEADER point there. Tests keep the literal names, which are the contract.

--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, StatusCode};
 use serde::Serialize;
 use serde_json::json;
+use wagtailreel_core::headers::{OUTCOME, REASON};
 use wagtailreel_core::{NotRunReason, Outcome};
 
 use crate::passage::Refusal;
@@ -81,10 +82,10 @@
     let mut response = (status, Json(text)).into_response();
     let headers = response.headers_mut();
     if let Ok(outcome) = HeaderValue::from_str(&outcome.to_string()) {
-        headers.insert(Outcome::HEADER, outcome);
+        headers.insert(OUTCOME, outcome);
     }
     if let Ok(reason) = HeaderValue::from_str(reason) {
-        headers.insert(NotRunReason::HEADER, reason);
+        headers.insert(REASON, reason);
     }
     response
 }
--- a/crates/agent/src/engine_app.rs
+++ b/crates/agent/src/engine_app.rs
@@ -15,12 +15,13 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
+use wagtailreel_core::headers::{EPOCH, WEIGHTS};
 use wagtailreel_core::{NotRunReason, RequestId};
 use wagtailreel_platform::{Effect, Engine, EngineEvent, GenerateRequest, PlatformError};
 use wagtailreel_switch::Admission;
 
 use crate::answers::{self, Cancelled};
-use crate::headers::{EPOCH, WEIGHTS, Wanted};
+use crate::headers::Wanted;
 use crate::hub::Hub;
 use crate::passage::{Passage, Refusal};
 use crate::requests::CancelState;
--- a/crates/agent/src/headers.rs
+++ b/crates/agent/src/headers.rs
@@ -1,38 +1,15 @@
-//! Headers between entries and the agent, and what a request's headers say.
+//! What the headers of a request say.
 
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
+use wagtailreel_core::headers::{DEADLINE_MS, PIN, PRIORITY, RESUME_FROM};
 use wagtailreel_core::{Digest, Priority};
 
 use crate::passage::Wish;
 use crate::requests::{Entrance, RequestKey};
 
-/// Id of the request, for a plain service.
-pub const REQUEST: &str = "wagtailreel-request";
-
-/// Priority of the request.
-pub const PRIORITY: &str = "wagtailreel-priority";
-
-/// Digest of the bundle that must answer.
-pub const PIN: &str = "wagtailreel-pin";
-
-/// Index of the first token that is wanted, of a request whose stream was cut.
-pub const RESUME_FROM: &str = "wagtailreel-resume-from";
-
-/// Milliseconds that are left until the request is no longer worth starting.
-pub const DEADLINE: &str = "wagtailreel-deadline-ms";
-
-/// Start of the agent that a request was sent to, in a cancel.
-pub const INCARNATION: &str = "wagtailreel-incarnation";
-
-/// Digest of the bundle that answers.
-pub const WEIGHTS: &str = "wagtailreel-weights";
-
-/// Epoch of the bundle that answers.
-pub const EPOCH: &str = "wagtailreel-epoch";
-
 /// What the headers of a request say.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Wanted {
@@ -57,7 +34,7 @@
         now: Instant,
     ) -> Result<Self, &'static str> {
         let resume_from: Option<u32> = read_header(headers, RESUME_FROM)?;
-        let left_ms: Option<u64> = read_header(headers, DEADLINE)?;
+        let left_ms: Option<u64> = read_header(headers, DEADLINE_MS)?;
         let entrance = match resume_from {
             Some(_) => Entrance::Resume,
             None => Entrance::Fresh,
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -8,6 +8,7 @@
 use axum::response::Response;
 use http::{HeaderMap, HeaderValue};
 use tokio::sync::Notify;
+use wagtailreel_core::headers::INCARNATION;
 use wagtailreel_core::{
     DataCentre, Digest, EngineLoad, Epoch, Incarnation, NotRunReason, Offset, Region, Report,
     ServiceName, ServiceState, VmId, WeightsPhase,
@@ -17,7 +18,6 @@
 use crate::admitter::Admitter;
 use crate::answers;
 use crate::events;
-use crate::headers::INCARNATION;
 use crate::metrics::Metrics;
 use crate::passage::{Passage, Refusal, Requests, Wish};
 use crate::pressure::Gaps;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,7 +12,7 @@
 mod error;
 pub mod events;
 mod follow;
-pub mod headers;
+mod headers;
 mod hub;
 pub mod loader;
 mod metrics;
--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -18,12 +18,13 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use serde::Deserialize;
-use wagtailreel_core::{NotRunReason, Outcome, RequestId};
+use wagtailreel_core::headers::{OUTCOME, OWN_PREFIX, REQUEST};
+use wagtailreel_core::{NotRunReason, RequestId};
 use wagtailreel_platform::{Effect, PlainService, PlatformError};
 
 use crate::answers::{self, Cancelled};
 use crate::engine_app::{BODY_LIMIT, CALLER_GONE};
-use crate::headers::{REQUEST, Wanted};
+use crate::headers::Wanted;
 use crate::hub::Hub;
 use crate::passage::{Passage, Refusal};
 
@@ -39,9 +40,6 @@
     UPGRADE,
 ];
 
-/// Start of the names of the system's own headers.
-const OWN_HEADERS: &str = "wagtailreel-";
-
 /// Slashes before the service's own path in `/call/{request}/{path}`.
 const SLASHES_BEFORE_PATH: usize = 3;
 
@@ -144,7 +142,7 @@
         head.headers.insert(CONTENT_LENGTH, length);
     }
     let answered = HeaderValue::from_static("answered");
-    head.headers.insert(Outcome::HEADER, answered);
+    head.headers.insert(OUTCOME, answered);
     Response::from_parts(head, Body::new(CallBody { inner, run }))
 }
 
@@ -182,7 +180,7 @@
     headers.remove(CONTENT_LENGTH);
     let own: Vec<HeaderName> = headers
         .keys()
-        .filter(|name| name.as_str().starts_with(OWN_HEADERS))
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
         .cloned()
         .collect();
     for name in own {
--- a/crates/bench/src/answer/ask.rs
+++ b/crates/bench/src/answer/ask.rs
@@ -6,20 +6,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
+use wagtailreel_core::headers::{DEADLINE_MS, ORDER, PRIORITY, REQUEST};
 use wagtailreel_core::{CustomerId, Digest, OrderKey, Priority, RequestId, ServiceName};
 
 use crate::error::Result;
 use crate::http_client::{request, url_of};
 
-/// Header with the caller's id of a request.
-const REQUEST: &str = "wagtailreel-request";
-/// Header with the priority of a request.
-const PRIORITY: &str = "wagtailreel-priority";
-/// Header with the time that a caller waits at most.
-const DEADLINE: &str = "wagtailreel-deadline-ms";
-/// Header with the key of an order.
-const ORDER: &str = "wagtailreel-order";
-
 /// One request of a caller.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
@@ -108,7 +100,7 @@
         set(headers, REQUEST, self.request.clone());
         set(headers, PRIORITY, self.priority.map(|it| it.to_string()));
         let deadline = self.deadline.map(|it| it.as_millis().to_string());
-        set(headers, DEADLINE, deadline);
+        set(headers, DEADLINE_MS, deadline);
         set(headers, ORDER, self.order.clone());
         Ok(req)
     }
--- a/crates/bench/src/answer/head.rs
+++ b/crates/bench/src/answer/head.rs
@@ -5,14 +5,12 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use wagtailreel_core::{NotRunReason, Outcome};
+use wagtailreel_core::Outcome;
+use wagtailreel_core::headers::{OUTCOME, REASON, RETRY_AFTER_MS};
 
 use super::ending::{Ending, malformed};
 use super::stream::State;
 
-/// Header with the exact time after which a caller may come back.
-const RETRY_AFTER_MS: &str = "wagtailreel-retry-after-ms";
-
 /// Reads the head: a stream goes on, anything else has its outcome in the headers.
 pub(super) async fn read_head(response: http::Response<Incoming>) -> State {
     let (head, body) = response.into_parts();
@@ -23,8 +21,8 @@
         Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
         Err(_) => String::new(),
     };
-    let outcome = header(&head.headers, Outcome::HEADER);
-    let reason = header(&head.headers, NotRunReason::HEADER).unwrap_or_default();
+    let outcome = header(&head.headers, OUTCOME);
+    let reason = header(&head.headers, REASON).unwrap_or_default();
     let ending = match outcome.as_deref().map(Outcome::from_wire) {
         Some(Some(Outcome::NotRun)) => Ending::NotRun {
             reason,
--- a/crates/bench/src/fleet/admin.rs
+++ b/crates/bench/src/fleet/admin.rs
@@ -114,7 +114,7 @@
             }),
             StatusCode::SERVICE_UNAVAILABLE => Ok(Submission::Away {
                 outcome: fetched
-                    .header(wagtailreel_core::Outcome::HEADER)
+                    .header(wagtailreel_core::headers::OUTCOME)
                     .unwrap_or_default()
                     .to_owned(),
             }),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod digest;
 mod document;
+pub mod headers;
 mod ids;
 mod manifest;
 mod outcome;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -3,6 +3,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::headers;
+
 /// The three outcomes of a request. They are never blurred.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -20,7 +22,7 @@
 
 impl Outcome {
     /// Name of the HTTP header that carries an outcome.
-    pub const HEADER: &'static str = "wagtailreel-outcome";
+    pub const HEADER: &'static str = headers::OUTCOME;
 
     /// Reads an outcome from its wire text.
     pub fn from_wire(text: &str) -> Option<Self> {
@@ -80,5 +82,5 @@
 
 impl NotRunReason {
     /// Name of the HTTP header that carries the reason.
-    pub const HEADER: &'static str = "wagtailreel-reason";
+    pub const HEADER: &'static str = headers::REASON;
 }
--- a/crates/entry/src/front/answer.rs
+++ b/crates/entry/src/front/answer.rs
@@ -6,17 +6,17 @@
 use axum::response::{IntoResponse, Response};
 use http::{HeaderName, HeaderValue, StatusCode, header};
 use serde::Serialize;
-use wagtailreel_core::{NotRunReason, Outcome};
+use wagtailreel_core::{NotRunReason, Outcome, headers};
 use wagtailreel_route::{RetryAfter, UnknownReason};
 
 /// Name of the header with the time to come back in milliseconds.
-pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("wagtailreel-retry-after-ms");
+pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static(headers::RETRY_AFTER_MS);
 
 /// Name of the header with the outcome.
-pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(Outcome::HEADER);
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(headers::OUTCOME);
 
 /// Name of the header with the reason.
-pub(crate) const REASON: HeaderName = HeaderName::from_static(NotRunReason::HEADER);
+pub(crate) const REASON: HeaderName = HeaderName::from_static(headers::REASON);
 
 /// Why a request has no answer of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -12,8 +12,9 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time::{Interval, MissedTickBehavior};
+use wagtailreel_core::headers::{DEADLINE_MS, EPOCH, PRIORITY, WEIGHTS};
 use wagtailreel_core::{
-    Digest, Epoch, Incarnation, NotRunReason, Outcome, RequestId, ServiceKind, VmId,
+    Digest, Epoch, Incarnation, NotRunReason, Outcome, RequestId, ServiceKind, VmId, headers,
 };
 use wagtailreel_platform::{
     Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
@@ -25,7 +26,7 @@
 use crate::claims::ClaimTicket;
 use crate::events;
 use crate::front::answer::{Denial, OUTCOME, REASON};
-use crate::front::head::{DEADLINE_MS, PRIORITY, RequestHead};
+use crate::front::head::RequestHead;
 use crate::service::{AdmissionTicket, Slot};
 use crate::shared::Shared;
 
@@ -47,13 +48,11 @@
 /// Longest that a resumed stream waits between looks for a replica with room.
 const ROOM_EVERY: Duration = Duration::from_millis(50);
 
-const WEIGHTS: &str = "wagtailreel-weights";
-const EPOCH: &str = "wagtailreel-epoch";
-const SERVICE: HeaderName = HeaderName::from_static("wagtailreel-service");
-const CUSTOMER: HeaderName = HeaderName::from_static("wagtailreel-customer");
-const PIN: HeaderName = HeaderName::from_static("wagtailreel-pin");
-const INCARNATION: HeaderName = HeaderName::from_static("wagtailreel-incarnation");
-const RESUME_FROM: HeaderName = HeaderName::from_static("wagtailreel-resume-from");
+const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
+const CUSTOMER: HeaderName = HeaderName::from_static(headers::CUSTOMER);
+const PIN: HeaderName = HeaderName::from_static(headers::PIN);
+const INCARNATION: HeaderName = HeaderName::from_static(headers::INCARNATION);
+const RESUME_FROM: HeaderName = HeaderName::from_static(headers::RESUME_FROM);
 
 /// What is sent to an agent.
 #[derive(Debug)]
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use snafu::Snafu;
 use tokio_util::task::task_tracker::TaskTrackerToken;
+use wagtailreel_core::headers::OWN_PREFIX;
 use wagtailreel_core::{Outcome, ServiceKind};
 
 use crate::front::answer::{Denial, OUTCOME};
@@ -38,9 +39,6 @@
     "upgrade",
 ];
 
-/// Prefix of the system's own headers.
-const OWN: &str = "wagtailreel-";
-
 /// Answers a call without a path.
 pub(crate) async fn call_root(
     state: State<Arc<Shared>>,
@@ -271,7 +269,7 @@
             || name == header::HOST
             || name == header::AUTHORIZATION
             || name == header::EXPECT
-            || name.as_str().starts_with(OWN)
+            || name.as_str().starts_with(OWN_PREFIX)
             || named.iter().any(|named| named == name.as_str())
     };
     headers
--- a/crates/entry/src/front/generate.rs
+++ b/crates/entry/src/front/generate.rs
@@ -8,13 +8,13 @@
 use axum::response::{IntoResponse, Response};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::Deserialize;
-use wagtailreel_core::{NotRunReason, ServiceKind};
+use wagtailreel_core::{NotRunReason, ServiceKind, headers};
 use wagtailreel_fold::KeyProblem;
 
 use crate::claims::{ClaimProblem, ClaimTicket};
 use crate::front::answer::Denial;
 use crate::front::attempt::{Dispatch, Payload};
-use crate::front::head::{self, RequestHead, authenticate, read_body, read_head};
+use crate::front::head::{RequestHead, authenticate, read_body, read_head};
 use crate::front::stream::AnswerStream;
 use crate::shared::Shared;
 
@@ -22,7 +22,7 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Header that names the request for the caller.
-const REQUEST: HeaderName = HeaderName::from_static(head::REQUEST);
+const REQUEST: HeaderName = HeaderName::from_static(headers::REQUEST);
 
 #[derive(Deserialize)]
 struct Prompt {
--- a/crates/entry/src/front/head.rs
+++ b/crates/entry/src/front/head.rs
@@ -6,6 +6,7 @@
 use axum::body::{Body, to_bytes};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
+use wagtailreel_core::headers::{DEADLINE_MS, ORDER, PRIORITY, REQUEST};
 use wagtailreel_core::{CustomerId, Document, NotRunReason, OrderKey, Priority, RequestId};
 use wagtailreel_route::LimitVerdict;
 
@@ -14,18 +15,6 @@
 use crate::service::Service;
 use crate::shared::Shared;
 
-/// Header that names the request for the caller.
-pub(crate) const REQUEST: &str = "wagtailreel-request";
-
-/// Header with the request's priority.
-pub(crate) const PRIORITY: &str = "wagtailreel-priority";
-
-/// Header with the time until the request must have started.
-pub(crate) const DEADLINE_MS: &str = "wagtailreel-deadline-ms";
-
-/// Header with the key of an order that runs at most once.
-pub(crate) const ORDER: &str = "wagtailreel-order";
-
 /// Longest name that a caller may give its request.
 const MAX_REQUEST_NAME: usize = 128;
 
--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body as _, Incoming};
 use serde::Deserialize;
 use snafu::IntoError as _;
+use wagtailreel_core::headers::PARTS;
 use wagtailreel_core::{Bundle, Digest, Epoch};
 
 use super::exchange::{build_request, call_json, parse_json, refusal, unusable};
@@ -23,9 +24,6 @@
     SseDecoder, SseEvent,
 };
 
-/// Header that names the parts of a body of weights.
-const PARTS_HEADER: &str = "wagtailreel-parts";
-
 /// How long a small answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -127,7 +125,7 @@
         let parts = HeaderValue::try_from(parts_value(bundle))
             .map_err(|err| unusable(&self.base, &err.into()))?;
         let mut req = build_request(&self.base, Method::POST, &path, body)?;
-        req.headers_mut().insert(PARTS_HEADER, parts);
+        req.headers_mut().insert(PARTS, parts);
         let loaded: Loaded = call_json(&self.client, &self.base, req, self.load_timeout).await?;
         Ok(loaded.bundle)
     }
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body as _, Incoming};
 use serde::de::DeserializeOwned;
 use snafu::{IntoError as _, ResultExt as _, ensure};
+use wagtailreel_core::headers::RETRY_AFTER_MS;
 
 use super::{BaseUrl, Body, HttpClient};
 use crate::PlatformError;
@@ -15,9 +16,6 @@
     BrokenBodySnafu, LostSnafu, ProtocolSnafu, RefusedSnafu, TimeoutSnafu, TransportError,
 };
 
-/// Header that gives the time to come back in milliseconds.
-const RETRY_AFTER_MS: &str = "wagtailreel-retry-after-ms";
-
 /// Longest text of a refusal that is kept, in bytes.
 const MAX_REFUSAL: usize = 4096;
 
--- a/crates/standins/src/engine/load.rs
+++ b/crates/standins/src/engine/load.rs
@@ -8,15 +8,13 @@
 use bytes::Bytes;
 use futures::StreamExt as _;
 use http::HeaderMap;
+use wagtailreel_core::headers::PARTS;
 use wagtailreel_core::{Bundle, Digest, Epoch};
 
 use super::Store;
 use super::weights::{OrderRefusal, Place};
 use crate::faults::count_down;
 
-/// Header that names the parts of the body.
-const PARTS_HEADER: &str = "wagtailreel-parts";
-
 /// A million bytes.
 const MEGABYTE: f64 = 1e6;
 
@@ -116,7 +114,7 @@
 
 /// Reads the lengths of the parts. Their digests are the client's word and don't count.
 fn part_lengths(headers: &HeaderMap) -> Option<Vec<u64>> {
-    let value = headers.get(PARTS_HEADER)?.to_str().ok()?;
+    let value = headers.get(PARTS)?.to_str().ok()?;
     let length = |part: &str| part.split_once(':')?.1.trim().parse().ok();
     value.split(',').map(length).collect()
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -7,14 +7,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
+use wagtailreel_core::headers;
 
 use crate::chance::Chance;
 use crate::faults::{CommonFaults, FaultSet, Faults};
 use crate::server::{Port, StartError};
 
-/// Header by which calls are told apart.
-const REQUEST_HEADER: &str = "wagtailreel-request";
-
 /// Settings of the stand-in for a plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -28,7 +26,7 @@
 impl Default for PlainConfig {
     fn default() -> Self {
         Self {
-            request_header: REQUEST_HEADER.to_owned(),
+            request_header: headers::REQUEST.to_owned(),
             seed: 0,
         }
     }
--- a/crates/transfer/src/serve.rs
+++ b/crates/transfer/src/serve.rs
@@ -15,13 +15,11 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::Deserialize;
 use wagtailreel_core::Digest;
+use wagtailreel_core::headers::RETRY_AFTER_MS;
 
 use crate::gives::Give;
 use crate::shared::Shared;
 
-/// Header that gives the time to come back in milliseconds.
-const RETRY_AFTER_MS: &str = "wagtailreel-retry-after-ms";
-
 /// Bytes that a reader gets before the next has its turn.
 const SLICE: usize = 64 * 1024;
 
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -98,7 +98,7 @@
         let status = response.status().as_u16();
         let outcome = response
             .headers()
-            .get(wagtailreel_core::Outcome::HEADER)
+            .get(wagtailreel_core::headers::OUTCOME)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
         match response.into_body().collect().await {
