Believe no answer to a call without its outcome

The entry took any answer to /call for the plain service's own if it had no wagtailreel-outcome, for instance from a process that is no agent and has taken its port.

call_unknown::no_outcome and call_elsewhere failed before (200 with the stranger's answer) and pass now, as do the entry's other tests. The fake agent of those tests says `answered` as the real one does.

--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -379,11 +379,11 @@
             }
             Some(Outcome::Unknown) => Some(Ended::Cancelled(CancelState::Started)),
             Some(Outcome::Answered) => None,
-            // A stream begins with 200; anything else comes from neither agent nor engine.
-            None if self.is_generate() && response.status() != StatusCode::OK => {
-                Some(Ended::Broken)
-            }
-            None => None,
+            // A stream begins with 200 and tells its outcome at its end.
+            None if self.is_generate() && response.status() == StatusCode::OK => None,
+            // Every other answer of an agent says its outcome: this one is not an agent's, so that
+            // nothing is known of the attempt.
+            None => Some(Ended::Broken),
         }
     }
 
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -281,6 +281,7 @@
 #[rstest]
 #[case::lost(Act::Drop)]
 #[case::cut(Act::Cut(0))]
+#[case::no_outcome(Act::Mute)]
 #[tokio::test(flavor = "multi_thread")]
 async fn call_unknown(#[case] first: Act) {
     let bench = Bench::start(PLAIN, 1, &["u1", "u2"]).await;
@@ -291,3 +292,21 @@
     assert_eq!(bench.runs().len(), 1);
     bench.stop().await;
 }
+
+/// An answer without an outcome is not believed: if the cancel says that the call was not run, it
+/// goes to another agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_elsewhere() {
+    let bench = Bench::start(PLAIN, 1, &["u1", "u2"]).await;
+    for agent in &bench.agents {
+        agent.set_cancel_state("not-run");
+    }
+    bench.script([Act::Mute]);
+    let answer = call(&bench, "notes/7").with_body("ink").send().await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text(), "notes/7 ink");
+    assert_eq!(bench.runs().len(), 2);
+    let cancels = bench.agents.iter().map(|agent| agent.cancels().len());
+    assert_eq!(cancels.sum::<usize>(), 1);
+    bench.stop().await;
+}
--- a/crates/entry/tests/common/agent.rs
+++ b/crates/entry/tests/common/agent.rs
@@ -43,6 +43,8 @@
     Refuse(NotRunReason),
     /// Takes the request and drops the connection without an answer.
     Drop,
+    /// Answers a call without saying its outcome, as what is no agent would.
+    Mute,
     /// Answers whole once the agent is released.
     Hold,
 }
@@ -280,7 +282,7 @@
     let mut hold = false;
     match act {
         Act::Refuse(reason) => return refuse(reason),
-        Act::Drop => return dropped(),
+        Act::Drop | Act::Mute => return dropped(),
         Act::Whole | Act::Hold => {
             hold = matches!(act, Act::Hold);
             events.extend((from..tokens).map(token));
@@ -320,6 +322,9 @@
     response
 }
 
+/// What an agent puts on every answer of its plain service.
+const ANSWERED: [(&str, &str); 1] = [("wagtailreel-outcome", "answered")];
+
 async fn call(
     State(inner): State<Arc<Inner>>,
     Path((id, path)): Path<(String, String)>,
@@ -332,11 +337,12 @@
         Act::Cut(_) => {
             let part = Ok(Bytes::from_static(b"half an ans"));
             let parts = [part, Err(io::Error::other("cut on purpose"))];
-            Body::from_stream(stream::iter(parts)).into_response()
+            (ANSWERED, Body::from_stream(stream::iter(parts))).into_response()
         }
+        Act::Mute => "whole, but whose".into_response(),
         _ => {
             let text = format!("{path} {}", String::from_utf8_lossy(&body));
-            ([("x-desk", "yes")], text).into_response()
+            (ANSWERED, [("x-desk", "yes")], text).into_response()
         }
     }
 }
