--- a/crates/bench/src/fleet/admin.rs
+++ b/crates/bench/src/fleet/admin.rs
@@ -58,7 +58,6 @@
 
 #[derive(Deserialize)]
 struct AwayBody {
-    outcome: String,
     error: String,
 }
 
@@ -122,8 +121,9 @@
             }),
             StatusCode::SERVICE_UNAVAILABLE => {
                 let body: AwayBody = read(&path, &fetched)?;
+                let outcome = fetched.header(wagtailreel_core::headers::OUTCOME);
                 Ok(Submission::Away {
-                    outcome: body.outcome,
+                    outcome: outcome.unwrap_or_default().to_owned(),
                     error: body.error,
                 })
             }
--- a/crates/transfer/src/serve.rs
+++ b/crates/transfer/src/serve.rs
@@ -14,14 +14,12 @@
 use futures::stream::unfold;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::Deserialize;
+use wagtailreel_core::headers::RETRY_AFTER_MS;
 use wagtailreel_core::{Digest, Manifest};
 
 use crate::gives::Give;
 use crate::shared::Shared;
 
-/// Header that gives the time to come back in milliseconds.
-const RETRY_AFTER_MS: &str = "wagtailreel-retry-after-ms";
-
 /// Bytes that a reader gets before the next has its turn.
 const SLICE: usize = 64 * 1024;
 
