Let entries agree on which one-bundle engines swap first

Cause: engines that hold one bundle give up the old weights to load the new when an entry chooses them, and each entry chose as soon as it knew of `ready` agents with the weights at hand. Two entries that had heard of different agents chose different ones; together they could choose all, and then nobody served until a load was done.

Ruled out: the order of the rank, which is the same at all entries once they know the same agents; and the agents' side, which does what any of its entries says.

What is left: entries that know of different agents even after the wait may still differ.

--- a/crates/switch/src/opener.rs
+++ b/crates/switch/src/opener.rs
@@ -6,7 +6,7 @@
 
 use wagtailreel_core::{
     DataCentre, Directive, Epoch, Incarnation, PeerState, Report, ServiceName, ServicePeerState,
-    ServiceState, StateView, VmEntry, VmId, VmRole, VmState,
+    ServiceState, StateView, VmEntry, VmId, VmRole, VmState, WeightsPhase,
 };
 
 use crate::Timing;
@@ -50,6 +50,8 @@
     granting: Option<Epoch>,
     /// Since when enough agents have loaded the target.
     ready_since: Option<Instant>,
+    /// The target, and since when enough agents have its weights at hand to begin to swap.
+    at_hand_since: Option<(Epoch, Instant)>,
     /// Agents chosen to swap, and the epoch to swap to.
     swaps: Option<(Epoch, BTreeSet<VmId>)>,
     /// What the other entries were last told of closing.
@@ -342,6 +344,7 @@
         };
         if target <= switch.close_below {
             switch.ready_since = None;
+            switch.at_hand_since = None;
             switch.swaps = None;
             return false;
         }
@@ -360,7 +363,16 @@
             .get(name)
             .map(|listed| agents.len().max(*listed));
         let needed = needed(place, listed, one_bundle);
-        switch.swaps = one_bundle.then(|| (target, choose_swaps(target, needed, &agents)));
+        let at_hand = agents.iter().filter(|row| is_at_hand(row, target)).count();
+        if at_hand < needed {
+            switch.at_hand_since = None;
+        }
+        // Entries that choose while they know of different agents choose different ones, and all
+        // of them together could leave nobody to serve: so all agents are waited for, for a while.
+        let all = at_hand >= listed.unwrap_or(agents.len());
+        let may_swap = at_hand >= needed && (all || self.has_waited(now, switch, target));
+        let chosen = (one_bundle && may_swap).then(|| choose_swaps(target, needed, &agents));
+        switch.swaps = chosen.map(|vms| (target, vms));
         let loaded = agents.iter().filter(|row| has_loaded(row, target)).count();
         if loaded < needed {
             switch.ready_since = None;
@@ -372,6 +384,14 @@
         self.peers.may_grant(now) && (calm || waited)
     }
 
+    /// Says whether enough agents have had the weights of `target` at hand for so long that the
+    /// rest is not waited for.
+    fn has_waited(&self, now: Instant, switch: &mut Switch, target: Epoch) -> bool {
+        let since = switch.at_hand_since.filter(|(epoch, _)| *epoch == target);
+        let (_, since) = *switch.at_hand_since.insert(since.unwrap_or((target, now)));
+        now >= since + self.timing.hold() * 2
+    }
+
     /// Says whether a switch begun now would go through without waiting for anyone's silence.
     fn is_calm(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
         let silent = |row: &AgentRow| {
@@ -480,8 +500,19 @@
     }
 }
 
+/// Says whether the weights of `epoch` are verified at the agent, or further.
+fn is_at_hand(row: &AgentRow, epoch: Epoch) -> bool {
+    let phase = row.report.weights.get(&epoch);
+    phase.is_some_and(|phase| {
+        matches!(
+            phase,
+            WeightsPhase::Staged | WeightsPhase::Loading | WeightsPhase::Loaded
+        )
+    })
+}
+
 fn has_loaded(row: &AgentRow, epoch: Epoch) -> bool {
-    row.report.weights.get(&epoch) == Some(&wagtailreel_core::WeightsPhase::Loaded)
+    row.report.weights.get(&epoch) == Some(&WeightsPhase::Loaded)
 }
 
 /// Says whether a report changes anything that a step of the switch depends on.
--- a/crates/switch/tests/rules.rs
+++ b/crates/switch/tests/rules.rs
@@ -336,3 +336,73 @@
     bench.run(125, &[peer("e1", 30, true), peer("e2", 30, true)]);
     assert_eq!(bench.grants(30), None, "there is nothing to serve");
 }
+
+/// Makes an entry that knows three agents with room for one bundle, and epoch 20 for two of them.
+fn swapping() -> Bench {
+    let mut bench = Bench::new(&[]);
+    let names = ["a0", "a1", "a2"].map(str::to_owned);
+    let now = bench.at(0);
+    let vms = vm_entries(&names, VmRole::Upstream);
+    bench.opener.on_vms(now, &vms);
+    let state = ServiceState {
+        service: SERVICE.to_owned(),
+        team: "scribes".to_owned(),
+        revision: 20,
+        epoch: 20,
+        document: Some(Box::new(document(2))),
+    };
+    let view = StateView {
+        offset: 20,
+        services: BTreeMap::from([(SERVICE.to_owned(), state)]),
+    };
+    bench.opener.on_state(now, &view);
+    bench
+}
+
+/// Lets all three agents report, of which those in `staged` have the weights at hand. Returns
+/// those that are chosen to swap.
+fn swaps(bench: &mut Bench, staged: &[&str]) -> Vec<&'static str> {
+    let names = ["a0", "a1", "a2"];
+    bench.sequence += 1;
+    let now = bench.at(bench.now);
+    for vm in names {
+        let mut report = make_report(&vm.to_owned(), 1, &world::Agent::default(), 1);
+        report.sequence = bench.sequence;
+        let phase = match staged.contains(&vm) {
+            true => WeightsPhase::Staged,
+            false => WeightsPhase::Fetching,
+        };
+        report.weights = BTreeMap::from([(20, phase)]);
+        assert!(bench.opener.on_report(now, &report));
+    }
+    let chosen = |vm: &&str| bench.opener.directive(now, vm).swap_to == Some(20);
+    names.into_iter().filter(chosen).collect()
+}
+
+/// Two entries that hear of different agents first never choose all three between them.
+#[test]
+fn swaps_agree() {
+    let (mut one, mut two) = (swapping(), swapping());
+    let mut chosen = swaps(&mut one, &["a0", "a1"]);
+    chosen.extend(swaps(&mut two, &["a1", "a2"]));
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert!(chosen.len() < 3, "nobody is left to serve: {chosen:?}");
+    let all = ["a0", "a1", "a2"];
+    let first = swaps(&mut one, &all);
+    assert_eq!(first.len(), 2);
+    assert_eq!(swaps(&mut two, &all), first);
+}
+
+/// An agent that does not get the weights holds up the others for a while only.
+#[test]
+fn swaps_without_all() {
+    let mut bench = swapping();
+    let begin = bench.now;
+    while swaps(&mut bench, &["a0", "a1"]).is_empty() {
+        assert!(bench.now < 10_000, "the others are held up for ever");
+        bench.run(125, &[]);
+    }
+    assert!(bench.now > begin + 1000, "the third was not waited for");
+    assert_eq!(swaps(&mut bench, &["a0", "a1"]), ["a0", "a1"]);
+}
