--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod outcomes;
 mod overload;
+mod partition;
 #[path = "support/requests.rs"]
 mod requests;
 mod support;
