Let limits follow demand over all data centres

Entries heard the demand of their own data centre only; those of others were dealt a fixed share for good. The question that one entry of each other data centre is asked twice a second brings back the demand of that data centre's entries too, with its age. EntryControl::demands() takes the place of peers(), which nothing else used, and says when each was heard; so the entry need not guess by whether a demand changed, which took a steady rate for silence. An entry that falls silent keeps its last share, as before: that rule is in route and unchanged.

control's tests/demand.rs: three entries in two data centres hear each other, a steady demand is heard anew, a cut one stays with its time. With only the answering entry's own demand told it failed; restored it passes. The wire message makes the round trip. Limits of customers over two data centres of real entries were not run.

--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -10,8 +10,7 @@
 use prometheus::Registry;
 use tokio::sync::watch;
 use wagtailreel_core::{
-    CustomerId, DataCentre, Incarnation, PeerState, Region, Report, ServiceName, StateView,
-    VmEntry, VmId,
+    CustomerId, DataCentre, Incarnation, Region, Report, ServiceName, StateView, VmEntry, VmId,
 };
 
 mod inputs;
@@ -64,12 +63,21 @@
 /// All agents that an entry knows.
 pub type AgentViews = Arc<BTreeMap<VmId, AgentView>>;
 
-/// All entries of the data centre that an entry is in touch with.
-pub type PeerViews = Arc<BTreeMap<VmId, PeerState>>;
-
 /// Requests that each customer asked of each service lately, a second.
 pub type Demand = BTreeMap<ServiceName, BTreeMap<CustomerId, f64>>;
 
+/// What was asked of another entry, of this data centre or another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DemandView {
+    /// The entry's demand.
+    pub demand: Demand,
+    /// When it was heard: by this entry, or by the one that told it.
+    pub received: Instant,
+}
+
+/// The demand of all entries that an entry hears of.
+pub type DemandViews = Arc<BTreeMap<VmId, DemandView>>;
+
 /// Handle of the entry's control thread; clones share it, and the thread ends with the last.
 #[derive(Clone, Debug)]
 pub struct EntryControl {
@@ -118,7 +126,7 @@
     /// Sets the entries of all data centres, as the list of VMs and the seeds have them.
     ///
     /// Those of this entry's data centre are synced with, whether they are live or leaving; of
-    /// each other data centre one is asked for its agents.
+    /// each other data centre one is asked for its agents and its entries' demand.
     pub fn set_entries(&self, entries: Vec<VmEntry>) {
         self.inputs.entries.send_replace(entries);
     }
@@ -128,7 +136,7 @@
         self.inputs.vms.send_replace(vms);
     }
 
-    /// Sets the demand that other entries of the data centre are told of.
+    /// Sets the demand that other entries are told of.
     pub fn set_demand(&self, demand: Demand) {
         self.inputs.demand.send_replace(demand);
     }
@@ -139,9 +147,10 @@
         self.outputs.agents.subscribe()
     }
 
-    /// Returns what the other entries of the data centre last said.
-    pub fn peers(&self) -> watch::Receiver<PeerViews> {
-        self.outputs.peers.subscribe()
+    /// Returns the demand of the other entries: those of the data centre as they say it, those of
+    /// other data centres as one entry of each does.
+    pub fn demands(&self) -> watch::Receiver<DemandViews> {
+        self.outputs.demands.subscribe()
     }
 
     /// Returns configuration that a peer entry has and this one lacked: it is to be merged into
--- a/crates/control/src/entry/publish.rs
+++ b/crates/control/src/entry/publish.rs
@@ -8,7 +8,7 @@
 use wagtailreel_core::StateView;
 
 use super::shell::Shell;
-use super::{AgentViews, PeerViews};
+use super::{AgentViews, DemandViews};
 
 /// Time between publications of what may wait: load and counts.
 const PUBLISH_EVERY: Duration = Duration::from_millis(20);
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outputs {
     pub(crate) agents: watch::Sender<AgentViews>,
-    pub(crate) peers: watch::Sender<PeerViews>,
+    pub(crate) demands: watch::Sender<DemandViews>,
     pub(crate) learned: watch::Sender<StateView>,
 }
 
--- a/crates/control/src/entry/remote.rs
+++ b/crates/control/src/entry/remote.rs
@@ -1,4 +1,4 @@
-//! Agents of other data centres, as one entry of each tells.
+//! Agents of other data centres and the demand of their entries, as one entry of each tells.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wagtailreel_core::{DataCentre, Report, VmEntry, VmId};
 use wagtailreel_wire::control_capnp::entry;
-use wagtailreel_wire::read_report;
+use wagtailreel_wire::{EntryDemand, read_entry_demand, read_report};
 
 use super::shell::{EntryLinks, Shell};
 use crate::ControlError;
@@ -23,7 +23,7 @@
 /// Longest pause between attempts to connect to an entry of another data centre.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// Asks one entry of each other data centre for its agents, over and over.
+/// Asks one entry of each other data centre for its agents and its entries' demand, over and over.
 pub(crate) async fn poll_remote(shell: Rc<Shell>) {
     let links: RefCell<EntryLinks> = RefCell::default();
     // Which entry of a data centre is asked; it moves on when that one fails.
@@ -95,12 +95,18 @@
             let age = Duration::from_micros(agent.get_age_micros());
             agents.push((read_report(agent.get_report()?)?, age));
         }
-        Ok(agents)
+        let entries = response.get_entries()?.iter();
+        let demands = entries
+            .map(read_entry_demand)
+            .collect::<Result<Vec<_>, _>>()?;
+        Ok((agents, demands))
     };
-    let result: Result<Vec<(Report, Duration)>, ControlError> = link.call(ASK_TIMEOUT, call).await;
+    let result: Result<(Vec<(Report, Duration)>, Vec<EntryDemand>), ControlError> =
+        link.call(ASK_TIMEOUT, call).await;
     match result {
-        Ok(agents) => {
+        Ok((agents, demands)) => {
             shell.on_remote_agents(agents);
+            shell.on_remote_demands(&demands);
             true
         }
         Err(_) => false,
--- a/crates/control/src/entry/server.rs
+++ b/crates/control/src/entry/server.rs
@@ -10,7 +10,7 @@
 use wagtailreel_wire::control_capnp::{entry, state_holder};
 use wagtailreel_wire::{
     DirectiveMessage, Seen, WireError, read_peer_state, read_report, read_seen, write_directive,
-    write_peer_state, write_report, write_state_view,
+    write_entry_demand, write_peer_state, write_report, write_state_view,
 };
 
 use super::shell::Shell;
@@ -131,6 +131,12 @@
         _: entry::AgentsParams,
         mut results: entry::AgentsResults,
     ) -> Result<(), Error> {
+        let demands = self.shell.own_demands();
+        let length = u32::try_from(demands.len()).unwrap_or(u32::MAX);
+        let mut list = results.get().init_entries(length);
+        for (index, it) in (0..length).zip(&demands) {
+            write_entry_demand(&it.vm, &it.demand, it.age, list.reborrow().get(index));
+        }
         let agents = self.shell.own_agents();
         let length = u32::try_from(agents.len()).unwrap_or(u32::MAX);
         let mut list = results.get().init_agents(length);
--- a/crates/control/src/entry/shell.rs
+++ b/crates/control/src/entry/shell.rs
@@ -1,7 +1,7 @@
 //! State of an entry's control thread: the opener, and what goes with it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,10 +13,10 @@
 };
 use wagtailreel_switch::{Opener, OpenerConfig, Timing};
 use wagtailreel_wire::control_capnp::entry;
-use wagtailreel_wire::{DirectiveMessage, Seen};
+use wagtailreel_wire::{DirectiveMessage, EntryDemand, Seen};
 
 use super::publish::Outputs;
-use super::{AgentView, Demand, EntryControlConfig};
+use super::{AgentView, Demand, DemandView, EntryControlConfig};
 use crate::events;
 use crate::link::Link;
 use crate::metrics::Metrics;
@@ -25,6 +25,10 @@
 /// How long an agent that fell silent stays in the published map.
 const FORGET_AGENT: Duration = Duration::from_secs(60);
 
+/// How long the demand of an entry that fell silent stays published. Who deals shares by it keeps
+/// the last share of such an entry by itself.
+const FORGET_DEMAND: Duration = Duration::from_secs(60);
+
 /// Links to entries, by VM.
 pub(crate) type EntryLinks = BTreeMap<VmId, Rc<Link<entry::Client>>>;
 
@@ -50,6 +54,10 @@
     lists: RefCell<BTreeMap<ServiceName, PeerList>>,
     entries: RefCell<Vec<VmEntry>>,
     demand: RefCell<Demand>,
+    /// Demand of the other entries.
+    demands: RefCell<BTreeMap<VmId, DemandView>>,
+    /// The entries of this data centre among them, whose demand other data centres are told.
+    demands_here: RefCell<BTreeSet<VmId>>,
     /// Counts up to wake the agents' hanging calls.
     news: watch::Sender<u64>,
     round_due: Notify,
@@ -83,6 +91,8 @@
             lists: RefCell::default(),
             entries: RefCell::default(),
             demand: RefCell::default(),
+            demands: RefCell::default(),
+            demands_here: RefCell::default(),
             news: watch::Sender::new(0),
             round_due: Notify::new(),
             publish_due: Notify::new(),
@@ -248,12 +258,12 @@
 
     pub(crate) fn on_peer_answer(&self, started: Instant, state: &PeerState) {
         self.act(|opener, now| opener.on_peer_answer(now, started, state));
-        self.publish_peers();
+        self.on_peer_demand(state);
     }
 
     pub(crate) fn on_peer_call(&self, state: &PeerState) {
         self.act(|opener, now| opener.on_peer_call(now, state));
-        self.publish_peers();
+        self.on_peer_demand(state);
     }
 
     pub(crate) fn on_peer_failure(&self, started: Instant, vm: &str) {
@@ -311,6 +321,36 @@
         self.views_changed.set(true);
     }
 
+    /// Returns the demand of the entries of this data centre, this one included.
+    pub(crate) fn own_demands(&self) -> Vec<EntryDemand> {
+        let now = Instant::now();
+        let here = self.demands_here.borrow();
+        let demands = self.demands.borrow();
+        let others = demands.iter().filter(|(vm, _)| here.contains(*vm));
+        let others = others.map(|(vm, view)| EntryDemand {
+            vm: vm.clone(),
+            demand: view.demand.clone(),
+            age: now.saturating_duration_since(view.received),
+        });
+        let own = EntryDemand {
+            vm: self.cfg.vm.clone(),
+            demand: self.demand.borrow().clone(),
+            age: Duration::ZERO,
+        };
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Takes in the demand of another data centre's entries.
+    pub(crate) fn on_remote_demands(&self, demands: &[EntryDemand]) {
+        let now = Instant::now();
+        for EntryDemand { vm, demand, age } in demands {
+            if !self.demands_here.borrow().contains(vm) {
+                self.hear_demand(vm, demand, now.checked_sub(*age).unwrap_or(now));
+            }
+        }
+        self.publish_demands();
+    }
+
     /// Publishes the agents' reports if there is anything new.
     pub(crate) fn publish_agents(&self) {
         if !self.views_changed.replace(false) {
@@ -325,13 +365,31 @@
         self.outputs.agents.send_replace(Arc::new(views.clone()));
     }
 
-    fn publish_peers(&self) {
-        let opener = self.opener.borrow();
-        let states = opener
-            .peer_states()
-            .map(|state| (state.vm.clone(), state.clone()))
-            .collect();
-        self.outputs.peers.send_replace(Arc::new(states));
+    fn on_peer_demand(&self, state: &PeerState) {
+        self.demands_here.borrow_mut().insert(state.vm.clone());
+        self.hear_demand(&state.vm, &state.demand, Instant::now());
+        self.publish_demands();
+    }
+
+    fn hear_demand(&self, vm: &VmId, demand: &Demand, received: Instant) {
+        let mut demands = self.demands.borrow_mut();
+        // What came over another entry may be older than what is known.
+        let is_old = demands.get(vm).is_some_and(|it| it.received >= received);
+        if *vm == self.cfg.vm || is_old {
+            return;
+        }
+        let view = DemandView {
+            demand: demand.clone(),
+            received,
+        };
+        demands.insert(vm.clone(), view);
+    }
+
+    fn publish_demands(&self) {
+        let now = Instant::now();
+        let mut demands = self.demands.borrow_mut();
+        demands.retain(|_, it| now.saturating_duration_since(it.received) < FORGET_DEMAND);
+        self.outputs.demands.send_replace(Arc::new(demands.clone()));
     }
 
     /// Lets the opener take an input, and sends out what it changed.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,8 @@
 mod urgent;
 
 pub use agent::{AgentControl, AgentControlConfig, FromEntry};
-pub use entry::{AgentView, AgentViews, Demand, EntryControl, EntryControlConfig, PeerViews};
+pub use entry::{
+    AgentView, AgentViews, Demand, DemandView, DemandViews, EntryControl, EntryControlConfig,
+};
 pub use error::ControlError;
 pub use pull::pull_state;
--- /dev/null
+++ b/crates/control/tests/demand.rs
@@ -0,0 +1,69 @@
+//! The demand of all entries, over data centres too.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use fleet::{Entry, HERE, SERVICE, THERE, introduce, until};
+use wagtailreel_control::{Demand, DemandViews};
+
+fn demand(rate: f64) -> Demand {
+    let customers = BTreeMap::from([("mason-1".to_owned(), rate)]);
+    BTreeMap::from([(SERVICE.to_owned(), customers)])
+}
+
+fn heard(by: &Entry) -> DemandViews {
+    let views = by.control.demands();
+    Arc::clone(&views.borrow())
+}
+
+fn hears(by: &Entry, of: &str, rate: f64) -> bool {
+    heard(by)
+        .get(of)
+        .is_some_and(|view| view.demand == demand(rate))
+}
+
+fn last(by: &Entry, of: &str) -> Instant {
+    heard(by)[of].received
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_entries() {
+    let entries = [
+        Entry::start("qh-e1", HERE),
+        Entry::start("qh-e2", HERE),
+        Entry::start("gh-e1", THERE),
+    ];
+    for (rate, entry) in [1.0, 2.0, 3.0].into_iter().zip(&entries) {
+        entry.control.set_demand(demand(rate));
+    }
+    introduce(&entries.each_ref());
+    until("every entry hears the demand of the two others", || {
+        entries.iter().all(|by| {
+            let others = [1.0, 2.0, 3.0].into_iter().zip(&entries);
+            let mut others = others.filter(|(_, of)| of.vm.vm != by.vm.vm);
+            others.all(|(rate, of)| hears(by, &of.vm.vm, rate)) && heard(by).len() == 2
+        })
+    })
+    .await;
+    let there = &entries[2];
+    // Demand that stays the same is heard again all the same.
+    let before = last(there, "qh-e2");
+    until("the same is heard later", || last(there, "qh-e2") > before).await;
+    // Of a data centre that is cut off the last word stays, with its time.
+    entries[0].control.stop();
+    entries[1].control.stop();
+    let mut cut = last(there, "qh-e2");
+    let mut since = Instant::now();
+    until("nothing more is heard", || {
+        let now = last(there, "qh-e2");
+        if now > cut {
+            (cut, since) = (now, Instant::now());
+        }
+        since.elapsed().as_secs() >= 2
+    })
+    .await;
+    assert!(hears(there, "qh-e2", 2.0));
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,6 +1,5 @@
 //! What comes from peers: configuration, reports of agents, and demand for limits.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,7 +7,7 @@
 use futures::future::join_all;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_control::{EntryControl, pull_state};
-use wagtailreel_core::{DataCentre, VmId};
+use wagtailreel_core::DataCentre;
 use wagtailreel_route::{Demand, Shares};
 
 use crate::config::ConfigBook;
@@ -98,31 +97,6 @@
     }
 }
 
-/// When each peer's demand was last heard.
-///
-/// A demand that is not zero decays or grows with each round at the peer, so one that stays the
-/// same was not heard again. Of a peer without demand it does not matter.
-#[derive(Debug, Default)]
-struct HeardDemand {
-    last: BTreeMap<VmId, (Demand, Instant)>,
-}
-
-impl HeardDemand {
-    /// Takes what is known of a peer's demand at `now`; returns when it was heard.
-    fn note(&mut self, vm: &VmId, demand: &Demand, now: Instant) -> Instant {
-        let idle = demand
-            .values()
-            .all(|customers| customers.values().all(|rate| *rate <= 0.0));
-        match self.last.get(vm) {
-            Some((last, seen)) if !idle && last == demand => *seen,
-            _ => {
-                self.last.insert(vm.clone(), (demand.clone(), now));
-                now
-            }
-        }
-    }
-}
-
 /// Tells peers this entry's demand and deals the shares of limits anew, until `cancel`.
 pub(crate) async fn deal_shares(
     services: Arc<Services>,
@@ -131,8 +105,7 @@
     shares: Arc<Mutex<Shares>>,
     cancel: CancellationToken,
 ) {
-    let peers = control.peers();
-    let mut heard = HeardDemand::default();
+    let demands = control.demands();
     let mut interval = tokio::time::interval(SHARES_EVERY);
     loop {
         if cancel.run_until_cancelled(interval.tick()).await.is_none() {
@@ -145,12 +118,11 @@
             .map(|service| (service.name().to_owned(), service.demand(now)))
             .collect();
         control.set_demand(own.clone());
-        let views = Arc::clone(&peers.borrow());
+        let views = Arc::clone(&demands.borrow());
         let mut shares = shares.lock().unwrap_or_else(PoisonError::into_inner);
         let names = vms.entry_names();
-        for (vm, state) in views.iter().filter(|(vm, _)| names.contains(*vm)) {
-            let seen = heard.note(vm, &state.demand, now);
-            shares.peer(vm, &state.demand, seen);
+        for (vm, view) in views.iter().filter(|(vm, _)| names.contains(*vm)) {
+            shares.peer(vm, &view.demand, view.received);
         }
         shares.tick(&own, now);
         for service in all {
--- a/crates/wire/control.capnp
+++ b/crates/wire/control.capnp
@@ -141,6 +141,13 @@
   ageMicros @1 :UInt64;        # time since the entry received it
 }
 
+# What was asked of an entry, for limits that hold over all data centres.
+struct EntryDemand {
+  vm @0 :Text;
+  demand @1 :List(ServiceDemand);
+  ageMicros @2 :UInt64;        # time since the answering entry heard it; 0 for its own
+}
+
 # Whoever holds configuration gives it to a process that starts while the platform is away.
 interface StateHolder {
   pull @0 () -> (state :StateView);
@@ -157,8 +164,9 @@
   # One step of a sync round between entries of a data centre.
   sync @2 (state :PeerState) -> (state :PeerState);
 
-  # The agents that report to this entry, for entries of other data centres.
-  agents @3 () -> (agents :List(AgentReport));
+  # The agents that report to this entry, and the demand of the entries of its data centre, for
+  # entries of other data centres.
+  agents @3 () -> (agents :List(AgentReport), entries :List(EntryDemand));
 }
 
 interface Agent extends (StateHolder) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,7 +36,9 @@
 };
 pub use error::WireError;
 pub use limits::{MAX_MESSAGE_BYTES, reader_options};
-pub use peer::{read_peer_state, write_peer_state};
+pub use peer::{
+    EntryDemand, read_entry_demand, read_peer_state, write_entry_demand, write_peer_state,
+};
 pub use report::{read_report, write_report};
 pub use state::{read_service_state, read_state_view, write_service_state, write_state_view};
 pub use vm::{read_vm, write_vm};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use snafu::ResultExt;
-use wagtailreel_core::{PeerState, ServiceName, ServicePeerState, VmId};
+use wagtailreel_core::{CustomerId, PeerState, ServiceName, ServicePeerState, VmId};
 
 use crate::WireError;
-use crate::control_capnp::{address, peer_state, service_demand, service_peer};
+use crate::control_capnp::{address, entry_demand, peer_state, service_demand, service_peer};
 use crate::error::MalformedSnafu;
 use crate::field::{count, read_addr, read_text};
 
@@ -59,6 +60,47 @@
     })
 }
 
+/// Fills a message from what was asked of the entry `vm`, which was heard `age` ago.
+pub fn write_entry_demand(
+    vm: &str,
+    demand: &BTreeMap<ServiceName, BTreeMap<CustomerId, f64>>,
+    age: Duration,
+    mut to: entry_demand::Builder<'_>,
+) {
+    to.set_vm(vm);
+    to.set_age_micros(u64::try_from(age.as_micros()).unwrap_or(u64::MAX));
+    let length = count(demand.len());
+    let mut list = to.init_demand(length);
+    for (index, (service, customers)) in (0..length).zip(demand) {
+        write_demand(service, customers, list.reborrow().get(index));
+    }
+}
+
+/// What was asked of one entry, and how long ago that was heard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryDemand {
+    /// Name of the entry's VM.
+    pub vm: VmId,
+    /// Requests a second by service and customer.
+    pub demand: BTreeMap<ServiceName, BTreeMap<CustomerId, f64>>,
+    /// Time since it was heard, as of when the message was written.
+    pub age: Duration,
+}
+
+/// Reads what was asked of one entry.
+///
+/// # Errors
+///
+/// Returns a [`WireError`] if the message is malformed.
+pub fn read_entry_demand(from: entry_demand::Reader<'_>) -> Result<EntryDemand, WireError> {
+    let demand = from.get_demand().context(MalformedSnafu)?;
+    Ok(EntryDemand {
+        vm: read_text("vm", from.get_vm())?,
+        demand: demand.iter().map(read_demand).collect::<Result<_, _>>()?,
+        age: Duration::from_micros(from.get_age_micros()),
+    })
+}
+
 fn write_service(service: &str, peer: &ServicePeerState, mut to: service_peer::Builder<'_>) {
     to.set_service(service);
     to.set_close_below(peer.close_below);
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -271,3 +271,18 @@
         "{error}"
     );
 }
+
+#[test]
+fn demand_whole() {
+    let customers = BTreeMap::from([("mason-1".to_owned(), 2.5)]);
+    let it = EntryDemand {
+        vm: "qh-e1".to_owned(),
+        demand: BTreeMap::from([("wagtail-scribes".to_owned(), customers)]),
+        age: Duration::from_micros(70),
+    };
+    let read = over_wire::<wire::entry_demand::Owned, _>(
+        |to| write_entry_demand(&it.vm, &it.demand, it.age, to.init_root()),
+        |from| read_entry_demand(from).unwrap(),
+    );
+    assert_eq!(read, it);
+}
