--- a/crates/control/src/entry/remote.rs
+++ b/crates/control/src/entry/remote.rs
@@ -23,6 +23,9 @@
 /// Longest pause between attempts to connect to an entry of another data centre.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// What an entry tells of its data centre: reports with their ages, and demand.
+type Told = (Vec<(Report, Duration)>, Vec<EntryDemand>);
+
 /// Asks one entry of each other data centre for its agents and its entries' demand, over and over.
 pub(crate) async fn poll_remote(shell: Rc<Shell>) {
     let links: RefCell<EntryLinks> = RefCell::default();
@@ -101,8 +104,7 @@
             .collect::<Result<Vec<_>, _>>()?;
         Ok((agents, demands))
     };
-    let result: Result<(Vec<(Report, Duration)>, Vec<EntryDemand>), ControlError> =
-        link.call(ASK_TIMEOUT, call).await;
+    let result: Result<Told, ControlError> = link.call(ASK_TIMEOUT, call).await;
     match result {
         Ok((agents, demands)) => {
             shell.on_remote_agents(agents);
