--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -5,7 +5,7 @@
 use axum::Json;
 use axum::extract::{Path, Query, State};
 use axum::response::{IntoResponse, Response};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -19,6 +19,7 @@
 use crate::config::ConfigBook;
 use crate::events;
 use crate::follower::StreamSink as _;
+use crate::front::OUTCOME;
 
 /// How long an accepted append is waited for to be read back.
 const READ_BACK: Duration = Duration::from_secs(5);
@@ -65,7 +66,19 @@
         ("edit", &edit),
         ("status", &code),
     ]);
-    Ok((status, Json(body)).into_response())
+    Ok(with_outcome(status, body))
+}
+
+/// Makes the response, with the outcome that the body names as a header too: the tool that
+/// submits tells by it whether sending again is safe.
+fn with_outcome(status: StatusCode, body: Value) -> Response {
+    let outcome = body["outcome"].as_str().unwrap_or_default();
+    let outcome = HeaderValue::from_str(outcome).ok();
+    let mut response = (status, Json(body)).into_response();
+    if let Some(outcome) = outcome.filter(|outcome| !outcome.is_empty()) {
+        response.headers_mut().insert(OUTCOME, outcome);
+    }
+    response
 }
 
 async fn run<L>(
@@ -192,14 +205,18 @@
     let mut offset = book.offset();
     let until = Instant::now() + READ_BACK;
     loop {
-        let found = book.with_fold(|fold| fold.edit_result(service, edit).cloned());
+        // Under one lock: between two the fold may take the record, and the edit would be there by
+        // the second look only.
+        let (found, applied, state) = book.with_fold(|fold| {
+            let found = fold.edit_result(service, edit).cloned();
+            let state = fold.state().services.get(service).cloned();
+            (found, fold.offset(), state)
+        });
         if let Some(result) = found.filter(|result| is_of(result, appended)) {
             return Submitted::Decided(result);
         }
         // A state from a peer leaves out how its edits were decided, but not what is in force.
-        if appended.is_some_and(|appended| appended <= book.applied()) {
-            let view = book.view();
-            let state = view.services.get(service);
+        if appended.is_some_and(|appended| appended <= applied) {
             if let Some(state) = state.filter(|state| Some(state.revision) == appended) {
                 return accepted(state.revision, state.epoch, edit, &state.team);
             }
