--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -245,7 +245,7 @@
     tasks.spawn(append_claims(log.clone(), Arc::clone(&cx.claims), cancel()));
     let rule = SnapshotRule {
         every: cx.settings.config.snapshot_every,
-        ..SnapshotRule::default()
+        max_age: cx.settings.config.snapshot_max_age,
     };
     tasks.spawn(snapshots::keep_snapshots(
         log.clone(),
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -96,6 +96,7 @@
             },
             config: ConfigSettings {
                 snapshot_every: 500,
+                snapshot_max_age: Duration::from_secs(3600),
             },
         }
     }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -21,6 +21,8 @@
 const MAX_WINDOW_S: u64 = 86_400;
 const DEFAULT_SNAPSHOT_EVERY: u64 = 500;
 const MAX_SNAPSHOT_EVERY: u64 = 100_000;
+const DEFAULT_SNAPSHOT_MAX_AGE: Duration = Duration::from_secs(3600);
+const MAX_SNAPSHOT_MAX_AGE_S: u64 = 604_800;
 
 /// Settings of `wagtailreel entry`.
 #[derive(Clone, Debug)]
@@ -120,6 +122,8 @@
 pub struct ConfigSettings {
     /// Records between snapshots.
     pub snapshot_every: u64,
+    /// Longest time between snapshots; far less than the log keeps records.
+    pub snapshot_max_age: Duration,
 }
 
 impl EntrySettings {
@@ -319,6 +323,7 @@
 fn default_config() -> ConfigSettings {
     ConfigSettings {
         snapshot_every: DEFAULT_SNAPSHOT_EVERY,
+        snapshot_max_age: DEFAULT_SNAPSHOT_MAX_AGE,
     }
 }
 
@@ -328,8 +333,13 @@
     let snapshot_every = f.optional("snapshot_every", problems, default, |at, problems| {
         values::whole(at, problems, "records", 1..=MAX_SNAPSHOT_EVERY)
     });
+    let default = DEFAULT_SNAPSHOT_MAX_AGE;
+    let max_age = f.optional("snapshot_max_age_s", problems, default, |at, problems| {
+        values::seconds(at, problems, 1..=MAX_SNAPSHOT_MAX_AGE_S)
+    });
     f.finish(problems);
     Some(ConfigSettings {
         snapshot_every: snapshot_every?,
+        snapshot_max_age: max_age?,
     })
 }
--- a/crates/settings/tests/entry_settings.rs
+++ b/crates/settings/tests/entry_settings.rs
@@ -62,6 +62,7 @@
     assert_eq!(settings.body_limit, 1_048_576);
     assert_eq!(settings.orders.window, Duration::from_secs(600));
     assert_eq!(settings.config.snapshot_every, 500);
+    assert_eq!(settings.config.snapshot_max_age, Duration::from_secs(3600));
     assert!(settings.seeds.is_empty());
 }
 
@@ -114,6 +115,7 @@
   window_s: 0
 config:
   snapshot_every: \"500\"
+  snapshot_max_age_s: 0
 ",
         hash = hash_token("team token")
     );
