Tell an edit as accepted only once it is in force at the entry

Cause: the wait for the read-back looks into the fold, which is ahead of what is in force for the moment until it is published. An operator who read the document back at once saw the one before.

Conclusion: an answer waits for the state that callers see, not the one that is reckoned.

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -212,11 +212,13 @@
             let state = fold.state().services.get(service).cloned();
             (found, fold.offset(), state)
         });
-        if let Some(result) = found.filter(|result| is_of(result, appended)) {
+        // What the operator hears is in force here already: the fold is ahead for a moment.
+        let in_force = *offset.borrow_and_update() >= applied;
+        if let Some(result) = found.filter(|result| in_force && is_of(result, appended)) {
             return Submitted::Decided(result);
         }
         // A state from a peer leaves out how its edits were decided, but not what is in force.
-        if appended.is_some_and(|appended| appended <= applied) {
+        if in_force && appended.is_some_and(|appended| appended <= applied) {
             if let Some(state) = state.filter(|state| Some(state.revision) == appended) {
                 return accepted(state.revision, state.epoch, edit, &state.team);
             }
