Pass an engine's tokens on as they came

Cause: each token was decoded into a String and encoded again by the agent. Now: the adapter checks that a token's data is `{"index": N, "token": "..."}` to the letter (whole number, text in UTF-8 without escapes or control characters) and gives it on as it is; any other layout is decoded and encoded anew as before, and what is no token is refused as before. The tests of the stand-in engine now compare a token's data to the letter and not just its text.

--- a/crates/agent/src/tokens.rs
+++ b/crates/agent/src/tokens.rs
@@ -27,12 +27,6 @@
     why: String,
 }
 
-#[derive(Serialize)]
-struct TokenData<'a> {
-    index: u32,
-    token: &'a str,
-}
-
 #[derive(Serialize)]
 struct EndData {
     outcome: Outcome,
@@ -81,14 +75,12 @@
     /// Takes in one event of the engine.
     fn take(&mut self, event: &EngineEvent) {
         match event {
-            EngineEvent::Token { index, token } if *index == self.next_index => {
+            EngineEvent::Token { index, data } if *index == self.next_index => {
                 self.next_index += 1;
                 self.run.count_token();
-                let data = TokenData {
-                    index: *index,
-                    token,
-                };
-                write_event(&mut self.buf, "token", &data);
+                self.buf.put_slice(b"event: token\ndata: ");
+                self.buf.put_slice(data);
+                self.buf.put_slice(b"\n\n");
             }
             EngineEvent::Token { index, .. } => {
                 let wanted = self.next_index;
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -50,8 +50,9 @@
     Token {
         /// Position in the answer, from 0.
         index: u32,
-        /// Text of the token.
-        token: String,
+        /// The token as JSON on one line, `{"index": 0, "token": "..."}`, checked and ready to be
+        /// passed on.
+        data: Bytes,
     },
     /// The answer is whole.
     End {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,6 +7,7 @@
 mod log;
 mod origin;
 mod plain;
+mod token;
 mod url;
 mod vms;
 
--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -15,7 +15,8 @@
 use snafu::IntoError as _;
 use wagtailreel_core::{Bundle, Digest, Epoch};
 
-use super::exchange::{build_request, call_json, parse_json, refusal, unusable};
+use super::exchange::{build_request, call_json, parse_json, refusal, unreadable, unusable};
+use super::token::read_token;
 use super::{BaseUrl, Body, HttpClient, encode_segment};
 use crate::error::{BrokenBodySnafu, CutSnafu, LostSnafu, ProtocolSnafu};
 use crate::{
@@ -58,12 +59,6 @@
     state: CancelState,
 }
 
-#[derive(Deserialize)]
-struct TokenData {
-    index: u32,
-    token: String,
-}
-
 #[derive(Deserialize)]
 struct EndData {
     tokens: u32,
@@ -224,7 +219,7 @@
             .build()
         })?;
         event
-            .map(|event| parse_event(&self.base, &event))
+            .map(|event| parse_event(&self.base, event))
             .transpose()
     }
 
@@ -276,7 +271,7 @@
 }
 
 /// Reads one event of an answer.
-fn parse_event(base: &BaseUrl, event: &SseEvent) -> Result<EngineEvent, PlatformError> {
+fn parse_event(base: &BaseUrl, event: SseEvent) -> Result<EngineEvent, PlatformError> {
     if event.name == END {
         let data: EndData = parse_json(base, &event.data)?;
         return Ok(EngineEvent::End {
@@ -284,9 +279,6 @@
             bundle: data.bundle,
         });
     }
-    let data: TokenData = parse_json(base, &event.data)?;
-    Ok(EngineEvent::Token {
-        index: data.index,
-        token: data.token,
-    })
+    let (index, data) = read_token(event.data).map_err(|err| unreadable(base, &err))?;
+    Ok(EngineEvent::Token { index, data })
 }
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -142,13 +142,16 @@
 where
     T: DeserializeOwned,
 {
-    serde_json::from_slice(bytes).map_err(|err| {
-        ProtocolSnafu {
-            peer: base.peer(),
-            reason: err.to_string(),
-        }
-        .build()
-    })
+    serde_json::from_slice(bytes).map_err(|err| unreadable(base, &err))
+}
+
+/// Makes the error of JSON that can't be read.
+pub(super) fn unreadable(base: &BaseUrl, err: &serde_json::Error) -> PlatformError {
+    ProtocolSnafu {
+        peer: base.peer(),
+        reason: err.to_string(),
+    }
+    .build()
 }
 
 /// Sends a request and reads the JSON of a successful answer.
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -52,14 +52,23 @@
     }
 }
 
+/// One token with its data to the letter.
+fn token(bundle: Digest, index: u32) -> EngineEvent {
+    let text = token_text(bundle, "for a mason", index);
+    let data = format!("{{\"index\": {index}, \"token\": \"{text}\"}}");
+    EngineEvent::Token {
+        index,
+        data: data.into(),
+    }
+}
+
 /// The whole answer that `bundle` gives from `start` on.
 fn answer(bundle: Digest, start: u32, tokens: u32) -> Vec<EngineEvent> {
-    let token = |index| EngineEvent::Token {
-        index,
-        token: token_text(bundle, "for a mason", index),
-    };
     let end = EngineEvent::End { tokens, bundle };
-    (start..tokens).map(token).chain([end]).collect()
+    (start..tokens)
+        .map(|index| token(bundle, index))
+        .chain([end])
+        .collect()
 }
 
 /// Waits for a request to be in a state.
--- a/crates/standins/tests/engine_faults.rs
+++ b/crates/standins/tests/engine_faults.rs
@@ -132,9 +132,10 @@
     assert_eq!(engine.status().await.unwrap().bundles, [named]);
     let tokens = engine.generate(&request("r1", named)).await.unwrap();
     let events: Vec<EngineEvent> = tokens.try_collect().await.unwrap();
+    let text = token_text(real, PROMPT, 0);
     let first = EngineEvent::Token {
         index: 0,
-        token: token_text(real, PROMPT, 0),
+        data: format!("{{\"index\": 0, \"token\": \"{text}\"}}").into(),
     };
     assert_eq!(events[0], first);
     let end = EngineEvent::End {
