--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -8,6 +8,7 @@
 use axum::response::Response;
 use http::{HeaderMap, HeaderValue};
 use tokio::sync::Notify;
+use wagtailreel_core::headers::INCARNATION;
 use wagtailreel_core::{
     DataCentre, Digest, EngineLoad, Epoch, Incarnation, NotRunReason, Offset, Region, Report,
     ServiceName, ServiceState, VmId, WeightsPhase,
@@ -17,7 +18,6 @@
 use crate::admitter::Admitter;
 use crate::answers;
 use crate::events;
-use crate::headers::INCARNATION;
 use crate::metrics::Metrics;
 use crate::passage::{Passage, Refusal, Requests, Wish};
 use crate::pressure::Gaps;
@@ -262,10 +262,14 @@
         }
     }
 
-    /// Stops admission for good.
-    pub(crate) fn leave(&self) {
-        self.admitter.lock().gate.leave();
+    /// Stops admission for good; returns whether it was not stopped before.
+    pub(crate) fn leave(&self) -> bool {
+        let mut gated = self.admitter.lock();
+        let is_first = !gated.gate.is_leaving();
+        gated.gate.leave();
+        drop(gated);
         self.report_at_once();
+        is_first
     }
 
     /// Returns the report of this moment; the sequence is filled in where it is sent.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,6 +1,5 @@
 //! What comes from peers: configuration, reports of agents, and demand for limits.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,39 +7,54 @@
 use futures::future::join_all;
 use tokio_util::sync::CancellationToken;
 use wagtailreel_control::{EntryControl, pull_state};
-use wagtailreel_core::{DataCentre, VmId};
+use wagtailreel_core::DataCentre;
 use wagtailreel_route::{Demand, Shares};
 
 use crate::config::ConfigBook;
 use crate::events;
+use crate::live::TimeToLive;
 use crate::services::Services;
 use crate::vms::KnownVms;
 
 /// How long a peer may take to answer when it is asked for its configuration.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Pause between rounds of asking peers.
+/// Pause between rounds of asking peers while nothing is known.
 const PULL_EVERY: Duration = Duration::from_millis(500);
 
+/// The same once something is known.
+const PULL_ON: Duration = Duration::from_secs(2);
+
 /// Peers asked in one round.
 const PULL_MOST: usize = 8;
 
 /// How often shares of limits are dealt.
 const SHARES_EVERY: Duration = Duration::from_millis(200);
 
-/// Asks peers for the configuration until it is known.
+/// Asks peers for the configuration as long as the log can't be read.
 ///
-/// The log is asked at the same time; the higher offset wins, whichever comes first.
-pub(crate) async fn pull_at_start(
+/// The higher revision wins, whichever comes first. One answer is not enough: the peer that gave
+/// it may have missed the last edits, which another entry or an agent has.
+pub(crate) async fn pull_without_log(
     book: Arc<ConfigBook>,
     seeds: Vec<SocketAddr>,
     vms: Arc<KnownVms>,
+    control: EntryControl,
     data_centre: DataCentre,
     cancel: CancellationToken,
 ) {
-    while !book.is_known() {
+    let agents = control.agents();
+    let mut reading = book.reading();
+    loop {
+        let away = reading.wait_for(|reading| !reading);
+        if !matches!(cancel.run_until_cancelled(away).await, Some(Ok(_))) {
+            return;
+        }
         let mut addrs = vms.control_addrs(&data_centre);
         addrs.extend(&seeds);
+        // With the list of VMs away too, agents are known by their reports alone.
+        let views = Arc::clone(&agents.borrow());
+        addrs.extend(views.values().map(|view| view.report.control));
         addrs.sort();
         addrs.dedup();
         rand::seq::SliceRandom::shuffle(addrs.as_mut_slice(), &mut rand::rng());
@@ -50,13 +64,13 @@
             return;
         };
         for view in answers.into_iter().flatten() {
-            let offset = view.offset.to_string();
-            events::STATE_PULLED.emit(&[("offset", &offset)]);
-            book.take_state(&view);
+            if book.take_state(&view) {
+                let offset = view.offset.to_string();
+                events::STATE_PULLED.emit(&[("offset", &offset)]);
+            }
         }
-        let slept = cancel
-            .run_until_cancelled(tokio::time::sleep(PULL_EVERY))
-            .await;
+        let pause = if book.is_known() { PULL_ON } else { PULL_EVERY };
+        let slept = cancel.run_until_cancelled(tokio::time::sleep(pause)).await;
         if slept.is_none() {
             return;
         }
@@ -79,6 +93,7 @@
 /// Takes the agents' reports to the request path, until `cancel`.
 pub(crate) async fn follow_agents(
     services: Arc<Services>,
+    live: Arc<TimeToLive>,
     control: EntryControl,
     cancel: CancellationToken,
 ) {
@@ -86,6 +101,7 @@
     loop {
         let views = Arc::clone(&agents.borrow_and_update());
         services.reports(&views);
+        live.reports(&views);
         if !matches!(
             cancel.run_until_cancelled(agents.changed()).await,
             Some(Ok(()))
@@ -95,31 +111,6 @@
     }
 }
 
-/// When each peer's demand was last heard.
-///
-/// A demand that is not zero decays or grows with each round at the peer, so one that stays the
-/// same was not heard again. Of a peer without demand it does not matter.
-#[derive(Debug, Default)]
-struct HeardDemand {
-    last: BTreeMap<VmId, (Demand, Instant)>,
-}
-
-impl HeardDemand {
-    /// Takes what is known of a peer's demand at `now`; returns when it was heard.
-    fn note(&mut self, vm: &VmId, demand: &Demand, now: Instant) -> Instant {
-        let idle = demand
-            .values()
-            .all(|customers| customers.values().all(|rate| *rate <= 0.0));
-        match self.last.get(vm) {
-            Some((last, seen)) if !idle && last == demand => *seen,
-            _ => {
-                self.last.insert(vm.clone(), (demand.clone(), now));
-                now
-            }
-        }
-    }
-}
-
 /// Tells peers this entry's demand and deals the shares of limits anew, until `cancel`.
 pub(crate) async fn deal_shares(
     services: Arc<Services>,
@@ -128,8 +119,7 @@
     shares: Arc<Mutex<Shares>>,
     cancel: CancellationToken,
 ) {
-    let peers = control.peers();
-    let mut heard = HeardDemand::default();
+    let demands = control.demands();
     let mut interval = tokio::time::interval(SHARES_EVERY);
     loop {
         if cancel.run_until_cancelled(interval.tick()).await.is_none() {
@@ -142,12 +132,11 @@
             .map(|service| (service.name().to_owned(), service.demand(now)))
             .collect();
         control.set_demand(own.clone());
-        let views = Arc::clone(&peers.borrow());
+        let views = Arc::clone(&demands.borrow());
         let mut shares = shares.lock().unwrap_or_else(PoisonError::into_inner);
         let names = vms.entry_names();
-        for (vm, state) in views.iter().filter(|(vm, _)| names.contains(*vm)) {
-            let seen = heard.note(vm, &state.demand, now);
-            shares.peer(vm, &state.demand, seen);
+        for (vm, view) in views.iter().filter(|(vm, _)| names.contains(*vm)) {
+            shares.peer(vm, &view.demand, view.received);
         }
         shares.tick(&own, now);
         for service in all {
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -8,6 +8,12 @@
 use crate::pace::Pause;
 use crate::{ChunkSet, Site};
 
+/// Corrupt chunks that are put down to chance before a peer is judged by its share of them.
+const CORRUPT_BY_CHANCE: usize = 2;
+
+/// A peer is not believed if it gave one corrupt chunk or more for so many good ones.
+const GOOD_FOR_A_CORRUPT: usize = 8;
+
 /// One other VM.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -21,6 +27,8 @@
     /// Chunks that it gave.
     pub(crate) given: u32,
     pub(crate) pause: Pause,
+    /// The last fetch from it broke or was given up: what it has can't be counted on.
+    failing: bool,
     pub(crate) lost_since: Option<Instant>,
 }
 
@@ -34,17 +42,28 @@
             active: 0,
             given: 0,
             pause: Pause::default(),
+            failing: false,
             lost_since: None,
         }
     }
 
+    /// Says whether what the peer says of its chunks is believed.
+    ///
+    /// One that gives mostly corrupt chunks has none to give, whatever it says. Were its word
+    /// taken, nobody would draw the chunks that it alone claims to have.
+    pub(crate) fn is_believed(&self) -> bool {
+        let corrupt = self.corrupt.len();
+        let good = usize::try_from(self.given).unwrap_or(usize::MAX);
+        corrupt <= CORRUPT_BY_CHANCE || corrupt.saturating_mul(GOOD_FOR_A_CORRUPT) < good
+    }
+
     /// Says whether the peer is there to give `chunk`.
     pub(crate) fn has(&self, chunk: ChunkIndex) -> bool {
         self.have.as_ref().is_some_and(|have| have.contains(chunk))
     }
 }
 
-/// The other VMs, and how many neighbours have each chunk.
+/// The other VMs, and how many neighbours have each chunk, apart from those that fail.
 #[derive(Debug)]
 pub(crate) struct Peers {
     all: BTreeMap<VmId, Peer>,
@@ -81,7 +100,8 @@
         self.neighbours = neighbours;
         let before = self.holders.clone();
         self.holders.fill(0);
-        let views = self.neighbours.iter().filter_map(|vm| self.all.get(vm));
+        let neighbours = self.neighbours.iter().filter_map(|vm| self.all.get(vm));
+        let views = neighbours.filter(|peer| !peer.failing);
         for have in views.filter_map(|peer| peer.have.as_ref()) {
             for chunk in have.iter() {
                 self.holders[chunk as usize] += 1;
@@ -106,8 +126,12 @@
             have.remove(*chunk);
         }
         peer.lost_since = None;
+        if !peer.is_believed() {
+            return;
+        }
         let before = peer.have.replace(have.clone());
-        if !self.neighbours.contains(vm) {
+        let counts = !peer.failing && self.neighbours.contains(vm);
+        if !counts {
             return;
         }
         for chunk in 0..have.capacity() {
@@ -122,16 +146,53 @@
 
     /// Notes that `vm` does not have `chunk` after all.
     pub(crate) fn remove_chunk(&mut self, vm: &str, chunk: ChunkIndex, now: Instant) {
-        let removed = self
-            .all
-            .get_mut(vm)
-            .and_then(|peer| peer.have.as_mut())
-            .is_some_and(|have| have.remove(chunk));
-        if removed && self.neighbours.contains(vm) {
+        let Some(peer) = self.all.get_mut(vm) else {
+            return;
+        };
+        let counts = !peer.failing && self.neighbours.contains(vm);
+        let removed = peer.have.as_mut().is_some_and(|have| have.remove(chunk));
+        if removed && counts {
             self.drop_holder(chunk, now);
         }
     }
 
+    /// Notes that `vm` gave `chunk` corrupted. Its other chunks stop counting once it is not
+    /// believed any more.
+    pub(crate) fn note_corrupt(&mut self, vm: &str, chunk: ChunkIndex, now: Instant) {
+        self.remove_chunk(vm, chunk, now);
+        let Some(peer) = self.all.get_mut(vm) else {
+            return;
+        };
+        peer.corrupt.insert(chunk);
+        if peer.is_believed() {
+            return;
+        }
+        let claimed = peer.have.take();
+        let counts = !peer.failing && self.neighbours.contains(vm);
+        if counts {
+            for chunk in claimed.iter().flat_map(ChunkSet::iter) {
+                self.drop_holder(chunk, now);
+            }
+        }
+    }
+
+    /// Notes whether what a peer has can be counted on.
+    pub(crate) fn set_failing(&mut self, vm: &str, failing: bool, now: Instant) {
+        let Some(peer) = self.all.get_mut(vm) else {
+            return;
+        };
+        if peer.failing != failing {
+            peer.failing = failing;
+            let neighbours = self.neighbours.clone();
+            self.set_neighbours(neighbours, now);
+        }
+    }
+
+    /// Says whether what a peer has can't be counted on; so it is with one that isn't known.
+    pub(crate) fn is_failing(&self, vm: &str) -> bool {
+        self.all.get(vm).is_none_or(|peer| peer.failing)
+    }
+
     /// Counts one neighbour less that has `chunk`.
     fn drop_holder(&mut self, chunk: ChunkIndex, now: Instant) {
         let holders = &mut self.holders[chunk as usize];
@@ -163,7 +224,7 @@
         &self.neighbours
     }
 
-    /// Returns how many neighbours have `chunk`.
+    /// Returns how many neighbours have `chunk` and don't fail.
     pub(crate) fn holders(&self, chunk: ChunkIndex) -> u32 {
         self.holders[chunk as usize]
     }
@@ -185,8 +246,8 @@
     /// Says whether every neighbour has said what it has, or can't be reached.
     pub(crate) fn all_answered(&self) -> bool {
         !self.neighbours.is_empty()
-            && self
-                .neighbours()
-                .all(|(_, peer)| peer.have.is_some() || peer.lost_since.is_some())
+            && self.neighbours().all(|(_, peer)| {
+                peer.have.is_some() || peer.lost_since.is_some() || !peer.is_believed()
+            })
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,17 @@
 //! Tests of the whole system with real processes, one file a feature.
+// A test that can't go on says so by a panic.
+#![allow(clippy::unwrap_used)]
+
+mod agreement;
+mod cli;
+mod membership;
+mod orders;
+mod outcomes;
+mod overload;
+mod partition;
+#[path = "support/requests.rs"]
+mod requests;
+mod support;
+mod switch;
+mod weights;
+mod whole_session;
