Count on nothing that a corrupt giver has until it delivers

Found by a transfer among real sockets: a peer that claims every chunk and gives none that is right kept a VM from drawing for 26 seconds, since its claims counted as holders and each corrupt chunk only made its pause longer. It now counts as one that fails.

--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -21,7 +21,7 @@
     /// Chunks that it gave.
     pub(crate) given: u32,
     pub(crate) pause: Pause,
-    /// The last fetch from it broke or was given up: what it has can't be counted on.
+    /// The last fetch from it broke, was given up or was corrupt: what it has can't be counted on.
     failing: bool,
     pub(crate) lost_since: Option<Instant>,
 }
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -291,6 +291,7 @@
                 peer.corrupt.insert(chunk);
                 peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
                 self.peers.remove_chunk(vm, chunk, now);
+                self.peers.set_failing(vm, true, now);
             }
             Failure::Broken => {
                 peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
--- a/crates/spread/tests/faults.rs
+++ b/crates/spread/tests/faults.rs
@@ -61,6 +61,18 @@
     assert!(out.is_done && out.origin <= most_drawn, "{out:?}");
 }
 
+#[rstest]
+#[case::time(Weigh::Time, 2.0)]
+#[case::origin_bytes(Weigh::OriginBytes, 1.25)]
+fn lying_vm(#[case] weigh: Weigh, #[case] most_drawn: f64) {
+    let mut setup = setup(weigh);
+    setup.liar = Some(4);
+    let out = Model::new(setup).run(4);
+    println!("liar {out:?}");
+    assert!(out.is_done && out.ratio <= 2.0, "{out:?}");
+    assert!(out.origin <= most_drawn, "{out:?}");
+}
+
 #[rstest]
 #[case::time(Weigh::Time, 2.0)]
 #[case::origin_bytes(Weigh::OriginBytes, 1.05)]
@@ -68,6 +80,7 @@
     let mut setup = setup(weigh);
     setup.corrupt = 0.01;
     let out = Model::new(setup).run(4);
+    println!("corrupt {out:?}");
     assert!(out.is_done && out.origin <= most_drawn, "{out:?}");
 }
 
--- a/crates/spread/tests/model/mod.rs
+++ b/crates/spread/tests/model/mod.rs
@@ -52,6 +52,8 @@
     pub dead: BTreeMap<usize, u64>,
     /// VMs that accept requests and give nothing, and since when.
     pub stalled: BTreeMap<usize, u64>,
+    /// VM that gives nothing but corrupt chunks.
+    pub liar: Option<usize>,
     /// When the origin refuses.
     pub origin_down: Range<u64>,
     /// When the first data centre is cut off from the others and the origin.
@@ -85,6 +87,7 @@
             corrupt: 0.0,
             dead: BTreeMap::new(),
             stalled: BTreeMap::new(),
+            liar: None,
             origin_down: 0..0,
             cut: 0..0,
         }
@@ -358,14 +361,16 @@
         }
         let done: Vec<Transfer> = self.transfers.extract_if(.., |one| one.left == 0).collect();
         for one in done {
-            self.finish(one.to, one.fetch);
+            self.finish(one);
         }
     }
 
-    fn finish(&mut self, to: usize, fetch: Fetch) {
+    fn finish(&mut self, one: Transfer) {
+        let (to, fetch) = (one.to, one.fetch);
         let (id, chunk) = (fetch.id, fetch.chunk);
         let node = &mut self.nodes[to];
-        if self.rng.random::<f64>() < self.setup.corrupt {
+        let lies = one.from.is_some() && one.from == self.setup.liar;
+        if lies || self.rng.random::<f64>() < self.setup.corrupt {
             if fetch.from != Source::Origin {
                 node.corrupt.insert((fetch.from, chunk));
             }
