Join the two ways of doubting a corrupt giver

A corrupt giver both counts as one that fails, until it delivers, and is not believed once its corrupt chunks are too many. Tests of spread and transfer: all passed, none failed.

--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -289,12 +289,8 @@
             Failure::Absent => self.peers.remove_chunk(vm, chunk, now),
             Failure::Corrupt => {
                 peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
-<<<<<<< HEAD
                 self.peers.note_corrupt(vm, chunk, now);
-=======
-                self.peers.remove_chunk(vm, chunk, now);
                 self.peers.set_failing(vm, true, now);
->>>>>>> weights
             }
             Failure::Broken => {
                 peer.pause.fail(now, first, first * PENALTY_MOST, stretch);
