--- a/crates/switch/tests/rules.rs
+++ b/crates/switch/tests/rules.rs
@@ -280,6 +280,22 @@
     assert_eq!(bench.grants(20), None);
 }
 
+#[test]
+fn just_started() {
+    let mut bench = Bench::new(&["e1"]);
+    bench.grants(20);
+    bench.run(250, &[peer("e1", 20, true)]);
+    let all_closed = |bench: &Bench| {
+        let state = bench.opener.peer_state(bench.at(bench.now));
+        assert!(state.settled);
+        state.services[SERVICE].all_closed_below
+    };
+    // What ran on this VM before may have granted 10 to an agent that hasn't reported yet.
+    assert_eq!((all_closed(&bench), bench.grants(20)), (0, None));
+    bench.run(1000, &[peer("e1", 20, true)]);
+    assert_eq!((all_closed(&bench), bench.grants(20)), (20, Some(20)));
+}
+
 #[test]
 fn checked_anew() {
     let mut bench = granting();
