--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -18,7 +18,7 @@
 use crate::fleet::FleetBinaries;
 use crate::hop::{self, HopPlan, run_hop};
 use crate::load::{Plan, run_load};
-use crate::slopes::{Measure, Scale, run_slopes, to_json, to_table};
+use crate::slopes::{Measure, Scale, run_slopes, to_json, to_projection, to_table};
 
 const HELP: &str = "\
 Load tool, experiments and demonstration of wagtailreel; not shipped.
@@ -288,7 +288,7 @@
 async fn slopes(measures: &[Measure], scale: Scale, json: Option<PathBuf>) -> Result<()> {
     let binaries = FleetBinaries::beside_current()?;
     let slopes = run_slopes(measures, scale, &binaries).await?;
-    print!("{}", to_table(&slopes));
+    print!("{}\n{}", to_table(&slopes), to_projection(&slopes));
     write_json(json, &to_json(&slopes))
 }
 
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -36,6 +36,9 @@
     /// Agents that report.
     #[display("agents")]
     Agents,
+    /// Entries of one data centre that tell each other their state.
+    #[display("entries")]
+    Entries,
     /// Accepted documents.
     #[display("records")]
     Records,
@@ -49,12 +52,13 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Requests,
         Self::Tokens,
         Self::Streams,
         Self::KnownVms,
         Self::Agents,
+        Self::Entries,
         Self::Records,
         Self::Chunks,
         Self::OrderKeys,
@@ -73,6 +77,7 @@
             Self::Streams => "open stream",
             Self::KnownVms => "known VM",
             Self::Agents => "report of an agent; memory: agent",
+            Self::Entries => "second with one more entry",
             Self::Records => "config record",
             Self::Chunks => "chunk of 64 KiB",
             Self::OrderKeys => "order key",
@@ -87,6 +92,7 @@
             Self::Streams => [50, 100, 200, 400],
             Self::KnownVms => [0, 700, 1400, 2800],
             Self::Agents => [4, 8, 16, 32],
+            Self::Entries => [2, 4, 8, 12],
             Self::Records => [25, 50, 100, 200],
             Self::Chunks => [64, 128, 256, 512],
             Self::OrderKeys => [500, 1000, 2000, 4000],
@@ -105,8 +111,14 @@
 pub(super) fn spec(measure: Measure, size: u32) -> FleetSpec {
     let agents = match measure {
         Measure::Agents => size as usize,
+        // Without agents all that is said on control connections is among the entries.
+        Measure::Entries => 0,
         _ => 2,
     };
+    let entries = match measure {
+        Measure::Entries => size,
+        _ => 1,
+    };
     let chunks = match measure {
         Measure::Chunks => size as usize,
         _ => 4,
@@ -122,7 +134,7 @@
             };
         });
     let data_centre = DataCentreSpec::new("quito-hall", "sierra")
-        .with_entries(1)
+        .with_entries(entries)
         .with_upstreams(agents, engine);
     let models = ["1", "2"].map(|it| OriginModel::new(MODEL, it, chunks * CHUNK, CHUNK));
     let mut spec = FleetSpec::new(vec![data_centre]).with_models(models.to_vec());
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -9,6 +9,7 @@
 mod reading;
 mod run;
 mod table;
+mod target;
 mod workload;
 
 pub use cost::{Cost, read_cost};
@@ -16,3 +17,4 @@
 pub use measure::{Measure, Scale};
 pub use run::run_slopes;
 pub use table::{Slope, to_json, to_table};
+pub use target::to_projection;
--- a/crates/bench/src/slopes/run.rs
+++ b/crates/bench/src/slopes/run.rs
@@ -94,7 +94,10 @@
     let seconds = scale.span.as_secs_f64();
     let size_f = f64::from(size);
     let mut before = Reading::take(fleet).await?;
-    let revision = go_live(fleet, "1", 0).await?;
+    let revision = match measure {
+        Measure::Entries => 0,
+        _ => go_live(fleet, "1", 0).await?,
+    };
     if measure != Measure::Chunks {
         before = Reading::take(fleet).await?;
     }
@@ -140,9 +143,18 @@
             let reports = seconds / REPORT.as_secs_f64();
             events = (size_f * reports, reports);
         }
+        Measure::Entries => {
+            sleep(scale.span).await;
+            events.0 = (size_f - 1.0) * seconds;
+            held = None;
+        }
         Measure::Records => edit_often(fleet, size, revision).await?,
     }
-    let spent = Reading::take(fleet).await?.since(&before);
+    let mut spent = Reading::take(fleet).await?.since(&before);
+    if measure == Measure::Entries {
+        // Every entry says as much to each of the others: one entry's part is counted.
+        spent.control_bytes /= size_f;
+    }
     drop(streams);
     Ok(Measured {
         spent,
