Tell the times of streams by customer

Cause: the report burns first tokens and gaps per service and customer, but the entry's histograms had no customer.

--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -17,6 +17,7 @@
 use crate::front::answer::Denial;
 use crate::front::attempt::{Attempt, Dispatch, Opened};
 use crate::front::relay::{Finish, Relay};
+use crate::metrics::StreamTimes;
 
 /// An answer on its way to the caller.
 #[derive(Debug)]
@@ -28,6 +29,7 @@
     weights: Option<Digest>,
     epoch: Option<Epoch>,
     last_token: Option<Instant>,
+    times: StreamTimes,
     /// Keeps a shutdown waiting until the caller has the last event.
     _in_flight: TaskTrackerToken,
 }
@@ -56,6 +58,7 @@
     /// Makes the stream of an answer that an upstream began.
     pub(crate) fn new(dispatch: Dispatch, opened: Opened, in_flight: TaskTrackerToken) -> Self {
         Self {
+            times: dispatch.stream_times(),
             dispatch,
             weights: opened.weights,
             epoch: opened.epoch,
@@ -180,11 +183,11 @@
         match self.last_token.replace(now) {
             None => {
                 let wait = now.saturating_duration_since(head.arrived);
-                head.service.first_token.observe(wait.as_secs_f64());
+                self.times.first_token.observe(wait.as_secs_f64());
             }
             Some(last) => {
                 let gap = now.saturating_duration_since(last);
-                head.service.between_tokens.observe(gap.as_secs_f64());
+                self.times.between_tokens.observe(gap.as_secs_f64());
             }
         }
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,7 +42,23 @@
     pub(crate) log_errors: IntCounterVec,
 }
 
+/// The times of one customer's streams of one service, looked up once a stream.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamTimes {
+    pub(crate) first_token: Histogram,
+    pub(crate) between_tokens: Histogram,
+}
+
 impl Metrics {
+    /// Returns where the times of a stream are counted.
+    pub(crate) fn stream_times(&self, service: &str, customer: &str) -> StreamTimes {
+        let labels = [service, customer];
+        StreamTimes {
+            first_token: self.first_token.with_label_values(&labels),
+            between_tokens: self.between_tokens.with_label_values(&labels),
+        }
+    }
+
     /// Makes the metrics and registers them.
     ///
     /// # Errors
@@ -61,24 +77,28 @@
                 "wagtailreel_first_token_seconds",
                 "Time from a request's arrival to its first token.",
                 BUCKETS,
+                &["service", "customer"],
             )?,
             between_tokens: histograms(
                 registry,
                 "wagtailreel_between_tokens_seconds",
                 "Time between two tokens of a stream.",
                 BUCKETS,
+                &["service", "customer"],
             )?,
             switch_wait: histograms(
                 registry,
                 "wagtailreel_switch_wait_seconds",
                 "Time that requests waited because every upstream was closed for a switch.",
                 BUCKETS,
+                &["service"],
             )?,
             admission_wait: histograms(
                 registry,
                 "wagtailreel_admission_wait_seconds",
                 "Time that admitted requests waited for room.",
                 BUCKETS,
+                &["service"],
             )?,
             attempts: counters(
                 registry,
@@ -139,6 +159,7 @@
                 "wagtailreel_config_in_force_seconds",
                 "Time from a document's record to its being in force at this entry.",
                 BUCKETS,
+                &["service"],
             )?,
             time_to_live: histograms(
                 registry,
@@ -146,6 +167,7 @@
                 "Time from a new epoch's being in force at this entry to its being open at the \
                  wanted VMs of every data centre.",
                 LIVE_BUCKETS,
+                &["service"],
             )?,
             log_errors: counters(
                 registry,
@@ -195,9 +217,10 @@
     name: &str,
     help: &str,
     buckets: &[f64],
+    labels: &[&str],
 ) -> Result<HistogramVec, prometheus::Error> {
     let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-    let metric = HistogramVec::new(opts, &["service"])?;
+    let metric = HistogramVec::new(opts, labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -39,8 +39,6 @@
     in_flight: IntGauge,
     waiting: IntGauge,
     admission_wait: Histogram,
-    pub(crate) first_token: Histogram,
-    pub(crate) between_tokens: Histogram,
 }
 
 #[derive(Debug)]
@@ -109,8 +107,6 @@
             in_flight: metrics.in_flight.with_label_values(&[name]),
             waiting: metrics.waiting.with_label_values(&[name]),
             admission_wait: metrics.admission_wait.with_label_values(&[name]),
-            first_token: metrics.first_token.with_label_values(&[name]),
-            between_tokens: metrics.between_tokens.with_label_values(&[name]),
         }
     }
 
@@ -228,7 +224,7 @@
     pub(crate) fn choose(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Slot, Next> {
         let now = Instant::now();
         let inner = &mut *self.lock();
-        if attempts.sent() == 0 && !attempts.is_at_switch() {
+        if attempts.is_first_look() {
             inner.budget.request();
         }
         let choice = inner
--- a/crates/entry/tests/live.rs
+++ b/crates/entry/tests/live.rs
@@ -11,7 +11,7 @@
 use common::{Bench, SERVICE, until};
 use wagtailreel_core::{Objectives, VmEntry, VmRole, VmState};
 use wagtailreel_entry::EntryProcess;
-use wagtailreel_report::{Report, Samples, ServiceReport, Windows};
+use wagtailreel_report::{IndicatorKind, Report, Samples, ServiceReport, Windows};
 
 const FAR: &str = "cuenca-hall";
 const NEVER: &str = "other";
@@ -139,3 +139,27 @@
     assert_eq!(report.time_to_live.late, 0.0);
     assert_eq!(scrapes.report_of(NEVER).in_force.changes, 0.0);
 }
+
+/// The report sees each customer's first tokens, not only the service's.
+#[tokio::test(flavor = "multi_thread")]
+async fn times_by_customer() {
+    let bench = Bench::start(SERVICE, 1, &["u1"]).await;
+    let mut scrapes = Scrapes::new();
+    let ask = || Request::generate(bench.callers(0), 3).send();
+    assert_eq!(ask().await.status, 200);
+    scrapes.take(&bench).await;
+    assert_eq!(ask().await.status, 200);
+    scrapes.take(&bench).await;
+    let report = scrapes.report_of(SERVICE);
+    let customers: Vec<_> = report.customers.values().collect();
+    assert_eq!(customers.len(), 1);
+    let first_token = |indicators: &[wagtailreel_report::IndicatorReport]| {
+        let found = indicators
+            .iter()
+            .find(|it| it.kind == IndicatorKind::FirstToken);
+        found.unwrap().whole.events
+    };
+    assert_eq!(first_token(&report.indicators), 1.0);
+    assert_eq!(first_token(customers[0]), 1.0);
+    bench.stop().await;
+}
