Hold high priority through an overload, and measure what callers feel of switches

Cause: a request of high priority that was let in, but found the agents fuller than its entry knew, was refused at once. It now waits up to a second for room. Tests: retries room_wait, first_look. The share that is held is not measured yet.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -16,6 +16,7 @@
 use crate::demo::run_demo;
 use crate::error::{BrokenSnafu, ParseSnafu, PlanSnafu, Result};
 use crate::fleet::FleetBinaries;
+use crate::flips::{self, FlipPlan, run_flips};
 use crate::hop::{self, HopPlan, run_hop};
 use crate::load::{Plan, run_load};
 use crate::slopes::{Measure, Scale, run_slopes, to_json, to_projection, to_table};
@@ -69,6 +70,10 @@
         plan: HopPlan,
         json: Option<PathBuf>,
     },
+    Flips {
+        plan: FlipPlan,
+        json: Option<PathBuf>,
+    },
     Slopes {
         measures: Vec<Measure>,
         scale: Scale,
@@ -124,6 +129,7 @@
         "load" => parse_load(parser),
         "burst" => Ok(Command::Burst(BurstArgs::parse(parser)?)),
         "hop" => parse_hop(parser),
+        "flips" => parse_flips(parser),
         "slopes" => parse_slopes(parser),
         "standin" => parse_standin(parser),
         other => Err(format!("there is no command `{other}`").into()),
@@ -171,6 +177,23 @@
     Ok(Command::Hop { plan, json })
 }
 
+fn parse_flips(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let mut plan = FlipPlan {
+        flips: 20,
+        rate: 200.0,
+    };
+    let mut json = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("flips") => plan.flips = parser.value()?.parse()?,
+            Long("rate") => plan.rate = parser.value()?.parse()?,
+            Long("json") => json = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Command::Flips { plan, json })
+}
+
 fn parse_slopes(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
     let mut scale = Scale {
         span: Duration::from_secs(SPAN_SECONDS),
@@ -248,6 +271,7 @@
         Command::Demo => run_demo(FleetBinaries::beside_current()?).await,
         Command::Load { plan, json } => load(&plan, json).await,
         Command::Hop { plan, json } => hop(&plan, json).await,
+        Command::Flips { plan, json } => flips(plan, json).await,
         Command::Slopes {
             measures,
             scale,
@@ -285,6 +309,12 @@
     write_json(json, &serde_json::to_value(&outcomes).unwrap_or_default())
 }
 
+async fn flips(plan: FlipPlan, json: Option<PathBuf>) -> Result<()> {
+    let outcome = run_flips(plan, FleetBinaries::beside_current()?).await?;
+    print!("{}", flips::to_text(&outcome));
+    write_json(json, &serde_json::to_value(&outcome).unwrap_or_default())
+}
+
 async fn slopes(measures: &[Measure], scale: Scale, json: Option<PathBuf>) -> Result<()> {
     let binaries = FleetBinaries::beside_current()?;
     let slopes = run_slopes(measures, scale, &binaries).await?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 mod error;
 pub mod fleet;
+pub mod flips;
 pub mod hop;
 pub mod http_client;
 pub mod load;
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Interval, MissedTickBehavior};
 use wagtailreel_core::headers::{DEADLINE_MS, EPOCH, PRIORITY, WEIGHTS};
 use wagtailreel_core::{
-    Digest, Epoch, Incarnation, NotRunReason, Outcome, RequestId, ServiceKind, VmId, headers,
+    Digest, Epoch, Incarnation, NotRunReason, Outcome, Priority, RequestId, ServiceKind, VmId,
+    headers,
 };
 use wagtailreel_platform::{
     Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
@@ -27,6 +28,7 @@
 use crate::events;
 use crate::front::answer::{Denial, OUTCOME, REASON};
 use crate::front::head::RequestHead;
+use crate::metrics::StreamTimes;
 use crate::service::{AdmissionTicket, Slot};
 use crate::shared::Shared;
 
@@ -45,7 +47,11 @@
 /// How long the answer to what can't be repeated is waited for after the upstream fell silent.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// Longest that a resumed stream waits between looks for a replica with room.
+/// Longest that a request of high priority waits for room after it was let in: as long as one that
+/// waits to be let in.
+const ROOM_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait between looks for an upstream with room.
 const ROOM_EVERY: Duration = Duration::from_millis(50);
 
 const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
@@ -216,8 +222,13 @@
             needs_open: head.document.kind == ServiceKind::Engine,
             ..Ask::default()
         };
+        let room_wait = match head.priority {
+            Priority::High => ROOM_WAIT,
+            Priority::Normal | Priority::Low => Duration::ZERO,
+        };
         let cfg = AttemptsConfig {
             switch_wait: cx.switch_wait(),
+            room_wait,
             ..AttemptsConfig::default()
         };
         let attempts = Attempts::new(cfg, repeat, ask).with_deadline(head.deadline);
@@ -269,7 +280,8 @@
                 Step::Again => {}
                 Step::Wait(until) => {
                     // A standing that changes wakes it; time alone does if only room is wanted.
-                    let until = if self.attempts.is_started() {
+                    let for_room = self.attempts.is_started() || self.attempts.awaits_room();
+                    let until = if for_room {
                         until.min(began + ROOM_EVERY)
                     } else {
                         until
@@ -318,6 +330,12 @@
         }
     }
 
+    /// Returns where the times of the answer's stream are counted.
+    pub(crate) fn stream_times(&self) -> StreamTimes {
+        let service = self.head.service.name();
+        self.cx.metrics.stream_times(service, &self.head.customer)
+    }
+
     /// Counts a stream that goes on at a replica.
     pub(crate) fn count_resume(&self) {
         let service = self.head.service.name();
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -20,6 +20,11 @@
     pub upstream_wait: Duration,
     /// Longest wait for a replica that can resume a cut stream.
     pub resume_wait: Duration,
+    /// Longest wait for room after all upstreams turned out to be full; zero refuses at once.
+    ///
+    /// A request is let in by what its entry knows, which is late: other entries may have taken
+    /// the room meanwhile. Whoever is to be held through an overload waits for the next one.
+    pub room_wait: Duration,
 }
 
 impl Default for AttemptsConfig {
@@ -29,6 +34,7 @@
             switch_wait: Duration::from_secs(2),
             upstream_wait: Duration::from_millis(500),
             resume_wait: Duration::from_secs(1),
+            room_wait: Duration::ZERO,
         }
     }
 }
@@ -127,6 +133,8 @@
     switch_until: Option<Instant>,
     upstream_until: Option<Instant>,
     resume_until: Option<Instant>,
+    room_until: Option<Instant>,
+    looked: bool,
 }
 
 impl Attempts {
@@ -144,6 +152,8 @@
             switch_until: None,
             upstream_until: None,
             resume_until: None,
+            room_until: None,
+            looked: false,
         }
     }
 
@@ -169,6 +179,17 @@
         self.switch_until.is_some()
     }
 
+    /// Says whether the request waits for room.
+    pub fn awaits_room(&self) -> bool {
+        self.room_until.is_some()
+    }
+
+    /// Says whether this is the first look for an upstream, which counts the request once however
+    /// often it waits.
+    pub fn is_first_look(&mut self) -> bool {
+        !std::mem::replace(&mut self.looked, true)
+    }
+
     /// Says whether an attempt may have been started.
     pub fn is_started(&self) -> bool {
         self.started
@@ -208,14 +229,14 @@
         if self.is_late(now) {
             return Next::NotRun(NotRunReason::Deadline, None);
         }
-        let reason = match shortage {
-            Shortage::Closed => return self.await_switch(now),
-            Shortage::NoUpstream => return self.await_upstream(now),
-            Shortage::Weights => NotRunReason::Weights,
-            Shortage::Full => NotRunReason::Full,
-            Shortage::Tried => return self.give_up(),
-        };
-        Next::NotRun(reason, None)
+        match shortage {
+            Shortage::Closed => self.await_switch(now),
+            Shortage::NoUpstream => self.await_upstream(now),
+            Shortage::Weights => Next::NotRun(NotRunReason::Weights, None),
+            Shortage::Full => self.await_room(now),
+            Shortage::Tried if self.was_full() => self.await_room(now),
+            Shortage::Tried => self.give_up(),
+        }
     }
 
     /// Takes how the attempt at `vm` ended.
@@ -314,6 +335,23 @@
         self.give_up()
     }
 
+    fn await_room(&mut self, now: Instant) -> Next {
+        let wait = self.cfg.room_wait;
+        let until = *self.room_until.get_or_insert(now + wait);
+        let until = self.deadline.map_or(until, |deadline| deadline.min(until));
+        if now < until {
+            // Those that were full may have room by then.
+            self.ask.tried.clear();
+            return Next::Await(until);
+        }
+        let retry_after = self.last_refusal.and_then(|it| it.1);
+        Next::NotRun(NotRunReason::Full, retry_after)
+    }
+
+    fn was_full(&self) -> bool {
+        matches!(self.last_refusal, Some((NotRunReason::Full, _)))
+    }
+
     fn await_replica(&mut self, now: Instant) -> Next {
         let wait = self.cfg.resume_wait;
         let until = *self.resume_until.get_or_insert(now + wait);
--- a/crates/route/tests/retries.rs
+++ b/crates/route/tests/retries.rs
@@ -113,6 +113,39 @@
     assert_eq!(last, Next::NotRun(NotRunReason::NoUpstream, None));
 }
 
+#[test]
+fn room_wait() {
+    let start = Instant::now();
+    let wait = Duration::from_secs(1);
+    let full = Ended::Refused(NotRunReason::Full, None);
+    let run = |room_wait| {
+        let cfg = AttemptsConfig {
+            room_wait,
+            ..AttemptsConfig::default()
+        };
+        let mut attempts = Attempts::new(cfg, Repeat::Never, Ask::default());
+        attempts.sending("u1");
+        let next = attempts.ended("u1", full.clone(), start, &mut budget());
+        assert_eq!(next, Next::Send);
+        let next = attempts.short(Shortage::Tried, start);
+        (attempts, next)
+    };
+    let refused = Next::NotRun(NotRunReason::Full, None);
+    assert_eq!(run(Duration::ZERO).1, refused);
+    let (mut attempts, next) = run(wait);
+    assert_eq!(next, Next::Await(start + wait));
+    assert!(attempts.ask().tried.is_empty());
+    assert_eq!(attempts.short(Shortage::Full, start + wait), refused);
+}
+
+#[test]
+fn first_look() {
+    let cfg = AttemptsConfig::default();
+    let mut attempts = Attempts::new(cfg, Repeat::Never, Ask::default());
+    assert!(attempts.is_first_look());
+    assert!(!attempts.is_first_look());
+}
+
 fn any_end() -> impl Strategy<Value = Ended> {
     prop_oneof![
         Just(Ended::NeverSent),
