--- a/crates/bench/src/slopes/target.rs
+++ b/crates/bench/src/slopes/target.rs
@@ -78,7 +78,7 @@
 
 /// Writes what the slopes come to at the target as a Markdown table.
 ///
-/// A line whose slopes were not measured is left out. Writing to a String does not fail.
+/// A line whose slopes were not measured, or came out at nothing, is left out. Writing to a String does not fail.
 pub fn to_projection(slopes: &[Slope]) -> String {
     let slopes = Slopes(slopes);
     let mut table = String::from(
@@ -257,6 +257,10 @@
     unit: &'static str,
     limit: Option<f64>,
 ) -> Option<Line> {
+    // A slope of exactly none was not measured: no connection of that kind was counted.
+    if value == 0.0 {
+        return None;
+    }
     Some(Line {
         role,
         what,
--- a/tests/all/overload.rs
+++ b/tests/all/overload.rs
@@ -132,7 +132,7 @@
     let high = share_answered(&report.priorities["high"]);
     // At its admission a request can find agents fuller than the entry knew, of either priority.
     assert!(
-        high > 0.6 && high > 2.0 * low,
+        high > 0.8 && high > 2.0 * low,
         "high {high}, low {low}: {text}"
     );
     // None that was refused ran, and none that was answered ran twice.
