Fail a report that scraped nothing, and write no -0

Cause: with no process reachable the report said 'no samples' and ended with code 0; the sum of no bad events is -0. nothing_scraped failed (code 0) and passes (code 1, the addresses named).

--- a/crates/report/src/indicator.rs
+++ b/crates/report/src/indicator.rs
@@ -81,7 +81,8 @@
                 self.timely(samples, "wagtailreel_between_tokens_seconds", from, to)
             }
         };
-        let bad: f64 = burn.causes.values().sum();
+        // The sum of nothing is -0; the 0 makes it 0.
+        let bad = burn.causes.values().sum::<f64>() + 0.0;
         if burn.events > 0.0 {
             burn.rate = bad / burn.events / self.budget();
         }
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -13,7 +13,7 @@
 use super::{block_on, check};
 use crate::admin::AdminClient;
 use crate::args::{Options, read_text};
-use crate::error::{CommandError, UsageSnafu, WriteFileSnafu};
+use crate::error::{CommandError, NoMetricsSnafu, UsageSnafu, WriteFileSnafu};
 
 /// Scrapes made when `--samples` is not given.
 const DEFAULT_SAMPLES: u64 = 12;
@@ -47,6 +47,10 @@
     let windows = windows(&options)?;
     let plan = plan(&options)?;
     let samples = block_on(scrape(&plan))?;
+    if samples.span().is_none() {
+        let urls = options.all("metrics").join(", ");
+        return NoMetricsSnafu { urls }.fail();
+    }
     let report = Report::compute(&samples, &objectives, windows);
     let text = match format {
         Format::Text => report.to_text(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -82,6 +82,11 @@
     ))]
     UnknownEffect { body: String, edit: String },
 
+    #[snafu(display(
+        "none of {urls} gave metrics; name the admin listener of entries and the data listener of agents"
+    ))]
+    NoMetrics { urls: String },
+
     #[snafu(display("the process can't start: {what}"))]
     Start { what: String },
 }
@@ -98,6 +103,7 @@
             Self::WriteFile { .. }
             | Self::Unreachable { .. }
             | Self::Unavailable { .. }
+            | Self::NoMetrics { .. }
             | Self::Start { .. } => ExitCode::Failed,
         }
     }
--- a/tests/all/cli.rs
+++ b/tests/all/cli.rs
@@ -240,6 +240,22 @@
     assert!(ran.err.contains("can't be reached"), "{}", ran.err);
 }
 
+#[test]
+fn nothing_scraped() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let dir = TempDir::new().unwrap();
+    let document = file(&dir, DOCUMENT);
+    let args = ["report", "--metrics", &url, "--document", &document];
+    let ran = run(
+        TOOL,
+        &[&args[..], &["--samples", "2", "--every-ms", "1"]].concat(),
+    );
+    assert_eq!(ran.code, FAILED, "{}", ran.err);
+    assert!(ran.err.contains(&url), "{}", ran.err);
+}
+
 #[test]
 fn token_hashed() {
     let ran = run_with_input(&["hash-token"], "secret-of-scribes\n");
