--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -5,10 +5,9 @@
 
 use wagtailreel_core::{DataCentre, Region, ServiceKind, ServiceName, VmId};
 
-use crate::fields::Fields;
+use crate::fields::{Fields, read_root};
 use crate::listen::{check_listeners, listener};
 use crate::problem::{Problems, SettingsErrors};
-use crate::tree::parse;
 use crate::values::{self, At};
 
 const DEFAULT_CAPACITY: u32 = 64;
@@ -95,15 +94,7 @@
     ///
     /// Returns every mistake with its place and the remedy.
     pub fn from_yaml(text: &str) -> Result<Self, SettingsErrors> {
-        let mut problems = Problems::default();
-        let root = parse(text, &mut problems);
-        let settings = root.and_then(|root| {
-            let fields = Fields::new(At::new(String::new(), &root), &mut problems)?;
-            read(fields, &mut problems)
-        });
-        problems
-            .finish(settings)
-            .map_err(|problems| SettingsErrors { problems })
+        read_root(text, read).map_err(|problems| SettingsErrors { problems })
     }
 }
 
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -7,10 +7,10 @@
     SpreadPolicy, SpreadSettings, VmId, VmSelection, Weigh,
 };
 
-use crate::fields::Fields;
+use crate::fields::{Fields, read_root};
 use crate::names::{NAME_REMEDY, is_name};
 use crate::problem::{Problem, Problems};
-use crate::tree::{Spot, Value, parse};
+use crate::tree::{Spot, Value};
 use crate::values::{self, At};
 
 /// Longest document, in bytes.
@@ -42,19 +42,14 @@
 }
 
 fn check(yaml: &str, service: Option<&str>) -> Result<Document, Vec<Problem>> {
-    let mut problems = Problems::default();
     if yaml.len() > MAX_DOCUMENT_BYTES {
+        let mut problems = Problems::default();
         let what = format!("the document has {} bytes", yaml.len());
         let remedy = format!("keep it to {MAX_DOCUMENT_BYTES}");
         problems.add(Spot::default(), "", what, remedy);
         return problems.finish(None);
     }
-    let root = parse(yaml, &mut problems);
-    let document = root.and_then(|root| {
-        let fields = Fields::new(At::new(String::new(), &root), &mut problems)?;
-        read(fields, &mut problems, service)
-    });
-    problems.finish(document)
+    read_root(yaml, |fields, problems| read(fields, problems, service))
 }
 
 fn read(mut f: Fields<'_>, problems: &mut Problems, wanted: Option<&str>) -> Option<Document> {
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -1,7 +1,7 @@
 //! Reading of maps, key by key.
 
-use crate::problem::Problems;
-use crate::tree::{Field, Value};
+use crate::problem::{Problem, Problems};
+use crate::tree::{Field, Value, parse};
 use crate::values::At;
 
 /// Ends of keys that name a unit.
@@ -149,3 +149,21 @@
     let unit = UNITS.iter().find_map(|unit| name.strip_suffix(unit));
     unit.unwrap_or(name)
 }
+
+/// Reads a whole file, whose root is a map, with `read`.
+///
+/// # Errors
+///
+/// Returns every mistake with its place and the remedy.
+pub(crate) fn read_root<T, F>(text: &str, read: F) -> Result<T, Vec<Problem>>
+where
+    F: FnOnce(Fields<'_>, &mut Problems) -> Option<T>,
+{
+    let mut problems = Problems::default();
+    let root = parse(text, &mut problems);
+    let value = root.and_then(|root| {
+        let fields = Fields::new(At::new(String::new(), &root), &mut problems)?;
+        read(fields, &mut problems)
+    });
+    problems.finish(value)
+}
