Name parts by the standard terms of the field

Cause: a newcomer meets private metaphors: a steward, words that are heard, holds, calm. The watch over the engine is EngineWatch beside PlainWatch; Timing::hold is longest_lease; is_calm is is_responsive; the gate keeps the LastDirective of each entry; an entry's list of VMs goes to VmConsumers. Comments speak of messages, reports and directives. No behaviour, test, metric or event is changed.

--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -1,4 +1,4 @@
-//! The transfer of chunks as the steward needs it.
+//! The transfer of chunks as the watch over the engine needs it.
 
 use std::collections::BTreeMap;
 
@@ -36,7 +36,7 @@
 }
 
 impl Chunks {
-    /// Makes the steward's view of `transfer`.
+    /// Makes the view that the watch over the engine has of `transfer`.
     pub(crate) fn new(transfer: Transfer) -> Self {
         let progress = transfer.progress();
         Self { transfer, progress }
--- a/crates/agent/src/engine_watch.rs
+++ b/crates/agent/src/engine_watch.rs
@@ -45,7 +45,7 @@
 
 /// Keeps one engine with its weights.
 #[derive(Debug)]
-pub(crate) struct Steward<E> {
+pub(crate) struct EngineWatch<E> {
     hub: Arc<Hub>,
     engine: E,
     chunks: Chunks,
@@ -63,11 +63,11 @@
     sampled: Instant,
 }
 
-impl<E> Steward<E>
+impl<E> EngineWatch<E>
 where
     E: Engine,
 {
-    /// Makes a steward that has not looked yet. `seed` feeds the jitter of retries.
+    /// Makes a watch that has not looked yet. `seed` feeds the jitter of retries.
     pub(crate) fn new(
         hub: Arc<Hub>,
         engine: E,
--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -1,4 +1,4 @@
-//! What the agent hears: directives of the entries, and the platform's list of VMs.
+//! What the agent receives: directives of the entries, and the platform's list of VMs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -162,7 +162,7 @@
     }
 
     /// Returns the entries of the agent's data centre, leaving ones too: they finish what they
-    /// began, and need the agent's word for that.
+    /// began, and need the agent's reports for that.
     fn entries(&self, page: &VmListPage) -> Vec<(VmId, SocketAddr)> {
         page.vms
             .iter()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! A request's way is `engine_app` or `plain_app`, through `passage` (ledger, capacity, gate), to
 //! the upstream and back through `tokens`. Beside it run the tasks of `follow` (directives,
-//! list of VMs, reports) and the watch over the upstream: `steward` for an engine, which does what
-//! `loader` decides, `plain_watch` for a plain service. They share the `hub`.
+//! list of VMs, reports) and the watch over the upstream: `engine_watch` for an engine, which does
+//! what `loader` decides, `plain_watch` for a plain service. They share the `hub`.
 
 pub mod admitter;
 mod answers;
 mod chunks;
 mod engine_app;
+mod engine_watch;
 mod error;
 pub mod events;
 mod follow;
@@ -23,7 +24,6 @@
 mod pressure;
 mod process;
 pub mod requests;
-mod steward;
 mod tokens;
 
 pub use error::AgentError;
--- a/crates/agent/src/loader.rs
+++ b/crates/agent/src/loader.rs
@@ -292,7 +292,7 @@
         !self.unverified && bundle.is_some_and(|bundle| self.holds(&bundle))
     }
 
-    /// Gives at most one order, or a word to the gate that must come before an order.
+    /// Gives at most one order to the engine, or the notice to the gate that must come before it.
     fn act(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
         if let Some(order) = self.order {
             self.abort_unwanted(view, order, actions);
--- a/crates/agent/src/pressure.rs
+++ b/crates/agent/src/pressure.rs
@@ -49,7 +49,7 @@
 pub struct PressureGauge {
     objective: Duration,
     /// Mean gap in seconds without transfers.
-    calm: Option<f64>,
+    baseline: Option<f64>,
     /// Mean gap in seconds of late.
     recent: Option<f64>,
 }
@@ -59,7 +59,7 @@
     pub const fn new(objective: Duration) -> Self {
         Self {
             objective,
-            calm: None,
+            baseline: None,
             recent: None,
         }
     }
@@ -78,17 +78,17 @@
             return 0.0;
         };
         if !is_transferring {
-            self.calm = Some(blend(self.calm, gap));
+            self.baseline = Some(blend(self.baseline, gap));
             self.recent = None;
             return 0.0;
         }
         let recent = blend(self.recent, gap);
         self.recent = Some(recent);
-        let calm = self.calm.unwrap_or(self.objective.as_secs_f64());
-        if calm <= 0.0 {
+        let baseline = self.baseline.unwrap_or(self.objective.as_secs_f64());
+        if baseline <= 0.0 {
             return 0.0;
         }
-        let slowdown = recent / calm;
+        let slowdown = recent / baseline;
         ((slowdown - NO_PRESSURE) / (FULL_PRESSURE - NO_PRESSURE)).clamp(0.0, 1.0)
     }
 }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -22,6 +22,7 @@
 use crate::answers;
 use crate::chunks::Chunks;
 use crate::engine_app::{self, EngineApp};
+use crate::engine_watch::EngineWatch;
 use crate::error::{
     AddressSnafu, ControlSnafu, ListenSnafu, MetricsSnafu, NoOriginSnafu, TransferSnafu,
 };
@@ -32,10 +33,9 @@
 use crate::ops::{self, Ops};
 use crate::plain_app::{self, PlainApp};
 use crate::plain_watch::PlainWatch;
-use crate::steward::Steward;
 
-/// How long the word of leaving may take to reach an entry.
-const WORD_OF_LEAVING: Duration = Duration::from_secs(1);
+/// How long the report that the agent is leaving may take to reach an entry.
+const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How long answers that are already written may take to be read at the end.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
@@ -122,7 +122,7 @@
         self.hub.leave();
         self.control.set_report(self.hub.report());
         let left_at = Instant::now();
-        self.word_received(left_at).await;
+        self.leaving_reported(left_at).await;
         self.hub.admitter.drained().await;
         self.stop.cancel();
         // Every request has ended; what is left are answers that their readers have yet to take.
@@ -131,10 +131,10 @@
     }
 
     /// Waits until an entry has answered a report that says that the agent is leaving.
-    async fn word_received(&mut self, left_at: Instant) {
+    async fn leaving_reported(&mut self, left_at: Instant) {
         let heard = self.heard.wait_for(|sent_at| *sent_at > Some(left_at));
         // Without an entry there is nobody to tell.
-        let _ = tokio::time::timeout(WORD_OF_LEAVING, heard).await;
+        let _ = tokio::time::timeout(LEAVING_TIMEOUT, heard).await;
     }
 }
 
@@ -217,7 +217,7 @@
     let transfer =
         Transfer::start(transfer_config(settings), origin, registry).context(TransferSnafu)?;
     let chunk_routes = transfer.router();
-    let steward = Steward::new(
+    let watch = EngineWatch::new(
         Arc::clone(hub),
         engine.clone(),
         Chunks::new(transfer),
@@ -230,7 +230,7 @@
     };
     Ok(Upstream {
         router: engine_app::router(app).merge(chunk_routes),
-        tasks: vec![tokio::spawn(steward.run())],
+        tasks: vec![tokio::spawn(watch.run())],
     })
 }
 
--- a/crates/control/src/entry/remote.rs
+++ b/crates/control/src/entry/remote.rs
@@ -24,7 +24,7 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
 /// What an entry tells of its data centre: reports with their ages, and demand.
-type Told = (Vec<(Report, Duration)>, Vec<EntryDemand>);
+type Answer = (Vec<(Report, Duration)>, Vec<EntryDemand>);
 
 /// Asks one entry of each other data centre for its agents and its entries' demand, over and over.
 pub(crate) async fn poll_remote(shell: Rc<Shell>) {
@@ -104,7 +104,7 @@
             .collect::<Result<Vec<_>, _>>()?;
         Ok((agents, demands))
     };
-    let result: Result<Told, ControlError> = link.call(ASK_TIMEOUT, call).await;
+    let result: Result<Answer, ControlError> = link.call(ASK_TIMEOUT, call).await;
     match result {
         Ok((agents, demands)) => {
             shell.on_remote_agents(agents);
--- a/crates/control/src/entry/shell.rs
+++ b/crates/control/src/entry/shell.rs
@@ -345,7 +345,7 @@
         let now = Instant::now();
         for EntryDemand { vm, demand, age } in demands {
             if !self.demands_here.borrow().contains(vm) {
-                self.hear_demand(vm, demand, now.checked_sub(*age).unwrap_or(now));
+                self.note_demand(vm, demand, now.checked_sub(*age).unwrap_or(now));
             }
         }
         self.publish_demands();
@@ -367,11 +367,11 @@
 
     fn on_peer_demand(&self, state: &PeerState) {
         self.demands_here.borrow_mut().insert(state.vm.clone());
-        self.hear_demand(&state.vm, &state.demand, Instant::now());
+        self.note_demand(&state.vm, &state.demand, Instant::now());
         self.publish_demands();
     }
 
-    fn hear_demand(&self, vm: &VmId, demand: &Demand, received: Instant) {
+    fn note_demand(&self, vm: &VmId, demand: &Demand, received: Instant) {
         let mut demands = self.demands.borrow_mut();
         // What came over another entry may be older than what is known.
         let is_old = demands.get(vm).is_some_and(|it| it.received >= received);
--- a/crates/entry/src/backoff.rs
+++ b/crates/entry/src/backoff.rs
@@ -22,12 +22,12 @@
         Self { next: FIRST }
     }
 
-    /// Returns how long to wait after one more failure, but not less than `told`.
-    pub(crate) fn failed(&mut self, told: Option<Duration>) -> Duration {
+    /// Returns how long to wait after one more failure, but not less than `at_least`.
+    pub(crate) fn failed(&mut self, at_least: Option<Duration>) -> Duration {
         let wait = self.next;
         self.next = (self.next * 2).min(LONGEST);
         let spread = rand::rng().random_range(0.5..1.0);
-        wait.mul_f64(spread).max(told.unwrap_or_default())
+        wait.mul_f64(spread).max(at_least.unwrap_or_default())
     }
 
     /// Takes that it worked.
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -83,7 +83,7 @@
         (self.head.borrow().is_some() && ready) || offset > 0
     }
 
-    /// Says whether anything can be served: an agent's word for its service is enough for that.
+    /// Says whether anything can be served: what an agent reports of its service is enough.
     pub(crate) fn can_serve(&self) -> bool {
         self.is_known() || !self.view().services.is_empty()
     }
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -23,7 +23,7 @@
 use crate::shared::Shared;
 
 /// Answers up to this length are passed on only once they are whole, so that one that breaks off
-/// is told as unknown. A longer one that breaks off breaks the caller's connection.
+/// is answered as unknown. A longer one that breaks off breaks the caller's connection.
 const BUFFER: usize = 1024 * 1024;
 
 /// Headers that belong to one connection.
--- a/crates/entry/src/front/head.rs
+++ b/crates/entry/src/front/head.rs
@@ -123,10 +123,10 @@
     body: Body,
 ) -> Result<Bytes, Denial> {
     let limit = usize::try_from(cx.settings.body_limit).unwrap_or(usize::MAX);
-    let told = headers
+    let declared = headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    if told.is_some_and(|length| length > cx.settings.body_limit) {
+    if declared.is_some_and(|length| length > cx.settings.body_limit) {
         return Err(too_long(limit));
     }
     let read = tokio::time::timeout(BODY_TIMEOUT, to_bytes(body, limit)).await;
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -19,8 +19,8 @@
 
 /// The epochs that are awaited, the newest of each service.
 ///
-/// Each epoch is told once: it is forgotten when it is live, when a newer one takes its place, and
-/// when the service is deleted.
+/// Each epoch is reported once: it is forgotten when it is live, when a newer one takes its place,
+/// and when the service is deleted.
 #[derive(Debug, Default)]
 struct AwaitedEpochs {
     services: BTreeMap<ServiceName, Awaited>,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Metrics;
 use crate::services::Services;
 use crate::shared::Shared;
-use crate::vms::{KnownVms, VmHearers, follow_vms};
+use crate::vms::{KnownVms, VmConsumers, follow_vms};
 use crate::{events, front, peers, snapshots};
 
 /// How long new requests are still answered, with `leaving`, before the listener closes. Callers
@@ -232,14 +232,14 @@
     let known = Arc::new(KnownVms::default());
     let shares = Arc::new(Mutex::new(Shares::new(SharesConfig::default())));
     let cancel = || cx.cancel.clone();
-    let hearers = VmHearers {
+    let consumers = VmConsumers {
         me: cx.settings.vm.clone(),
         known: Arc::clone(&known),
         control: cx.control.clone(),
         services: Arc::clone(&cx.services),
         shares: Arc::clone(&shares),
     };
-    tasks.spawn(follow_vms(list.clone(), hearers, cancel()));
+    tasks.spawn(follow_vms(list.clone(), consumers, cancel()));
     tasks.spawn(follow_config(Arc::clone(cx), log.clone()));
     tasks.spawn(follow_orders(Arc::clone(cx), log.clone()));
     tasks.spawn(append_claims(log.clone(), Arc::clone(&cx.claims), cancel()));
--- a/crates/entry/src/vms.rs
+++ b/crates/entry/src/vms.rs
@@ -48,9 +48,9 @@
     }
 }
 
-/// What hears of the list.
+/// The parts of the entry that are handed each new list.
 #[derive(Clone, Debug)]
-pub(crate) struct VmHearers {
+pub(crate) struct VmConsumers {
     pub(crate) me: VmId,
     pub(crate) known: Arc<KnownVms>,
     pub(crate) control: EntryControl,
@@ -58,7 +58,7 @@
     pub(crate) shares: Arc<Mutex<Shares>>,
 }
 
-impl VmHearers {
+impl VmConsumers {
     fn take(&self, page: VmListPage) {
         let (entries, upstreams): (Vec<VmEntry>, Vec<VmEntry>) = page
             .vms
@@ -81,7 +81,7 @@
 }
 
 /// Follows the list until `cancel`.
-pub(crate) async fn follow_vms<V>(list: V, hearers: VmHearers, cancel: CancellationToken)
+pub(crate) async fn follow_vms<V>(list: V, consumers: VmConsumers, cancel: CancellationToken)
 where
     V: VmList,
 {
@@ -101,7 +101,7 @@
                 backoff.worked();
                 if let Some(page) = page {
                     since = Some(page.version);
-                    hearers.take(page);
+                    consumers.take(page);
                 }
             }
             Err(err) => {
--- a/crates/route/src/membership.rs
+++ b/crates/route/src/membership.rs
@@ -106,8 +106,8 @@
 
 /// The upstreams of one service.
 ///
-/// Invariant: `leaving` is sticky for one start of an agent. Only a higher incarnation, or for
-/// the list's word a newer list, makes a leaving member usable again.
+/// Invariant: `leaving` is sticky for one start of an agent. Only a higher incarnation
+/// makes a leaving member usable again, or a newer list if it was the list that said so.
 #[derive(Clone, Debug)]
 pub struct Membership {
     cfg: MembershipConfig,
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -49,8 +49,8 @@
 
     /// Says whether what the peer says of its chunks is believed.
     ///
-    /// One that gives mostly corrupt chunks has none to give, whatever it says. Were its word
-    /// taken, nobody would draw the chunks that it alone claims to have.
+    /// One that gives mostly corrupt chunks has none to give, whatever it says. Were it
+    /// believed, nobody would draw the chunks that it alone claims to have.
     pub(crate) fn is_believed(&self) -> bool {
         let corrupt = self.corrupt.len();
         let good = usize::try_from(self.given).unwrap_or(usize::MAX);
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -29,7 +29,7 @@
     pub chunks: Vec<Digest>,
     /// Chunks that the VM has already.
     pub have: ChunkSet,
-    /// The document's word on spreading.
+    /// The document's settings of the spread.
     pub settings: SpreadSettings,
     /// Seed of all random choices.
     pub seed: u64,
--- a/crates/switch/src/gate.rs
+++ b/crates/switch/src/gate.rs
@@ -7,8 +7,8 @@
     Digest, Directive, Epoch, NotRunReason, Offset, Report, VmId, WeightsPhase,
 };
 
-/// How long a word of an entry counts when the gate weighs what all of its entries say.
-const HEARD_FOR: Duration = Duration::from_secs(3);
+/// How long a directive of an entry counts when the gate compares those of all its entries.
+const DIRECTIVE_VALID_FOR: Duration = Duration::from_secs(3);
 
 /// The epoch and weights that a request was admitted to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,9 +49,9 @@
     weights: Option<Digest>,
 }
 
-/// What one entry last said.
+/// What the last directive of one entry said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Heard {
+struct LastDirective {
     at: Instant,
     config: Offset,
     swap_to: Option<Epoch>,
@@ -68,7 +68,7 @@
     lease: Option<Lease>,
     weights: BTreeMap<Epoch, Held>,
     leaving: bool,
-    entries: BTreeMap<VmId, Heard>,
+    entries: BTreeMap<VmId, LastDirective>,
 }
 
 impl Gate {
@@ -90,13 +90,13 @@
     ) -> GateChange {
         let before = (self.closed_below, self.open());
         self.entries
-            .retain(|_, heard| now.duration_since(heard.at) < HEARD_FOR);
-        let heard = Heard {
+            .retain(|_, last| now.duration_since(last.at) < DIRECTIVE_VALID_FOR);
+        let last = LastDirective {
             at: now,
             config: directive.config,
             swap_to: directive.swap_to,
         };
-        self.entries.insert(from.clone(), heard);
+        self.entries.insert(from.clone(), last);
         self.close_below(directive.close_below);
         if let Some(epoch) = directive.open {
             self.take_lease(epoch, sent_at, directive.lease);
@@ -200,7 +200,7 @@
     /// has a configuration of `target` or later, because such an entry begins no switch to an
     /// epoch before `target`. Requests still running on a closed epoch are the caller's to count.
     pub fn droppable(&self, target: Epoch) -> Vec<Epoch> {
-        let settled = self.entries.values().all(|heard| heard.config >= target);
+        let settled = self.entries.values().all(|last| last.config >= target);
         self.weights
             .keys()
             .copied()
@@ -218,7 +218,7 @@
         let chosen = self
             .entries
             .values()
-            .any(|heard| heard.swap_to == Some(target));
+            .any(|last| last.swap_to == Some(target));
         chosen || self.closed_below >= target
     }
 
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -23,10 +23,10 @@
 //!
 //! # Why no two epochs are admitted
 //!
-//! *A lease is for one epoch* and runs from when the agent sent its word until the lease's length
-//! later, by the agent's clock. The [`Gate`] looks at it last of all before a request goes to the
-//! engine. So every lease of an entry lapses a lease after the agent's last word came in there, and
-//! the [`Opener`] needs no record of its grants.
+//! *A lease is for one epoch* and runs from when the agent sent its message until the lease's
+//! length later, by the agent's clock. The [`Gate`] looks at it last of all before a request goes
+//! to the engine. So every lease of an entry lapses a lease after the agent's last message came in
+//! there, and the [`Opener`] needs no record of its grants.
 //!
 //! *An entry grants only its own `close_below`*, never anything lower, and answers for its own
 //! agents with `all_closed_below`, which does not fall while the entry runs. One that has just
--- a/crates/switch/src/opener.rs
+++ b/crates/switch/src/opener.rs
@@ -221,7 +221,7 @@
         self.peers.states()
     }
 
-    /// Returns the directive for an agent whose word has just been taken in.
+    /// Returns the directive for an agent whose message has just been taken in.
     ///
     /// Its `peers` are left empty: the shell adds them if the agent hasn't seen them.
     pub fn directive(&self, now: Instant, vm: &str) -> Directive {
@@ -252,7 +252,7 @@
         directive
     }
 
-    /// Returns the directive for an agent whose word was not taken in: it grants nothing.
+    /// Returns the directive for an agent whose message was not taken in: it grants nothing.
     pub fn refusal(&self) -> Directive {
         Directive {
             config: self.state.offset,
@@ -379,9 +379,9 @@
             return false;
         }
         let since = *switch.ready_since.get_or_insert(now);
-        let waited = now >= since + self.timing.hold() * 2;
-        let calm = self.is_calm(now, name, switch.close_below, target);
-        self.peers.may_grant(now) && (calm || waited)
+        let waited = now >= since + self.timing.longest_lease() * 2;
+        let responsive = self.is_responsive(now, name, switch.close_below, target);
+        self.peers.may_grant(now) && (responsive || waited)
     }
 
     /// Says whether enough agents have had the weights of `target` at hand for so long that the
@@ -389,20 +389,20 @@
     fn has_waited(&self, now: Instant, switch: &mut Switch, target: Epoch) -> bool {
         let since = switch.at_hand_since.filter(|(epoch, _)| *epoch == target);
         let (_, since) = *switch.at_hand_since.insert(since.unwrap_or((target, now)));
-        now >= since + self.timing.hold() * 2
+        now >= since + self.timing.longest_lease() * 2
     }
 
     /// Says whether a switch begun now would go through without waiting for anyone's silence.
-    fn is_calm(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
+    fn is_responsive(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
         let silent = |row: &AgentRow| {
             let age = now.saturating_duration_since(row.contact);
-            age >= self.timing.silent() && age < self.timing.hold()
+            age >= self.timing.silent() && age < self.timing.longest_lease()
         };
         let none_silent = self
             .table
             .agents_of(name)
             .all(|row| row.report.closed_below >= target || !silent(row));
-        none_silent && self.peers.is_calm(now, name, close_below)
+        none_silent && self.peers.is_responsive(now, name, close_below)
     }
 
     /// Says whether leases for `close_below` may be granted: nobody can admit anything below.
@@ -419,7 +419,7 @@
     fn own_closed_below(&self, now: Instant, name: &str, close_below: Epoch) -> Epoch {
         // The process that ran on this VM before may have granted until just before this one
         // started, and to agents that haven't reported yet.
-        if now < self.born + self.timing.hold() {
+        if now < self.born + self.timing.longest_lease() {
             return 0;
         }
         self.table
@@ -452,7 +452,7 @@
     fn candidates(&self, now: Instant, name: &str, known: &ServiceState) -> Vec<&AgentRow> {
         self.table
             .agents_of(name)
-            .filter(|row| now < row.contact + self.timing.hold())
+            .filter(|row| now < row.contact + self.timing.longest_lease())
             .filter(|row| !row.report.leaving)
             .filter(|row| self.serves(Some(known), known.epoch, &row.report.vm))
             .collect()
--- a/crates/switch/src/peers.rs
+++ b/crates/switch/src/peers.rs
@@ -32,7 +32,7 @@
     answered: bool,
     /// When the entry was last heard, whichever way.
     heard: Option<Instant>,
-    /// Start of the first of the attempts that have failed since the last word from the entry.
+    /// Start of the first of the attempts that have failed since the last message from the entry.
     failing_since: Option<Instant>,
 }
 
@@ -167,7 +167,7 @@
 
     /// Notes that the attempt started at `started` to reach a peer failed.
     ///
-    /// An attempt from before the last word from the peer, or from before this streak, proves
+    /// An attempt from before the last message from the peer, or from before this streak, proves
     /// nothing: the grace time must not begin earlier than the silence.
     pub(crate) fn on_failure(&mut self, vm: &str, started: Instant) {
         let in_streak = self.streak.is_some_and(|streak| started >= streak.began);
@@ -212,7 +212,7 @@
 
     /// Says whether every peer is in touch or gone, so that a switch begun now needn't wait for
     /// one that has just died.
-    pub(crate) fn is_calm(&self, now: Instant, service: &str, epoch: Epoch) -> bool {
+    pub(crate) fn is_responsive(&self, now: Instant, service: &str, epoch: Epoch) -> bool {
         let in_touch = |peer: &Peer| peer.failing_since.is_none();
         self.peers.values().all(|peer| {
             peer.is_gone(now, self.timing)
--- a/crates/switch/src/table.rs
+++ b/crates/switch/src/table.rs
@@ -12,13 +12,13 @@
 pub(crate) struct AgentRow {
     /// Latest report.
     pub(crate) report: Report,
-    /// When the last word from the agent came in, be it a report or a watch.
+    /// When the last message from the agent came in, be it a report or a watch.
     pub(crate) contact: Instant,
 }
 
 /// The agents that report to an entry, each start of an agent on its own.
 ///
-/// A lease runs from when the agent sent its word, which is before that word came in. So an agent
+/// A lease runs from when the agent sent its message, which is before that came in. So an agent
 /// can hold no lease of this entry for longer than a lease after `contact`, and grants need no
 /// record of their own. The rows of an agent's earlier starts are kept until then: nothing is
 /// assumed about whether the old process has ended.
@@ -46,7 +46,7 @@
         true
     }
 
-    /// Notes a word from an agent that carries no report. Returns whether the agent is known.
+    /// Notes a message from an agent that carries no report. Returns whether the agent is known.
     pub(crate) fn on_contact(&mut self, now: Instant, vm: &str, incarnation: Incarnation) -> bool {
         let Some((newest, row)) = self.newest_mut(vm) else {
             return false;
@@ -83,7 +83,7 @@
             .values()
             .flat_map(BTreeMap::values)
             .filter(|row| row.report.service == service)
-            .filter(|row| now < row.contact + timing.hold())
+            .filter(|row| now < row.contact + timing.longest_lease())
             .map(|row| row.report.closed_below)
             .min()
     }
--- a/crates/switch/src/timing.rs
+++ b/crates/switch/src/timing.rs
@@ -6,7 +6,7 @@
 ///
 /// With lease `L`: sync rounds start every `L/8`; an attempt to reach a peer fails after `L/4`; an
 /// entry may grant for `L/2` after it started a round; a lease that an agent may hold is waited
-/// out for `9L/8` after the last word from it, the eighth being for clocks that run at different
+/// out for `9L/8` after the last message from it, the eighth being for clocks that run at different
 /// rates; a peer that can't be reached is given up after `7L/4`.
 ///
 /// Why `7L/4`: let the first failed attempt start at `f`. If the peer had started a round of its
@@ -43,14 +43,14 @@
         self.lease / 2
     }
 
-    /// Returns how long an agent may be silent before it looks as if it had died. An agent has a
-    /// word for its entries every quarter of a lease.
+    /// Returns how long an agent may be silent before it looks as if it had died. An agent sends
+    /// its entries a message every quarter of a lease.
     pub fn silent(self) -> Duration {
         self.lease * 3 / 8
     }
 
-    /// Returns how long an agent may hold a lease after the last word from it.
-    pub fn hold(self) -> Duration {
+    /// Returns how long an agent may hold a lease after the last message from it.
+    pub fn longest_lease(self) -> Duration {
         self.lease + self.lease / 8
     }
 
--- a/crates/transfer/src/config.rs
+++ b/crates/transfer/src/config.rs
@@ -38,6 +38,6 @@
     pub epoch: Epoch,
     /// The model and its adapters, in the document's order.
     pub parts: Vec<ModelRef>,
-    /// The document's word on spreading.
+    /// The document's settings of the spread.
     pub settings: SpreadSettings,
 }
