--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -32,8 +32,9 @@
   status SERVICE --admin URL              how far the rollout is, per VM
   show SERVICE --admin URL                the document in force, its revision and epoch
   history SERVICE --admin URL             accepted and refused edits
-  report --metrics URL... --document FILE... [--samples N] [--every-ms N] [--format text|json|html]
-         [--out FILE]                     service-level burn from the processes' metrics
+  report --metrics URL... --document FILE... [--samples N] [--every-ms N] [--short-s N] [--long-s N]
+         [--format text|json|html] [--out FILE]
+                                          service-level burn from the processes' metrics
   events                                  the catalogue of numbered events
   hash-token                              hash of a token or key read from standard input
 
