Make the steady loads of the experiments in one place

The plans of flips and slopes were the same but for the step and the tokens, and the projection looked slopes up twice in the same way: Plan::steady and Slopes::find serve both now. Behaviour stays.

--- a/crates/bench/src/flips.rs
+++ b/crates/bench/src/flips.rs
@@ -1,6 +1,5 @@
 //! What callers feel of switches: one after the other under a steady load.
 
-use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::time::Duration;
 
@@ -11,9 +10,7 @@
 
 use crate::error::{BrokenSnafu, Result};
 use crate::fleet::{DataCentreSpec, Fleet, FleetBinaries, FleetSpec, UpstreamSpec};
-use crate::load::{
-    CustomerShare, LoadReport, MaxTokens, Orders, Plan, Prompts, ServiceShare, Step, run_load,
-};
+use crate::load::{LoadReport, MaxTokens, Plan, Step, run_load};
 use crate::metrics::sum_metric;
 
 const SERVICE: &str = "wagtail-scribes";
@@ -124,37 +121,15 @@
 }
 
 fn load_plan(fleet: &Fleet, rate: f64) -> Plan {
-    let customers = fleet.spec().customers.iter().map(|it| CustomerShare {
-        name: it.name.clone(),
-        key: it.key.clone(),
-        weight: 1.0,
-    });
-    Plan {
-        targets: fleet.callers(),
-        engine_bundle: None,
-        engines: fleet.engine_urls(),
-        seed: 1,
-        steps: vec![Step {
-            duration: LONGEST,
-            rate,
-        }],
-        customers: customers.collect(),
-        services: vec![ServiceShare {
-            name: SERVICE.to_owned(),
-            weight: 1.0,
-        }],
-        priorities: BTreeMap::new(),
-        orders: Orders::default(),
-        prompts: Prompts::default(),
-        max_tokens: MaxTokens {
-            least: 10,
-            most: 20,
-        },
-        deadline: Some(Duration::from_secs(30)),
-        lost_allowed: false,
-        drain: Duration::from_secs(30),
-        warm_up: Duration::ZERO,
-    }
+    let step = Step {
+        duration: LONGEST,
+        rate,
+    };
+    let max_tokens = MaxTokens {
+        least: 10,
+        most: 20,
+    };
+    Plan::steady(fleet, SERVICE, step, max_tokens)
 }
 
 /// Waits so far over all entries: per bound of the histogram, their number and their sum.
--- a/crates/bench/src/load/plan.rs
+++ b/crates/bench/src/load/plan.rs
@@ -11,6 +11,10 @@
 use wagtailreel_core::{CustomerId, Digest, Priority, ServiceName};
 
 use crate::error::{ParseSnafu, PlanSnafu, Result};
+use crate::fleet::Fleet;
+
+/// Deadline of a steady load's requests, and how long it waits for the last answers.
+const STEADY_PATIENCE: Duration = Duration::from_secs(30);
 
 /// What is asked of which entries, how often and by whom.
 #[serde_as]
@@ -167,6 +171,36 @@
 }
 
 impl Plan {
+    /// Makes a steady load on one service of `fleet`, spread over its customers, in which every
+    /// answer is checked against the engines.
+    pub fn steady(fleet: &Fleet, service: &str, step: Step, max_tokens: MaxTokens) -> Self {
+        let customers = fleet.spec().customers.iter().map(|it| CustomerShare {
+            name: it.name.clone(),
+            key: it.key.clone(),
+            weight: 1.0,
+        });
+        Self {
+            targets: fleet.callers(),
+            engine_bundle: None,
+            engines: fleet.engine_urls(),
+            seed: 1,
+            steps: vec![step],
+            customers: customers.collect(),
+            services: vec![ServiceShare {
+                name: service.to_owned(),
+                weight: 1.0,
+            }],
+            priorities: BTreeMap::new(),
+            orders: Orders::default(),
+            prompts: Prompts::default(),
+            max_tokens,
+            deadline: Some(STEADY_PATIENCE),
+            lost_allowed: false,
+            drain: STEADY_PATIENCE,
+            warm_up: Duration::ZERO,
+        }
+    }
+
     /// Reads a plan from a file and checks it.
     ///
     /// # Errors
--- a/crates/bench/src/slopes/target.rs
+++ b/crates/bench/src/slopes/target.rs
@@ -59,26 +59,25 @@
 impl Slopes<'_> {
     /// Returns the slope, or none if it was not measured.
     fn get(&self, role: &str, what: &str, per: &str) -> Option<f64> {
-        let found = self
-            .0
-            .iter()
-            .find(|it| it.role == role && it.what.starts_with(what) && it.per.starts_with(per))?;
-        Some(found.fit.slope)
+        Some(self.find(role, what, per)?.fit.slope)
     }
 
     /// Returns what a process costs with none of it.
     fn base(&self, role: &str, what: &str, per: &str) -> Option<f64> {
-        let found = self
-            .0
+        Some(self.find(role, what, per)?.fit.intercept)
+    }
+
+    fn find(&self, role: &str, what: &str, per: &str) -> Option<&Slope> {
+        self.0
             .iter()
-            .find(|it| it.role == role && it.what.starts_with(what) && it.per.starts_with(per))?;
-        Some(found.fit.intercept)
+            .find(|it| it.role == role && it.what.starts_with(what) && it.per.starts_with(per))
     }
 }
 
 /// Writes what the slopes come to at the target as a Markdown table.
 ///
-/// A line whose slopes were not measured, or came out at nothing, is left out. Writing to a String does not fail.
+/// A line whose slopes were not measured, or came out at nothing, is left out. Writing to a
+/// String does not fail.
 pub fn to_projection(slopes: &[Slope]) -> String {
     let slopes = Slopes(slopes);
     let mut table = String::from(
--- a/crates/bench/src/slopes/workload.rs
+++ b/crates/bench/src/slopes/workload.rs
@@ -1,6 +1,5 @@
 //! What the fleet is put to while its costs are counted.
 
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 use crate::answer::AnswerStream;
 use crate::error::{BrokenSnafu, Result};
 use crate::fleet::{Fleet, Submission, to_yaml};
-use crate::load::{CustomerShare, MaxTokens, Orders, Plan, Prompts, ServiceShare, Step, run_load};
+use crate::load::{MaxTokens, Orders, Plan, Step, run_load};
 
 /// Tokens of a stream that is held open.
 const HELD_TOKENS: u32 = 100_000;
@@ -55,39 +54,20 @@
     orders: f64,
     span: Duration,
 ) -> Result<()> {
-    let customers = fleet.spec().customers.iter().map(|it| CustomerShare {
-        name: it.name.clone(),
-        key: it.key.clone(),
-        weight: 1.0,
-    });
+    let step = Step {
+        duration: span,
+        rate,
+    };
+    let max_tokens = MaxTokens {
+        least: tokens,
+        most: tokens,
+    };
     let plan = Plan {
-        targets: fleet.callers(),
-        engine_bundle: None,
-        engines: fleet.engine_urls(),
-        seed: 1,
-        steps: vec![Step {
-            duration: span,
-            rate,
-        }],
-        customers: customers.collect(),
-        services: vec![ServiceShare {
-            name: SERVICE.to_owned(),
-            weight: 1.0,
-        }],
-        priorities: BTreeMap::new(),
         orders: Orders {
             share: orders,
             twice: 0.0,
         },
-        prompts: Prompts::default(),
-        max_tokens: MaxTokens {
-            least: tokens,
-            most: tokens,
-        },
-        deadline: Some(Duration::from_secs(30)),
-        lost_allowed: false,
-        drain: Duration::from_secs(30),
-        warm_up: Duration::ZERO,
+        ..Plan::steady(fleet, SERVICE, step, max_tokens)
     };
     let report = run_load(plan, CancellationToken::new()).await?;
     let answered = report.total.ended("answered");
