Rename the crate of outside systems to adapters

Cause: a root folder platform/ is to hold the adapter to the users' platform; two things named platform would be mixed up.

--- a/crates/platform/tests/effect.rs
+++ b/crates/adapters/tests/effect.rs
@@ -11,11 +11,11 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
-use wagtailreel_core::ModelRef;
-use wagtailreel_platform::{
+use wagtailreel_adapters::{
     BaseUrl, Body, Effect, HttpClient, HttpLog, HttpOrigin, LogService as _, Origin as _,
     PlatformError, retry_after,
 };
+use wagtailreel_core::ModelRef;
 
 /// Longer than any answer takes that comes at all.
 const LONG: Duration = Duration::from_secs(30);
--- a/crates/platform/tests/sse.rs
+++ b/crates/adapters/tests/sse.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use rstest::rstest;
-use wagtailreel_platform::SseDecoder;
+use wagtailreel_adapters::SseDecoder;
 
 /// Decodes `text` in frames of `size` bytes.
 fn decode(text: &[u8], size: usize) -> Vec<(String, String)> {
--- a/crates/platform/tests/tokens.rs
+++ b/crates/adapters/tests/tokens.rs
@@ -7,10 +7,10 @@
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
-use wagtailreel_core::{Digest, Priority};
-use wagtailreel_platform::{
+use wagtailreel_adapters::{
     Engine as _, EngineEvent, GenerateRequest, HttpEngine, PlatformError, TokenStream,
 };
+use wagtailreel_core::{Digest, Priority};
 
 /// Starts an engine that answers one request with `events`.
 async fn serve(events: Vec<u8>) -> SocketAddr {
--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use tokio::sync::watch;
+use wagtailreel_adapters::Engine;
 use wagtailreel_core::{Digest, Epoch, VmEntry, WeightsPhase};
-use wagtailreel_platform::Engine;
 use wagtailreel_transfer::{EpochProgress, Progress, Transfer, Wanted};
 
 use crate::loader::Staged;
--- a/crates/agent/src/engine_app.rs
+++ b/crates/agent/src/engine_app.rs
@@ -15,9 +15,9 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
+use wagtailreel_adapters::{Effect, Engine, EngineEvent, GenerateRequest, PlatformError};
 use wagtailreel_core::headers::{EPOCH, WEIGHTS};
 use wagtailreel_core::{NotRunReason, RequestId};
-use wagtailreel_platform::{Effect, Engine, EngineEvent, GenerateRequest, PlatformError};
 use wagtailreel_switch::Admission;
 
 use crate::answers::{self, Cancelled};
--- a/crates/agent/src/engine_watch.rs
+++ b/crates/agent/src/engine_watch.rs
@@ -10,8 +10,8 @@
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
+use wagtailreel_adapters::{Engine, EngineStatus, PlatformError};
 use wagtailreel_core::{Digest, Epoch, Objectives, ServiceState, VmEntry, WeightsPhase};
-use wagtailreel_platform::{Engine, EngineStatus, PlatformError};
 use wagtailreel_transfer::Wanted;
 
 use crate::chunks::{Chunks, ChunksView};
--- a/crates/agent/src/error.rs
+++ b/crates/agent/src/error.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use snafu::Snafu;
+use wagtailreel_adapters::BaseUrlError;
 use wagtailreel_control::ControlError;
-use wagtailreel_platform::BaseUrlError;
 use wagtailreel_transfer::TransferError;
 
 /// The agent can't start.
--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -6,9 +6,9 @@
 
 use rand::RngExt as _;
 use tokio::sync::watch;
+use wagtailreel_adapters::{PlatformError, VmList, VmListPage};
 use wagtailreel_control::{AgentControl, FromEntry};
 use wagtailreel_core::{VmEntry, VmId, VmRole, VmState};
-use wagtailreel_platform::{PlatformError, VmList, VmListPage};
 
 use crate::events;
 use crate::hub::Hub;
--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -18,9 +18,9 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use serde::Deserialize;
+use wagtailreel_adapters::{Effect, PlainService, PlatformError};
 use wagtailreel_core::headers::{OUTCOME, OWN_PREFIX, REQUEST};
 use wagtailreel_core::{NotRunReason, RequestId};
-use wagtailreel_platform::{Effect, PlainService, PlatformError};
 
 use crate::answers::{self, Cancelled};
 use crate::engine_app::{BODY_LIMIT, CALLER_GONE};
--- a/crates/agent/src/plain_watch.rs
+++ b/crates/agent/src/plain_watch.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wagtailreel_adapters::PlainService;
 use wagtailreel_core::{Bundle, Digest, Epoch, ServiceState, WeightsPhase};
-use wagtailreel_platform::PlainService;
 
 use crate::hub::Hub;
 
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -12,9 +12,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList};
 use wagtailreel_control::{AgentControl, AgentControlConfig};
 use wagtailreel_core::{Incarnation, ServiceKind, VmEntry};
-use wagtailreel_platform::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList};
 use wagtailreel_settings::AgentSettings;
 use wagtailreel_transfer::{Transfer, TransferConfig};
 
--- a/crates/agent/src/tokens.rs
+++ b/crates/agent/src/tokens.rs
@@ -8,8 +8,8 @@
 use futures::Stream;
 use serde::Serialize;
 use snafu::Snafu;
+use wagtailreel_adapters::{Engine, EngineEvent};
 use wagtailreel_core::{Digest, Epoch, Outcome};
-use wagtailreel_platform::{Engine, EngineEvent};
 
 use crate::engine_app::Run;
 use crate::events;
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -17,13 +17,13 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use prometheus::Registry;
+use wagtailreel_adapters::{Body, HttpClient, PlatformError, SseDecoder, SseEvent};
 use wagtailreel_agent_core::AgentProcess;
 use wagtailreel_control::{EntryControl, EntryControlConfig};
 use wagtailreel_core::{
     Bundle, Digest, Document, Epoch, ModelRef, Objectives, Place, Priority, Report, ServiceKind,
     ServiceState, SpreadSettings, StateView, VmEntry, VmRole, VmSelection, VmState,
 };
-use wagtailreel_platform::{Body, HttpClient, PlatformError, SseDecoder, SseEvent};
 use wagtailreel_settings::{
     AgentListen, AgentPlatform, AgentSettings, UpstreamSettings, WeightsSettings,
 };
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -45,7 +45,7 @@
     assert!(!shutdown.is_finished());
 
     let mut answer = Answer::read(running).await;
-    let mut decoder = wagtailreel_platform::SseDecoder::new();
+    let mut decoder = wagtailreel_adapters::SseDecoder::new();
     decoder.push(&first);
     let mut before = Vec::new();
     while let Some(event) = decoder.next_event().unwrap() {
--- a/crates/entry/src/admin/documents.rs
+++ b/crates/entry/src/admin/documents.rs
@@ -8,10 +8,10 @@
 use http::{HeaderMap, StatusCode};
 use serde::Serialize;
 use serde_json::json;
+use wagtailreel_adapters::LogService;
 use wagtailreel_core::{
     DataCentre, Digest, Document, Epoch, Offset, ServiceName, TeamName, VmId, WeightsPhase,
 };
-use wagtailreel_platform::LogService;
 use wagtailreel_settings::check_document_for;
 
 use crate::admin::Admin;
--- a/crates/entry/src/admin/health.rs
+++ b/crates/entry/src/admin/health.rs
@@ -3,7 +3,7 @@
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
 use http::{StatusCode, header};
-use wagtailreel_platform::LogService;
+use wagtailreel_adapters::LogService;
 use wagtailreel_telemetry::encode_metrics;
 
 use crate::admin::Admin;
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -10,7 +10,7 @@
 use axum::Router;
 use axum::extract::DefaultBodyLimit;
 use axum::routing::{get, post};
-use wagtailreel_platform::LogService;
+use wagtailreel_adapters::LogService;
 use wagtailreel_settings::MAX_DOCUMENT_BYTES;
 
 use crate::shared::Shared;
--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -9,9 +9,9 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::Instant;
+use wagtailreel_adapters::{Effect, LogService};
 use wagtailreel_core::{ConfigRecord, Document, EditId, Offset, Outcome, TeamName};
 use wagtailreel_fold::{EditResult, Refusal, RefusalReason, Verdict, encode_config};
-use wagtailreel_platform::{Effect, LogService};
 use wagtailreel_settings::{check_document_for, is_name};
 
 use crate::admin::Admin;
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -8,11 +8,11 @@
 use http::StatusCode;
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::{Effect, LogPage, LogService, PlatformError};
 use wagtailreel_core::{
     ClaimRecord, Incarnation, Offset, OrderRecord, RequestId, ServiceName, VmId,
 };
 use wagtailreel_fold::{Claimant, FoldStop, KeyProblem, OrderApplied, OrderFold, encode_orders};
-use wagtailreel_platform::{Effect, LogPage, LogService, PlatformError};
 
 use crate::backoff::Backoff;
 use crate::events;
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -4,10 +4,10 @@
 use std::time::SystemTime;
 
 use tokio::sync::watch;
+use wagtailreel_adapters::LogPage;
 use wagtailreel_control::EntryControl;
 use wagtailreel_core::{Offset, StateView};
 use wagtailreel_fold::{Applied, ConfigFold, FoldStop, LogHead};
-use wagtailreel_platform::LogPage;
 
 use crate::events;
 use crate::follower::StreamSink;
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::{LogPage, LogService, PlatformError};
 use wagtailreel_core::Offset;
 use wagtailreel_fold::FoldStop;
-use wagtailreel_platform::{LogPage, LogService, PlatformError};
 
 use crate::backoff::Backoff;
 use crate::events;
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -12,14 +12,14 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time::{Interval, MissedTickBehavior};
+use wagtailreel_adapters::{
+    Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
+};
 use wagtailreel_core::headers::{DEADLINE_MS, EPOCH, PRIORITY, WEIGHTS};
 use wagtailreel_core::{
     Digest, Epoch, Incarnation, NotRunReason, Outcome, Priority, RequestId, ServiceKind, VmId,
     headers,
 };
-use wagtailreel_platform::{
-    Body, Effect, HttpClient, PlatformError, collect_body, encode_segment, retry_after,
-};
 use wagtailreel_route::{
     Ask, Attempts, AttemptsConfig, CancelState, Ended, Next, Repeat, prefix_of,
 };
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -2,8 +2,8 @@
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use serde::Deserialize;
+use wagtailreel_adapters::{SseDecoder, SseEvent};
 use wagtailreel_core::Outcome;
-use wagtailreel_platform::{SseDecoder, SseEvent};
 
 /// How the events of an agent's stream come to an end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,10 +13,10 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wagtailreel_adapters::{BaseUrl, HttpClient, HttpLog, HttpVmList};
 use wagtailreel_control::{EntryControl, EntryControlConfig};
 use wagtailreel_core::Incarnation;
 use wagtailreel_fold::SnapshotRule;
-use wagtailreel_platform::{BaseUrl, HttpClient, HttpLog, HttpVmList};
 use wagtailreel_route::{Shares, SharesConfig};
 use wagtailreel_settings::{EntrySettings, Keyring};
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,9 +7,9 @@
 use prometheus::Registry;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wagtailreel_adapters::HttpClient;
 use wagtailreel_control::EntryControl;
 use wagtailreel_core::{Incarnation, RequestId};
-use wagtailreel_platform::HttpClient;
 use wagtailreel_settings::{EntrySettings, Keyring};
 
 use crate::claims::Claims;
--- a/crates/entry/src/snapshots.rs
+++ b/crates/entry/src/snapshots.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, SystemTime};
 
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::LogService;
 use wagtailreel_core::VmId;
 use wagtailreel_fold::{LogHead, SnapshotRule, encode_config, snapshot_wait};
-use wagtailreel_platform::LogService;
 
 use crate::config::ConfigBook;
 use crate::events;
--- a/crates/entry/src/vms.rs
+++ b/crates/entry/src/vms.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::{VmList, VmListPage};
 use wagtailreel_control::EntryControl;
 use wagtailreel_core::{DataCentre, VmEntry, VmId, VmRole, VmState};
-use wagtailreel_platform::{VmList, VmListPage};
 use wagtailreel_route::Shares;
 
 use crate::backoff::Backoff;
--- a/crates/entry/tests/common/caller.rs
+++ b/crates/entry/tests/common/caller.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use wagtailreel_platform::{Body, HttpClient, SseDecoder};
+use wagtailreel_adapters::{Body, HttpClient, SseDecoder};
 
 use super::{KEY, SERVICE};
 
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -12,9 +12,9 @@
 use common::caller::Request;
 use common::{Bench, SERVICE, any_port, until};
 use rstest::rstest;
+use wagtailreel_adapters::HttpClient;
 use wagtailreel_core::NotRunReason;
 use wagtailreel_entry::EntryProcess;
-use wagtailreel_platform::HttpClient;
 
 fn key(text: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -86,7 +86,7 @@
         let body = axum::body::to_bytes(body, 1 << 20).await.unwrap();
         let is_append = head.method == http::Method::POST;
         head.uri = format!("http://{log}{}", head.uri).parse().unwrap();
-        let req = http::Request::from_parts(head, wagtailreel_platform::Body::from(body));
+        let req = http::Request::from_parts(head, wagtailreel_adapters::Body::from(body));
         let response = client.request(req).await.unwrap();
         if !unsteady.load(Ordering::Relaxed) {
             return response.map(axum::body::Body::new);
--- a/crates/standins/tests/admin.rs
+++ b/crates/standins/tests/admin.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
-use wagtailreel_platform::{BaseUrl, Body, HttpClient, collect_body};
+use wagtailreel_adapters::{BaseUrl, Body, HttpClient, collect_body};
 use wagtailreel_standins::{EngineConfig, EngineStandin, LogConfig, LogStandin};
 
 /// Longer than any test may take.
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use futures::stream::{self, Stream};
 use futures::{StreamExt as _, TryStreamExt as _};
-use wagtailreel_core::{Bundle, Digest, Manifest, Priority};
-use wagtailreel_platform::{
+use wagtailreel_adapters::{
     CancelState, Engine as _, EngineEvent, GenerateRequest, HttpEngine, PlatformError,
 };
+use wagtailreel_core::{Bundle, Digest, Manifest, Priority};
 use wagtailreel_standins::{EngineConfig, EngineStandin, RequestState, token_text};
 
 /// Longer than any test may take.
--- a/crates/standins/tests/engine_faults.rs
+++ b/crates/standins/tests/engine_faults.rs
@@ -9,10 +9,10 @@
 use futures::stream::{self, Stream};
 use futures::{StreamExt as _, TryStreamExt as _};
 use rstest::rstest;
-use wagtailreel_core::{Bundle, Digest, Manifest, Priority};
-use wagtailreel_platform::{
+use wagtailreel_adapters::{
     CacheEventKind, Effect, Engine as _, EngineEvent, GenerateRequest, HttpEngine, PlatformError,
 };
+use wagtailreel_core::{Bundle, Digest, Manifest, Priority};
 use wagtailreel_standins::{EngineConfig, EngineStandin, RequestState, prefix_hash, token_text};
 
 /// Longer than any test may take.
--- a/crates/standins/tests/log.rs
+++ b/crates/standins/tests/log.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use serde_json::json;
-use wagtailreel_platform::{Effect, HttpLog, LogService as _, PlatformError};
+use wagtailreel_adapters::{Effect, HttpLog, LogService as _, PlatformError};
 use wagtailreel_standins::{LogConfig, LogFaults, LogStandin};
 
 const STREAM: &str = "config";
--- a/crates/standins/tests/origin.rs
+++ b/crates/standins/tests/origin.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
+use wagtailreel_adapters::{HttpOrigin, Origin as _, PlatformError};
 use wagtailreel_core::{Digest, Manifest, ModelRef};
-use wagtailreel_platform::{HttpOrigin, Origin as _, PlatformError};
 use wagtailreel_standins::{OriginConfig, OriginModel, OriginStandin};
 
 const CHUNK: usize = 10_000;
--- a/crates/standins/tests/plain.rs
+++ b/crates/standins/tests/plain.rs
@@ -6,7 +6,7 @@
 use http::{Method, Request};
 use http_body_util::BodyExt as _;
 use serde_json::{Value, json};
-use wagtailreel_platform::{Body, Effect, HttpPlainService, PlainService as _, PlatformError};
+use wagtailreel_adapters::{Body, Effect, HttpPlainService, PlainService as _, PlatformError};
 use wagtailreel_standins::{PlainConfig, PlainStandin};
 
 fn start() -> (PlainStandin, HttpPlainService) {
--- a/crates/standins/tests/vms.rs
+++ b/crates/standins/tests/vms.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use wagtailreel_adapters::{HttpVmList, VmList as _, VmListPage};
 use wagtailreel_core::{VmEntry, VmRole, VmState};
-use wagtailreel_platform::{HttpVmList, VmList as _, VmListPage};
 use wagtailreel_standins::{VmListConfig, VmListStandin};
 
 /// Longer than any test may take.
--- a/crates/transfer/src/current.rs
+++ b/crates/transfer/src/current.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
+use wagtailreel_adapters::{HttpClient, Origin};
 use wagtailreel_core::{ChunkIndex, SpreadSettings, VmEntry, VmId};
-use wagtailreel_platform::{HttpClient, Origin};
 use wagtailreel_spread::{
     Action, ChunkSet, Event, Failure, Fetch, FetchId, Planner, PlannerConfig, Source,
 };
--- a/crates/transfer/src/driver.rs
+++ b/crates/transfer/src/driver.rs
@@ -9,8 +9,8 @@
 use tokio::time::{Interval, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
+use wagtailreel_adapters::Origin;
 use wagtailreel_core::{Digest, Epoch, VmEntry, VmId, WeightsPhase};
-use wagtailreel_platform::Origin;
 use wagtailreel_spread::{ChunkSet, Failure, Fetch, Source};
 
 use crate::current::{Current, Generation, Note, Surroundings};
--- a/crates/transfer/src/fetch.rs
+++ b/crates/transfer/src/fetch.rs
@@ -9,8 +9,8 @@
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use wagtailreel_adapters::{Body, HttpClient, Origin, PlatformError, retry_after};
 use wagtailreel_core::{Digest, ModelRef};
-use wagtailreel_platform::{Body, HttpClient, Origin, PlatformError, retry_after};
 use wagtailreel_spread::Failure;
 
 use crate::layout::Chunk;
--- a/crates/transfer/src/manifests.rs
+++ b/crates/transfer/src/manifests.rs
@@ -6,8 +6,8 @@
 use rand::RngExt as _;
 use rand::seq::SliceRandom as _;
 use tokio::sync::{mpsc, watch};
+use wagtailreel_adapters::{HttpOrigin, Origin, PlatformError};
 use wagtailreel_core::{Bundle, DataCentre, Manifest, ModelRef, VmEntry};
-use wagtailreel_platform::{HttpOrigin, Origin, PlatformError};
 
 use crate::current::{Generation, Note};
 use crate::events;
--- a/crates/transfer/src/transfer.rs
+++ b/crates/transfer/src/transfer.rs
@@ -11,8 +11,8 @@
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
+use wagtailreel_adapters::{HttpClient, Origin};
 use wagtailreel_core::{Epoch, VmEntry};
-use wagtailreel_platform::{HttpClient, Origin};
 
 use crate::current::Surroundings;
 use crate::driver::{Command, Driver};
--- a/crates/transfer/src/watch.rs
+++ b/crates/transfer/src/watch.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt as _;
 use tokio::sync::mpsc;
+use wagtailreel_adapters::{HttpClient, collect_body};
 use wagtailreel_core::{Digest, VmId};
-use wagtailreel_platform::{HttpClient, collect_body};
 use wagtailreel_spread::ChunkSet;
 
 use crate::current::{Generation, Note};
--- a/crates/transfer/tests/common/mod.rs
+++ b/crates/transfer/tests/common/mod.rs
@@ -14,10 +14,10 @@
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
+use wagtailreel_adapters::{HttpOrigin, Origin};
 use wagtailreel_core::{
     Epoch, ModelRef, SpreadPolicy, SpreadSettings, VmEntry, VmRole, VmState, Weigh, WeightsPhase,
 };
-use wagtailreel_platform::{HttpOrigin, Origin};
 use wagtailreel_standins::{OriginConfig, OriginModel, OriginStandin};
 use wagtailreel_transfer::{EpochProgress, Progress, Transfer, TransferConfig, Wanted};
 
--- a/crates/transfer/tests/faults.rs
+++ b/crates/transfer/tests/faults.rs
@@ -15,8 +15,8 @@
 use common::{CHUNK, Vm, entry, introduce, model, origin, serve};
 use futures::StreamExt as _;
 use tokio_stream::wrappers::IntervalStream;
+use wagtailreel_adapters::{HttpOrigin, Origin, PlatformError};
 use wagtailreel_core::{Bundle, Digest, Manifest, ModelRef, VmEntry, WeightsPhase};
-use wagtailreel_platform::{HttpOrigin, Origin, PlatformError};
 use wagtailreel_spread::ChunkSet;
 use wagtailreel_standins::OriginStandin;
 
--- a/crates/transfer/tests/serving.rs
+++ b/crates/transfer/tests/serving.rs
@@ -9,8 +9,8 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::Value;
+use wagtailreel_adapters::{Body, HttpClient, collect_body, retry_after};
 use wagtailreel_core::{Bundle, Digest, SpreadSettings};
-use wagtailreel_platform::{Body, HttpClient, collect_body, retry_after};
 use wagtailreel_standins::OriginModel;
 
 /// How long a test waits for an answer.
