--- /dev/null
+++ b/crates/direct/src/admit.rs
@@ -0,0 +1,168 @@
+//! Whether a request is one that the configuration allows, and what is known of it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::request::Parts;
+use http::{HeaderMap, Uri, header};
+use rand::RngExt as _;
+use wagtailreel_core::{CustomerId, RequestId, ServiceName};
+use wagtailreel_fleet::{Directory, ModelName, Route};
+
+use crate::dialect::{Dialect, RequestHead};
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+
+/// Time that a request must have left to be worth starting.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: &[header::HeaderName] = &[
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Name of the header with the parameters of a kept connection.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// A request that may be served.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    pub(crate) id: RequestId,
+    pub(crate) head: RequestHead,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceName,
+    /// The model that an engine needs; none at a plain service.
+    pub(crate) model: Option<ModelName>,
+    /// The customer whose key the request carries; none on a public route.
+    pub(crate) customer: Option<CustomerId>,
+    pub(crate) rank: u8,
+    pub(crate) deadline: Instant,
+}
+
+/// Decides whether a request may be served.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller gets.
+pub(crate) fn admit<D>(
+    cx: &Shared<D>,
+    parts: &Parts,
+    head: RequestHead,
+) -> Result<Admitted, Refusal>
+where
+    D: Dialect,
+{
+    let directory = cx.view.directory().ok_or(Refusal::NoConfiguration)?;
+    let route = find_route(cx, &directory, parts)?.clone();
+    let customer = find_customer(cx, &directory, &route, &head)?;
+    let id = head.id.clone().ok_or(Refusal::NoId)?;
+    let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    if patience < LEAST_TIME {
+        return Err(Refusal::Deadline);
+    }
+    let service = share(&route).ok_or(Refusal::NoUpstream)?;
+    let model = directory
+        .service(&service)
+        .and_then(|spec| spec.engine.as_ref())
+        .map(|engine| engine.model.clone());
+    let (customer, customer_rank) = customer.unzip();
+    let rank = customer_rank.flatten().unwrap_or(route.rank);
+    Ok(Admitted {
+        id,
+        head,
+        service,
+        model,
+        customer,
+        rank,
+        route,
+        directory,
+
+        deadline: Instant::now() + patience,
+    })
+}
+
+fn find_route<'a, D>(
+    cx: &Shared<D>,
+    directory: &'a Directory,
+    parts: &Parts,
+) -> Result<&'a Route, Refusal> {
+    let host = host_of(&parts.uri, &parts.headers);
+    let route = host.and_then(|host| directory.route(host, parts.uri.path()));
+    match route {
+        Some(route) => Ok(route),
+        None if cx.may_deny() => Err(Refusal::NoRoute),
+        // The route may have been added in the meantime.
+        None => Err(Refusal::StaleConfiguration),
+    }
+}
+
+type CustomerAndRank = (CustomerId, Option<u8>);
+
+fn find_customer<D>(
+    cx: &Shared<D>,
+    directory: &Directory,
+    route: &Route,
+    head: &RequestHead,
+) -> Result<Option<CustomerAndRank>, Refusal> {
+    if route.is_public || !directory.needs_keys() {
+        return Ok(None);
+    }
+    let customer = head.key.as_deref().and_then(|key| directory.customer(key));
+    match customer {
+        Some(_) if !cx.trusts_keys() => Err(Refusal::StaleConfiguration),
+        Some(customer) => Ok(Some((customer.name.clone(), customer.rank))),
+        None if cx.may_deny() => Err(Refusal::UnknownKey),
+        None => Err(Refusal::StaleConfiguration),
+    }
+}
+
+/// Chooses the service by the weights of the route.
+fn share(route: &Route) -> Option<ServiceName> {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return route.services.first().map(|(name, _)| name.clone());
+    }
+    let mut ticket = rand::rng().random_range(0..total);
+    for (name, weight) in &route.services {
+        if ticket < *weight {
+            return Some(name.clone());
+        }
+        ticket -= weight;
+    }
+    None
+}
+
+/// Returns the host that a request names, without its port.
+fn host_of<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    if let Some(host) = uri.host() {
+        return Some(host);
+    }
+    let host = headers.get(header::HOST)?.to_str().ok()?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
+/// Takes away the headers that concern one connection only.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
--- /dev/null
+++ b/crates/direct/src/attempt.rs
@@ -0,0 +1,389 @@
+//! The attempts of one request at upstreams.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use wagtailreel_fleet::UpstreamId;
+
+use crate::admit::Admitted;
+use crate::dialect::{AnswerHead, Dialect, Dispatch};
+use crate::ending::{Attempt, Ending, Next, next_step};
+use crate::events;
+use crate::members::{Ask, Pick, Shortage};
+use crate::pool::{Connection, SendError};
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+use crate::view::Service;
+
+/// How long a stream that may go on elsewhere waits for its next event. Callers give up a stream
+/// after a gap of 2.4 s; half of it leaves another upstream the time to start.
+pub(crate) const STALL: Duration = Duration::from_millis(1200);
+
+/// Time that must be left for another attempt to be worth making.
+const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
+
+/// When a place is expected to be free at full engines: with 16 in a batch and answers of about
+/// 1.7 s one ends each 0.1 s.
+const FREE_IN: Duration = Duration::from_millis(200);
+
+/// A request as it is sent to every upstream.
+#[derive(Debug)]
+pub(crate) struct Template {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Counts a request at an upstream for as long as it is there.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    service: Arc<Service>,
+    id: UpstreamId,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.service.upstreams().finished(&self.id);
+    }
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(crate) struct Live {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) marks: AnswerHead,
+    pub(crate) conn: Connection,
+    pub(crate) lease: Lease,
+}
+
+impl Live {
+    /// Gives the connection back after the whole answer was read.
+    pub(crate) fn finish(self) {
+        let closes = self
+            .head
+            .headers
+            .get(header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let is_framed = self.head.headers.contains_key(header::CONTENT_LENGTH)
+            || self.head.headers.contains_key(header::TRANSFER_ENCODING);
+        if !closes && is_framed {
+            let keep = self.marks.keep_alive;
+            self.lease.service.pool.give_back(self.conn, keep);
+        }
+    }
+
+    /// Returns the id of the upstream.
+    pub(crate) fn upstream(&self) -> &str {
+        &self.lease.id
+    }
+}
+
+/// One request and its attempts.
+///
+/// Invariant: `may_have_run` is set before the first byte of an attempt can leave, and cleared only
+/// by the upstream's word that it did not run the request.
+#[derive(Debug)]
+pub(crate) struct Call<D> {
+    pub(crate) cx: Arc<Shared<D>>,
+    pub(crate) admitted: Admitted,
+    pub(crate) template: Template,
+    pub(crate) sent: u32,
+    service: Arc<Service>,
+    tried: BTreeSet<UpstreamId>,
+    unreached: u32,
+    may_have_run: bool,
+}
+
+impl<D> Call<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(cx: Arc<Shared<D>>, admitted: Admitted, template: Template) -> Self {
+        let service = cx.view.service(&admitted.service);
+        service.budget().request();
+        Self {
+            cx,
+            admitted,
+            template,
+            sent: 0,
+            service,
+            tried: BTreeSet::new(),
+            unreached: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Sends the request to upstreams until one answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller gets.
+    pub(crate) async fn obtain(&mut self, last_event: Option<u64>) -> Result<Live, Refusal> {
+        loop {
+            let pick = self.choose()?;
+            let ending = match self.connect(&pick).await {
+                Ok(conn) => match self.send(&pick, conn, last_event).await {
+                    Sent::Answer(live) => return Ok(*live),
+                    Sent::Ended(ending) => ending,
+                },
+                Err(ending) => ending,
+            };
+            match self.ended(&pick.id, ending) {
+                Next::Again => {}
+                Next::Refuse => return Err(Refusal::UpstreamsRefused),
+                Next::PassOn | Next::Unknown => return Err(Refusal::Unknown),
+            }
+        }
+    }
+
+    /// Returns the refusal for a request whose time is over.
+    pub(crate) const fn out_of_time(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::Timeout
+        } else {
+            Refusal::Deadline
+        }
+    }
+
+    /// Takes that an attempt ended without an answer, and decides what follows.
+    pub(crate) fn ended(&mut self, upstream: &str, ending: Ending) -> Next {
+        if ending == Ending::NotSent {
+            self.unreached += 1;
+        }
+        let now = Instant::now();
+        let left = self.admitted.deadline.saturating_duration_since(now);
+        let mut next = next_step(Attempt {
+            kind: self.admitted.route.kind,
+            ending,
+            sent: self.sent,
+            max_attempts: self.admitted.route.max_attempts,
+            unreached: self.unreached,
+            may_have_run: self.may_have_run,
+            has_time: left > LEAST_FOR_RETRY,
+        });
+        // An attempt that reached nobody costs nobody anything; the next one is the first.
+        let is_repeat = self.sent > 0;
+        if next == Next::Again && is_repeat && !self.service.budget().retry() {
+            next = self.without_budget(ending);
+        }
+        self.judge(upstream, ending, now);
+        let end = ending.to_string();
+        self.cx.metrics.attempts.with_label_values(&[&end]).inc();
+        events::ATTEMPT_ENDED.emit(&[
+            ("id", &self.admitted.id),
+            ("upstream", upstream),
+            ("end", &end),
+            ("next", &next.to_string()),
+            ("sent", &self.sent.to_string()),
+            ("left_ms", &left.as_millis().to_string()),
+        ]);
+        next
+    }
+
+    fn without_budget(&self, ending: Ending) -> Next {
+        match ending {
+            Ending::Failed => Next::PassOn,
+            Ending::Lost => Next::Unknown,
+            Ending::NotSent | Ending::NotRun if self.may_have_run => Next::Unknown,
+            Ending::NotSent | Ending::NotRun => Next::Refuse,
+        }
+    }
+
+    /// Counts a failure against the upstream that it came through.
+    fn judge(&self, upstream: &str, ending: Ending, now: Instant) {
+        if !matches!(ending, Ending::NotSent | Ending::Lost | Ending::Failed) {
+            return;
+        }
+        let shunned = self.service.upstreams().failed(upstream, now);
+        if let Some(shun) = shunned {
+            events::UPSTREAM_SHUNNED.emit(&[
+                ("upstream", upstream),
+                ("service", &self.admitted.service),
+                ("end", &ending.to_string()),
+                ("for_ms", &shun.as_millis().to_string()),
+            ]);
+        }
+    }
+
+    fn choose(&self) -> Result<Pick, Refusal> {
+        if self.admitted.customer.is_some() && !self.cx.trusts_keys() {
+            return Err(self.not_sent(Refusal::StaleConfiguration));
+        }
+        let model = self.admitted.model.as_deref();
+        let ask = Ask {
+            model,
+            least_version: model.and_then(|model| self.cx.view.least_version(model)),
+            tried: self.tried.clone(),
+        };
+        let chosen = self.service.upstreams().choose(&ask, Instant::now());
+        chosen.map_err(|shortage| {
+            self.not_sent(match shortage {
+                Shortage::NoUpstream => Refusal::NoUpstream,
+                Shortage::Weights => Refusal::Weights,
+                Shortage::Full => Refusal::Full { free_in: FREE_IN },
+            })
+        })
+    }
+
+    /// Makes sure that a request which may have run is not refused as not run.
+    const fn not_sent(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            Refusal::Unknown
+        } else {
+            refusal
+        }
+    }
+
+    async fn connect(&mut self, pick: &Pick) -> Result<Connection, Ending> {
+        self.tried.insert(pick.id.clone());
+        let repeatable = self.admitted.route.kind.repeatable();
+        if let Some(conn) = self.service.pool.take(pick.addr, repeatable) {
+            return Ok(conn);
+        }
+        let opened = Connection::open(pick.addr).await;
+        opened.map_err(|_| Ending::NotSent)
+    }
+
+    async fn send(&mut self, pick: &Pick, conn: Connection, last_event: Option<u64>) -> Sent {
+        // It may have begun to leave while the connection was made.
+        if !self.service.upstreams().may_send(&pick.id) {
+            return Sent::Ended(Ending::NotSent);
+        }
+        let Some(req) = self.request(pick, last_event) else {
+            return Sent::Ended(Ending::NotSent);
+        };
+        let doubted_before = self.may_have_run;
+        self.service.upstreams().started(&pick.id);
+        let lease = Lease {
+            service: Arc::clone(&self.service),
+            id: pick.id.clone(),
+        };
+        self.may_have_run = true;
+        self.sent += 1;
+        let (conn, answer) = self.exchange(conn, req).await;
+        let response = match answer {
+            Ok(response) => response,
+            Err(SendError::NotSent) => {
+                self.may_have_run = doubted_before;
+                self.sent -= 1;
+                return Sent::Ended(Ending::NotSent);
+            }
+            Err(SendError::Lost) => return Sent::Ended(Ending::Lost),
+        };
+        let (head, body) = response.into_parts();
+        let marks = self.cx.dialect.answer(head.status, &head.headers);
+        let live = Live {
+            head,
+            body,
+            marks,
+            conn,
+            lease,
+        };
+        self.take_answer(live, doubted_before)
+    }
+
+    /// Waits for the head of an answer; a stream that may go on elsewhere not for ever.
+    async fn exchange(
+        &self,
+        mut conn: Connection,
+        req: Request<Full<Bytes>>,
+    ) -> (Connection, Result<http::Response<Incoming>, SendError>) {
+        let kind = self.admitted.route.kind;
+        let answer = if kind.is_stream() && kind.repeatable() {
+            let sending = tokio::time::timeout(STALL, conn.send(req));
+            sending.await.unwrap_or(Err(SendError::Lost))
+        } else {
+            conn.send(req).await
+        };
+        (conn, answer)
+    }
+
+    /// Judges the head of an answer.
+    fn take_answer(&mut self, live: Live, doubted_before: bool) -> Sent {
+        let now = Instant::now();
+        let is_ours = live
+            .marks
+            .id
+            .as_ref()
+            .is_none_or(|id| *id == self.admitted.id);
+        if !is_ours {
+            return Sent::Ended(Ending::Lost);
+        }
+        let id = live.upstream();
+        if let Some(load) = live.marks.load {
+            let total = load.running.saturating_add(load.waiting);
+            self.service.upstreams().load(id, total, now);
+        }
+        if live.marks.not_run {
+            self.may_have_run = doubted_before;
+            if live.marks.misdirected {
+                self.service.upstreams().misdirected(id, now);
+            } else {
+                self.service.upstreams().full(id, now);
+            }
+            return Sent::Ended(Ending::NotRun);
+        }
+        if live.head.status.is_server_error()
+            && self.admitted.route.kind == wagtailreel_fleet::RouteKind::Idempotent
+        {
+            return self.take_failure(live);
+        }
+        if live.head.status != StatusCode::INTERNAL_SERVER_ERROR {
+            self.service.upstreams().answered(id);
+        }
+        Sent::Answer(Box::new(live))
+    }
+
+    /// Repeats a request that failed at an upstream, or passes the failure on.
+    fn take_failure(&mut self, live: Live) -> Sent {
+        let id = live.upstream().to_owned();
+        let left = self
+            .admitted
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let may_repeat = self.sent < self.admitted.route.max_attempts
+            && left > LEAST_FOR_RETRY
+            && self.service.budget().left() >= 1.0;
+        if may_repeat {
+            return Sent::Ended(Ending::Failed);
+        }
+        self.judge(&id, Ending::Failed, Instant::now());
+        Sent::Answer(Box::new(live))
+    }
+
+    fn request(&self, pick: &Pick, last_event: Option<u64>) -> Option<Request<Full<Bytes>>> {
+        let now = Instant::now();
+        let remaining = self.admitted.deadline.saturating_duration_since(now);
+        let mut headers = self.template.headers.clone();
+        let dispatch = Dispatch {
+            remaining,
+            upstream: &pick.id,
+            customer: self.admitted.customer.as_deref(),
+            rank: self.admitted.rank,
+            version: pick.version,
+            last_event,
+        };
+        self.cx.dialect.dispatch(&mut headers, &dispatch);
+        let mut req = Request::new(Full::new(self.template.body.clone()));
+        *req.method_mut() = self.template.method.clone();
+        *req.uri_mut() = self.template.uri.clone();
+        *req.headers_mut() = headers;
+        (!remaining.is_zero()).then_some(req)
+    }
+}
+
+/// How an attempt went on after its connection was there.
+enum Sent {
+    /// The upstream answered.
+    Answer(Box<Live>),
+    /// It brought no answer.
+    Ended(Ending),
+}
--- /dev/null
+++ b/crates/direct/src/metrics.rs
@@ -0,0 +1,67 @@
+//! Counters and times of an entry.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+
+/// Bounds of the buckets in seconds, from a local answer to the longest deadline.
+const BUCKETS: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// Counters and times of an entry.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    /// Requests by how they ended.
+    pub(crate) requests: IntCounterVec,
+    /// Requests that the entry answered itself, by reason.
+    pub(crate) refusals: IntCounterVec,
+    /// Attempts that brought no answer, by how they ended.
+    pub(crate) attempts: IntCounterVec,
+    /// Time to the first byte of an answer.
+    pub(crate) first_byte: Histogram,
+    /// Time to the last byte of an answer.
+    pub(crate) whole: Histogram,
+    /// Requests that are open.
+    pub(crate) open: IntGauge,
+    /// Age of what is believed, in milliseconds, by topic.
+    pub(crate) belief_age: IntGaugeVec,
+    /// Log lines that were left out.
+    pub(crate) lines_dropped: IntGauge,
+}
+
+impl Metrics {
+    /// Makes the metrics and registers them.
+    pub(crate) fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counters = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label])
+        };
+        let times = |name: &str, help: &str| {
+            Histogram::with_opts(HistogramOpts::new(name, help).buckets(BUCKETS.to_vec()))
+        };
+        let metrics = Self {
+            requests: counters("wagtailreel_requests_total", "Requests by end", "end")?,
+            refusals: counters("wagtailreel_refusals_total", "Own answers", "reason")?,
+            attempts: counters(
+                "wagtailreel_attempts_failed_total",
+                "Failed attempts",
+                "end",
+            )?,
+            first_byte: times("wagtailreel_first_byte_seconds", "Time to the first byte")?,
+            whole: times("wagtailreel_request_seconds", "Time to the last byte")?,
+            open: IntGauge::new("wagtailreel_requests_open", "Requests under way")?,
+            belief_age: IntGaugeVec::new(
+                Opts::new("wagtailreel_belief_age_ms", "Age of what is believed"),
+                &["topic"],
+            )?,
+            lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
+        };
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.refusals.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.first_byte.clone()))?;
+        registry.register(Box::new(metrics.whole.clone()))?;
+        registry.register(Box::new(metrics.open.clone()))?;
+        registry.register(Box::new(metrics.belief_age.clone()))?;
+        registry.register(Box::new(metrics.lines_dropped.clone()))?;
+        Ok(metrics)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/process.rs
@@ -0,0 +1,225 @@
+//! Starting and stopping an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use prometheus::Registry as Prometheus;
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
+use wagtailreel_settings::DirectEntrySettings;
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+use crate::view::{Bounds, View};
+use crate::{events, front, load, status_page};
+
+/// How long the registry may hold a read of the settings. Each read is priced; a read that returns
+/// empty confirms the configuration, which has to be done well within the bound on keys.
+const SETTINGS_WAIT: Duration = Duration::from_millis(1500);
+
+/// How much longer than its wait a read may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time between two reads of the upstreams, which change several times a second. With a read's
+/// time-out it stays below the 2 s within which a draining upstream gets nothing more.
+const UPSTREAMS_PACE: Duration = Duration::from_millis(650);
+
+/// How long an upstream that vanished while the registry was away has to register again.
+const LAPSE_HOLD: Duration = Duration::from_millis(2300);
+
+/// How long callers are still taken after a signal to end: the balancer needs two questions, a
+/// second apart, to notice.
+const LAME_DUCK: Duration = Duration::from_millis(2600);
+
+/// How often unused connections are looked through.
+const PRUNE_EVERY: Duration = Duration::from_secs(1);
+
+/// An entry can't start.
+#[derive(Debug, Snafu)]
+pub enum DirectError {
+    /// An address can't be used.
+    #[snafu(display("{setting}: can't listen on {addr} ({source}): choose a free address"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The setting that names it.
+        setting: &'static str,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The metrics can't be registered.
+    #[snafu(display("the metrics can't be registered ({source}): report this as a bug"))]
+    Metrics {
+        /// What the library says.
+        source: prometheus::Error,
+    },
+}
+
+/// A running entry that sends requests straight to upstreams.
+#[derive(Debug)]
+pub struct DirectEntry<D> {
+    cx: Arc<Shared<D>>,
+    callers: SocketAddr,
+    status: SocketAddr,
+    tasks: JoinSet<()>,
+    connections: TaskTracker,
+}
+
+impl<D> DirectEntry<D>
+where
+    D: Dialect,
+{
+    /// Starts an entry on the current runtime. It is ready once it has a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`DirectError`] if an address can't be used.
+    pub async fn start<R>(
+        settings: DirectEntrySettings,
+        registry: R,
+        dialect: D,
+    ) -> Result<Self, DirectError>
+    where
+        R: Registry,
+    {
+        let (callers, callers_addr) = listen(settings.listen.callers, "listen.callers").await?;
+        let (status, status_addr) = listen(settings.listen.status, "listen.status").await?;
+        let agents = settings.listen.agents;
+        let socket = UdpSocket::bind(agents).await.context(ListenSnafu {
+            addr: agents,
+            setting: "listen.agents",
+        })?;
+        let prometheus = Prometheus::new();
+        let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
+        let bounds = Bounds {
+            weights: settings.bounds.weights,
+            weights_at_start: settings.bounds.weights_at_start,
+            retry_ratio: settings.bounds.retry_ratio,
+        };
+        let regions = settings.regions.clone();
+        let home = settings.data_centre.clone();
+        let view = Arc::new(View::new(home.clone(), regions, bounds));
+        let agent_port = settings.agent_port;
+        let cx = Arc::new(Shared {
+            dialect,
+            view: Arc::clone(&view),
+            metrics,
+            registry: prometheus,
+            leaving: AtomicBool::new(false),
+            closing: CancellationToken::new(),
+            settings,
+        });
+        let connections = TaskTracker::new();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow(
+            registry.clone(),
+            Arc::clone(&view),
+            settings_follow(),
+        ));
+        tasks.spawn(follow(registry, Arc::clone(&view), upstreams_follow()));
+        tasks.spawn(load::ask_agents(
+            Arc::clone(&view),
+            socket,
+            agent_port,
+            home,
+        ));
+        tasks.spawn(front::accept(Arc::clone(&cx), callers, connections.clone()));
+        tasks.spawn(prune(Arc::clone(&view)));
+        let page = status_page::router(Arc::clone(&cx));
+        tasks.spawn(async move {
+            if let Err(e) = axum::serve(status, page).await {
+                events::CONNECTION_FAILED.emit(&[("reason", &e.to_string())]);
+            }
+        });
+        let at = callers_addr.to_string();
+        events::STARTED.emit(&[("vm", &cx.settings.vm), ("callers", &at)]);
+        Ok(Self {
+            cx,
+            callers: callers_addr,
+            status: status_addr,
+            tasks,
+            connections,
+        })
+    }
+
+    /// Returns where callers are answered.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where readiness and metrics are served.
+    pub fn status(&self) -> SocketAddr {
+        self.status
+    }
+
+    /// Tells the balancer to send no callers, finishes what is open, and ends.
+    pub async fn shutdown(mut self) {
+        let grace = self.cx.settings.bounds.grace;
+        let until = tokio::time::Instant::now() + grace;
+        self.cx.leaving.store(true, Ordering::Relaxed);
+        let open = self.cx.metrics.open.get().to_string();
+        events::LEAVING.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
+        tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
+        self.cx.closing.cancel();
+        self.connections.close();
+        // What is still open then is cut off; the event says how much.
+        let _ = tokio::time::timeout_at(until, self.connections.wait()).await;
+        self.tasks.abort_all();
+        let open = self.cx.metrics.open.get().to_string();
+        events::STOPPED.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
+    }
+}
+
+fn settings_follow() -> FollowConfig {
+    FollowConfig {
+        topic: Topic::Settings,
+        wait: SETTINGS_WAIT,
+        pace: Duration::ZERO,
+        timeout: READ_TIMEOUT,
+        lapse_hold: Duration::ZERO,
+    }
+}
+
+fn upstreams_follow() -> FollowConfig {
+    FollowConfig {
+        topic: Topic::Upstreams,
+        wait: Duration::ZERO,
+        pace: UPSTREAMS_PACE,
+        timeout: READ_TIMEOUT,
+        lapse_hold: LAPSE_HOLD,
+    }
+}
+
+/// Closes connections that are no longer of use.
+async fn prune(view: Arc<View>) {
+    loop {
+        tokio::time::sleep(PRUNE_EVERY).await;
+        for service in view.services() {
+            let known: Vec<SocketAddr> = {
+                let upstreams = service.upstreams();
+                upstreams.members().map(|it| it.upstream.addr).collect()
+            };
+            service.pool.prune(|addr| known.contains(addr));
+        }
+    }
+}
+
+async fn listen(
+    addr: SocketAddr,
+    setting: &'static str,
+) -> Result<(TcpListener, SocketAddr), DirectError> {
+    let listener = TcpListener::bind(addr)
+        .await
+        .context(ListenSnafu { addr, setting })?;
+    let addr = listener
+        .local_addr()
+        .context(ListenSnafu { addr, setting })?;
+    Ok((listener, addr))
+}
--- /dev/null
+++ b/crates/direct/src/view.rs
@@ -0,0 +1,237 @@
+//! What the entry believes of its fleet, each belief with its age.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use wagtailreel_core::{DataCentre, Region, ServiceName};
+use wagtailreel_fleet::{
+    BootTime, Change, Directory, ModelName, NamedWeights, Sink, Topic, Upstream, UpstreamId,
+    WeightsVersion,
+};
+use wagtailreel_route::{BudgetConfig, RetryBudget};
+
+use crate::events;
+use crate::members::Upstreams;
+use crate::pool::Pool;
+
+/// Retries that this entry may save up for each service. The budget is one for all entries; with
+/// 8 entries they spend 40 of the 104 that the users allow beyond the share of the requests.
+const RETRY_BURST: f64 = 5.0;
+
+/// One service: its upstreams, its retries and its connections, each under a lock of its own.
+#[derive(Debug)]
+pub(crate) struct Service {
+    upstreams: Mutex<Upstreams>,
+    budget: Mutex<RetryBudget>,
+    pub(crate) pool: Pool,
+}
+
+impl Service {
+    pub(crate) fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
+        lock(&self.upstreams)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+}
+
+/// Weights that are to be served, and from when on nothing older may begin.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: WeightsVersion,
+    binding_from: BootTime,
+}
+
+/// Bounds of what the entry believes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Bounds {
+    /// How long requests may begin on older weights after newer ones were named.
+    pub(crate) weights: Duration,
+    /// The same for weights that were named before the process started.
+    pub(crate) weights_at_start: Duration,
+    /// Retries for each request.
+    pub(crate) retry_ratio: f64,
+}
+
+/// What the entry believes of its fleet.
+#[derive(Debug)]
+pub(crate) struct View {
+    data_centre: DataCentre,
+    regions: BTreeMap<DataCentre, Region>,
+    bounds: Bounds,
+    directory: RwLock<Option<Arc<Directory>>>,
+    confirmed: Mutex<BTreeMap<Topic, BootTime>>,
+    services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
+    homes: Mutex<BTreeMap<UpstreamId, ServiceName>>,
+    weights: Mutex<BTreeMap<ModelName, Vec<Named>>>,
+}
+
+impl View {
+    pub(crate) fn new(
+        data_centre: DataCentre,
+        regions: BTreeMap<DataCentre, Region>,
+        bounds: Bounds,
+    ) -> Self {
+        Self {
+            data_centre,
+            regions,
+            bounds,
+            directory: RwLock::default(),
+            confirmed: Mutex::default(),
+            services: RwLock::default(),
+            homes: Mutex::default(),
+            weights: Mutex::default(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn directory(&self) -> Option<Arc<Directory>> {
+        let directory = self.directory.read();
+        directory.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns how long ago the registry last confirmed what is believed of `topic`.
+    pub(crate) fn age(&self, topic: Topic) -> Option<Duration> {
+        let as_of = lock(&self.confirmed).get(&topic).copied()?;
+        Some(BootTime::now().since(as_of))
+    }
+
+    /// Returns a service, made empty if it is new.
+    pub(crate) fn service(&self, name: &str) -> Arc<Service> {
+        let services = self.services.read();
+        if let Some(service) = services.unwrap_or_else(PoisonError::into_inner).get(name) {
+            return Arc::clone(service);
+        }
+        let services = self.services.write();
+        let mut services = services.unwrap_or_else(PoisonError::into_inner);
+        let service = services.entry(name.to_owned()).or_insert_with(|| {
+            let upstreams = Upstreams::new(self.data_centre.clone(), self.regions.clone());
+            let budget = BudgetConfig {
+                ratio: self.bounds.retry_ratio,
+                burst: RETRY_BURST,
+            };
+            Arc::new(Service {
+                upstreams: Mutex::new(upstreams),
+                budget: Mutex::new(RetryBudget::new(budget)),
+                pool: Pool::default(),
+            })
+        });
+        Arc::clone(service)
+    }
+
+    /// Returns all services that have or had upstreams.
+    pub(crate) fn services(&self) -> Vec<Arc<Service>> {
+        let services = self.services.read();
+        let services = services.unwrap_or_else(PoisonError::into_inner);
+        services.values().cloned().collect()
+    }
+
+    /// Returns the oldest version of `model` on which a request may begin now.
+    pub(crate) fn least_version(&self, model: &str) -> Option<WeightsVersion> {
+        let now = BootTime::now();
+        let weights = lock(&self.weights);
+        let named = weights.get(model)?.iter();
+        let binding = named.filter(|named| named.binding_from <= now);
+        binding.map(|named| named.version).max()
+    }
+
+    fn take_directory(&self, directory: Directory) {
+        let slot = self.directory.write();
+        let mut slot = slot.unwrap_or_else(PoisonError::into_inner);
+        let before = slot.as_ref().map(|it| it.version());
+        let version = directory.version();
+        let event = match before {
+            Some(before) if version < before => events::CONFIG_OLD,
+            Some(before) if version == before => return,
+            _ => events::CONFIG_IN_FORCE,
+        };
+        event.emit(&[
+            ("version", &version.to_string()),
+            ("before", &before.unwrap_or_default().to_string()),
+            ("routes", &directory.routes().len().to_string()),
+        ]);
+        if event == events::CONFIG_IN_FORCE {
+            *slot = Some(Arc::new(directory));
+        }
+    }
+
+    fn take_weights(&self, weights: NamedWeights) {
+        let is_first = !lock(&self.confirmed).contains_key(&Topic::Settings);
+        let hold = if is_first {
+            self.bounds.weights_at_start
+        } else {
+            self.bounds.weights
+        };
+        let mut all = lock(&self.weights);
+        let named = all.entry(weights.model.clone()).or_default();
+        if named.iter().any(|it| it.version >= weights.version) {
+            return;
+        }
+        named.push(Named {
+            version: weights.version,
+            binding_from: BootTime::now().plus(hold),
+        });
+        events::WEIGHTS_NAMED.emit(&[
+            ("model", &weights.model),
+            ("version", &weights.version.to_string()),
+            ("binding_in_ms", &hold.as_millis().to_string()),
+        ]);
+    }
+
+    fn take_upstream(&self, upstream: Upstream) {
+        let service = self.service(&upstream.service);
+        let home = lock(&self.homes).insert(upstream.id.clone(), upstream.service.clone());
+        if let Some(home) = home
+            && home != upstream.service
+        {
+            self.service(&home).upstreams().remove(&upstream.id);
+        }
+        let version = upstream.models.first().map(|held| held.version);
+        let fields = [
+            ("upstream", upstream.id.clone()),
+            ("service", upstream.service.clone()),
+            ("addr", upstream.addr.to_string()),
+            ("state", upstream.state.to_string()),
+            ("version", version.unwrap_or_default().to_string()),
+        ];
+        if service.upstreams().update(upstream) {
+            let fields: Vec<(&str, &str)> = fields.iter().map(|(k, v)| (*k, v.as_str())).collect();
+            events::UPSTREAM_CHANGED.emit(&fields);
+        }
+    }
+
+    fn remove_upstream(&self, id: &str) {
+        let Some(home) = lock(&self.homes).remove(id) else {
+            return;
+        };
+        if self.service(&home).upstreams().remove(id) {
+            events::UPSTREAM_CHANGED.emit(&[("upstream", id), ("state", "gone")]);
+        }
+    }
+}
+
+impl Sink for View {
+    fn apply(&self, change: Change) {
+        match change {
+            Change::Config(directory) => self.take_directory(*directory),
+            Change::Weights(weights) => self.take_weights(weights),
+            Change::Upstream(upstream) => self.take_upstream(*upstream),
+            Change::Gone(id) => self.remove_upstream(&id),
+            // The follower has told of it; the last good belief stays.
+            Change::Unreadable { .. } => {}
+        }
+    }
+
+    fn confirmed(&self, topic: Topic, as_of: BootTime) {
+        let mut confirmed = lock(&self.confirmed);
+        let latest = confirmed.entry(topic).or_insert(as_of);
+        *latest = as_of.max(*latest);
+    }
+}
+
+/// Locks a mutex; what a panicking thread left is still sound, since every change is one step.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,109 @@
+//! Datagrams by which processes ask an agent for its engine's load and its chunks.
+//!
+//! A question and its answer are one datagram each, in JSON. Losing one costs nothing but the age
+//! of what the asker knows.
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{ModelName, WeightsVersion};
+
+/// A datagram can't be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("a status datagram can't be read ({source}): run the same version everywhere"))]
+pub struct StatusError {
+    source: serde_json::Error,
+}
+
+/// A question to an agent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Query {
+    /// Told back in the answer.
+    #[serde(rename = "n")]
+    pub nonce: u32,
+    /// Weights whose chunks the asker wants to hear of.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub chunks: Option<(ModelName, WeightsVersion)>,
+}
+
+/// An engine's load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadStatus {
+    /// The version of the weights that the engine holds whole; none while it has none.
+    #[serde(rename = "v")]
+    pub version: Option<WeightsVersion>,
+    /// The engine takes nothing new: it is about to load other weights, or loads them.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_switching: bool,
+    /// Requests that wait at the engine.
+    #[serde(rename = "q")]
+    pub queued: u32,
+    /// Requests that the engine works on.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Share of its memory that is taken, 0 to 1.
+    #[serde(rename = "m")]
+    pub memory: f32,
+    /// How many times slower than usual it is.
+    #[serde(rename = "p")]
+    pub pace: f32,
+    /// Age of the figures when the answer was sent, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
+/// Chunks that an agent gives to others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldChunks {
+    /// The model.
+    #[serde(rename = "o")]
+    pub model: ModelName,
+    /// The version of its weights.
+    #[serde(rename = "v")]
+    pub version: WeightsVersion,
+    /// The chunks as a bit set in hexadecimal digits.
+    #[serde(rename = "h")]
+    pub chunks: String,
+}
+
+/// An agent's answer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The question's nonce.
+    #[serde(rename = "n")]
+    pub nonce: u32,
+    /// The engine's load; none while the engine does not answer.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<LoadStatus>,
+    /// The chunks that were asked for.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub chunks: Option<HeldChunks>,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A question to an agent.
+    #[serde(rename = "Q")]
+    Query(Query),
+    /// An agent's answer.
+    #[serde(rename = "S")]
+    Status(Status),
+}
+
+impl Datagram {
+    /// Writes the datagram.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        // A plain struct of numbers and texts is always written.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StatusError`] if it is something else.
+    pub fn from_bytes(buf: &[u8]) -> Result<Self, StatusError> {
+        serde_json::from_slice(buf).context(StatusSnafu)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/upstream.rs
@@ -0,0 +1,62 @@
+//! Upstreams that register themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailreel_core::{DataCentre, ServiceName};
+
+use crate::{ModelName, WeightsVersion};
+
+/// Id of one start of an upstream; a restart has another.
+pub type UpstreamId = String;
+
+/// Whether an upstream takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum UpstreamState {
+    /// It does.
+    #[display("ready")]
+    Ready,
+    /// It finishes what it has and leaves.
+    #[display("draining")]
+    Draining,
+}
+
+/// Weights that an upstream holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedModel {
+    /// The model.
+    pub model: ModelName,
+    /// The version of its weights.
+    pub version: WeightsVersion,
+    /// All layers are there. An engine that holds only some can't serve alone.
+    pub whole: bool,
+}
+
+/// One upstream, as it says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Id of this start of the upstream.
+    pub id: UpstreamId,
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: UpstreamState,
+    /// How much longer it is slow after its start.
+    pub warmup_left: Duration,
+    /// The weights that it holds; empty for a plain service and a new engine.
+    pub models: Vec<LoadedModel>,
+}
+
+impl Upstream {
+    /// Returns the version of `model` that the upstream holds whole.
+    pub fn version_of(&self, model: &str) -> Option<WeightsVersion> {
+        let held = self.models.iter().find(|held| held.model == model)?;
+        held.whole.then_some(held.version)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/direct.rs
@@ -0,0 +1,308 @@
+//! Settings of processes in a fleet whose upstreams name themselves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailreel_core::{DataCentre, Region, ServiceName, VmId};
+
+use crate::fields::{Fields, read_root};
+use crate::listen::{check_listeners, listener};
+use crate::problem::{Problems, SettingsErrors};
+use crate::values::{self, At};
+
+/// How long a revoked key may go on working, unless told otherwise.
+const DEFAULT_KEYS_MS: u64 = 5000;
+
+/// Part of the bound on keys that is kept for a request's own way to the upstream.
+const KEYS_MARGIN: Duration = Duration::from_millis(300);
+
+/// How long requests may begin on older weights, unless told otherwise.
+const DEFAULT_WEIGHTS_MS: u64 = 8000;
+
+/// Part of the bound on weights that is kept for a request's wait at the engine.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
+
+/// Time after a start in which the bound on weights isn't judged, less a margin: a new process
+/// can't know when weights were named.
+const DEFAULT_STABLE_MS: u64 = 3000;
+
+/// How long an accepted configuration may take to be in force, unless told otherwise.
+const DEFAULT_CONFIG_MS: u64 = 2000;
+
+/// How long a process may take to end, unless told otherwise.
+const DEFAULT_GRACE_MS: u64 = 8000;
+
+/// Part of the time to end that is kept for the end itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Retries for each request, unless told otherwise.
+const DEFAULT_RETRY_RATIO: f64 = 0.2;
+
+/// Part of the shared retry budget that is used; entries count in windows of their own.
+const RETRY_SHARE: f64 = 0.75;
+
+/// Longest bound that is taken, in milliseconds.
+const MAX_BOUND_MS: u64 = 600_000;
+
+/// Settings of an entry that sends requests straight to upstreams.
+#[derive(Clone, Debug)]
+pub struct DirectEntrySettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// The region of each data centre.
+    pub regions: BTreeMap<DataCentre, Region>,
+    /// Where the entry listens.
+    pub listen: DirectListen,
+    /// Address of the registry.
+    pub registry: SocketAddr,
+    /// Port of the agents, the same on all VMs.
+    pub agent_port: u16,
+    /// Threads for requests.
+    pub threads: usize,
+    /// What the operators were promised, less the margins.
+    pub bounds: DirectBounds,
+}
+
+/// Where an entry listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DirectListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's questions and metrics.
+    pub status: SocketAddr,
+    /// For the answers of agents.
+    pub agents: SocketAddr,
+}
+
+/// What the operators were promised, less the margins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DirectBounds {
+    /// Oldest belief on which a key is honoured.
+    pub keys: Duration,
+    /// Oldest belief on which a route or key is denied.
+    pub denial: Duration,
+    /// How long requests may begin on older weights after newer ones were named.
+    pub weights: Duration,
+    /// The same for weights that were named before the process started.
+    pub weights_at_start: Duration,
+    /// Retries for each request.
+    pub retry_ratio: f64,
+    /// How long the process may take to end.
+    pub grace: Duration,
+}
+
+/// Settings of an agent that stages weights beside an engine.
+#[derive(Clone, Debug)]
+pub struct StagingAgentSettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// The region of each data centre.
+    pub regions: BTreeMap<DataCentre, Region>,
+    /// The service that the VM's engine runs.
+    pub service: ServiceName,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Where other agents and entries reach the agent, over TCP and UDP.
+    pub listen: SocketAddr,
+    /// Address of the registry.
+    pub registry: SocketAddr,
+    /// How long engines may take to serve weights that were named.
+    pub weights: Duration,
+}
+
+impl DirectEntrySettings {
+    /// Says whether `text` holds settings for a fleet whose upstreams name themselves.
+    pub fn is_meant(text: &str) -> bool {
+        is_direct(text)
+    }
+
+    /// Reads and checks the settings of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake with its place and the remedy.
+    pub fn from_yaml(text: &str) -> Result<Self, SettingsErrors> {
+        read_root(text, read_entry).map_err(|problems| SettingsErrors { problems })
+    }
+}
+
+impl StagingAgentSettings {
+    /// Says whether `text` holds settings for a fleet whose upstreams name themselves.
+    pub fn is_meant(text: &str) -> bool {
+        is_direct(text)
+    }
+
+    /// Reads and checks the settings of an agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake with its place and the remedy.
+    pub fn from_yaml(text: &str) -> Result<Self, SettingsErrors> {
+        read_root(text, read_agent).map_err(|problems| SettingsErrors { problems })
+    }
+}
+
+/// Says whether a line at the root tells that upstreams name themselves.
+fn is_direct(text: &str) -> bool {
+    text.lines().any(|line| {
+        let value = line.strip_prefix("upstreams:").map(str::trim);
+        value.is_some_and(|value| value.trim_matches('"') == "direct")
+    })
+}
+
+fn read_entry(mut f: Fields<'_>, problems: &mut Problems) -> Option<DirectEntrySettings> {
+    let mode = f.required("upstreams", problems, mode);
+    let vm = f.required("vm", problems, values::name);
+    let data_centre = f.required("data_centre", problems, values::name);
+    let regions = f.required("regions", problems, regions);
+    let listen = f.required("listen", problems, listen);
+    let registry = f.required("registry", problems, values::address);
+    let agent_port = f.required("agent_port", problems, port);
+    let threads = f.optional("threads", problems, 1, |at, problems| {
+        values::count(at, problems, "threads", 1..=64)
+    });
+    let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
+    f.finish(problems);
+    mode?;
+    let bounds = bounds?;
+    Some(DirectEntrySettings {
+        vm: vm?,
+        data_centre: data_centre?,
+        regions: regions?,
+        listen: listen?,
+        registry: registry?,
+        agent_port: agent_port?,
+        threads: threads? as usize,
+        bounds: DirectBounds {
+            keys: bounds.keys.saturating_sub(KEYS_MARGIN),
+            denial: bounds.config,
+            weights: bounds.weights.saturating_sub(WEIGHTS_MARGIN),
+            weights_at_start: bounds.stable.saturating_sub(WEIGHTS_MARGIN / 2),
+            retry_ratio: bounds.retry_ratio * RETRY_SHARE,
+            grace: bounds.grace.saturating_sub(GRACE_MARGIN),
+        },
+    })
+}
+
+fn read_agent(mut f: Fields<'_>, problems: &mut Problems) -> Option<StagingAgentSettings> {
+    let mode = f.required("upstreams", problems, mode);
+    let vm = f.required("vm", problems, values::name);
+    let data_centre = f.required("data_centre", problems, values::name);
+    let regions = f.required("regions", problems, regions);
+    let service = f.required("service", problems, values::name);
+    let engine = f.required("engine", problems, values::address);
+    let listen = f.required("listen", problems, values::address);
+    let registry = f.required("registry", problems, values::address);
+    let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
+    f.finish(problems);
+    mode?;
+    Some(StagingAgentSettings {
+        vm: vm?,
+        data_centre: data_centre?,
+        regions: regions?,
+        service: service?,
+        engine: engine?,
+        listen: listen?,
+        registry: registry?,
+        weights: bounds?.weights.saturating_sub(WEIGHTS_MARGIN),
+    })
+}
+
+/// The bounds as they are written, without margins.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    keys: Duration,
+    weights: Duration,
+    stable: Duration,
+    config: Duration,
+    grace: Duration,
+    retry_ratio: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            keys: Duration::from_millis(DEFAULT_KEYS_MS),
+            weights: Duration::from_millis(DEFAULT_WEIGHTS_MS),
+            stable: Duration::from_millis(DEFAULT_STABLE_MS),
+            config: Duration::from_millis(DEFAULT_CONFIG_MS),
+            grace: Duration::from_millis(DEFAULT_GRACE_MS),
+            retry_ratio: DEFAULT_RETRY_RATIO,
+        }
+    }
+}
+
+fn bounds(at: &At<'_>, problems: &mut Problems) -> Option<Bounds> {
+    let usual = Bounds::default();
+    let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
+    let mut bound = |name, default| {
+        f.optional(name, problems, default, |at, problems| {
+            values::milliseconds(at, problems, 100..=MAX_BOUND_MS)
+        })
+    };
+    let keys = bound("keys_ms", usual.keys);
+    let weights = bound("weights_ms", usual.weights);
+    let stable = bound("stable_ms", usual.stable);
+    let config = bound("config_ms", usual.config);
+    let grace = bound("grace_ms", usual.grace);
+    let retry_ratio = f.optional(
+        "retry_ratio",
+        problems,
+        usual.retry_ratio,
+        |at, problems| {
+            values::number(at, problems, "write a share from 0 to 1", |share| {
+                (0.0..=1.0).contains(&share)
+            })
+        },
+    );
+    f.finish(problems);
+    Some(Bounds {
+        keys: keys?,
+        weights: weights?,
+        stable: stable?,
+        config: config?,
+        grace: grace?,
+        retry_ratio: retry_ratio?,
+    })
+}
+
+fn mode(at: &At<'_>, problems: &mut Problems) -> Option<()> {
+    values::choice(at, problems, &[("direct", ())])
+}
+
+fn listen(at: &At<'_>, problems: &mut Problems) -> Option<DirectListen> {
+    let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
+    let mut all = Vec::new();
+    let mut read = |at: &At<'_>, problems: &mut Problems| listener(at, problems, &mut all);
+    let callers = f.required("callers", problems, &mut read);
+    let status = f.required("status", problems, &mut read);
+    let agents = f.required("agents", problems, &mut read);
+    f.finish(problems);
+    check_listeners(&all, problems);
+    Some(DirectListen {
+        callers: callers?,
+        status: status?,
+        agents: agents?,
+    })
+}
+
+fn regions(at: &At<'_>, problems: &mut Problems) -> Option<BTreeMap<DataCentre, Region>> {
+    let places = values::list(at, problems, |at, problems| {
+        let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
+        let data_centre = f.required("data_centre", problems, values::name);
+        let region = f.required("region", problems, values::name);
+        f.finish(problems);
+        Some((data_centre?, region?))
+    })?;
+    Some(places.into_iter().collect())
+}
+
+fn port(at: &At<'_>, problems: &mut Problems) -> Option<u16> {
+    let port = values::count(at, problems, "port", 1..=65535)?;
+    u16::try_from(port).ok()
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! gets every mistake at once, each with its place and the remedy.
 
 mod agent;
+mod direct;
 mod document;
 mod entry;
 mod fields;
@@ -16,6 +17,7 @@
 mod values;
 
 pub use agent::{AgentListen, AgentPlatform, AgentSettings, UpstreamSettings, WeightsSettings};
+pub use direct::{DirectBounds, DirectEntrySettings, DirectListen, StagingAgentSettings};
 pub use document::{MAX_DOCUMENT_BYTES, check_document, check_document_for};
 pub use entry::{
     ConfigSettings, CustomerSettings, EntryListen, EntryPlatform, EntrySettings, OrderSettings,
--- /dev/null
+++ b/crates/stage/src/fetch.rs
@@ -0,0 +1,378 @@
+//! Brings the chunks of one version into the shelf.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::MissedTickBehavior;
+use wagtailreel_adapters::HttpClient;
+use wagtailreel_core::{SpreadSettings, VmEntry, VmId, VmRole, VmState, Weigh, rank_score};
+use wagtailreel_fleet::{Change, Registry, Topic, Upstream};
+use wagtailreel_spread::{
+    Action, ChunkSet, Event, Failure, Fetch, FetchId, Planner, PlannerConfig, Site, Source, Tuning,
+};
+
+use crate::manifest::ChunkManifest;
+use crate::origin::{ChunkOrigin, OriginTrouble};
+use crate::process::Surroundings;
+use crate::status::{ALL_CHUNKS, PeerChunks};
+use crate::{StagedEngine, events, peers};
+
+/// Time between two questions to neighbours about their chunks. A chunk takes 42 ms over a link of
+/// 9.4 Mbit/s.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+
+/// Time between two looks at what takes long.
+const TICK: Duration = Duration::from_millis(25);
+
+/// A neighbour that was silent for so long counts as lost, until it answers.
+const SILENT: Duration = Duration::from_millis(500);
+
+/// Time between two reads of the registry for agents that came or went.
+const PEERS_EVERY: Duration = Duration::from_millis(1500);
+
+/// How long the registry may take to list the upstreams.
+const LIST_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Numbers of the planner for chunks that take tens of milliseconds.
+fn tuning() -> Tuning {
+    Tuning {
+        learn: Duration::from_millis(120),
+        stall: Duration::from_millis(500),
+        lost_after: Duration::from_millis(500),
+        first_guess: Duration::from_millis(150),
+        patience: Duration::from_millis(250),
+        penalty: Duration::from_millis(100),
+        origin_pause: Duration::from_millis(100),
+        origin_pause_most: Duration::from_millis(800),
+        ..Tuning::default()
+    }
+}
+
+/// One fetch's end.
+struct Ended {
+    fetch: Fetch,
+    result: Result<Bytes, Failure>,
+}
+
+/// Reads the agents of the own service out of the registry, the own one left out.
+pub(crate) async fn list_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Option<Vec<VmEntry>>
+where
+    R: Registry,
+{
+    let snapshot = cx.registry.newest(Topic::Upstreams, LIST_TIMEOUT).await;
+    let snapshot = snapshot.ok()?;
+    let upstreams = snapshot.items.into_iter().filter_map(|it| match it.change {
+        Change::Upstream(upstream) => Some(upstream),
+        _ => None,
+    });
+    let own = cx.settings.listen.ip();
+    let peers = upstreams
+        .filter(|it| it.service == cx.settings.service && it.addr.ip() != own)
+        .map(|it| (it.addr.ip(), entry(&it, cx)));
+    // Two starts of one engine are one agent.
+    let peers: BTreeMap<IpAddr, VmEntry> = peers.collect();
+    Some(peers.into_values().collect())
+}
+
+fn entry<R, E, O>(upstream: &Upstream, cx: &Surroundings<R, E, O>) -> VmEntry {
+    let agent = SocketAddr::new(upstream.addr.ip(), cx.settings.listen.port());
+    let regions = &cx.settings.regions;
+    VmEntry {
+        vm: upstream.addr.ip().to_string(),
+        data_centre: upstream.data_centre.clone(),
+        region: regions
+            .get(&upstream.data_centre)
+            .cloned()
+            .unwrap_or_default(),
+        role: VmRole::Upstream,
+        // An engine that leaves goes on for a while, and so does its agent.
+        state: VmState::Live,
+        service: Some(upstream.service.clone()),
+        control: agent,
+        data: agent,
+    }
+}
+
+/// Brings all chunks of `manifest` into the shelf; ends only once they are there.
+pub(crate) async fn bring<R, E, O>(
+    cx: Arc<Surroundings<R, E, O>>,
+    manifest: Arc<ChunkManifest>,
+    origin: Option<SocketAddr>,
+    read_stage: bool,
+) where
+    R: Registry,
+    E: StagedEngine,
+    O: ChunkOrigin,
+{
+    cx.shelf.open(&manifest);
+    if read_stage {
+        read_own_stage(&cx, &manifest).await;
+    }
+    let have = cx.shelf.have(&manifest.model, manifest.version);
+    let have = have.unwrap_or_else(|| ChunkSet::new(manifest.count()));
+    events::FETCH_BEGUN.emit(&[
+        ("model", &manifest.model),
+        ("version", &manifest.version.to_string()),
+        ("have", &have.count().to_string()),
+        ("chunks", &manifest.count().to_string()),
+    ]);
+    let mut bringing = Bringing::new(cx, manifest, origin, have);
+    bringing.run().await;
+}
+
+/// Takes the chunks that the engine has staged and that are what they should be.
+async fn read_own_stage<R, E, O>(cx: &Surroundings<R, E, O>, manifest: &ChunkManifest)
+where
+    E: StagedEngine,
+{
+    // An engine that can't say what it has staged has nothing that is of use.
+    let Ok(staged) = cx.engine.staged(&manifest.model).await else {
+        return;
+    };
+    for chunk in staged {
+        if let Ok(Some(data)) = cx.engine.read_staged(&manifest.model, chunk).await {
+            cx.shelf.put(manifest, chunk, data);
+        }
+    }
+}
+
+/// The shell round a planner.
+struct Bringing<R, E, O> {
+    cx: Arc<Surroundings<R, E, O>>,
+    manifest: Arc<ChunkManifest>,
+    origin: Option<SocketAddr>,
+    planner: Planner,
+    peers: BTreeMap<VmId, SocketAddr>,
+    heard: BTreeMap<VmId, Instant>,
+    fetches: JoinSet<Ended>,
+    running: BTreeMap<FetchId, AbortHandle>,
+    client: HttpClient,
+    started: Instant,
+    from_origin: u32,
+}
+
+impl<R, E, O> Bringing<R, E, O>
+where
+    R: Registry,
+    E: StagedEngine,
+    O: ChunkOrigin,
+{
+    fn new(
+        cx: Arc<Surroundings<R, E, O>>,
+        manifest: Arc<ChunkManifest>,
+        origin: Option<SocketAddr>,
+        have: ChunkSet,
+    ) -> Self {
+        let now = Instant::now();
+        let own = cx.settings.listen.ip().to_string();
+        let data_centre = cx.settings.data_centre.clone();
+        let region = cx.settings.regions.get(&data_centre).cloned();
+        let planner = Planner::new(
+            PlannerConfig {
+                own: Site {
+                    vm: own.clone(),
+                    data_centre,
+                    region: region.unwrap_or_default(),
+                },
+                chunks: manifest.digests.clone(),
+                have,
+                settings: SpreadSettings {
+                    weigh: Weigh::OriginBytes,
+                    ..SpreadSettings::default()
+                },
+                seed: rank_score(&manifest.version.to_be_bytes(), &own),
+            },
+            now,
+        )
+        .with_tuning(tuning());
+        Self {
+            cx,
+            manifest,
+            origin,
+            planner,
+            peers: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            fetches: JoinSet::new(),
+            running: BTreeMap::new(),
+            client: HttpClient::new(),
+            started: now,
+            from_origin: 0,
+        }
+    }
+
+    async fn run(&mut self) {
+        let cx = Arc::clone(&self.cx);
+        let mut chunks = cx.peer_chunks.lock().await;
+        // What was said before this fetch began is of another version or old.
+        while chunks.try_recv().is_ok() {}
+        let mut asks = tokio::time::interval(ASK_EVERY);
+        let mut ticks = tokio::time::interval(TICK);
+        let mut lists = tokio::time::interval(PEERS_EVERY);
+        for interval in [&mut asks, &mut ticks, &mut lists] {
+            interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        }
+        while !self.planner.is_done() {
+            tokio::select! {
+                _ = lists.tick() => self.read_peers().await,
+                _ = asks.tick() => self.ask(),
+                _ = ticks.tick() => self.apply(Event::Tick),
+                Some(said) = recv(&mut chunks) => self.take_chunks(&said),
+                Some(ended) = self.fetches.join_next() => {
+                    // A fetch that was dropped has nothing to tell.
+                    if let Ok(ended) = ended {
+                        self.take_end(ended);
+                    }
+                }
+            }
+        }
+        events::FETCH_DONE.emit(&[
+            ("model", &self.manifest.model),
+            ("version", &self.manifest.version.to_string()),
+            ("from_origin", &self.from_origin.to_string()),
+            ("peers", &self.peers.len().to_string()),
+            ("ms", &self.started.elapsed().as_millis().to_string()),
+        ]);
+    }
+
+    /// Reads the other agents anew; without an answer those of before stay.
+    async fn read_peers(&mut self) {
+        let Some(peers) = list_peers(&self.cx).await else {
+            self.apply(Event::Tick);
+            return;
+        };
+        self.peers = peers.iter().map(|it| (it.vm.clone(), it.data)).collect();
+        self.apply(Event::Peers(peers));
+        self.ask();
+    }
+
+    /// Asks the neighbours what they have, and takes note of the silent ones.
+    fn ask(&mut self) {
+        let now = Instant::now();
+        let watched: Vec<VmId> = self.planner.watched().iter().cloned().collect();
+        for vm in watched {
+            let Some(addr) = self.peers.get(&vm) else {
+                continue;
+            };
+            let (model, version) = (&self.manifest.model, self.manifest.version);
+            self.cx.board.ask(*addr, model, version);
+            let heard = *self.heard.entry(vm.clone()).or_insert(now);
+            if now.saturating_duration_since(heard) > SILENT {
+                self.apply(Event::Lost { vm });
+            }
+        }
+    }
+
+    fn take_chunks(&mut self, said: &PeerChunks) {
+        let vm = said.ip.to_string();
+        self.heard.insert(vm.clone(), Instant::now());
+        let is_ours =
+            said.held.model == self.manifest.model && said.held.version == self.manifest.version;
+        if !is_ours {
+            return;
+        }
+        let count = self.manifest.count();
+        let have = if said.held.chunks == ALL_CHUNKS {
+            let mut all = ChunkSet::new(count);
+            for chunk in 0..count {
+                all.insert(chunk);
+            }
+            Some(all)
+        } else {
+            ChunkSet::from_hex(&said.held.chunks, count)
+        };
+        if let Some(have) = have {
+            self.apply(Event::Have { vm, have });
+        }
+    }
+
+    fn take_end(&mut self, ended: Ended) {
+        let Ended { fetch, result } = ended;
+        self.running.remove(&fetch.id);
+        let event = match result {
+            Ok(data) => self.take_bytes(&fetch, data),
+            Err(failure) => Event::Failed {
+                id: fetch.id,
+                failure,
+            },
+        };
+        self.apply(event);
+    }
+
+    /// Keeps a chunk that is the right one.
+    fn take_bytes(&mut self, fetch: &Fetch, data: Bytes) -> Event {
+        if self.cx.shelf.put(&self.manifest, fetch.chunk, data) {
+            self.from_origin += u32::from(fetch.from == Source::Origin);
+            return Event::Fetched {
+                id: fetch.id,
+                chunk: fetch.chunk,
+            };
+        }
+        events::CHUNK_CORRUPT.emit(&[
+            ("giver", &fetch.from.to_string()),
+            ("chunk", &fetch.chunk.to_string()),
+        ]);
+        Event::Failed {
+            id: fetch.id,
+            failure: Failure::Corrupt,
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        for action in self.planner.apply(event, Instant::now()) {
+            match action {
+                Action::Fetch(fetch) => self.start(fetch),
+                Action::Cancel { id } => {
+                    if let Some(running) = self.running.remove(&id) {
+                        running.abort();
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, fetch: Fetch) {
+        let id = fetch.id;
+        let model = self.manifest.model.clone();
+        let version = self.manifest.version;
+        let client = self.client.clone();
+        let source = self.cx.origin.clone();
+        let peer = match &fetch.from {
+            Source::Origin => self.origin,
+            Source::Peer(vm) => self.peers.get(vm).copied(),
+        };
+        let running = self.fetches.spawn(async move {
+            let result = match (&fetch.from, peer) {
+                (_, None) => Err(Failure::Absent),
+                (Source::Peer(_), Some(peer)) => {
+                    peers::chunk(&client, peer, &model, version, fetch.chunk).await
+                }
+                (Source::Origin, Some(origin)) => {
+                    let chunk = source.chunk(origin, &model, version, fetch.chunk).await;
+                    chunk.map_err(|trouble| failure(&trouble))
+                }
+            };
+            Ended { fetch, result }
+        });
+        self.running.insert(id, running);
+    }
+}
+
+async fn recv(chunks: &mut UnboundedReceiver<PeerChunks>) -> Option<PeerChunks> {
+    chunks.recv().await
+}
+
+fn failure(trouble: &OriginTrouble) -> Failure {
+    match trouble {
+        OriginTrouble::Refused { retry_after, .. } => Failure::Busy {
+            retry_after: *retry_after,
+        },
+        OriginTrouble::Gone => Failure::Absent,
+        OriginTrouble::Silent { .. } => Failure::Broken,
+        OriginTrouble::Unreadable { .. } => Failure::Corrupt,
+    }
+}
--- /dev/null
+++ b/crates/stage/src/lib.rs
@@ -0,0 +1,29 @@
+//! Brings weights to an engine that takes them in chunks, without standing in its requests' way.
+//!
+//! [`StagingAgent`] is the process beside such an engine. It learns from the registry which weights
+//! are to be served, fetches their chunks from other agents and the origin as a
+//! `wagtailreel_spread::Planner` decides, stages them at the engine and has it load them; and it
+//! tells entries and other agents, by datagrams, how loaded the engine is and which chunks it can
+//! give. What it does next is decided by [`Rollout`], apart from sockets.
+
+mod askers;
+mod beliefs;
+mod engine;
+pub mod events;
+mod fetch;
+mod loading;
+mod manifest;
+mod origin;
+mod peers;
+mod process;
+mod rollout;
+mod serve;
+mod shelf;
+mod status;
+
+pub use engine::{EngineReport, EngineTrouble, OrderEnd, StagedEngine};
+pub use manifest::{ChunkManifest, DigestKind};
+pub use origin::{ChunkOrigin, OriginTrouble};
+pub use process::{StageError, StagingAgent};
+pub use rollout::{Rollout, Situation, Target, Todo};
+pub use shelf::Shelf;
--- /dev/null
+++ b/crates/stage/src/loading.rs
@@ -0,0 +1,336 @@
+//! Looks after one engine: learns its state, and carries out what the rollout decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::time::MissedTickBehavior;
+use tokio_util::task::AbortOnDropHandle;
+use wagtailreel_core::ChunkIndex;
+use wagtailreel_fleet::{ModelName, Registry, WeightsVersion};
+
+use crate::beliefs::Wanted;
+use crate::manifest::ChunkManifest;
+use crate::origin::ChunkOrigin;
+use crate::process::Surroundings;
+use crate::{
+    EngineReport, OrderEnd, Rollout, Situation, StagedEngine, Target, Todo, events, fetch, peers,
+};
+
+/// Time between two looks at the engine. Its figures are some hundred milliseconds old as it is.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// How long entries have to hear that the engine takes nothing new before it is told to load.
+const NOTICE: Duration = Duration::from_millis(30);
+
+/// Longest time between staging the first chunk and the order to load. Staged chunks may be spoilt
+/// at any time, and the engine doesn't compare them.
+const STAGING: Duration = Duration::from_millis(2200);
+
+/// Longest time between the order to load and the engine's word that it is loading.
+const ORDER_SETTLES: Duration = Duration::from_millis(600);
+
+/// Pause before a manifest is asked for again.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Agents that are asked for a manifest before the origin is.
+const MANIFEST_PEERS: usize = 3;
+
+/// A fetch under way.
+struct Fetching {
+    version: WeightsVersion,
+    task: AbortOnDropHandle<()>,
+}
+
+/// Looks after one engine.
+pub(crate) struct Keeper<R, E, O> {
+    cx: Arc<Surroundings<R, E, O>>,
+    rollout: Rollout,
+    report: Option<EngineReport>,
+    target: Option<Target>,
+    fetching: Option<Fetching>,
+    resolving: Option<AbortOnDropHandle<Option<Arc<ChunkManifest>>>>,
+    ordered_at: Option<Instant>,
+}
+
+impl<R, E, O> Keeper<R, E, O>
+where
+    R: Registry,
+    E: StagedEngine,
+    O: ChunkOrigin,
+{
+    pub(crate) fn new(cx: Arc<Surroundings<R, E, O>>) -> Self {
+        let own = cx.settings.listen.ip().to_string();
+        let rollout = Rollout::new(own, cx.settings.weights, Instant::now());
+        Self {
+            cx,
+            rollout,
+            report: None,
+            target: None,
+            fetching: None,
+            resolving: None,
+            ordered_at: None,
+        }
+    }
+
+    /// Runs for as long as it is not dropped.
+    pub(crate) async fn run(mut self) {
+        let cx = Arc::clone(&self.cx);
+        let mut looks = tokio::time::interval(LOOK_EVERY);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = looks.tick() => {}
+                () = cx.beliefs.changed.notified() => {}
+            }
+            let wanted = cx.beliefs.wanted();
+            self.look(wanted.as_ref()).await;
+            let Some(wanted) = wanted else {
+                continue;
+            };
+            self.aim(&wanted).await;
+            self.act(&wanted).await;
+        }
+    }
+
+    /// Asks the engine for its state and tells of it.
+    async fn look(&mut self, wanted: Option<&Wanted>) {
+        let model = wanted
+            .map(|wanted| wanted.model.as_str())
+            .unwrap_or_default();
+        let report = self.cx.engine.report().await;
+        let reason = report.as_ref().err().map(ToString::to_string);
+        self.report = report.ok();
+        if self.cx.board.set_report(model, self.report.clone()) {
+            let report = self.report.as_ref();
+            let version = report.and_then(|report| report.version_of(model));
+            events::ENGINE_CHANGED.emit(&[
+                ("version", &version.unwrap_or_default().to_string()),
+                ("answers", &self.report.is_some().to_string()),
+                ("reason", &reason.unwrap_or_default()),
+            ]);
+            self.cx.board.tell_all();
+        }
+        self.settle(model);
+    }
+
+    /// Lets requests come again once the order to load was carried out, or came to nothing.
+    fn settle(&mut self, model: &str) {
+        let Some(ordered_at) = self.ordered_at else {
+            return;
+        };
+        let is_busy = self.report.as_ref().is_some_and(|report| report.is_busy);
+        let held = self.report.as_ref().and_then(|it| it.version_of(model));
+        let target = self.target.as_ref().map(|target| target.version);
+        let is_done = held.is_some() && held >= target;
+        let is_over = !is_busy && ordered_at.elapsed() > ORDER_SETTLES;
+        if !is_done && !is_over {
+            return;
+        }
+        self.ordered_at = None;
+        self.cx.board.set_switching(false);
+        if let (true, Some(version)) = (is_done, held) {
+            self.cx.shelf.release(model, version);
+        }
+    }
+
+    /// Sets the target by what was named, or by the newest manifest if nothing was.
+    async fn aim(&mut self, wanted: &Wanted) {
+        let known = self.target.as_ref().filter(|it| it.model == wanted.model);
+        let known = known.map(|target| target.version);
+        if let Some((version, named_at)) = wanted.version {
+            if known != Some(version) {
+                self.target = Some(Target {
+                    model: wanted.model.clone(),
+                    version,
+                    named_at,
+                });
+                self.resolving = None;
+            }
+            return;
+        }
+        let holds = self
+            .report
+            .as_ref()
+            .and_then(|it| it.version_of(&wanted.model));
+        if known.is_some() || holds.is_some() || self.report.is_none() {
+            return;
+        }
+        if let Some(manifest) = self.resolve(&wanted.model, None, wanted.origin).await {
+            self.target = Some(Target {
+                model: manifest.model.clone(),
+                version: manifest.version,
+                named_at: None,
+            });
+        }
+    }
+
+    /// Returns a manifest once it is there; asks for it meanwhile.
+    async fn resolve(
+        &mut self,
+        model: &ModelName,
+        version: Option<WeightsVersion>,
+        origin: Option<SocketAddr>,
+    ) -> Option<Arc<ChunkManifest>> {
+        if let Some(manifest) = self.cx.shelf.manifest(model, version) {
+            return Some(manifest);
+        }
+        let Some(resolving) = &mut self.resolving else {
+            let cx = Arc::clone(&self.cx);
+            let asking = ask_manifest(cx, model.clone(), version, origin);
+            self.resolving = Some(AbortOnDropHandle::new(tokio::spawn(asking)));
+            return None;
+        };
+        if !resolving.is_finished() {
+            return None;
+        }
+        let resolved = resolving.await;
+        self.resolving = None;
+        // A task that failed is started again with the next look.
+        let manifest = resolved.ok().flatten()?;
+        self.cx.shelf.open(&manifest);
+        Some(manifest)
+    }
+
+    async fn act(&mut self, wanted: &Wanted) {
+        let has_all = self
+            .target
+            .as_ref()
+            .is_some_and(|target| self.cx.shelf.is_full(&target.model, target.version));
+        let situation = Situation {
+            report: self.report.as_ref(),
+            target: self.target.as_ref(),
+            has_all,
+        };
+        let todo = self.rollout.next(situation, Instant::now());
+        let Some(target) = self.target.clone() else {
+            return;
+        };
+        match todo {
+            Todo::Wait => {}
+            Todo::Fetch => self.fetch(&target, wanted.origin).await,
+            Todo::Load if self.ordered_at.is_none() => self.load(&target).await,
+            Todo::Load => {}
+        }
+    }
+
+    async fn fetch(&mut self, target: &Target, origin: Option<SocketAddr>) {
+        let running = self.fetching.as_ref();
+        if running.is_some_and(|it| it.version == target.version && !it.task.is_finished()) {
+            return;
+        }
+        self.fetching = None;
+        let manifest = self.resolve(&target.model, Some(target.version), origin);
+        let Some(manifest) = manifest.await else {
+            return;
+        };
+        // An engine that serves an older version has that one staged.
+        let report = self.report.as_ref();
+        let serves = report.and_then(|it| it.version_of(&target.model));
+        let read_stage = serves.is_none();
+        let cx = Arc::clone(&self.cx);
+        let task = tokio::spawn(fetch::bring(cx, manifest, origin, read_stage));
+        self.fetching = Some(Fetching {
+            version: target.version,
+            task: AbortOnDropHandle::new(task),
+        });
+    }
+
+    /// Stages all chunks and has the engine load them.
+    async fn load(&mut self, target: &Target) {
+        let started = Instant::now();
+        let Some(chunks) = self.chunks(target) else {
+            return;
+        };
+        if let Err(reason) = self.stage(target, chunks).await {
+            events::STAGING_FAILED.emit(&[("reason", &reason)]);
+            self.rollout.order_failed(Instant::now());
+            return;
+        }
+        self.cx.board.set_switching(true);
+        tokio::time::sleep(NOTICE).await;
+        let orders = self.report.as_ref().map_or(0, |report| report.orders);
+        let took = started.elapsed();
+        let ended = if took > STAGING {
+            "staged-too-slowly".to_owned()
+        } else {
+            let ended = self
+                .cx
+                .engine
+                .load(&target.model, target.version, orders)
+                .await;
+            match ended {
+                Ok(OrderEnd::Begun | OrderEnd::InEffect) => {
+                    self.ordered_at = Some(Instant::now());
+                    "begun".to_owned()
+                }
+                Ok(other) => other.to_string(),
+                // It may have been taken: the engine's state will tell.
+                Err(trouble) => {
+                    self.ordered_at = Some(Instant::now());
+                    trouble.to_string()
+                }
+            }
+        };
+        if self.ordered_at.is_none() {
+            self.cx.board.set_switching(false);
+            self.rollout.order_failed(Instant::now());
+        }
+        events::LOAD_ORDERED.emit(&[
+            ("model", &target.model),
+            ("version", &target.version.to_string()),
+            ("orders", &orders.to_string()),
+            ("outcome", &ended),
+            ("staging_ms", &took.as_millis().to_string()),
+        ]);
+    }
+
+    fn chunks(&self, target: &Target) -> Option<Vec<Bytes>> {
+        let shelf = &self.cx.shelf;
+        let manifest = shelf.manifest(&target.model, Some(target.version))?;
+        let count = manifest.count();
+        let chunks = (0..count).map(|chunk| shelf.get(&target.model, target.version, chunk));
+        chunks.collect()
+    }
+
+    async fn stage(&self, target: &Target, chunks: Vec<Bytes>) -> Result<(), String> {
+        let indexes: std::ops::RangeFrom<ChunkIndex> = 0..;
+        for (chunk, data) in indexes.zip(chunks) {
+            let staged = self.cx.engine.stage(&target.model, chunk, data).await;
+            staged.map_err(|trouble| trouble.to_string())?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks other agents and then the origin for a manifest.
+async fn ask_manifest<R, E, O>(
+    cx: Arc<Surroundings<R, E, O>>,
+    model: ModelName,
+    version: Option<WeightsVersion>,
+    origin: Option<SocketAddr>,
+) -> Option<Arc<ChunkManifest>>
+where
+    R: Registry,
+    O: ChunkOrigin,
+{
+    let mut peers_known = fetch::list_peers(&cx).await.unwrap_or_default();
+    // Those near first: the bytes of another data centre are dear.
+    peers_known.sort_by_key(|peer| peer.data_centre != cx.settings.data_centre);
+    for peer in peers_known.iter().take(MANIFEST_PEERS) {
+        if let Some(manifest) = peers::manifest(&cx.client, peer.data, &model, version).await {
+            return Some(Arc::new(manifest));
+        }
+    }
+    let reason = match origin {
+        None => "no origin is known".to_owned(),
+        Some(origin) => match cx.origin.manifest(origin, &model, version).await {
+            Ok(manifest) => return Some(Arc::new(manifest)),
+            Err(trouble) => trouble.to_string(),
+        },
+    };
+    events::MANIFEST_MISSING.emit(&[("model", &model), ("reason", &reason)]);
+    tokio::time::sleep(MANIFEST_PAUSE).await;
+    None
+}
--- /dev/null
+++ b/crates/stage/src/manifest.rs
@@ -0,0 +1,52 @@
+//! What the chunks of a model's weights have to be.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use wagtailreel_core::{ChunkIndex, Digest};
+use wagtailreel_fleet::{ModelName, WeightsVersion};
+
+/// How digests are computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DigestKind {
+    /// BLAKE3, the product's own.
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+impl DigestKind {
+    /// Computes the digest of `data`.
+    pub fn of(self, data: &[u8]) -> Digest {
+        match self {
+            Self::Blake3 => Digest::of(data),
+            Self::Sha256 => Digest::new(Sha256::digest(data).into()),
+        }
+    }
+}
+
+/// The chunks of one version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkManifest {
+    /// The model.
+    pub model: ModelName,
+    /// The version of its weights.
+    pub version: WeightsVersion,
+    /// How the digests are computed.
+    pub kind: DigestKind,
+    /// Digest of each chunk, in order.
+    pub digests: Vec<Digest>,
+}
+
+impl ChunkManifest {
+    /// Says whether `data` is the chunk `index`.
+    pub fn fits(&self, index: ChunkIndex, data: &[u8]) -> bool {
+        let digest = self.digests.get(index as usize);
+        digest.is_some_and(|digest| *digest == self.kind.of(data))
+    }
+
+    /// Returns how many chunks there are.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.digests.len()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/stage/src/peers.rs
@@ -0,0 +1,75 @@
+//! Asks other agents for chunks and manifests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use wagtailreel_adapters::{Body, HttpClient, collect_body};
+use wagtailreel_core::ChunkIndex;
+use wagtailreel_fleet::{ModelName, WeightsVersion};
+use wagtailreel_spread::Failure;
+
+use crate::ChunkManifest;
+
+/// How long another agent may take to answer. A planner gives a slow fetch up before.
+const ANSWER: Duration = Duration::from_millis(2500);
+
+/// How long another agent may take to give a manifest; another or the origin is asked after it.
+const MANIFEST_ANSWER: Duration = Duration::from_millis(250);
+
+/// How long an answer may stall.
+const STALL: Duration = Duration::from_millis(1000);
+
+/// Longest chunk or manifest that is taken, in bytes.
+const LONGEST: usize = 16 << 20;
+
+/// Reads a chunk from another agent; its digest is still to be compared.
+pub(crate) async fn chunk(
+    client: &HttpClient,
+    peer: SocketAddr,
+    model: &ModelName,
+    version: WeightsVersion,
+    chunk: ChunkIndex,
+) -> Result<Bytes, Failure> {
+    let path = format!("/v1/chunks/{model}/{version}/{chunk}");
+    get(client, peer, &path, ANSWER).await
+}
+
+/// Reads a manifest from another agent, of the newest version that it has if none is named.
+pub(crate) async fn manifest(
+    client: &HttpClient,
+    peer: SocketAddr,
+    model: &ModelName,
+    version: Option<WeightsVersion>,
+) -> Option<ChunkManifest> {
+    let query = version.map(|version| format!("?version={version}"));
+    let path = format!("/v1/manifests/{model}{}", query.unwrap_or_default());
+    let body = get(client, peer, &path, MANIFEST_ANSWER).await.ok()?;
+    let manifest: ChunkManifest = serde_json::from_slice(&body).ok()?;
+    let fits = manifest.model == *model && version.is_none_or(|it| it == manifest.version);
+    fits.then_some(manifest)
+}
+
+async fn get(
+    client: &HttpClient,
+    peer: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<Bytes, Failure> {
+    let uri = format!("http://{peer}{path}");
+    let Ok(req) = Request::get(&uri).body(Body::default()) else {
+        return Err(Failure::Absent);
+    };
+    let answer = client.request_within(req, timeout).await;
+    let Ok(response) = answer else {
+        return Err(Failure::Broken);
+    };
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => return Err(Failure::Absent),
+        _ => return Err(Failure::Busy { retry_after: None }),
+    }
+    let body = collect_body(&uri, response.into_body(), LONGEST, STALL).await;
+    body.map_err(|_| Failure::Broken)
+}
--- /dev/null
+++ b/crates/stage/src/process.rs
@@ -0,0 +1,131 @@
+//! Starting and stopping an agent that stages weights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Mutex;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::JoinSet;
+use wagtailreel_adapters::HttpClient;
+use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
+use wagtailreel_settings::StagingAgentSettings;
+
+use crate::beliefs::Beliefs;
+use crate::loading::Keeper;
+use crate::origin::ChunkOrigin;
+use crate::serve::{Giving, router};
+use crate::shelf::Shelf;
+use crate::status::{PeerChunks, StatusBoard};
+use crate::{StagedEngine, events};
+
+/// How long the registry may hold a read of the settings. Weights that are named end the wait; a
+/// connection that has gone silent is noticed after it.
+const SETTINGS_WAIT: Duration = Duration::from_millis(2500);
+
+/// How much longer than its wait a read may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// An agent can't start.
+#[derive(Debug, Snafu)]
+pub enum StageError {
+    /// The address can't be used.
+    #[snafu(display("listen: can't use {addr} ({source}): choose a free address"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// What all tasks of an agent share.
+#[derive(Debug)]
+pub(crate) struct Surroundings<R, E, O> {
+    pub(crate) settings: StagingAgentSettings,
+    pub(crate) registry: R,
+    pub(crate) engine: E,
+    pub(crate) origin: O,
+    pub(crate) client: HttpClient,
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) shelf: Arc<Shelf>,
+    pub(crate) board: Arc<StatusBoard>,
+    pub(crate) peer_chunks: Mutex<UnboundedReceiver<PeerChunks>>,
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct StagingAgent {
+    vm: String,
+    tasks: JoinSet<()>,
+}
+
+impl StagingAgent {
+    /// Starts an agent on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StageError`] if its address can't be used.
+    pub async fn start<R, E, O>(
+        settings: StagingAgentSettings,
+        registry: R,
+        engine: E,
+        origin: O,
+    ) -> Result<Self, StageError>
+    where
+        R: Registry,
+        E: StagedEngine,
+        O: ChunkOrigin,
+    {
+        let addr = settings.listen;
+        let listener = TcpListener::bind(addr)
+            .await
+            .context(ListenSnafu { addr })?;
+        let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
+        let vm = settings.vm.clone();
+        let (tx, rx) = unbounded_channel();
+        let shelf = Arc::new(Shelf::default());
+        let board = Arc::new(StatusBoard::new(Arc::clone(&shelf), socket));
+        let beliefs = Arc::new(Beliefs::new(settings.service.clone()));
+        let giving = Giving::new(Arc::clone(&shelf), engine.clone());
+        let cx = Arc::new(Surroundings {
+            settings,
+            registry: registry.clone(),
+            engine,
+            origin,
+            client: HttpClient::new(),
+            beliefs: Arc::clone(&beliefs),
+            shelf,
+            board: Arc::clone(&board),
+            peer_chunks: Mutex::new(rx),
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(board.run(tx));
+        tasks.spawn(follow(registry, beliefs, settings_follow()));
+        tasks.spawn(Keeper::new(cx).run());
+        tasks.spawn(async move {
+            // The listener ends only with the process.
+            let _ = axum::serve(listener, router(Arc::new(giving))).await;
+        });
+        events::STARTED.emit(&[("vm", &vm), ("listen", &addr.to_string())]);
+        Ok(Self { vm, tasks })
+    }
+
+    /// Ends the agent.
+    pub fn shutdown(mut self) {
+        self.tasks.abort_all();
+        events::STOPPED.emit(&[("vm", &self.vm)]);
+    }
+}
+
+fn settings_follow() -> FollowConfig {
+    FollowConfig {
+        topic: Topic::Settings,
+        wait: SETTINGS_WAIT,
+        pace: Duration::ZERO,
+        timeout: READ_TIMEOUT,
+        lapse_hold: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/stage/src/status.rs
@@ -0,0 +1,184 @@
+//! Answers questions about load and chunks, and asks others for theirs.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+use wagtailreel_fleet::{Datagram, HeldChunks, LoadStatus, Query, Status, WeightsVersion};
+
+use crate::EngineReport;
+use crate::askers::Askers;
+use crate::shelf::Shelf;
+
+/// Longest datagram in bytes.
+const DATAGRAM: usize = 4096;
+
+/// What an agent tells of its engine.
+#[derive(Debug, Default)]
+struct Known {
+    report: Option<(EngineReport, Instant)>,
+    model: String,
+    is_switching: bool,
+}
+
+/// What an agent tells of its engine, and to whom.
+#[derive(Debug)]
+pub(crate) struct StatusBoard {
+    known: Mutex<Known>,
+    askers: Askers,
+    shelf: Arc<Shelf>,
+    socket: UdpSocket,
+}
+
+/// Chunks that another agent says it has.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerChunks {
+    pub(crate) ip: IpAddr,
+    pub(crate) held: HeldChunks,
+}
+
+impl StatusBoard {
+    pub(crate) fn new(shelf: Arc<Shelf>, socket: UdpSocket) -> Self {
+        Self {
+            known: Mutex::default(),
+            askers: Askers::default(),
+            shelf,
+            socket,
+        }
+    }
+
+    /// Takes the engine's state, none if it does not answer; returns whether its weights or its
+    /// answering changed.
+    pub(crate) fn set_report(&self, model: &str, report: Option<EngineReport>) -> bool {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        model.clone_into(&mut known.model);
+        let version = |report: Option<&EngineReport>| report.map(|it| it.version_of(model));
+        let before = version(known.report.as_ref().map(|(report, _)| report));
+        let changed = before != version(report.as_ref());
+        known.report = report.map(|report| (report, Instant::now()));
+        changed
+    }
+
+    /// Takes whether the engine is about to load, and tells all askers at once.
+    pub(crate) fn set_switching(&self, is_switching: bool) {
+        {
+            let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            if known.is_switching == is_switching {
+                return;
+            }
+            known.is_switching = is_switching;
+        }
+        self.tell_all();
+    }
+
+    /// Tells all askers the engine's state without being asked.
+    pub(crate) fn tell_all(&self) {
+        let now = Instant::now();
+        let status = Status {
+            nonce: 0,
+            load: self.load(now),
+            chunks: None,
+        };
+        let datagram = Datagram::Status(status).to_bytes();
+        for asker in self.askers.recent(now) {
+            // An asker that misses it asks again.
+            let _ = self.socket.try_send_to(&datagram, asker);
+        }
+    }
+
+    /// Asks another agent which chunks it has.
+    pub(crate) fn ask(&self, peer: SocketAddr, model: &str, version: WeightsVersion) {
+        let query = Query {
+            nonce: 0,
+            chunks: Some((model.to_owned(), version)),
+        };
+        // A question that is lost is asked again.
+        let datagram = Datagram::Query(query).to_bytes();
+        let _ = self.socket.try_send_to(&datagram, peer);
+    }
+
+    /// Answers questions, and hands on what others have, for as long as it is not dropped.
+    pub(crate) async fn run(self: Arc<Self>, chunks: UnboundedSender<PeerChunks>) {
+        let mut buf = vec![0; DATAGRAM];
+        loop {
+            let Ok((len, from)) = self.socket.recv_from(&mut buf).await else {
+                continue;
+            };
+            match Datagram::from_bytes(&buf[..len]) {
+                Ok(Datagram::Query(query)) => self.answer(&query, from),
+                Ok(Datagram::Status(status)) => {
+                    if let Some(held) = status.chunks {
+                        let ip = from.ip();
+                        // Without a fetch under way nobody wants to know.
+                        let _ = chunks.send(PeerChunks { ip, held });
+                    }
+                }
+                // Whoever speaks otherwise is no part of the system.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn answer(&self, query: &Query, from: SocketAddr) {
+        let now = Instant::now();
+        if query.chunks.is_none() {
+            self.askers.note(from, now);
+        }
+        let chunks = query.chunks.as_ref();
+        let status = Status {
+            nonce: query.nonce,
+            load: self.load(now),
+            chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
+        };
+        let datagram = Datagram::Status(status).to_bytes();
+        // An answer that is lost is asked for again.
+        let _ = self.socket.try_send_to(&datagram, from);
+    }
+
+    fn load(&self, now: Instant) -> Option<LoadStatus> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let (report, at) = known.report.as_ref()?;
+        // Shares and factors need no more digits than a short float has.
+        #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+        let (memory, pace) = (
+            report.memory_used as f32 / report.memory_total.max(1) as f32,
+            report.pace as f32,
+        );
+        let age = now.saturating_duration_since(*at).as_millis();
+        Some(LoadStatus {
+            version: report.version_of(&known.model),
+            is_switching: known.is_switching || report.is_busy,
+            queued: report.queued,
+            running: report.running,
+            memory,
+            pace,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Returns the chunks that can be given: those in memory, or all that the engine has staged.
+    fn chunks(&self, model: &str, version: WeightsVersion) -> Option<HeldChunks> {
+        let have = self.shelf.have(model, version);
+        let is_loaded = {
+            let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            let report = known.report.as_ref();
+            report.and_then(|(report, _)| report.version_of(model)) == Some(version)
+        };
+        let is_empty = have.as_ref().is_none_or(|have| have.count() == 0);
+        let chunks = if is_loaded && is_empty {
+            ALL_CHUNKS.to_owned()
+        } else {
+            have?.to_hex()
+        };
+        Some(HeldChunks {
+            model: model.to_owned(),
+            version,
+            chunks,
+        })
+    }
+}
+
+/// Says in place of a bit set that all chunks can be read from the engine's stage.
+pub(crate) const ALL_CHUNKS: &str = "all";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,9 +4,12 @@
 //! `ALL`; the page `docs/events.md` is made from these lists.
 
 mod event;
+pub mod events;
 mod logging;
 mod metrics;
+mod stdout;
 
 pub use event::{Event, Level, catalogue};
-pub use logging::init_logging;
+pub use logging::{init_logging, init_stdout_logging};
 pub use metrics::{MetricsError, encode_metrics};
+pub use stdout::lines_dropped;
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -1,11 +1,14 @@
-//! The one log format: a JSON object a line on standard error.
+//! The one log format: a JSON object a line.
 
 use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use env_logger::Target;
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 
+use crate::stdout::Lines;
+
 /// Collects a record's pairs in the order of their keys.
 #[derive(Default)]
 struct Pairs(BTreeMap<String, String>);
@@ -21,9 +24,18 @@
 ///
 /// `process` is the name that each line carries. A second call changes nothing.
 pub fn init_logging(process: &str) {
+    start(process, None);
+}
+
+/// Starts logging to `target`, or to standard error.
+fn start(process: &str, target: Option<Target>) {
     let process = process.to_owned();
     let env = env_logger::Env::default().default_filter_or("info");
-    let started = env_logger::Builder::from_env(env)
+    let mut builder = env_logger::Builder::from_env(env);
+    if let Some(target) = target {
+        builder.target(target);
+    }
+    let started = builder
         .format(move |buf, record| {
             let mut pairs = Pairs::default();
             // A record whose pairs can't be read is still worth its message.
@@ -46,3 +58,15 @@
         log::debug!("logging was started before");
     }
 }
+
+/// Starts logging to standard output, in the same format, without ever holding up the process:
+/// lines beyond a budget, or beyond what standard output takes, are left out and counted.
+///
+/// # Errors
+///
+/// Returns what the system says if the thread that writes can't be started.
+pub fn init_stdout_logging(process: &str) -> std::io::Result<()> {
+    let lines = Lines::start()?;
+    start(process, Some(Target::Pipe(Box::new(lines))));
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/direct.rs
@@ -0,0 +1,40 @@
+//! `wagtailreel entry` for a fleet whose upstreams name themselves.
+
+use wagtailreel_direct::DirectEntry;
+use wagtailreel_platform::{Marks, Store};
+use wagtailreel_settings::DirectEntrySettings;
+
+use super::process::Process;
+
+/// The entry of such a fleet.
+pub(super) struct DirectProcess(DirectEntry<Marks>);
+
+impl Process for DirectProcess {
+    type Settings = DirectEntrySettings;
+
+    fn settings(yaml: &str) -> Result<DirectEntrySettings, String> {
+        DirectEntrySettings::from_yaml(yaml).map_err(|e| e.to_string())
+    }
+
+    fn vm(settings: &DirectEntrySettings) -> &str {
+        &settings.vm
+    }
+
+    fn threads(settings: &DirectEntrySettings) -> Option<usize> {
+        Some(settings.threads)
+    }
+
+    fn log(vm: &str) {
+        super::log_to_stdout(vm);
+    }
+
+    async fn start(settings: DirectEntrySettings) -> Result<Self, String> {
+        let store = Store::new(settings.registry);
+        let entry = DirectEntry::start(settings, store, Marks).await;
+        entry.map(Self).map_err(|e| e.to_string())
+    }
+
+    async fn shutdown(self) {
+        self.0.shutdown().await;
+    }
+}
--- a/src/commands/events.rs
+++ b/src/commands/events.rs
@@ -21,6 +21,10 @@
         wagtailreel_agent_core::events::ALL,
         wagtailreel_control::events::ALL,
         wagtailreel_transfer::events::ALL,
+        wagtailreel_telemetry::events::ALL,
+        wagtailreel_fleet::events::ALL,
+        wagtailreel_direct::events::ALL,
+        wagtailreel_stage::events::ALL,
     ]
     .concat()
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,20 +2,26 @@
 
 mod agent;
 mod check;
+mod direct;
 mod entry;
 mod events;
 mod hash;
 mod process;
 mod report;
 mod service;
+mod staging;
 mod submit;
 
 use std::ffi::OsString;
 
 use wagtailreel_agent_core::AgentProcess;
 use wagtailreel_entry::EntryProcess;
+use wagtailreel_settings::DirectEntrySettings;
 
+use self::direct::DirectProcess;
+use self::staging::StagingProcess;
 use crate::ExitCode;
+use crate::args::{Options, read_text};
 use crate::error::{CommandError, StartSnafu, UsageSnafu};
 
 /// Text that `wagtailreel --help` prints.
@@ -25,7 +31,8 @@
 usage: wagtailreel COMMAND [OPTIONS]
 
 commands:
-  entry --settings FILE [--check yes]     run the entry process (or only check its settings)
+  entry [--settings FILE] [--check yes]   run the entry process (or only check its settings);
+                                          without FILE the one that WAGTAILREEL_CONFIG names
   check FILE                              check a service document without sending it
   submit FILE --admin URL [--base N] [--edit ID]
                                           submit a document; --base is the revision that was edited
@@ -49,10 +56,10 @@
 const AGENT_HELP: &str = "\
 wagtailreel-agent: the gate in front of one engine or plain service
 
-usage: wagtailreel-agent --settings FILE [--check yes]
+usage: wagtailreel-agent [--settings FILE] [--check yes]
 
 options:
-  --settings FILE      YAML settings
+  --settings FILE      YAML settings; without it the file that WAGTAILREEL_CONFIG names
   --check yes          check the settings and exit
   --help, --version
 
@@ -69,6 +76,9 @@
     if let Some(code) = help_or_version(&args, "wagtailreel-agent", AGENT_HELP) {
         return code;
     }
+    if is_direct(&args) {
+        return finish(process::run::<StagingProcess>(args));
+    }
     finish(process::run::<AgentProcess>(args))
 }
 
@@ -84,6 +94,7 @@
     }
     let command = args.remove(0);
     match command.to_str() {
+        Some("entry") if is_direct(&args) => process::run::<DirectProcess>(args),
         Some("entry") => process::run::<EntryProcess>(args),
         Some("check") => check::run(args),
         Some("submit") => submit::run(args),
@@ -100,6 +111,15 @@
     }
 }
 
+/// Says whether the settings are for a fleet whose upstreams name themselves. What can't be read
+/// is told of by whoever reads it next.
+fn is_direct(args: &[OsString]) -> bool {
+    let options = Options::parse(args.to_vec(), &["settings", "check"]);
+    let path = options.and_then(|options| process::settings_path(&options));
+    let text = path.and_then(|path| read_text(&path));
+    text.is_ok_and(|text| DirectEntrySettings::is_meant(&text))
+}
+
 /// Prints the help or the version if `args` ask for it.
 fn help_or_version(args: &[OsString], name: &str, help: &str) -> Option<ExitCode> {
     if args.iter().any(|arg| arg == "--help" || arg == "-h") {
@@ -123,15 +143,20 @@
     }
 }
 
-/// Runs `future` on a new multi-threaded runtime.
-fn block_on<F>(future: F) -> Result<F::Output, CommandError>
+/// Runs `future` on a new runtime of `threads`, or of one thread a core.
+fn block_on<F>(threads: Option<usize>, future: F) -> Result<F::Output, CommandError>
 where
     F: Future,
 {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    match runtime {
+    let mut builder = match threads {
+        // One thread needs no others to share work with, nor their stacks.
+        Some(1) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    if let Some(threads) = threads {
+        builder.worker_threads(threads);
+    }
+    match builder.enable_all().build() {
         Ok(runtime) => Ok(runtime.block_on(future)),
         Err(e) => StartSnafu {
             what: e.to_string(),
@@ -139,3 +164,10 @@
         .fail(),
     }
 }
+
+/// Starts the log on standard output, or on standard error where no thread can write it.
+fn log_to_stdout(vm: &str) {
+    if wagtailreel_telemetry::init_stdout_logging(vm).is_err() {
+        wagtailreel_telemetry::init_logging(vm);
+    }
+}
--- a/src/commands/process.rs
+++ b/src/commands/process.rs
@@ -1,12 +1,17 @@
 //! Running one of the two long-lived processes: settings, start, signal, graceful end.
 
 use std::ffi::OsString;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+
+use wagtailreel_telemetry::events;
 
 use super::block_on;
 use crate::args::{Options, read_text};
 use crate::error::{BadInputSnafu, CommandError, StartSnafu};
-use crate::signals::wait_for_end;
+use crate::signals::{Hangup, wait_for_end};
+
+/// Name of the environment variable that holds the path of the settings file.
+const SETTINGS_VARIABLE: &str = "WAGTAILREEL_CONFIG";
 
 /// A long-lived process of the system.
 pub(super) trait Process: Sized {
@@ -19,6 +24,17 @@
     /// Returns the VM's name, which every log line carries.
     fn vm(settings: &Self::Settings) -> &str;
 
+    /// Returns the threads that the process runs on; none leaves it to the number of cores.
+    fn threads(settings: &Self::Settings) -> Option<usize> {
+        let _ = settings;
+        None
+    }
+
+    /// Starts the log.
+    fn log(vm: &str) {
+        wagtailreel_telemetry::init_logging(vm);
+    }
+
     /// Starts the process on the current runtime.
     async fn start(settings: Self::Settings) -> Result<Self, String>;
 
@@ -33,8 +49,10 @@
 {
     let options = Options::parse(args, &["settings", "check"])?;
     options.no_words()?;
-    let path = Path::new(options.require("settings")?);
-    let settings = match P::settings(&read_text(path)?) {
+    let path = settings_path(&options)?;
+    let path = path.as_path();
+    let text = read_text(path)?;
+    let settings = match P::settings(&text) {
         Ok(settings) => settings,
         Err(problems) => return BadInputSnafu { path, problems }.fail(),
     };
@@ -42,11 +60,23 @@
         println!("{}: no mistakes", path.display());
         return Ok(());
     }
-    wagtailreel_telemetry::init_logging(P::vm(&settings));
-    block_on(serve::<P>(settings))?
+    P::log(P::vm(&settings));
+    let threads = P::threads(&settings);
+    block_on(threads, serve::<P>(settings, path, text))?
 }
 
-async fn serve<P>(settings: P::Settings) -> Result<(), CommandError>
+/// Returns the settings file: the option, else what the environment names.
+pub(super) fn settings_path(options: &Options) -> Result<PathBuf, CommandError> {
+    if let Some(path) = options.get("settings") {
+        return Ok(PathBuf::from(path));
+    }
+    match std::env::var_os(SETTINGS_VARIABLE) {
+        Some(path) => Ok(PathBuf::from(path)),
+        None => options.require("settings").map(PathBuf::from),
+    }
+}
+
+async fn serve<P>(settings: P::Settings, path: &Path, text: String) -> Result<(), CommandError>
 where
     P: Process,
 {
@@ -54,7 +84,36 @@
         Ok(process) => process,
         Err(what) => return StartSnafu { what }.fail(),
     };
-    wait_for_end().await;
+    tokio::select! {
+        () = wait_for_end() => {}
+        () = watch_settings::<P>(path, text) => {}
+    }
     process.shutdown().await;
     Ok(())
 }
+
+/// Reads the settings again at each SIGHUP and tells whether they fit; never returns.
+///
+/// Addresses and names are bound at the start, so new ones come into force with the next start. A
+/// file that doesn't fit changes nothing.
+async fn watch_settings<P>(path: &Path, mut text: String)
+where
+    P: Process,
+{
+    let mut hangups = Hangup::new();
+    loop {
+        hangups.wait().await;
+        let outcome = match read_text(path) {
+            Err(e) => format!("refused: {e}"),
+            Ok(read) if read == text => "unchanged".to_owned(),
+            Ok(read) => match P::settings(&read) {
+                Err(problems) => format!("refused: {problems}"),
+                Ok(_) => {
+                    text = read;
+                    "in force with the next start".to_owned()
+                }
+            },
+        };
+        events::SETTINGS_RELOADED.emit(&[("outcome", &outcome)]);
+    }
+}
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -46,7 +46,7 @@
     let objectives = objectives(options.all("document"))?;
     let windows = windows(&options)?;
     let plan = plan(&options)?;
-    let samples = block_on(scrape(&plan))?;
+    let samples = block_on(None, scrape(&plan))?;
     if samples.span().is_none() {
         let urls = options.all("metrics").join(", ");
         return NoMetricsSnafu { urls }.fail();
--- a/src/commands/service.rs
+++ b/src/commands/service.rs
@@ -30,7 +30,7 @@
         View::History => "/history",
     };
     let path = format!("/admin/v1/services/{service}{suffix}");
-    let answer = block_on(client.call(Method::GET, &path, String::new()))??;
+    let answer = block_on(None, client.call(Method::GET, &path, String::new()))??;
     match answer.status {
         200 => {
             println!("{}", pretty(&answer.body));
--- a/src/commands/submit.rs
+++ b/src/commands/submit.rs
@@ -29,7 +29,7 @@
         "/admin/v1/services/{}/document?base={base}&edit={edit}",
         document.service
     );
-    let answer = block_on(client.call(Method::POST, &path, text))??;
+    let answer = block_on(None, client.call(Method::POST, &path, text))??;
     conclude(answer, edit)
 }
 
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,6 +1,6 @@
-//! Waiting for the signal that ends a process.
+//! Waiting for signals.
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
 ///
@@ -21,3 +21,33 @@
         }
     }
 }
+
+/// Signals that the settings file has changed.
+#[derive(Debug)]
+pub(crate) struct Hangup {
+    signals: Option<Signal>,
+}
+
+impl Hangup {
+    /// Begins to take SIGHUP, which would end the process otherwise.
+    pub(crate) fn new() -> Self {
+        let signals = match signal(SignalKind::hangup()) {
+            Ok(signals) => Some(signals),
+            Err(e) => {
+                log::warn!("SIGHUP can't be handled: {e}");
+                None
+            }
+        };
+        Self { signals }
+    }
+
+    /// Waits for the next one; for ever where none can be taken.
+    pub(crate) async fn wait(&mut self) {
+        match &mut self.signals {
+            Some(signals) => {
+                signals.recv().await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
