Pace chunks, spread loads over the bound, doubt choked links

Chunks left in bursts of 48 KB over links of 9.4 Mbit/s, and events waited behind them for more than 120 ms; and all 20 engines loaded within 0.9 s, since a turn began as soon as the last chunk had come.

Ruled out: slow engines (the time to the first event was 160 ms at the median); the origin.

Change: chunks take three quarters of the link in slices of 4 KB; engines of a data centre load one after the other over the bound; newer weights are fetched while older ones wait or load; an entry doubts an upstream whose agent answers late or not at all, and keeps two requests there at most.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -284,6 +284,9 @@
     status: u16,
     config: u64,
     belief: Duration,
+    prompt_tokens: u32,
+    answer_tokens: u32,
+    events: u64,
     is_armed: bool,
 }
 
@@ -303,6 +306,9 @@
             status: 0,
             config: 0,
             belief: Duration::ZERO,
+            prompt_tokens: 0,
+            answer_tokens: 0,
+            events: 0,
             is_armed: true,
         }
     }
@@ -311,6 +317,8 @@
         self.route.clone_from(&admitted.route.name);
         self.service.clone_from(&admitted.service);
         self.customer = admitted.customer.clone().unwrap_or_default();
+        self.prompt_tokens = admitted.head.prompt_tokens;
+        self.answer_tokens = admitted.head.answer_tokens;
         self.config = admitted.directory.version();
         let age = cx.view.age(wagtailreel_fleet::Topic::Settings);
         self.belief = age.unwrap_or_default();
@@ -337,6 +345,11 @@
         }
     }
 
+    /// Takes how many events of the answer were passed on.
+    pub(crate) const fn passed_on(&mut self, events: u64) {
+        self.events = events;
+    }
+
     /// Takes that the entry answers itself.
     pub(crate) fn done_by(&mut self, refusal: Refusal) {
         let reason = refusal.to_string();
@@ -382,6 +395,9 @@
             ("customer", &self.customer),
             ("upstream", &self.upstream),
             ("sent", &self.sent.to_string()),
+            ("prompt", &self.prompt_tokens.to_string()),
+            ("answer", &self.answer_tokens.to_string()),
+            ("events", &self.events.to_string()),
             ("first_ms", &first.unwrap_or_default()),
             ("ms", &took.as_millis().to_string()),
             ("config", &self.config.to_string()),
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -19,6 +19,10 @@
 /// How many near questions there are for each one to another data centre, whose links are narrow.
 const FAR_EVERY: u32 = 5;
 
+/// Rounds of questions whose times are kept: 6.4 s. A later answer looks like a quick one, which
+/// the silence before it makes up for.
+const ROUNDS: usize = 64;
+
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 2048;
 
@@ -28,14 +32,17 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; DATAGRAM];
     let mut round: u32 = 0;
+    let mut asked = [Instant::now(); ROUNDS];
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                round = round.wrapping_add(1);
+                round = round.wrapping_add(1).max(1);
+                asked[round as usize % ROUNDS] = Instant::now();
                 for ip in engines(&view, &home, round.is_multiple_of(FAR_EVERY)) {
                     let query = Datagram::Query(Query { nonce: round, chunks: None });
                     // A question that is lost is asked again with the next round.
                     let _ = socket.try_send_to(&query.to_bytes(), SocketAddr::new(ip, port));
+                    note_asked(&view, ip);
                 }
             }
             received = socket.recv_from(&mut buf) => {
@@ -44,7 +51,10 @@
                     continue;
                 };
                 if let Some(load) = status.load {
-                    take(&view, from.ip(), &load);
+                    // What comes without being asked for has no nonce.
+                    let since = asked[status.nonce as usize % ROUNDS];
+                    let round_trip = (status.nonce != 0).then(|| since.elapsed());
+                    take(&view, from.ip(), &load, round_trip);
                 }
             }
         }
@@ -68,9 +78,18 @@
     ips
 }
 
-fn take(view: &View, ip: IpAddr, load: &LoadStatus) {
+fn note_asked(view: &View, ip: IpAddr) {
+    let now = Instant::now();
+    for service in view.services() {
+        service.upstreams().asked(ip, now);
+    }
+}
+
+fn take(view: &View, ip: IpAddr, load: &LoadStatus, round_trip: Option<Duration>) {
+    let now = Instant::now();
     for service in view.services() {
-        if service.upstreams().status(ip, load, Instant::now()) {
+        let changed = service.upstreams().status(ip, load, round_trip, now);
+        if changed {
             events::UPSTREAM_CHANGED.emit(&[
                 ("upstream_ip", &ip.to_string()),
                 ("version", &load.version.unwrap_or_default().to_string()),
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -23,6 +23,18 @@
 /// upstream fails some requests of its own accord.
 const SHUN_AFTER: u32 = 2;
 
+/// An agent that leaves questions open for longer is silent, or its link is choked: the same link
+/// carries the engine's answers. Agents abroad are asked each 500 ms.
+const OPEN_QUESTION: Duration = Duration::from_millis(700);
+
+/// A question and its answer that take longer speak of a choked link. The longest way there and
+/// back takes 6 ms.
+const CHOKED: Duration = Duration::from_millis(120);
+
+/// Requests that an entry keeps at an upstream whose link is in doubt. Eight entries fill one batch
+/// of 16 if all do.
+const DOUBTED_REQUESTS: u32 = 2;
+
 /// Requests that may wait at a full engine. Each waits about a tenth of a second for the one
 /// before it, and an answer that starts later than its objective earns a quarter.
 const ENGINE_QUEUE: u32 = 1;
@@ -54,6 +66,10 @@
     status: Option<(LoadStatus, Instant)>,
     failures: u32,
     shunned_until: Option<Instant>,
+    /// Since when the agent owes an answer.
+    asked_since: Option<Instant>,
+    /// How long the last question and its answer took.
+    round_trip: Duration,
     is_gone: bool,
 }
 
@@ -67,6 +83,8 @@
             status: None,
             failures: 0,
             shunned_until: None,
+            asked_since: None,
+            round_trip: Duration::ZERO,
             is_gone: false,
         }
     }
@@ -104,6 +122,12 @@
         }
     }
 
+    /// Says whether the link to the upstream is in doubt.
+    fn is_doubted(&self, now: Instant) -> bool {
+        let owes = |since: Instant| now.saturating_duration_since(since) > OPEN_QUESTION;
+        self.round_trip > CHOKED || self.asked_since.is_some_and(owes)
+    }
+
     fn takes_new(&self, now: Instant) -> bool {
         self.upstream.state == UpstreamState::Ready
             && !self.is_gone
@@ -219,8 +243,24 @@
         true
     }
 
-    /// Takes an agent's word on the engine at `ip`; returns whether its weights changed.
-    pub fn status(&mut self, ip: std::net::IpAddr, status: &LoadStatus, now: Instant) -> bool {
+    /// Takes that the agent beside the engine at `ip` was asked.
+    pub fn asked(&mut self, ip: std::net::IpAddr, now: Instant) {
+        for member in self.members.values_mut() {
+            if member.upstream.addr.ip() == ip {
+                member.asked_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Takes an agent's word on the engine at `ip`, and how long it took if it was asked for;
+    /// returns whether its weights changed.
+    pub fn status(
+        &mut self,
+        ip: std::net::IpAddr,
+        status: &LoadStatus,
+        round_trip: Option<Duration>,
+        now: Instant,
+    ) -> bool {
         let members = self.members.values_mut();
         let Some(member) = members
             .filter(|member| !member.is_gone)
@@ -233,6 +273,8 @@
             before.version != status.version || before.is_switching != status.is_switching
         });
         member.take_load(status.queued.saturating_add(status.running), now);
+        member.asked_since = None;
+        member.round_trip = round_trip.unwrap_or(member.round_trip);
         member.status = Some((status.clone(), now));
         changed
     }
@@ -343,7 +385,13 @@
                 shortage = Shortage::Full;
                 continue;
             }
+            let is_doubted = member.is_doubted(now);
+            if is_doubted && member.own >= DOUBTED_REQUESTS {
+                shortage = Shortage::Full;
+                continue;
+            }
             let rank = Rank {
+                is_doubted,
                 waits: in_flight >= slots,
                 distance: self.distance(&member.upstream.data_centre),
                 load: u64::from(in_flight) * 1000 / u64::from(slots),
@@ -391,6 +439,7 @@
 /// Order in which upstreams are preferred, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
+    is_doubted: bool,
     waits: bool,
     distance: u8,
     load: u64,
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -181,7 +181,10 @@
         match &mut self.mode {
             Mode::Bytes => Some(data.clone()),
             Mode::Events(cutter) => match cutter.push(data) {
-                Cut::Events(events) => Some(events),
+                Cut::Events(events) => {
+                    self.tally.passed_on(cutter.events());
+                    Some(events)
+                }
                 Cut::Broken => None,
             },
         }
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -42,6 +42,9 @@
 /// Part of the shared retry budget that is used; entries count in windows of their own.
 const RETRY_SHARE: f64 = 0.75;
 
+/// Bits in a megabit.
+const MEGABIT: f64 = 1e6;
+
 /// Longest bound that is taken, in milliseconds.
 const MAX_BOUND_MS: u64 = 600_000;
 
@@ -113,6 +116,8 @@
     pub registry: SocketAddr,
     /// How long engines may take to serve weights that were named.
     pub weights: Duration,
+    /// What the VM's link carries, in bits a second.
+    pub link: f64,
 }
 
 impl DirectEntrySettings {
@@ -199,6 +204,10 @@
     let listen = f.required("listen", problems, values::address);
     let registry = f.required("registry", problems, values::address);
     let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
+    let link = f.required("link_mbps", problems, |at, problems| {
+        let remedy = "write the link's rate in Mbit/s, above 0";
+        values::number(at, problems, remedy, |rate| rate > 0.0)
+    });
     f.finish(problems);
     mode?;
     Some(StagingAgentSettings {
@@ -210,6 +219,7 @@
         listen: listen?,
         registry: registry?,
         weights: bounds?.weights.saturating_sub(WEIGHTS_MARGIN),
+        link: link? * MEGABIT,
     })
 }
 
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -76,7 +76,9 @@
         .map(|it| (it.addr.ip(), entry(&it, cx)));
     // Two starts of one engine are one agent.
     let peers: BTreeMap<IpAddr, VmEntry> = peers.collect();
-    Some(peers.into_values().collect())
+    let peers: Vec<VmEntry> = peers.into_values().collect();
+    cx.peers.send_replace(peers.clone());
+    Some(peers)
 }
 
 fn entry<R, E, O>(upstream: &Upstream, cx: &Surroundings<R, E, O>) -> VmEntry {
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::AbortOnDropHandle;
-use wagtailreel_core::ChunkIndex;
+use wagtailreel_core::{ChunkIndex, rank_score};
 use wagtailreel_fleet::{ModelName, Registry, WeightsVersion};
 
 use crate::beliefs::Wanted;
@@ -21,8 +21,9 @@
 /// Time between two looks at the engine. Its figures are some hundred milliseconds old as it is.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// How long entries have to hear that the engine takes nothing new before it is told to load.
-const NOTICE: Duration = Duration::from_millis(30);
+/// How long entries have to hear that the engine takes nothing new before it is told to load. What
+/// waits at the engine then begins meanwhile: one of 16 requests ends each 80 ms.
+const NOTICE: Duration = Duration::from_millis(200);
 
 /// Longest time between staging the first chunk and the order to load. Staged chunks may be spoilt
 /// at any time, and the engine doesn't compare them.
@@ -61,8 +62,7 @@
     O: ChunkOrigin,
 {
     pub(crate) fn new(cx: Arc<Surroundings<R, E, O>>) -> Self {
-        let own = cx.settings.listen.ip().to_string();
-        let rollout = Rollout::new(own, cx.settings.weights, Instant::now());
+        let rollout = Rollout::new(cx.settings.weights, Instant::now());
         Self {
             cx,
             rollout,
@@ -140,11 +140,13 @@
         let known = self.target.as_ref().filter(|it| it.model == wanted.model);
         let known = known.map(|target| target.version);
         if let Some((version, named_at)) = wanted.version {
-            if known != Some(version) {
+            if known != Some(version) && self.may_move_on() {
+                // The bound of the weights that are skipped goes on to count.
+                let skipped = self.target.take().filter(|_| !self.is_loaded(known));
                 self.target = Some(Target {
                     model: wanted.model.clone(),
                     version,
-                    named_at,
+                    named_at: skipped.and_then(|target| target.named_at).or(named_at),
                 });
                 self.resolving = None;
             }
@@ -166,6 +168,46 @@
         }
     }
 
+    /// Says whether the engine holds `version` or a newer one.
+    fn is_loaded(&self, version: Option<WeightsVersion>) -> bool {
+        let report = self.report.as_ref();
+        let held = report.and_then(|report| report.models.iter().find(|held| held.whole));
+        held.is_some_and(|held| Some(held.version) >= version)
+    }
+
+    /// Says whether newer weights may take the place of the target.
+    fn may_move_on(&self) -> bool {
+        let Some(target) = &self.target else {
+            return true;
+        };
+        if self.is_loaded(Some(target.version)) {
+            return true;
+        }
+        let has_all = self.cx.shelf.is_full(&target.model, target.version);
+        let is_empty = !self.is_loaded(Some(0));
+        let now = Instant::now();
+        self.ordered_at.is_none() && self.rollout.skips(target, has_all, is_empty, now)
+    }
+
+    /// Returns the engine's place among those of its data centre, 0 to 1.
+    ///
+    /// All agents compute the same order from the same list, without talking to each other.
+    fn place(&self, version: WeightsVersion) -> f64 {
+        let settings = &self.cx.settings;
+        let own = settings.listen.ip().to_string();
+        let score = |vm: &str| rank_score(&version.to_be_bytes(), vm);
+        let peers = self.cx.peers.borrow();
+        let near = peers
+            .iter()
+            .filter(|it| it.data_centre == settings.data_centre);
+        let near: Vec<u64> = near.map(|it| score(&it.vm)).collect();
+        let before = near.iter().filter(|it| **it > score(&own)).count();
+        // Engines of one data centre are few enough for a float.
+        #[allow(clippy::cast_precision_loss)]
+        let place = (before as f64 + 0.5) / (near.len() as f64 + 1.0);
+        place
+    }
+
     /// Returns a manifest once it is there; asks for it meanwhile.
     async fn resolve(
         &mut self,
@@ -202,12 +244,17 @@
             report: self.report.as_ref(),
             target: self.target.as_ref(),
             has_all,
+            place: self
+                .target
+                .as_ref()
+                .map_or(0.0, |it| self.place(it.version)),
         };
         let todo = self.rollout.next(situation, Instant::now());
         let Some(target) = self.target.clone() else {
             return;
         };
         match todo {
+            Todo::Wait if has_all => self.fetch_ahead(&target, wanted).await,
             Todo::Wait => {}
             Todo::Fetch => self.fetch(&target, wanted.origin).await,
             Todo::Load if self.ordered_at.is_none() => self.load(&target).await,
@@ -215,6 +262,21 @@
         }
     }
 
+    /// Fetches newer weights while those before wait for their turn to be loaded.
+    async fn fetch_ahead(&mut self, target: &Target, wanted: &Wanted) {
+        let Some((version, named_at)) = wanted.version else {
+            return;
+        };
+        let ahead = Target {
+            model: wanted.model.clone(),
+            version,
+            named_at,
+        };
+        if version > target.version && !self.cx.shelf.is_full(&ahead.model, version) {
+            self.fetch(&ahead, wanted.origin).await;
+        }
+    }
+
     async fn fetch(&mut self, target: &Target, origin: Option<SocketAddr>) {
         let running = self.fetching.as_ref();
         if running.is_some_and(|it| it.version == target.version && !it.task.is_finished()) {
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -6,10 +6,11 @@
 
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Mutex;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
 use wagtailreel_adapters::HttpClient;
+use wagtailreel_core::VmEntry;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_settings::StagingAgentSettings;
 
@@ -53,6 +54,8 @@
     pub(crate) shelf: Arc<Shelf>,
     pub(crate) board: Arc<StatusBoard>,
     pub(crate) peer_chunks: Mutex<UnboundedReceiver<PeerChunks>>,
+    /// The other agents of the service, as of the last read of the registry.
+    pub(crate) peers: watch::Sender<Vec<VmEntry>>,
 }
 
 /// A running agent.
@@ -89,7 +92,7 @@
         let shelf = Arc::new(Shelf::default());
         let board = Arc::new(StatusBoard::new(Arc::clone(&shelf), socket));
         let beliefs = Arc::new(Beliefs::new(settings.service.clone()));
-        let giving = Giving::new(Arc::clone(&shelf), engine.clone());
+        let giving = Giving::new(Arc::clone(&shelf), engine.clone(), settings.link);
         let cx = Arc::new(Surroundings {
             settings,
             registry: registry.clone(),
@@ -100,6 +103,7 @@
             shelf,
             board: Arc::clone(&board),
             peer_chunks: Mutex::new(rx),
+            peers: watch::Sender::new(Vec::new()),
         });
         let mut tasks = JoinSet::new();
         tasks.spawn(board.run(tx));
--- a/crates/stage/src/rollout.rs
+++ b/crates/stage/src/rollout.rs
@@ -2,14 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use wagtailreel_core::rank_score;
 use wagtailreel_fleet::{ModelName, WeightsVersion};
 
 use crate::EngineReport;
 
-/// Time that an engine needs for finishing its longest answers and loading. An answer of 51 events
-/// at 65 ms each takes 3.3 s.
-const FINISH_AND_LOAD: Duration = Duration::from_millis(3600);
+/// When the first engine loads weights after they were named. Chunks take 2 s over a link of
+/// 9.4 Mbit/s if nothing else is on it, and 2.6 s at the share that they may take.
+const FIRST_LOAD: Duration = Duration::from_millis(2700);
 
 /// Pause after an order that brought nothing.
 const ORDER_PAUSE: Duration = Duration::from_millis(250);
@@ -34,6 +33,8 @@
     pub target: Option<&'a Target>,
     /// All chunks of the target are there.
     pub has_all: bool,
+    /// The engine's place among those of its data centre, 0 to 1.
+    pub place: f64,
 }
 
 /// What to do next.
@@ -56,19 +57,16 @@
 /// the time that the operators were promised, without talking to the others.
 #[derive(Clone, Debug)]
 pub struct Rollout {
-    vm: String,
     bound: Duration,
     paused_until: Option<Instant>,
     started: Instant,
 }
 
 impl Rollout {
-    /// Makes the decisions of the agent on `vm`, started at `started`, where engines may take `bound` to serve
-    /// weights
-    /// that were named.
-    pub fn new(vm: String, bound: Duration, started: Instant) -> Self {
+    /// Makes the decisions of an agent that started at `started`, where engines may take `bound` to
+    /// serve weights that were named.
+    pub fn new(bound: Duration, started: Instant) -> Self {
         Self {
-            vm,
             bound,
             paused_until: None,
             started,
@@ -81,19 +79,22 @@
             return Todo::Wait;
         };
         let held = report.version_of(&target.model);
-        if report.is_busy || held.is_some_and(|held| held >= target.version) {
+        if held.is_some_and(|held| held >= target.version) {
             return Todo::Wait;
         }
         if !situation.has_all {
             return Todo::Fetch;
         }
+        if report.is_busy {
+            return Todo::Wait;
+        }
         if self.paused_until.is_some_and(|until| now < until) {
             return Todo::Wait;
         }
         match held {
             // It serves nobody as it is.
             None => Todo::Load,
-            Some(_) if now >= self.turn(target) => Todo::Load,
+            Some(_) if now >= self.turn(target, situation.place) => Todo::Load,
             Some(_) => Todo::Wait,
         }
     }
@@ -104,15 +105,26 @@
     }
 
     /// Returns when the engine's turn to load comes.
-    fn turn(&self, target: &Target) -> Instant {
+    ///
+    /// Requests that began before may end after the bound, so an engine's last moment to begin is
+    /// the bound itself.
+    fn turn(&self, target: &Target, place: f64) -> Instant {
         let Some(named_at) = target.named_at else {
             return self.started;
         };
-        let room = self.bound.saturating_sub(FINISH_AND_LOAD);
-        let score = rank_score(&target.version.to_be_bytes(), &self.vm);
-        // A share of 2^64 needs no more digits than a float has.
-        #[allow(clippy::cast_precision_loss)]
-        let share = score as f64 / u64::MAX as f64;
-        named_at + room.mul_f64(share)
+        let room = self.bound.saturating_sub(FIRST_LOAD);
+        named_at + FIRST_LOAD.min(self.bound) + room.mul_f64(place.clamp(0.0, 1.0))
+    }
+
+    /// Says whether a target that is not there yet is given up for newer weights at `now`.
+    ///
+    /// With too little time for a whole fetch, the older weights are loaded first: without them the
+    /// engine could serve nobody once its own are too old.
+    pub fn skips(&self, target: &Target, has_all: bool, is_empty: bool, now: Instant) -> bool {
+        let Some(named_at) = target.named_at else {
+            return true;
+        };
+        let left = (named_at + self.bound).saturating_duration_since(now);
+        !has_all && (is_empty || left > FIRST_LOAD * 3 / 2)
     }
 }
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -1,6 +1,7 @@
 //! Gives chunks and manifests to other agents.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use axum::body::Body;
 use axum::extract::{Path, Query, State};
@@ -21,20 +22,56 @@
 /// of live answers wait behind it.
 const GIVES_AT_ONCE: usize = 2;
 
+/// Share of the VM's link that chunks may take. A stream's event that waits longer than 120 ms
+/// behind chunks is late; unpaced, half of all streams were during a rollout.
+const LINK_SHARE: f64 = 0.75;
+
+/// Bytes that are handed to a connection at once: 4 ms of a link of 9.4 Mbit/s.
+const SLICE: usize = 4096;
+
+/// Spaces out what is given, over all connections.
+#[derive(Debug)]
+struct Pacer {
+    bytes_per_second: f64,
+    next: Mutex<Instant>,
+}
+
+impl Pacer {
+    /// Takes the next free time for `bytes`, and waits for it.
+    async fn wait(&self, bytes: usize) {
+        let turn = {
+            let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+            let turn = (*next).max(Instant::now());
+            // A slice's length needs no more digits than a float has.
+            #[allow(clippy::cast_precision_loss)]
+            let span = bytes as f64 / self.bytes_per_second;
+            *next = turn + Duration::from_secs_f64(span);
+            turn
+        };
+        tokio::time::sleep_until(turn.into()).await;
+    }
+}
+
 /// What the listener for other agents needs.
 #[derive(Debug)]
 pub(crate) struct Giving<E> {
     pub(crate) shelf: Arc<Shelf>,
     pub(crate) engine: E,
     gives: Arc<Semaphore>,
+    pacer: Arc<Pacer>,
 }
 
 impl<E> Giving<E> {
-    pub(crate) fn new(shelf: Arc<Shelf>, engine: E) -> Self {
+    /// Makes the giving of a VM whose link carries `link` bits a second.
+    pub(crate) fn new(shelf: Arc<Shelf>, engine: E, link: f64) -> Self {
         Self {
             shelf,
             engine,
             gives: Arc::new(Semaphore::new(GIVES_AT_ONCE)),
+            pacer: Arc::new(Pacer {
+                bytes_per_second: link / 8.0 * LINK_SHARE,
+                next: Mutex::new(Instant::now()),
+            }),
         }
     }
 }
@@ -77,22 +114,32 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
     if let Some(data) = giving.shelf.get(&model, version, chunk) {
-        return give(data, permit);
+        return give(data, permit, &giving.pacer);
     }
     // What was loaded is no longer in memory; whoever asked compares it with its digest.
     match giving.engine.read_staged(&model, chunk).await {
-        Ok(Some(data)) => give(data, permit),
+        Ok(Some(data)) => give(data, permit, &giving.pacer),
         Ok(None) => StatusCode::NOT_FOUND.into_response(),
         Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
     }
 }
 
 /// Answers with a chunk, and counts it as given until its last byte was taken.
-fn give(data: Bytes, permit: OwnedSemaphorePermit) -> Response {
+fn give(data: Bytes, permit: OwnedSemaphorePermit, pacer: &Arc<Pacer>) -> Response {
     let length = data.len();
+    let pacer = Arc::clone(pacer);
     // The permit goes when the body is dropped, which is after its last byte was taken.
-    let stream = futures::stream::unfold((Some(data), permit), |(data, permit)| async move {
-        data.map(|data| (Ok::<_, std::convert::Infallible>(data), (None, permit)))
+    let state = (data, permit, pacer);
+    let stream = futures::stream::unfold(state, |(mut data, permit, pacer)| async move {
+        if data.is_empty() {
+            return None;
+        }
+        let slice = data.split_to(SLICE.min(data.len()));
+        pacer.wait(slice.len()).await;
+        Some((
+            Ok::<_, std::convert::Infallible>(slice),
+            (data, permit, pacer),
+        ))
     });
     let mut response = Response::new(Body::from_stream(stream));
     let length = http::HeaderValue::from(length);
