--- /dev/null
+++ b/crates/direct/tests/cutter.rs
@@ -0,0 +1,100 @@
+//! Events stay whole wherever a stream is cut.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use rstest::rstest;
+use wagtailreel_direct::{Cut, Cutter};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn push(cutter: &mut Cutter, text: &str) -> Option<String> {
+    match cutter.push(&Bytes::from(text.to_owned())) {
+        Cut::Events(events) => Some(String::from_utf8(events.to_vec()).unwrap()),
+        Cut::Broken => None,
+    }
+}
+
+#[rstest]
+fn whole_event() {
+    let mut cutter = Cutter::new(None);
+    assert_eq!(push(&mut cutter, &event(1)), Some(event(1)));
+    assert_eq!(cutter.last(), Some(1));
+    assert!(!cutter.is_mid_event());
+}
+
+#[rstest]
+fn half_event() {
+    let mut cutter = Cutter::new(None);
+    assert_eq!(push(&mut cutter, "id: 1\ndata: pie"), Some(String::new()));
+    assert!(cutter.is_mid_event());
+    assert_eq!(push(&mut cutter, "ce 1\n\nid: 2\n"), Some(event(1)));
+    assert_eq!(cutter.last(), Some(1));
+}
+
+#[rstest]
+fn resumed_stream() {
+    let mut cutter = Cutter::new(None);
+    push(&mut cutter, &event(1));
+    push(&mut cutter, "id: 2\ndata: pi");
+    cutter.restart();
+    assert_eq!(push(&mut cutter, &event(1)), Some(String::new()), "a repeat");
+    assert_eq!(push(&mut cutter, &event(2)), Some(event(2)));
+}
+
+#[rstest]
+fn missing_event() {
+    let mut cutter = Cutter::new(Some(4));
+    assert_eq!(push(&mut cutter, &event(6)), None);
+}
+
+#[rstest]
+fn event_without_id() {
+    let mut cutter = Cutter::new(Some(4));
+    let text = "data: end\n\n";
+    assert_eq!(push(&mut cutter, text), Some(text.to_owned()));
+    assert_eq!(cutter.last(), Some(4));
+}
+
+#[rstest]
+fn carriage_returns() {
+    let mut cutter = Cutter::new(None);
+    let text = "id: 1\r\ndata: x\r\n\r\n";
+    assert_eq!(push(&mut cutter, text), Some(text.to_owned()));
+    assert!(!cutter.is_mid_event());
+}
+
+#[rstest]
+fn endless_event() {
+    let mut cutter = Cutter::new(None);
+    let line = "data: x".repeat(1 << 16);
+    let ends = (0..8).any(|_| push(&mut cutter, &line).is_none());
+    assert!(ends, "memory is bounded");
+}
+
+proptest! {
+    /// Whatever the frames and wherever upstreams break off, the caller gets each event once.
+    #[test]
+    fn any_frames(cuts in prop::collection::vec(1usize..40, 1..60), breaks in 0u64..4) {
+        let all: String = (1..=12).map(event).collect();
+        let mut cutter = Cutter::new(None);
+        let mut got = String::new();
+        let mut sizes = cuts.iter().cycle();
+        for round in 0..=breaks {
+            cutter.restart();
+            let from = cutter.last().unwrap_or(0);
+            let rest: String = (from + 1..=12).map(event).collect();
+            // All but the last upstream break off somewhere.
+            let stop = if round == breaks { rest.len() } else { rest.len() / 2 };
+            let mut sent = 0;
+            while sent < stop {
+                let size = (*sizes.next().unwrap()).min(stop - sent);
+                got += &push(&mut cutter, &rest[sent..sent + size]).unwrap();
+                sent += size;
+            }
+        }
+        prop_assert_eq!(got, all);
+        prop_assert!(!cutter.is_mid_event());
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/members.rs
@@ -0,0 +1,221 @@
+//! Which upstream a request goes to.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_direct::{Ask, LoadSource, Shortage, Upstreams};
+use wagtailreel_fleet::{LoadStatus, LoadedModel, Upstream, UpstreamState};
+
+const MODEL: &str = "epitaph";
+
+fn addr(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 80))
+}
+
+fn ip(host: u8) -> IpAddr {
+    addr(host).ip()
+}
+
+fn upstream(id: &str, host: u8, data_centre: &str) -> Upstream {
+    Upstream {
+        id: id.to_owned(),
+        service: "scribes".to_owned(),
+        addr: addr(host),
+        data_centre: data_centre.to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: vec![LoadedModel {
+            model: MODEL.to_owned(),
+            version: 1,
+            whole: true,
+        }],
+    }
+}
+
+fn fleet(all: &[Upstream]) -> Upstreams {
+    let regions = [("hall", "sierra"), ("depot", "sierra"), ("quay", "costa")];
+    let regions: BTreeMap<String, String> = regions
+        .iter()
+        .map(|(place, region)| ((*place).to_owned(), (*region).to_owned()))
+        .collect();
+    let mut fleet = Upstreams::new("hall".to_owned(), regions);
+    for upstream in all {
+        fleet.update(upstream.clone());
+    }
+    fleet
+}
+
+fn choose(fleet: &mut Upstreams, now: Instant) -> Result<String, Shortage> {
+    fleet.choose(&Ask::default(), now).map(|pick| pick.id)
+}
+
+fn status(running: u32) -> LoadStatus {
+    LoadStatus {
+        version: Some(1),
+        running,
+        ..LoadStatus::default()
+    }
+}
+
+#[rstest]
+fn own_data_centre() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[
+        upstream("far", 1, "quay"),
+        upstream("near", 2, "depot"),
+        upstream("home", 3, "hall"),
+    ]);
+    for expected in ["home", "near", "far"] {
+        for _ in 0..4 {
+            assert_eq!(choose(&mut fleet, now).as_deref(), Ok(expected));
+            fleet.started(expected);
+        }
+    }
+    assert!(fleet.choose(&Ask::default(), now).is_ok(), "one may wait at each");
+}
+
+#[rstest]
+fn full_fleet() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    for _ in 0..5 {
+        fleet.started("a");
+    }
+    assert_eq!(choose(&mut fleet, now), Err(Shortage::Full));
+    fleet.finished("a");
+    assert!(choose(&mut fleet, now).is_ok());
+}
+
+#[rstest]
+fn least_loaded() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall"), upstream("b", 2, "hall")]);
+    fleet.status(ip(1), &status(3), None, now);
+    fleet.status(ip(2), &status(1), None, now);
+    let pick = fleet.choose(&Ask::default(), now).unwrap();
+    assert_eq!((pick.id.as_str(), pick.in_flight), ("b", 1));
+    assert_eq!(pick.source, LoadSource::Agent);
+    let later = now + Duration::from_secs(2);
+    let pick = fleet.choose(&Ask::default(), later).unwrap();
+    assert_eq!(pick.source, LoadSource::Own, "old words don't count");
+}
+
+#[rstest]
+fn draining_upstream() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    let mut leaving = upstream("a", 1, "hall");
+    leaving.state = UpstreamState::Draining;
+    assert!(fleet.may_send("a"));
+    assert!(fleet.update(leaving));
+    assert!(!fleet.may_send("a"), "also for a request that has chosen it");
+    assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
+}
+
+#[rstest]
+fn removed_upstream() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    fleet.started("a");
+    assert!(fleet.remove("a"));
+    assert!(!fleet.may_send("a"));
+    assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
+    fleet.finished("a");
+    assert!(!fleet.remove("a"), "it was forgotten with its last request");
+}
+
+#[rstest]
+fn reused_address() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("old", 1, "hall"), upstream("new", 1, "hall")]);
+    assert_eq!(choose(&mut fleet, now).as_deref(), Ok("new"));
+    assert!(!fleet.may_send("old"));
+}
+
+#[rstest]
+#[case::older_is_enough(Some(1), Ok("a"))]
+#[case::any_version(None, Ok("a"))]
+#[case::too_old(Some(2), Err(Shortage::Weights))]
+fn weights(#[case] least: Option<u64>, #[case] expected: Result<&str, Shortage>) {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    let ask = Ask {
+        model: Some(MODEL),
+        least_version: least,
+        tried: BTreeSet::new(),
+    };
+    let chosen = fleet.choose(&ask, now).map(|pick| pick.id);
+    assert_eq!(chosen, expected.map(ToOwned::to_owned));
+}
+
+#[rstest]
+fn empty_engine() {
+    let now = Instant::now();
+    let mut empty = upstream("a", 1, "hall");
+    empty.models.clear();
+    let mut fleet = fleet(&[empty]);
+    let ask = Ask {
+        model: Some(MODEL),
+        ..Ask::default()
+    };
+    assert_eq!(fleet.choose(&ask, now), Err(Shortage::Weights));
+    fleet.status(ip(1), &status(0), None, now);
+    assert!(fleet.choose(&ask, now).is_ok(), "the agent knows before the registry");
+}
+
+#[rstest]
+fn switching_engine() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    let switching = LoadStatus {
+        is_switching: true,
+        ..status(2)
+    };
+    fleet.status(ip(1), &switching, None, now);
+    assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
+    let later = now + Duration::from_secs(2);
+    assert!(choose(&mut fleet, later).is_ok(), "a lost word doesn't last");
+}
+
+#[rstest]
+fn failing_upstream() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    assert_eq!(fleet.failed("a", now), None, "once is usual");
+    let shun = fleet.failed("a", now).unwrap();
+    assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
+    assert!(choose(&mut fleet, now + shun).is_ok(), "it gets another chance");
+    let longer = fleet.failed("a", now + shun).unwrap();
+    assert!(longer > shun);
+    fleet.answered("a");
+    assert!(choose(&mut fleet, now + shun).is_ok());
+}
+
+#[rstest]
+#[case::choked_link(true)]
+#[case::silent_agent(false)]
+fn doubted_link(#[case] choked: bool) {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("bad", 1, "hall"), upstream("far", 2, "quay")]);
+    let later = now + Duration::from_millis(800);
+    if choked {
+        let round_trip = Some(Duration::from_millis(400));
+        fleet.status(ip(1), &status(0), round_trip, later);
+    } else {
+        fleet.asked(ip(1), now);
+    }
+    assert_eq!(choose(&mut fleet, later).as_deref(), Ok("far"), "rather abroad");
+    for _ in 0..5 {
+        fleet.started("far");
+    }
+    for _ in 0..2 {
+        assert_eq!(choose(&mut fleet, later).as_deref(), Ok("bad"), "rather than none");
+        fleet.started("bad");
+    }
+    assert_eq!(choose(&mut fleet, later), Err(Shortage::Full), "but few");
+    fleet.status(ip(1), &status(2), Some(Duration::from_millis(2)), later);
+    assert_eq!(choose(&mut fleet, later).as_deref(), Ok("bad"), "it is well again");
+}
