--- /dev/null
+++ b/crates/direct/tests/answers.rs
@@ -0,0 +1,182 @@
+//! What callers get, whatever upstreams do.
+
+mod common;
+
+use std::time::Duration;
+
+use common::caller::{self, Answer, call, get, request, send};
+use common::ready_entry;
+use common::registry::MemoryRegistry;
+use common::upstream::{Act, TestUpstream, body_of};
+use rstest::rstest;
+
+/// Sends one request through an entry before two upstreams of which each does one act.
+async fn through(path: &str, first: Act, second: Act) -> (Answer, usize) {
+    let registry = MemoryRegistry::default();
+    let (a, b) = (
+        TestUpstream::start(&[first.clone()]).await,
+        TestUpstream::start(&[first]).await,
+    );
+    let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
+    // Whichever is chosen first does the first act, and the other one the second.
+    for upstream in [&a, &b] {
+        upstream.follow_with(&a, &b, second.clone());
+    }
+    let answer = call(entry.callers(), "GET", path).await;
+    (answer, a.seen().len() + b.seen().len())
+}
+
+#[rstest]
+#[case::read_closed("/read/1", Act::Close, 200, 2)]
+#[case::read_not_run("/read/1", Act::NotRun, 200, 2)]
+#[case::read_failed("/read/1", Act::Answer(500, "bad"), 200, 2)]
+#[case::read_cut("/read/1", Act::CutBody, 200, 2)]
+#[case::read_wrong_id("/read/1", Act::WrongId, 200, 2)]
+#[case::order_closed("/order/1", Act::Close, 502, 1)]
+#[case::order_not_run("/order/1", Act::NotRun, 200, 2)]
+#[case::order_failed("/order/1", Act::Answer(500, "bad"), 500, 1)]
+#[case::order_cut("/order/1", Act::CutBody, 502, 1)]
+#[case::order_wrong_id("/order/1", Act::WrongId, 502, 1)]
+#[tokio::test]
+async fn first_fails(
+    #[case] path: &str,
+    #[case] first: Act,
+    #[case] status: u16,
+    #[case] reached: usize,
+) {
+    let (answer, seen) = through(path, first, Act::Answer(200, "ok")).await;
+    assert_eq!((answer.status, seen), (status, reached));
+    assert!(answer.is_whole);
+    assert!(!answer.body.contains("not yours"));
+}
+
+#[tokio::test]
+async fn both_refuse() {
+    let (answer, seen) = through("/order/1", Act::NotRun, Act::NotRun).await;
+    assert_eq!((answer.status, seen), (503, 2));
+    let pause: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(pause > 0.0 && pause < 2.0, "{pause}");
+    assert_eq!(answer.header("x-id"), Some("r1"));
+}
+
+#[rstest]
+#[case::cut_event(Act::CutEvents(1, 3))]
+#[case::silent_upstream(Act::Hang(1, 3))]
+#[tokio::test]
+async fn stream_goes_on(#[case] first: Act) {
+    let (answer, seen) = through("/stream/1", first, Act::Events(4, 6)).await;
+    assert_eq!((answer.status, seen), (200, 2));
+    assert_eq!(answer.body, body_of(1, 6), "each event once");
+    assert!(answer.is_whole);
+}
+
+#[tokio::test]
+async fn stream_with_gap() {
+    let (answer, _) = through("/stream/1", Act::CutEvents(1, 3), Act::Events(5, 6)).await;
+    assert_eq!(answer.body, body_of(1, 3));
+    assert!(!answer.is_whole, "what is missing shows");
+}
+
+#[tokio::test]
+async fn stream_broken_twice() {
+    let second = Act::CutEvents(4, 4);
+    let (answer, seen) = through("/stream/1", Act::CutEvents(1, 3), second).await;
+    assert_eq!(seen, 2, "no more than two upstreams");
+    assert_eq!(answer.body, body_of(1, 4));
+    assert!(!answer.is_whole);
+}
+
+#[tokio::test]
+async fn extra_answer() {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[Act::Twice("first")]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    assert_eq!(call(entry.callers(), "GET", "/order/1").await.body, "first");
+    let next = call(entry.callers(), "GET", "/order/2").await;
+    assert_eq!(next.body, "ok", "the late one belongs to nobody");
+}
+
+#[tokio::test]
+async fn caller_leaves() {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[Act::Hang(1, 2)]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let text = request("GET", "/stream/1", &[("x-id", "r1"), ("x-key", "k1")], "");
+    let calling = tokio::spawn(async move { send(entry.callers(), &text).await });
+    upstream.until_seen(1).await;
+    calling.abort();
+    tokio::time::timeout(Duration::from_millis(500), upstream.until_left())
+        .await
+        .expect("the work ends with the caller");
+}
+
+#[tokio::test]
+async fn route_time_over() {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[Act::Silent]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let answer = call(entry.callers(), "GET", "/quick/1").await;
+    assert_eq!(answer.status, 504, "it may run, so it isn't refused");
+    assert_eq!(answer.header("retry-after"), None);
+}
+
+#[tokio::test]
+async fn request_as_sent() {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let headers = [
+        ("x-id", "r1"),
+        ("x-key", "k1"),
+        ("x-customer", "somebody"),
+        ("x-other", "kept"),
+        ("x-hop", "dropped"),
+        ("connection", "x-hop"),
+        ("x-deadline", "900"),
+    ];
+    let text = request("POST", "/order/a%20b?c=d", &headers, "body");
+    send(entry.callers(), &text).await;
+    let seen = upstream.seen().remove(0);
+    assert!(seen.starts_with("post /order/a%20b?c=d http/1.1"), "{seen}");
+    let header = |name: &str| {
+        let mut lines = seen.lines().map(|line| line.split_once(": "));
+        lines.find_map(|pair| pair.filter(|(of, _)| *of == name).map(|(_, it)| it))
+    };
+    assert_eq!(header("x-customer"), Some("quay"));
+    assert_eq!(header("x-key"), None);
+    assert_eq!(header("x-hop"), None);
+    assert_eq!(header("x-other"), Some("kept"));
+    assert_eq!(header("content-length"), Some("4"));
+    let left: u64 = header("x-deadline").unwrap().parse().unwrap();
+    assert!((1..=900).contains(&left), "{left}");
+}
+
+#[rstest]
+#[case::no_route("/none/", &[("x-id", "r1"), ("x-key", "k1")], 404)]
+#[case::no_key("/read/1", &[("x-id", "r1")], 401)]
+#[case::wrong_key("/read/1", &[("x-id", "r1"), ("x-key", "k2")], 401)]
+#[case::no_id("/read/1", &[("x-key", "k1")], 400)]
+#[case::public_route("/public/1", &[("x-id", "r1")], 200)]
+#[case::no_time("/read/1", &[("x-id", "r1"), ("x-key", "k1"), ("x-deadline", "5")], 503)]
+#[tokio::test]
+async fn admission(#[case] path: &str, #[case] headers: &[(&str, &str)], #[case] status: u16) {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let answer = get(entry.callers(), path, headers).await;
+    assert_eq!(answer.status, status);
+    assert_eq!(upstream.seen().len(), usize::from(status == 200));
+}
+
+#[tokio::test]
+async fn long_body() {
+    let registry = MemoryRegistry::default();
+    let upstream = TestUpstream::start(&[]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let body = "x".repeat(1 << 20);
+    let headers = [("x-id", "r1"), ("x-key", "k1")];
+    let text = request("POST", "/order/1", &headers, &body);
+    let answer = caller::send(entry.callers(), &text).await;
+    assert_eq!(answer.status, 413, "it isn't lost by a reset");
+    assert_eq!(upstream.seen(), Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/direct/tests/common/mod.rs
@@ -0,0 +1,202 @@
+//! An entry before upstreams that do as they are told, with a registry in memory.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+pub(crate) mod caller;
+pub(crate) mod registry;
+pub(crate) mod upstream;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use wagtailreel_direct::{AnswerHead, Dialect, DirectEntry, Dispatch, RequestHead};
+use wagtailreel_fleet::{
+    Change, ClientLimits, Customer, Directory, Route, RouteKind, ServiceSpec, Upstream,
+    UpstreamState,
+};
+use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
+
+use self::registry::MemoryRegistry;
+
+/// Marks of requests and answers as these tests write them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TestDialect;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+impl Dialect for TestDialect {
+    fn request(&self, headers: &HeaderMap) -> RequestHead {
+        RequestHead {
+            id: text(headers, "x-id"),
+            deadline: text(headers, "x-deadline")
+                .and_then(|ms| ms.parse().ok())
+                .map(Duration::from_millis),
+            key: text(headers, "x-key"),
+            last_event: text(headers, "last-event-id").and_then(|id| id.parse().ok()),
+            prompt_tokens: 0,
+            answer_tokens: 0,
+        }
+    }
+
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>) {
+        headers.remove("x-key");
+        headers.remove("x-customer");
+        let mut set = |name: &'static str, value: String| {
+            let value = HeaderValue::try_from(value).unwrap();
+            headers.insert(HeaderName::from_static(name), value);
+        };
+        set("x-deadline", dispatch.remaining.as_millis().to_string());
+        set("x-upstream", dispatch.upstream.to_owned());
+        if let Some(customer) = dispatch.customer {
+            set("x-customer", customer.to_owned());
+        }
+        if let Some(last) = dispatch.last_event {
+            set("last-event-id", last.to_string());
+        }
+    }
+
+    fn answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+        AnswerHead {
+            id: text(headers, "x-id"),
+            not_run: headers.contains_key("x-not-run"),
+            ..AnswerHead::default()
+        }
+    }
+
+    fn own_answer(&self, headers: &mut HeaderMap, id: &str) {
+        headers.insert("x-id", HeaderValue::try_from(id).unwrap());
+    }
+}
+
+/// Returns a route of host `shop.example`.
+pub(crate) fn route(prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(100),
+        rank: 1,
+        services: vec![("desk".to_owned(), 1)],
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+/// Returns a configuration with a route of each kind, and customer `quay` with key `k1`.
+pub(crate) fn directory(version: u64) -> Directory {
+    let limits = ClientLimits {
+        header_bytes: 16384,
+        body_bytes: 1 << 16,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let stream = RouteKind::Stream {
+        resumable: true,
+        gap: None,
+    };
+    let mut quick = route("/quick/", RouteKind::NonIdempotent);
+    quick.timeout = Duration::from_millis(300);
+    let mut public = route("/public/", RouteKind::Idempotent);
+    public.is_public = true;
+    let routes = vec![
+        route("/read/", RouteKind::Idempotent),
+        route("/order/", RouteKind::NonIdempotent),
+        route("/stream/", stream),
+        quick,
+        public,
+    ];
+    let customer = Customer {
+        name: "quay".to_owned(),
+        rank: None,
+        keys: vec!["k1".to_owned()],
+    };
+    let service = ServiceSpec {
+        name: "desk".to_owned(),
+        max_connections: 100,
+        engine: None,
+        origin: None,
+    };
+    Directory::new(version, limits)
+        .with_routes(routes)
+        .with_services(vec![service])
+        .with_customers(vec![customer])
+}
+
+/// Returns the record of an upstream of the service `desk`.
+pub(crate) fn registered(id: &str, addr: SocketAddr) -> Upstream {
+    Upstream {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        addr,
+        data_centre: "hall".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: Vec::new(),
+    }
+}
+
+/// Puts an upstream into the registry.
+pub(crate) fn register(registry: &MemoryRegistry, id: &str, addr: SocketAddr) {
+    registry.upstream(Change::Upstream(Box::new(registered(id, addr))));
+}
+
+/// Starts an entry that trusts keys for `keys`.
+pub(crate) async fn entry(registry: &MemoryRegistry, keys: Duration) -> DirectEntry<TestDialect> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = DirectEntrySettings {
+        vm: "entry-1".to_owned(),
+        data_centre: "hall".to_owned(),
+        regions: BTreeMap::from([("hall".to_owned(), "sierra".to_owned())]),
+        listen: DirectListen {
+            callers: any,
+            status: any,
+            agents: any,
+        },
+        registry: any,
+        agent_port: 9,
+        threads: 1,
+        bounds: DirectBounds {
+            keys,
+            denial: keys,
+            weights: Duration::from_secs(7),
+            weights_at_start: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            grace: Duration::from_secs(2),
+        },
+    };
+    DirectEntry::start(settings, registry.clone(), TestDialect)
+        .await
+        .unwrap()
+}
+
+/// Waits until the entry tells the balancer `status`.
+pub(crate) async fn until_readiness(entry: &DirectEntry<TestDialect>, status: u16) {
+    loop {
+        let answer = caller::get(entry.status(), "/readyz", &[]).await;
+        if answer.status == status {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Starts an entry with a configuration, before the upstreams `addrs`, and waits until it is ready.
+pub(crate) async fn ready_entry(
+    registry: &MemoryRegistry,
+    addrs: &[(&str, SocketAddr)],
+) -> DirectEntry<TestDialect> {
+    registry.config(directory(1));
+    for (id, addr) in addrs {
+        register(registry, id, *addr);
+    }
+    let entry = entry(registry, Duration::from_secs(4)).await;
+    until_readiness(&entry, 200).await;
+    entry
+}
--- a/crates/direct/tests/cutter.rs
+++ b/crates/direct/tests/cutter.rs
@@ -39,7 +39,11 @@
     push(&mut cutter, &event(1));
     push(&mut cutter, "id: 2\ndata: pi");
     cutter.restart();
-    assert_eq!(push(&mut cutter, &event(1)), Some(String::new()), "a repeat");
+    assert_eq!(
+        push(&mut cutter, &event(1)),
+        Some(String::new()),
+        "a repeat"
+    );
     assert_eq!(push(&mut cutter, &event(2)), Some(event(2)));
 }
 
--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -74,7 +74,10 @@
             fleet.started(expected);
         }
     }
-    assert!(fleet.choose(&Ask::default(), now).is_ok(), "one may wait at each");
+    assert!(
+        fleet.choose(&Ask::default(), now).is_ok(),
+        "one may wait at each"
+    );
 }
 
 #[rstest]
@@ -111,7 +114,10 @@
     leaving.state = UpstreamState::Draining;
     assert!(fleet.may_send("a"));
     assert!(fleet.update(leaving));
-    assert!(!fleet.may_send("a"), "also for a request that has chosen it");
+    assert!(
+        !fleet.may_send("a"),
+        "also for a request that has chosen it"
+    );
     assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
 }
 
@@ -163,7 +169,10 @@
     };
     assert_eq!(fleet.choose(&ask, now), Err(Shortage::Weights));
     fleet.status(ip(1), &status(0), None, now);
-    assert!(fleet.choose(&ask, now).is_ok(), "the agent knows before the registry");
+    assert!(
+        fleet.choose(&ask, now).is_ok(),
+        "the agent knows before the registry"
+    );
 }
 
 #[rstest]
@@ -177,7 +186,10 @@
     fleet.status(ip(1), &switching, None, now);
     assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
     let later = now + Duration::from_secs(2);
-    assert!(choose(&mut fleet, later).is_ok(), "a lost word doesn't last");
+    assert!(
+        choose(&mut fleet, later).is_ok(),
+        "a lost word doesn't last"
+    );
 }
 
 #[rstest]
@@ -187,7 +199,10 @@
     assert_eq!(fleet.failed("a", now), None, "once is usual");
     let shun = fleet.failed("a", now).unwrap();
     assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
-    assert!(choose(&mut fleet, now + shun).is_ok(), "it gets another chance");
+    assert!(
+        choose(&mut fleet, now + shun).is_ok(),
+        "it gets another chance"
+    );
     let longer = fleet.failed("a", now + shun).unwrap();
     assert!(longer > shun);
     fleet.answered("a");
@@ -207,15 +222,27 @@
     } else {
         fleet.asked(ip(1), now);
     }
-    assert_eq!(choose(&mut fleet, later).as_deref(), Ok("far"), "rather abroad");
+    assert_eq!(
+        choose(&mut fleet, later).as_deref(),
+        Ok("far"),
+        "rather abroad"
+    );
     for _ in 0..5 {
         fleet.started("far");
     }
     for _ in 0..2 {
-        assert_eq!(choose(&mut fleet, later).as_deref(), Ok("bad"), "rather than none");
+        assert_eq!(
+            choose(&mut fleet, later).as_deref(),
+            Ok("bad"),
+            "rather than none"
+        );
         fleet.started("bad");
     }
     assert_eq!(choose(&mut fleet, later), Err(Shortage::Full), "but few");
     fleet.status(ip(1), &status(2), Some(Duration::from_millis(2)), later);
-    assert_eq!(choose(&mut fleet, later).as_deref(), Ok("bad"), "it is well again");
+    assert_eq!(
+        choose(&mut fleet, later).as_deref(),
+        Ok("bad"),
+        "it is well again"
+    );
 }
--- a/crates/fleet/tests/follower.rs
+++ b/crates/fleet/tests/follower.rs
@@ -114,7 +114,11 @@
     let items = vec![keyed(10, gone("a"))];
     follower.page(page(items, 11), at(5000), Duration::ZERO, at(5000));
     follower.failed(&away());
-    assert_eq!(follower.due(at(9000)), vec![], "nothing is judged while away");
+    assert_eq!(
+        follower.due(at(9000)),
+        vec![],
+        "nothing is judged while away"
+    );
     follower.page(page(vec![], 11), at(9500), Duration::ZERO, at(9500));
     assert_eq!(follower.due(at(11_000)), vec![], "the time begins anew");
     assert_eq!(follower.due(at(11_800)), vec![gone("a")]);
@@ -145,5 +149,9 @@
     follower.newest(snapshot, at(0), at(1));
     let items = vec![keyed(15, upstream("a"))];
     let applied = follower.page(page(items, 16), at(2), Duration::ZERO, at(3));
-    assert_eq!(applied.changes, vec![], "a later page of the snapshot had a newer one");
+    assert_eq!(
+        applied.changes,
+        vec![],
+        "a later page of the snapshot had a newer one"
+    );
 }
--- /dev/null
+++ b/crates/stage/tests/rollout.rs
@@ -0,0 +1,133 @@
+//! What an agent does next.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rstest::rstest;
+use wagtailreel_fleet::LoadedModel;
+use wagtailreel_stage::{EngineReport, Rollout, Situation, Target, Todo};
+
+const BOUND: Duration = Duration::from_millis(7100);
+
+fn report(version: Option<u64>, is_busy: bool) -> EngineReport {
+    let models = version.map(|version| LoadedModel {
+        model: "epitaph".to_owned(),
+        version,
+        whole: true,
+    });
+    EngineReport {
+        models: models.into_iter().collect(),
+        is_busy,
+        ..EngineReport::default()
+    }
+}
+
+fn target(version: u64, named_at: Option<Instant>) -> Target {
+    Target {
+        model: "epitaph".to_owned(),
+        version,
+        named_at,
+    }
+}
+
+fn next(
+    rollout: &Rollout,
+    report: &EngineReport,
+    target: &Target,
+    has_all: bool,
+    now: Instant,
+) -> Todo {
+    let situation = Situation {
+        report: Some(report),
+        target: Some(target),
+        has_all,
+        place: 0.5,
+    };
+    rollout.next(situation, now)
+}
+
+#[rstest]
+#[case::holds_it(Some(2), false, true, Todo::Wait)]
+#[case::holds_newer(Some(3), false, true, Todo::Wait)]
+#[case::lacks_chunks(Some(1), false, false, Todo::Fetch)]
+#[case::busy_without_chunks(Some(1), true, false, Todo::Fetch)]
+#[case::busy_with_chunks(Some(1), true, true, Todo::Wait)]
+#[case::empty_engine(None, false, true, Todo::Load)]
+#[case::before_its_turn(Some(1), false, true, Todo::Wait)]
+fn next_step(
+    #[case] held: Option<u64>,
+    #[case] is_busy: bool,
+    #[case] has_all: bool,
+    #[case] expected: Todo,
+) {
+    let now = Instant::now();
+    let rollout = Rollout::new(BOUND, now);
+    let target = target(2, Some(now));
+    let report = report(held, is_busy);
+    assert_eq!(next(&rollout, &report, &target, has_all, now), expected);
+}
+
+#[rstest]
+fn engine_away() {
+    let now = Instant::now();
+    let target = target(2, None);
+    let situation = Situation {
+        report: None,
+        target: Some(&target),
+        has_all: true,
+        place: 0.0,
+    };
+    assert_eq!(Rollout::new(BOUND, now).next(situation, now), Todo::Wait);
+}
+
+#[rstest]
+fn unknown_naming() {
+    let now = Instant::now();
+    let rollout = Rollout::new(BOUND, now);
+    let report = report(Some(1), false);
+    let target = target(2, None);
+    assert_eq!(next(&rollout, &report, &target, true, now), Todo::Load);
+}
+
+#[rstest]
+fn pause_after_order() {
+    let now = Instant::now();
+    let mut rollout = Rollout::new(BOUND, now);
+    let report = report(None, false);
+    let target = target(2, None);
+    rollout.order_failed(now);
+    assert_eq!(next(&rollout, &report, &target, true, now), Todo::Wait);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(next(&rollout, &report, &target, true, later), Todo::Load);
+}
+
+#[rstest]
+#[case::early(500, false, false, true)]
+#[case::too_late_for_another_fetch(4000, false, false, false)]
+#[case::chunks_are_there(500, true, false, false)]
+#[case::empty_engine(4000, false, true, true)]
+fn newer_weights(
+    #[case] after: u64,
+    #[case] has_all: bool,
+    #[case] is_empty: bool,
+    #[case] skips: bool,
+) {
+    let now = Instant::now();
+    let rollout = Rollout::new(BOUND, now);
+    let target = target(2, Some(now));
+    let later = now + Duration::from_millis(after);
+    assert_eq!(rollout.skips(&target, has_all, is_empty, later), skips);
+}
+
+proptest! {
+    /// Every engine begins to load within the bound, whatever its place.
+    #[test]
+    fn turn_in_time(place in -1.0f64..2.0) {
+        let now = Instant::now();
+        let rollout = Rollout::new(BOUND, now);
+        let report = report(Some(1), false);
+        let target = target(2, Some(now));
+        let situation = Situation { report: Some(&report), target: Some(&target), has_all: true, place };
+        prop_assert_eq!(rollout.next(situation, now + BOUND), Todo::Load);
+    }
+}
