Learn the manifest of what an engine holds while the origin is there

Cause: spreading::staged_by_others failed: with the origin away, an added engine found no agent that could tell it the digests of the weights that all others served, and stayed empty. Agents asked for a manifest only when they fetched. Ruled out: digests of the own staged chunks, which may be spoilt. Now an agent asks for the manifest of what its engine holds, within 3 s of its start, others first.

The registry in memory moves to crates/standins, for both crates' tests.

--- a/crates/direct/tests/answers.rs
+++ b/crates/direct/tests/answers.rs
@@ -6,13 +6,13 @@
 
 use common::caller::{self, Answer, call, get, request, send};
 use common::ready_entry;
-use common::registry::MemoryRegistry;
 use common::upstream::{Act, TestUpstream, body_of};
 use rstest::rstest;
+use wagtailreel_standins::RegistryStandin;
 
 /// Sends one request through an entry before two upstreams of which each does one act.
 async fn through(path: &str, first: Act, second: Act) -> (Answer, usize) {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let (a, b) = (
         TestUpstream::start(&[first.clone()]).await,
         TestUpstream::start(&[first]).await,
@@ -88,7 +88,7 @@
 
 #[tokio::test]
 async fn extra_answer() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[Act::Twice("first")]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     assert_eq!(call(entry.callers(), "GET", "/order/1").await.body, "first");
@@ -98,7 +98,7 @@
 
 #[tokio::test]
 async fn caller_leaves() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[Act::Hang(1, 2)]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let text = request("GET", "/stream/1", &[("x-id", "r1"), ("x-key", "k1")], "");
@@ -112,7 +112,7 @@
 
 #[tokio::test]
 async fn route_time_over() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[Act::Silent]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let answer = call(entry.callers(), "GET", "/quick/1").await;
@@ -122,7 +122,7 @@
 
 #[tokio::test]
 async fn request_as_sent() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let headers = [
@@ -160,7 +160,7 @@
 #[case::no_time("/read/1", &[("x-id", "r1"), ("x-key", "k1"), ("x-deadline", "5")], 503)]
 #[tokio::test]
 async fn admission(#[case] path: &str, #[case] headers: &[(&str, &str)], #[case] status: u16) {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let answer = get(entry.callers(), path, headers).await;
@@ -170,7 +170,7 @@
 
 #[tokio::test]
 async fn long_body() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let body = "x".repeat(1 << 20);
--- a/crates/direct/tests/beliefs.rs
+++ b/crates/direct/tests/beliefs.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use common::caller::call;
-use common::registry::MemoryRegistry;
 use common::upstream::{Act, TestUpstream};
 use common::{directory, entry, ready_entry, register, registered, until_readiness};
 use rstest::rstest;
 use wagtailreel_fleet::{Change, UpstreamState};
+use wagtailreel_standins::RegistryStandin;
 
 /// Repeats a call until it is answered with `status`.
 async fn until_status(
@@ -28,7 +28,7 @@
 
 #[tokio::test]
 async fn no_configuration() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     registry.set_away(true);
     let entry = entry(&registry, Duration::from_secs(4)).await;
     until_readiness(&entry, 503).await;
@@ -43,7 +43,7 @@
 
 #[tokio::test]
 async fn stale_keys() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[]).await;
     registry.config(directory(1));
     register(&registry, "a", upstream.addr);
@@ -69,7 +69,7 @@
 
 #[tokio::test]
 async fn revoked_key() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     assert_eq!(call(entry.callers(), "GET", "/read/1").await.status, 200);
@@ -90,7 +90,7 @@
 
 #[tokio::test]
 async fn leaving_upstream() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let (a, b) = (
         TestUpstream::start(&[]).await,
         TestUpstream::start(&[]).await,
@@ -112,7 +112,7 @@
 #[rstest]
 #[tokio::test]
 async fn graceful_end() {
-    let registry = MemoryRegistry::default();
+    let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&[Act::Events(1, 3), Act::Silent]).await;
     let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
     let (callers, status) = (entry.callers(), entry.status());
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -3,7 +3,6 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 pub(crate) mod caller;
-pub(crate) mod registry;
 pub(crate) mod upstream;
 
 use std::collections::BTreeMap;
@@ -18,7 +17,7 @@
 };
 use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
 
-use self::registry::MemoryRegistry;
+use wagtailreel_standins::RegistryStandin;
 
 /// Marks of requests and answers as these tests write them.
 #[derive(Clone, Copy, Debug)]
@@ -143,12 +142,12 @@
 }
 
 /// Puts an upstream into the registry.
-pub(crate) fn register(registry: &MemoryRegistry, id: &str, addr: SocketAddr) {
+pub(crate) fn register(registry: &RegistryStandin, id: &str, addr: SocketAddr) {
     registry.upstream(Change::Upstream(Box::new(registered(id, addr))));
 }
 
 /// Starts an entry that trusts keys for `keys`.
-pub(crate) async fn entry(registry: &MemoryRegistry, keys: Duration) -> DirectEntry<TestDialect> {
+pub(crate) async fn entry(registry: &RegistryStandin, keys: Duration) -> DirectEntry<TestDialect> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = DirectEntrySettings {
         vm: "entry-1".to_owned(),
@@ -189,7 +188,7 @@
 
 /// Starts an entry with a configuration, before the upstreams `addrs`, and waits until it is ready.
 pub(crate) async fn ready_entry(
-    registry: &MemoryRegistry,
+    registry: &RegistryStandin,
     addrs: &[(&str, SocketAddr)],
 ) -> DirectEntry<TestDialect> {
     registry.config(directory(1));
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -35,6 +35,10 @@
 /// Pause before a manifest is asked for again.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(200);
 
+/// Agents ask for the manifest of what their engines hold one after the other within this time, so
+/// that all but the first get it from each other.
+const LEARN_WITHIN: Duration = Duration::from_secs(3);
+
 /// Agents that are asked for a manifest before the origin is.
 const MANIFEST_PEERS: usize = 3;
 
@@ -53,6 +57,7 @@
     fetching: Option<Fetching>,
     resolving: Option<AbortOnDropHandle<Option<Arc<ChunkManifest>>>>,
     ordered_at: Option<Instant>,
+    started: Instant,
 }
 
 impl<R, E, O> Keeper<R, E, O>
@@ -71,6 +76,7 @@
             fetching: None,
             resolving: None,
             ordered_at: None,
+            started: Instant::now(),
         }
     }
 
@@ -156,7 +162,12 @@
             .report
             .as_ref()
             .and_then(|it| it.version_of(&wanted.model));
-        if known.is_some() || holds.is_some() || self.report.is_none() {
+        if let Some(held) = holds {
+            self.learn_manifest(&wanted.model, held, wanted.origin)
+                .await;
+            return;
+        }
+        if known.is_some() || self.report.is_none() {
             return;
         }
         if let Some(manifest) = self.resolve(&wanted.model, None, wanted.origin).await {
@@ -208,6 +219,24 @@
         place
     }
 
+    /// Asks for the manifest of what the engine holds, so that engines that are added find one also
+    /// while the origin is away.
+    async fn learn_manifest(
+        &mut self,
+        model: &ModelName,
+        held: WeightsVersion,
+        origin: Option<SocketAddr>,
+    ) {
+        let own = self.cx.settings.listen.ip().to_string();
+        let score = rank_score(model.as_bytes(), &own);
+        // A share of 2^64 needs no more digits than a float has.
+        #[allow(clippy::cast_precision_loss)]
+        let share = score as f64 / u64::MAX as f64;
+        if self.started.elapsed() >= LEARN_WITHIN.mul_f64(share) {
+            self.resolve(model, Some(held), origin).await;
+        }
+    }
+
     /// Returns a manifest once it is there; asks for it meanwhile.
     async fn resolve(
         &mut self,
--- /dev/null
+++ b/crates/stage/tests/common/mod.rs
@@ -0,0 +1,191 @@
+//! Agents on addresses of their own, beside engines and an origin in memory.
+
+mod engine;
+mod origin;
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use wagtailreel_fleet::{
+    Change, ClientLimits, Directory, EngineModel, LoadedModel, NamedWeights, OriginSpec,
+    ServiceSpec, Upstream, UpstreamState,
+};
+use wagtailreel_settings::StagingAgentSettings;
+use wagtailreel_stage::StagingAgent;
+use wagtailreel_standins::RegistryStandin;
+
+pub(crate) use engine::{OrderFault, TestEngine};
+pub(crate) use origin::TestOrigin;
+
+/// Name of the model.
+pub(crate) const MODEL: &str = "epitaph";
+
+/// Chunks of each version.
+pub(crate) const CHUNKS: u32 = 12;
+
+/// Port of all agents.
+const PORT: u16 = 7700;
+
+/// Returns a chunk's bytes.
+pub(crate) fn chunk(version: u64, index: u32) -> Bytes {
+    Bytes::from(format!("version {version} chunk {index} ").repeat(200))
+}
+
+/// A fleet of agents and their engines.
+pub(crate) struct Fleet {
+    pub(crate) registry: RegistryStandin,
+    pub(crate) origin: TestOrigin,
+    net: u8,
+    members: Mutex<Vec<(TestEngine, StagingAgent)>>,
+}
+
+impl Fleet {
+    /// Starts agents on the loopback network `net`, whose engines hold `version`.
+    pub(crate) async fn start(net: u8, count: u8, version: Option<u64>) -> Self {
+        let fleet = Self {
+            registry: RegistryStandin::default(),
+            origin: TestOrigin::default(),
+            net,
+            members: Mutex::default(),
+        };
+        fleet.registry.config(directory());
+        for _ in 0..count {
+            fleet.add(version).await;
+        }
+        fleet
+    }
+
+    /// Adds an agent whose engine holds `version`.
+    pub(crate) async fn add(&self, version: Option<u64>) -> TestEngine {
+        let count = self.members.lock().unwrap().len();
+        let host = u8::try_from(count).unwrap() + 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 77, self.net, host));
+        let engine = TestEngine::new(version);
+        let upstream = upstream(ip, version);
+        self.registry.upstream(Change::Upstream(Box::new(upstream)));
+        let agent = StagingAgent::start(
+            settings(ip),
+            self.registry.clone(),
+            engine.clone(),
+            self.origin.clone(),
+        );
+        let agent = agent.await.unwrap();
+        self.members.lock().unwrap().push((engine.clone(), agent));
+        engine
+    }
+
+    /// Names weights that are to be served.
+    pub(crate) fn name(&self, version: u64) {
+        self.origin.publish(version);
+        self.registry.weights(NamedWeights {
+            model: MODEL.to_owned(),
+            version,
+        });
+    }
+
+    /// Returns an engine.
+    pub(crate) fn engine(&self, index: usize) -> TestEngine {
+        self.members.lock().unwrap()[index].0.clone()
+    }
+
+    /// Waits until all engines are as wanted.
+    pub(crate) async fn until<F>(&self, is_so: F)
+    where
+        F: Fn(&TestEngine) -> bool,
+    {
+        loop {
+            if self.members.lock().unwrap().iter().all(|(it, _)| is_so(it)) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Waits until an agent has asked for the manifest of `version`.
+    pub(crate) async fn until_heard(&self, version: u64) {
+        while !self.origin.was_asked(version) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Says whether engines only ever loaded whole weights of one version.
+    pub(crate) fn all_whole(&self) -> bool {
+        self.members
+            .lock()
+            .unwrap()
+            .iter()
+            .all(|(it, _)| it.is_whole())
+    }
+}
+
+fn settings(ip: IpAddr) -> StagingAgentSettings {
+    StagingAgentSettings {
+        vm: format!("vm-{ip}"),
+        data_centre: "hall".to_owned(),
+        regions: BTreeMap::from([("hall".to_owned(), "sierra".to_owned())]),
+        service: "scribes".to_owned(),
+        engine: SocketAddr::new(ip, 1),
+        listen: SocketAddr::new(ip, PORT),
+        registry: SocketAddr::new(ip, 2),
+        weights: Duration::from_millis(500),
+        link: 100e6,
+    }
+}
+
+fn upstream(ip: IpAddr, version: Option<u64>) -> Upstream {
+    let models = version.map(|version| LoadedModel {
+        model: MODEL.to_owned(),
+        version,
+        whole: true,
+    });
+    Upstream {
+        id: format!("engine-{ip}"),
+        service: "scribes".to_owned(),
+        addr: SocketAddr::new(ip, 1),
+        data_centre: "hall".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: models.into_iter().collect(),
+    }
+}
+
+fn directory() -> Directory {
+    let limits = ClientLimits {
+        header_bytes: 16384,
+        body_bytes: 1 << 16,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let engine = EngineModel {
+        model: MODEL.to_owned(),
+        slots: 4,
+        memory_tokens: 1000,
+        step: Duration::from_millis(7),
+        step_per_request: Duration::ZERO,
+        step_per_1k_context: Duration::ZERO,
+        read_per_second: 1000.0,
+        steps_per_pass: 6,
+        usual_prompt: 100,
+        usual_answer: 100,
+        chunks: CHUNKS,
+        load_time: Duration::from_millis(10),
+    };
+    let service = |name: &str, engine, origin| ServiceSpec {
+        name: name.to_owned(),
+        max_connections: 100,
+        engine,
+        origin,
+    };
+    let origin = OriginSpec {
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "hall".to_owned(),
+    };
+    Directory::new(1, limits).with_services(vec![
+        service("scribes", Some(engine), None),
+        service("weights", None, Some(origin)),
+    ])
+}
--- /dev/null
+++ b/crates/stage/tests/spreading.rs
@@ -0,0 +1,106 @@
+//! Agents bring weights to their engines, whatever happens on the way.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{CHUNKS, Fleet, OrderFault};
+use rstest::rstest;
+
+/// How long a test waits at most for what it waits for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn until_version(fleet: &Fleet, version: u64) {
+    let all = fleet.until(|engine| engine.version() == Some(version));
+    tokio::time::timeout(PATIENCE, all)
+        .await
+        .expect("all engines hold it");
+    assert!(
+        fleet.all_whole(),
+        "no engine ever loaded spoilt or mixed chunks"
+    );
+}
+
+#[tokio::test]
+async fn new_engines() {
+    let fleet = Fleet::start(1, 4, None).await;
+    until_version(&fleet, 1).await;
+    let given = fleet.origin.given();
+    assert!(
+        given <= 2 * CHUNKS,
+        "{given} chunks: most come from each other"
+    );
+}
+
+#[tokio::test]
+async fn named_weights() {
+    let fleet = Fleet::start(2, 3, Some(1)).await;
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+    fleet.name(3);
+    until_version(&fleet, 3).await;
+}
+
+#[tokio::test]
+async fn two_names_in_a_row() {
+    let fleet = Fleet::start(3, 3, Some(1)).await;
+    fleet.name(2);
+    fleet.name(3);
+    until_version(&fleet, 3).await;
+}
+
+#[tokio::test]
+async fn staged_by_others() {
+    let fleet = Fleet::start(4, 2, Some(1)).await;
+    fleet.until_heard(1).await;
+    fleet.origin.set_away(true);
+    let newcomer = fleet.add(None).await;
+    let here = fleet.until(|engine| engine.version() == Some(1));
+    tokio::time::timeout(PATIENCE, here)
+        .await
+        .expect("from the engines that hold it");
+    assert!(newcomer.version().is_some());
+    assert!(fleet.all_whole());
+}
+
+#[tokio::test]
+async fn restarted_engine() {
+    let fleet = Fleet::start(5, 2, Some(1)).await;
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+    fleet.origin.set_away(true);
+    fleet.engine(0).restart();
+    fleet.engine(0).spoil_staged();
+    until_version(&fleet, 2).await;
+}
+
+#[tokio::test]
+async fn spoilt_at_origin() {
+    let fleet = Fleet::start(6, 2, Some(1)).await;
+    fleet.origin.spoil_next(5);
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+}
+
+#[rstest]
+#[case::taken(7, OrderFault::LostButTaken)]
+#[case::not_taken(8, OrderFault::LostAndNotTaken)]
+#[case::unfit(9, OrderFault::Unfit)]
+#[tokio::test]
+async fn lost_order(#[case] net: u8, #[case] fault: OrderFault) {
+    let fleet = Fleet::start(net, 2, Some(1)).await;
+    fleet.engine(0).set_fault(fault);
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+    let orders = fleet.engine(0).orders();
+    assert_eq!(orders, 1, "an order that was taken isn't given again");
+}
+
+#[tokio::test]
+async fn registry_away() {
+    let fleet = Fleet::start(10, 2, Some(1)).await;
+    fleet.name(2);
+    fleet.until_heard(2).await;
+    fleet.registry.set_away(true);
+    until_version(&fleet, 2).await;
+}
--- a/crates/direct/tests/common/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -1,11 +1,13 @@
-//! A registry in memory that can be away.
+//! A registry in memory that can be away; it is handed over as it is, without a protocol.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use wagtailreel_fleet::{Change, Directory, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
+use wagtailreel_fleet::{
+    Change, Directory, Keyed, NamedWeights, Page, Registry, RegistryError, Snapshot, Topic,
+};
 
 #[derive(Debug, Default)]
 struct Inner {
@@ -16,29 +18,34 @@
 
 /// A registry in memory.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct MemoryRegistry {
+pub struct RegistryStandin {
     inner: Arc<Inner>,
 }
 
-impl MemoryRegistry {
+impl RegistryStandin {
     /// Puts a configuration in force.
-    pub(crate) fn config(&self, directory: Directory) {
+    pub fn config(&self, directory: Directory) {
         self.push(Topic::Settings, Change::Config(Box::new(directory)));
     }
 
+    /// Names weights that are to be served.
+    pub fn weights(&self, weights: NamedWeights) {
+        self.push(Topic::Settings, Change::Weights(weights));
+    }
+
     /// Appends a record of the upstreams.
-    pub(crate) fn upstream(&self, change: Change) {
+    pub fn upstream(&self, change: Change) {
         self.push(Topic::Upstreams, change);
     }
 
     /// Makes every call fail, or none.
-    pub(crate) fn set_away(&self, is_away: bool) {
+    pub fn set_away(&self, is_away: bool) {
         self.inner.is_away.store(is_away, Ordering::SeqCst);
         self.inner.changed.notify_waiters();
     }
 
     fn push(&self, topic: Topic, change: Change) {
-        self.inner.records.lock().unwrap().push((topic, change));
+        self.records().push((topic, change));
         self.inner.changed.notify_waiters();
     }
 
@@ -50,8 +57,13 @@
         Ok(())
     }
 
+    fn records(&self) -> MutexGuard<'_, Vec<(Topic, Change)>> {
+        let records = self.inner.records.lock();
+        records.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn from(&self, topic: Topic, from: u64) -> (Vec<Keyed>, u64) {
-        let records = self.inner.records.lock().unwrap();
+        let records = self.records();
         let all = records.iter().zip(0..);
         let items = all
             .filter(|((of, _), offset)| *of == topic && *offset >= from)
@@ -63,7 +75,7 @@
     }
 }
 
-impl Registry for MemoryRegistry {
+impl Registry for RegistryStandin {
     async fn newest(&self, topic: Topic, _timeout: Duration) -> Result<Snapshot, RegistryError> {
         self.check()?;
         let (items, end) = self.from(topic, 0);
