Let each chunk cross into a data centre once

Every agent fetched from whichever neighbour had a chunk. Live answers from abroad were 289 of 5,500 requests, so they were ruled out, as was the origin (2 copies).

Change: within a data centre chunks have a ranking; the first brings a chunk in, the next takes its place after 400 ms. Far neighbours are asked for their chunks each 150 ms in place of 50.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -96,6 +96,8 @@
     pub(crate) admitted: Admitted,
     pub(crate) template: Template,
     pub(crate) sent: u32,
+    /// The upstream that was chosen last, and what was known of it.
+    pub(crate) last_pick: Option<Pick>,
     service: Arc<Service>,
     tried: BTreeSet<UpstreamId>,
     unreached: u32,
@@ -114,6 +116,7 @@
             admitted,
             template,
             sent: 0,
+            last_pick: None,
             service,
             tried: BTreeSet::new(),
             unreached: 0,
@@ -129,6 +132,7 @@
     pub(crate) async fn obtain(&mut self, last_event: Option<u64>) -> Result<Live, Refusal> {
         loop {
             let pick = self.choose()?;
+            self.last_pick = Some(pick.clone());
             let ending = match self.connect(&pick).await {
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
                     Sent::Answer(live) => return Ok(*live),
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -21,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::ending::{Ending, Next};
 use crate::events;
+use crate::members::Pick;
 use crate::refusal::Refusal;
 use crate::relay::{BrokenOff, Collected, Relay, collect};
 use crate::shared::Shared;
@@ -176,7 +177,7 @@
             return Err(call.out_of_time());
         };
         let live = obtained?;
-        tally.sent_to(live.upstream(), call.sent, live.head.status.as_u16());
+        tally.sent_to(&call, live.head.status.as_u16());
         let head = answer_head(&live);
         if call.admitted.route.kind.is_stream() && live.head.status.is_success() {
             let relay = Relay::events(call, live, tally.hand_over());
@@ -279,7 +280,7 @@
     route: String,
     service: String,
     customer: String,
-    upstream: String,
+    pick: Option<Pick>,
     sent: u32,
     status: u16,
     config: u64,
@@ -301,7 +302,7 @@
             route: String::new(),
             service: String::new(),
             customer: String::new(),
-            upstream: String::new(),
+            pick: None,
             sent: 0,
             status: 0,
             config: 0,
@@ -324,15 +325,17 @@
         self.belief = age.unwrap_or_default();
     }
 
-    fn sent_to(&mut self, upstream: &str, sent: u32, status: u16) {
-        upstream.clone_into(&mut self.upstream);
-        self.sent = sent;
+    fn sent_to<D>(&mut self, call: &Call<D>, status: u16) {
+        self.sent = call.sent;
         self.status = status;
+        self.pick.clone_from(&call.last_pick);
     }
 
     /// Takes that the stream goes on at another upstream.
     pub(crate) fn resumed(&mut self, upstream: &str) {
-        upstream.clone_into(&mut self.upstream);
+        if let Some(pick) = &mut self.pick {
+            upstream.clone_into(&mut pick.id);
+        }
         self.sent += 1;
     }
 
@@ -385,6 +388,11 @@
         self.metrics.requests.with_label_values(&[end]).inc();
         let took = self.started.elapsed();
         self.metrics.whole.observe(took.as_secs_f64());
+        let pick = self.pick.as_ref();
+        let distance = pick.map(|pick| pick.distance.to_string());
+        let distance = distance.unwrap_or_default();
+        let load = pick.map(|pick| format!("{} by {}", pick.in_flight, pick.source));
+        let load = load.unwrap_or_default();
         let first = self.first.map(|first| first.as_millis().to_string());
         event.emit(&[
             ("id", &self.id),
@@ -393,7 +401,9 @@
             ("route", &self.route),
             ("service", &self.service),
             ("customer", &self.customer),
-            ("upstream", &self.upstream),
+            ("upstream", pick.map_or("", |pick| &pick.id)),
+            ("distance", &distance),
+            ("load", &load),
             ("sent", &self.sent.to_string()),
             ("prompt", &self.prompt_tokens.to_string()),
             ("answer", &self.answer_tokens.to_string()),
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -165,6 +165,8 @@
     pub in_flight: u32,
     /// Whose word that is.
     pub source: LoadSource,
+    /// 0 in the own data centre, 1 in its region, 2 beyond.
+    pub distance: u8,
 }
 
 /// Why no upstream was chosen.
@@ -397,6 +399,7 @@
                 load: u64::from(in_flight) * 1000 / u64::from(slots),
                 turn: (position as u64).wrapping_add(self.turn) % count,
             };
+            let distance = rank.distance;
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let pick = Pick {
                     id: member.upstream.id.clone(),
@@ -404,6 +407,7 @@
                     version,
                     in_flight,
                     source,
+                    distance,
                 };
                 best = Some((rank, pick));
             }
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -75,6 +75,8 @@
     pub(crate) moved_at: Instant,
     /// Since when each chunk may be drawn by the VM that is first for it.
     pub(crate) let_go_at: Vec<Option<Instant>>,
+    /// Since when each chunk is known to be at a neighbour.
+    pub(crate) seen_at: Vec<Option<Instant>>,
     /// When the last chunk arrived.
     pub(crate) arrived_at: Instant,
     lost: BTreeSet<VmId>,
@@ -113,6 +115,7 @@
             last_seen: None,
             moved_at: now,
             let_go_at: vec![None; count as usize],
+            seen_at: vec![None; count as usize],
             arrived_at: now,
             lost: BTreeSet::new(),
             watched: BTreeSet::new(),
@@ -154,6 +157,7 @@
             Event::Tick => {}
         }
         self.review_lost(now);
+        self.note_seen(now);
         self.give_up(now, &mut actions);
         if !self.is_done() {
             self.draw(now, &mut actions);
--- a/crates/spread/src/ranking.rs
+++ b/crates/spread/src/ranking.rs
@@ -22,6 +22,8 @@
     own_scores: Vec<u64>,
     /// For each chunk, members of the own group that rank before the own VM.
     ahead: Vec<u32>,
+    /// For each chunk, members of the own data centre that rank before the own VM.
+    home_ahead: Vec<u32>,
     members: BTreeMap<VmId, DataCentre>,
     positions: Vec<u32>,
 }
@@ -38,6 +40,7 @@
             weigh,
             own_scores,
             ahead: vec![0; chunks.len()],
+            home_ahead: vec![0; chunks.len()],
             members: BTreeMap::new(),
             positions: vec![0; chunks.len()],
             chunks,
@@ -49,6 +52,11 @@
         self.positions[chunk as usize]
     }
 
+    /// Returns how many VMs of the own data centre rank before the own one for `chunk`.
+    pub(crate) fn home_position(&self, chunk: ChunkIndex) -> u32 {
+        self.home_ahead[chunk as usize]
+    }
+
     /// Gives every chunk the same position, for policies that rank VMs and not chunks.
     pub(crate) fn set_all(&mut self, position: u32) {
         self.positions.fill(position);
@@ -60,13 +68,13 @@
     pub(crate) fn set_members(&mut self, members: BTreeMap<VmId, DataCentre>) {
         let before = std::mem::take(&mut self.members);
         for (vm, data_centre) in &before {
-            if members.get(vm) != Some(data_centre) && self.in_group(data_centre) {
-                self.count(vm, |ahead| ahead.saturating_sub(1));
+            if members.get(vm) != Some(data_centre) {
+                self.count(vm, data_centre, |ahead| ahead.saturating_sub(1));
             }
         }
         for (vm, data_centre) in &members {
-            if before.get(vm) != Some(data_centre) && self.in_group(data_centre) {
-                self.count(vm, |ahead| ahead + 1);
+            if before.get(vm) != Some(data_centre) {
+                self.count(vm, data_centre, |ahead| ahead + 1);
             }
         }
         self.members = members;
@@ -81,17 +89,24 @@
         }
     }
 
-    /// Changes the count of every chunk that ranks `vm` before the own VM.
-    fn count<F>(&mut self, vm: &str, change: F)
+    /// Changes the counts of every chunk that ranks `vm` before the own VM.
+    fn count<F>(&mut self, vm: &str, data_centre: &str, change: F)
     where
         F: Fn(u32) -> u32,
     {
-        let scores = self.chunks.iter().zip(&self.own_scores);
-        for ((chunk, own), ahead) in scores.zip(&mut self.ahead) {
+        let in_group = self.in_group(data_centre);
+        let is_home = data_centre == self.own.data_centre;
+        if !in_group && !is_home {
+            return;
+        }
+        for (index, (chunk, own)) in self.chunks.iter().zip(&self.own_scores).enumerate() {
             let theirs = rank_score(chunk.as_bytes(), vm);
             let before = theirs > *own || (theirs == *own && vm < self.own.vm.as_str());
-            if before {
-                *ahead = change(*ahead);
+            if before && in_group {
+                self.ahead[index] = change(self.ahead[index]);
+            }
+            if before && is_home {
+                self.home_ahead[index] = change(self.home_ahead[index]);
             }
         }
     }
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -97,11 +97,14 @@
         let usable = self.usable(now);
         let chunk = self
             .wanted()
-            .filter(|chunk| usable.iter().any(|(_, peer)| peer.has(*chunk)))
+            .filter(|chunk| {
+                let mut givers = usable.iter();
+                givers.any(|(_, peer)| self.may_give(peer, *chunk, now))
+            })
             .min_by_key(|chunk| (self.rarity(*chunk), self.order[*chunk as usize]))?;
         let givers: Vec<(VmId, Load)> = usable
             .into_iter()
-            .filter(|(_, peer)| peer.has(chunk))
+            .filter(|(_, peer)| self.may_give(peer, chunk, now))
             .map(|(vm, peer)| (vm.clone(), self.load(peer)))
             .collect();
         self.pick(givers).map(|vm| (chunk, vm))
@@ -128,7 +131,7 @@
         let (chunk, givers) = slow.into_iter().find_map(|(_, chunk)| {
             let givers: Vec<(VmId, Load)> = usable
                 .iter()
-                .filter(|(_, peer)| peer.has(chunk))
+                .filter(|(_, peer)| self.may_give(peer, chunk, now))
                 .filter(|(vm, _)| !self.is_giving(vm, chunk))
                 .map(|(vm, peer)| ((*vm).clone(), self.load(peer)))
                 .collect();
@@ -137,6 +140,34 @@
         self.pick(givers).map(|vm| (chunk, vm))
     }
 
+    /// Says whether `chunk` may be fetched from `peer`: from another data centre only by the VM that
+    /// is first for it here, or in the place of those before it.
+    fn may_give(&self, peer: &Peer, chunk: ChunkIndex, now: Instant) -> bool {
+        if !peer.has(chunk) {
+            return false;
+        }
+        let Some(wait) = self.tuning.cross else {
+            return true;
+        };
+        if peer.site.data_centre == self.own.data_centre {
+            return true;
+        }
+        let ranks = self.ranking.home_position(chunk);
+        let ranks = ranks.min(self.tuning.stall_ranks);
+        let seen_for = self.seen_at[chunk as usize]
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        seen_for >= wait * ranks
+    }
+
+    /// Notes since when chunks are known to be at neighbours.
+    pub(crate) fn note_seen(&mut self, now: Instant) {
+        for chunk in 0..self.have.capacity() {
+            if self.peers.holders(chunk) > 0 {
+                self.seen_at[chunk as usize].get_or_insert(now);
+            }
+        }
+    }
+
     /// Says whether `chunk` is on its way from `vm`.
     fn is_giving(&self, vm: &str, chunk: ChunkIndex) -> bool {
         self.active.values().any(|active| {
--- a/crates/spread/src/tuning.rs
+++ b/crates/spread/src/tuning.rs
@@ -36,6 +36,11 @@
     pub penalty: Duration,
     /// How long a busy peer is passed over if it does not say.
     pub busy: Duration,
+    /// How long the next in a chunk's ranking within a data centre waits before it fetches from
+    /// another data centre in place of the one before; none lets every VM fetch from anywhere.
+    ///
+    /// With it each chunk crosses into a data centre once.
+    pub cross: Option<Duration>,
     /// First pause after the origin refused or failed, doubled with each failure in a row.
     pub origin_pause: Duration,
     /// Longest pause after the origin refused or failed, unless it asks for a longer one.
@@ -60,6 +65,7 @@
             give_up_factor: 8,
             penalty: Duration::from_millis(250),
             busy: Duration::from_millis(30),
+            cross: None,
             origin_pause: Duration::from_millis(200),
             origin_pause_most: Duration::from_secs(2),
         }
--- /dev/null
+++ b/crates/spread/tests/crossing.rs
@@ -0,0 +1,113 @@
+//! A chunk crosses into a data centre once.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_core::{Digest, SpreadSettings, VmEntry, VmRole, VmState, Weigh};
+use wagtailreel_spread::{
+    Action, ChunkSet, Event, Fetch, Planner, PlannerConfig, Site, Source, Tuning,
+};
+
+const CHUNKS: u32 = 12;
+
+const WAIT: Duration = Duration::from_millis(400);
+
+fn entry(vm: &str, data_centre: &str) -> VmEntry {
+    let addr = "10.0.0.1:1".parse().unwrap();
+    VmEntry {
+        vm: vm.to_owned(),
+        data_centre: data_centre.to_owned(),
+        region: data_centre.to_owned(),
+        role: VmRole::Upstream,
+        state: VmState::Live,
+        service: Some("scribes".to_owned()),
+        control: addr,
+        data: addr,
+    }
+}
+
+fn fleet() -> Vec<VmEntry> {
+    vec![
+        entry("a", "home"),
+        entry("b", "home"),
+        entry("c", "home"),
+        entry("far", "abroad"),
+    ]
+}
+
+fn all() -> ChunkSet {
+    let mut all = ChunkSet::new(CHUNKS);
+    for chunk in 0..CHUNKS {
+        all.insert(chunk);
+    }
+    all
+}
+
+/// Makes the planner of a VM at home that knows that `far` has everything.
+fn planner(own: &str, now: Instant) -> (Planner, Vec<Action>) {
+    let fleet = fleet();
+    let site = fleet.iter().find(|it| it.vm == own).unwrap();
+    let digests = (0..CHUNKS).map(|chunk| Digest::of(&chunk.to_be_bytes()));
+    let cfg = PlannerConfig {
+        own: Site::of(site),
+        chunks: digests.collect(),
+        have: ChunkSet::new(CHUNKS),
+        settings: SpreadSettings {
+            weigh: Weigh::OriginBytes,
+            ..SpreadSettings::default()
+        },
+        seed: 7,
+    };
+    let tuning = Tuning {
+        parallel: CHUNKS as usize,
+        per_peer: CHUNKS as usize,
+        cross: Some(WAIT),
+        ..Tuning::default()
+    };
+    let mut planner = Planner::new(cfg, now).with_tuning(tuning);
+    let others = fleet.iter().filter(|it| it.vm != own).cloned();
+    planner.apply(Event::Peers(others.collect()), now);
+    for other in fleet.iter().filter(|it| it.vm != own && it.vm != "far") {
+        let have = ChunkSet::new(CHUNKS);
+        let vm = other.vm.clone();
+        planner.apply(Event::Have { vm, have }, now);
+    }
+    let vm = "far".to_owned();
+    let actions = planner.apply(Event::Have { vm, have: all() }, now);
+    (planner, actions)
+}
+
+fn from_far(actions: &[Action]) -> BTreeSet<u32> {
+    let fetches = actions.iter().filter_map(|action| match action {
+        Action::Fetch(Fetch { chunk, from, .. }) if *from == Source::Peer("far".to_owned()) => {
+            Some(*chunk)
+        }
+        _ => None,
+    });
+    fetches.collect()
+}
+
+#[rstest]
+fn each_once() {
+    let now = Instant::now();
+    let parts = ["a", "b", "c"].map(|vm| from_far(&planner(vm, now).1));
+    let total: usize = parts.iter().map(BTreeSet::len).sum();
+    let union: BTreeSet<u32> = parts.into_iter().flatten().collect();
+    assert_eq!(union.len(), CHUNKS as usize, "somebody brings each chunk");
+    assert_eq!(total, CHUNKS as usize, "and only one does");
+}
+
+#[rstest]
+fn next_in_rank() {
+    let now = Instant::now();
+    let (mut planner, first) = planner("a", now);
+    let own = from_far(&first).len();
+    assert!(own < CHUNKS as usize);
+    let mut brought = own;
+    for waits in 1..=3 {
+        let actions = planner.apply(Event::Tick, now + WAIT * waits);
+        brought += from_far(&actions).len();
+    }
+    assert_eq!(brought, CHUNKS as usize, "nobody else brought the others");
+}
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -26,6 +26,10 @@
 /// 9.4 Mbit/s.
 const ASK_EVERY: Duration = Duration::from_millis(50);
 
+/// How many questions to neighbours of the own data centre there are for each one beyond, whose
+/// links are narrow.
+const FAR_EVERY: u32 = 3;
+
 /// Time between two looks at what takes long.
 const TICK: Duration = Duration::from_millis(25);
 
@@ -47,6 +51,7 @@
         first_guess: Duration::from_millis(150),
         patience: Duration::from_millis(250),
         penalty: Duration::from_millis(100),
+        cross: Some(Duration::from_millis(400)),
         origin_pause: Duration::from_millis(100),
         origin_pause_most: Duration::from_millis(800),
         ..Tuning::default()
@@ -156,6 +161,8 @@
     client: HttpClient,
     started: Instant,
     from_origin: u32,
+    from_far: u32,
+    asks: u32,
 }
 
 impl<R, E, O> Bringing<R, E, O>
@@ -204,6 +211,8 @@
             client: HttpClient::new(),
             started: now,
             from_origin: 0,
+            from_far: 0,
+            asks: 0,
         }
     }
 
@@ -236,6 +245,7 @@
             ("model", &self.manifest.model),
             ("version", &self.manifest.version.to_string()),
             ("from_origin", &self.from_origin.to_string()),
+            ("from_far", &self.from_far.to_string()),
             ("peers", &self.peers.len().to_string()),
             ("ms", &self.started.elapsed().as_millis().to_string()),
         ]);
@@ -255,8 +265,13 @@
     /// Asks the neighbours what they have, and takes note of the silent ones.
     fn ask(&mut self) {
         let now = Instant::now();
+        self.asks = self.asks.wrapping_add(1);
+        let is_far_turn = self.asks.is_multiple_of(FAR_EVERY);
         let watched: Vec<VmId> = self.planner.watched().iter().cloned().collect();
         for vm in watched {
+            if !is_far_turn && self.is_far(&Source::Peer(vm.clone())) {
+                continue;
+            }
             let Some(addr) = self.peers.get(&vm) else {
                 continue;
             };
@@ -305,10 +320,21 @@
         self.apply(event);
     }
 
+    /// Says whether a giver stands in another data centre.
+    fn is_far(&self, from: &Source) -> bool {
+        let Source::Peer(vm) = from else {
+            return false;
+        };
+        let peers = self.cx.peers.borrow();
+        let peer = peers.iter().find(|peer| peer.vm == *vm);
+        peer.is_some_and(|peer| peer.data_centre != self.cx.settings.data_centre)
+    }
+
     /// Keeps a chunk that is the right one.
     fn take_bytes(&mut self, fetch: &Fetch, data: Bytes) -> Event {
         if self.cx.shelf.put(&self.manifest, fetch.chunk, data) {
             self.from_origin += u32::from(fetch.from == Source::Origin);
+            self.from_far += u32::from(self.is_far(&fetch.from));
             return Event::Fetched {
                 id: fetch.id,
                 chunk: fetch.chunk,
