Read what handlers leave of a body before the answer goes

Cause: agreement::bad_input fell now and then: at a body over the limit the caller got a broken pipe in place of 413. The listener answered and closed with bytes unread, which resets the connection; a caller that is still sending loses the answer. Ruled out: the client, which had read nothing yet.

A layer over both listeners reads what a handler left, up to 16 MB or 500 ms, and then answers; a handler that passes the body on keeps it. The direct entry uses the same function.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::TaskTracker;
+use wagtailreel_adapters::discard;
 
 use crate::admit::{Admitted, admit, strip_hop_by_hop};
 use crate::attempt::{Call, Live, Template};
@@ -41,12 +42,6 @@
 /// Further time for which a quiet connection is kept: a request that crosses the end is lost.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Most of a refused body that is read, so that the answer isn't lost by a reset, in bytes.
-const MOST_DRAINED: usize = 16 << 20;
-
-/// Longest time for which a refused body is read.
-const DRAIN_TIME: Duration = Duration::from_millis(500);
-
 /// Pause after a connection could not be accepted, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -143,7 +138,7 @@
         }
         Err((refusal, unread)) => {
             if let Some(body) = unread {
-                drain(body).await;
+                discard(body).await;
             }
             tally.done_by(refusal);
             let mut response = refusal.answer();
@@ -246,7 +241,7 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            drain(body).await;
+            discard(body).await;
             return Err(Refusal::BodyTooLarge);
         }
         buf.extend_from_slice(&data);
@@ -254,22 +249,6 @@
     Ok(buf.freeze())
 }
 
-/// Reads what is left of a body, within bounds. Closing a connection with unread bytes resets it,
-/// and the caller may lose the answer.
-async fn drain(mut body: Incoming) {
-    let reading = async {
-        let mut read = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            read += frame.data_ref().map_or(0, Bytes::len);
-            if read > MOST_DRAINED {
-                return;
-            }
-        }
-    };
-    // Whoever sends for longer has to bear the reset.
-    let _ = tokio::time::timeout(DRAIN_TIME, reading).await;
-}
-
 /// The account of one request: one line and its metrics when it is over.
 #[derive(Debug)]
 pub(crate) struct Tally {
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -9,10 +9,12 @@
 
 use axum::Router;
 use axum::extract::DefaultBodyLimit;
+use axum::middleware::from_fn;
 use axum::routing::{get, post};
 use wagtailreel_adapters::LogService;
 use wagtailreel_settings::MAX_DOCUMENT_BYTES;
 
+use crate::leftover::read_rest;
 use crate::shared::Shared;
 
 /// What the handlers share.
@@ -38,5 +40,6 @@
         .route("/metrics", get(health::metrics::<L>))
         .route("/healthz", get(health::healthz))
         .route("/readyz", get(health::readyz::<L>))
+        .layer(from_fn(read_rest))
         .with_state(admin)
 }
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -11,11 +11,13 @@
 use std::sync::Arc;
 
 use axum::Router;
+use axum::middleware::from_fn;
 use axum::routing::{any, post};
 
 pub(crate) use answer::OUTCOME;
 pub(crate) use head::bearer;
 
+use crate::leftover::read_rest;
 use crate::shared::Shared;
 
 /// Returns the routes of the callers' listener.
@@ -26,5 +28,6 @@
         .route("/v1/services/{service}/call/", any(call::call_root))
         .route("/v1/services/{service}/call/{*path}", any(call::call))
         .fallback(answer::no_route)
+        .layer(from_fn(read_rest))
         .with_state(cx)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 mod follower;
 mod front;
+mod leftover;
 mod live;
 mod metrics;
 mod peers;
