--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 mod vm;
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use wagtailreel_core::VmId;
 
@@ -51,7 +51,7 @@
 }
 
 impl FleetBinaries {
-    /// Finds both beside the running program.
+    /// Finds both beside the running program, or beside the folder of examples that it stands in.
     ///
     /// # Errors
     ///
@@ -60,9 +60,14 @@
         let current = std::env::current_exe().context(IoSnafu {
             what: "find the running program",
         })?;
+        let folder = current.parent().unwrap_or(Path::new("."));
+        let folder = match folder.parent() {
+            Some(above) if folder.ends_with("examples") => above,
+            _ => folder,
+        };
         Ok(Self {
-            wagtailreel: current.with_file_name("wagtailreel"),
-            agent: current.with_file_name("wagtailreel-agent"),
+            wagtailreel: folder.join("wagtailreel"),
+            agent: folder.join("wagtailreel-agent"),
         })
     }
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -253,7 +253,8 @@
             return Ok(conn);
         }
         let opened = Connection::open(pick.addr).await;
-        opened.map_err(|_| Ending::NotSent)
+        // Nothing was sent, whatever kept the connection from being made.
+        opened.or(Err(Ending::NotSent))
     }
 
     async fn send(&mut self, pick: &Pick, conn: Connection, last_event: Option<u64>) -> Sent {
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -156,7 +156,7 @@
 /// What a caller gets.
 enum Answer<D> {
     Whole(Response<Full<Bytes>>),
-    Relayed(http::response::Parts, Relay<D>),
+    Relayed(http::response::Parts, Box<Relay<D>>),
 }
 
 /// Brings an answer of an upstream.
@@ -176,7 +176,7 @@
         let head = answer_head(&live);
         if call.admitted.route.kind.is_stream() && live.head.status.is_success() {
             let relay = Relay::events(call, live, tally.hand_over());
-            return Ok(Answer::Relayed(head, relay));
+            return Ok(Answer::Relayed(head, Box::new(relay)));
         }
         let collected = tokio::time::timeout_at(deadline, collect(live)).await;
         let Ok(collected) = collected else {
@@ -189,7 +189,7 @@
             }
             Collected::Long(first, live) => {
                 let relay = Relay::bytes(call, first, live, tally.hand_over());
-                return Ok(Answer::Relayed(head, relay));
+                return Ok(Answer::Relayed(head, Box::new(relay)));
             }
             Collected::Broken(upstream) => {
                 if call.ended(&upstream, Ending::Lost) != Next::Again {
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -131,7 +131,7 @@
     fn takes_new(&self, now: Instant) -> bool {
         self.upstream.state == UpstreamState::Ready
             && !self.is_gone
-            && !self.shunned_until.is_some_and(|until| now < until)
+            && self.shunned_until.is_none_or(|until| now >= until)
             && !self.fresh_status(now).is_some_and(|it| it.is_switching)
     }
 
--- a/crates/direct/tests/answers.rs
+++ b/crates/direct/tests/answers.rs
@@ -1,4 +1,5 @@
 //! What callers get, whatever upstreams do.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
 
@@ -14,7 +15,7 @@
 async fn through(path: &str, first: Act, second: Act) -> (Answer, usize) {
     let registry = RegistryStandin::default();
     let (a, b) = (
-        TestUpstream::start(&[first.clone()]).await,
+        TestUpstream::start(std::slice::from_ref(&first)).await,
         TestUpstream::start(&[first]).await,
     );
     let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
--- a/crates/direct/tests/beliefs.rs
+++ b/crates/direct/tests/beliefs.rs
@@ -1,4 +1,5 @@
 //! What an entry does with what it believes, and with what it no longer can.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
 
--- a/crates/direct/tests/cutter.rs
+++ b/crates/direct/tests/cutter.rs
@@ -1,4 +1,5 @@
 //! Events stay whole wherever a stream is cut.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use bytes::Bytes;
 use proptest::prelude::*;
--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -1,4 +1,5 @@
 //! Which upstream a request goes to.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -1,4 +1,5 @@
 //! No request begins on weights that are too old.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
 
--- a/crates/fleet/tests/follower.rs
+++ b/crates/fleet/tests/follower.rs
@@ -1,4 +1,5 @@
 //! What a follower believes of the answers of a registry.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::time::Duration;
 
--- a/crates/spread/tests/crossing.rs
+++ b/crates/spread/tests/crossing.rs
@@ -1,4 +1,5 @@
 //! A chunk crosses into a data centre once.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
--- a/crates/stage/src/peers.rs
+++ b/crates/stage/src/peers.rs
@@ -71,5 +71,6 @@
         _ => return Err(Failure::Busy { retry_after: None }),
     }
     let body = collect_body(&uri, response.into_body(), LONGEST, STALL).await;
-    body.map_err(|_| Failure::Broken)
+    // Whatever cut the body short, the chunk is fetched again.
+    body.or(Err(Failure::Broken))
 }
--- a/crates/stage/tests/shelf.rs
+++ b/crates/stage/tests/shelf.rs
@@ -1,4 +1,5 @@
 //! Only chunks that were verified are kept and given.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::sync::Arc;
 
--- a/crates/stage/tests/spreading.rs
+++ b/crates/stage/tests/spreading.rs
@@ -1,4 +1,5 @@
 //! Agents bring weights to their engines, whatever happens on the way.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
 
