--- /dev/null
+++ b/crates/settings/tests/direct_settings.rs
@@ -0,0 +1,93 @@
+//! Settings of fleets whose upstreams name themselves.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wagtailreel_settings::{DirectEntrySettings, StagingAgentSettings};
+
+const ENTRY: &str = r#"
+upstreams: direct
+vm: "edge-1"
+data_centre: hall
+regions:
+  - { data_centre: "hall", region: "sierra" }
+  - { data_centre: "quay", region: "costa" }
+listen:
+  callers: "10.1.0.1:8005"
+  status: "10.1.0.1:8002"
+  agents: "10.1.0.1:7700"
+registry: "10.9.0.1:8007"
+agent_port: 7700
+bounds:
+  keys_ms: 5000
+  weights_ms:
+  grace_ms: 8000
+  retry_ratio: 0.2
+"#;
+
+const AGENT: &str = r#"
+upstreams: direct
+vm: side-1
+data_centre: hall
+regions: [{ data_centre: hall, region: sierra }]
+service: writers
+engine: "10.1.0.2:8001"
+listen: "10.1.0.2:7700"
+registry: "10.9.0.1:8007"
+link_mbps: 9.4
+"#;
+
+#[rstest]
+fn entry_settings() {
+    let settings = DirectEntrySettings::from_yaml(ENTRY).unwrap();
+    assert_eq!(settings.regions["quay"], "costa");
+    assert_eq!(settings.threads, 1);
+    let bounds = settings.bounds;
+    assert!(bounds.keys < Duration::from_secs(5), "with a margin");
+    assert!(
+        bounds.weights < bounds.weights_last,
+        "sending ends before beginning does"
+    );
+    assert!(
+        bounds.weights_last < Duration::from_secs(8),
+        "an empty value means the default"
+    );
+    assert!(bounds.grace < Duration::from_secs(8));
+    assert!(bounds.retry_ratio < 0.2);
+}
+
+#[rstest]
+fn agent_settings() {
+    let settings = StagingAgentSettings::from_yaml(AGENT).unwrap();
+    assert!((settings.link - 9.4e6).abs() < 1.0);
+    assert_eq!(settings.service, "writers");
+}
+
+#[rstest]
+#[case::direct(ENTRY, true)]
+#[case::in_quotes("upstreams: \"direct\"\n", true)]
+#[case::other_fleet("vm: edge-1\n", false)]
+#[case::deeper_key("platform:\n  upstreams: direct\n", false)]
+fn kind_of_fleet(#[case] text: &str, #[case] is_direct: bool) {
+    assert_eq!(DirectEntrySettings::is_meant(text), is_direct);
+}
+
+#[rstest]
+#[case::no_port("agent_port: 7700", "agent_port: 0", "agent_port")]
+#[case::unknown_key("agent_port: 7700", "agent_port: 7700\nagentport: 1", "agentport")]
+#[case::same_address("10.1.0.1:8002", "10.1.0.1:8005", "listen.callers")]
+#[case::bad_address("10.9.0.1:8007", "store", "registry")]
+#[case::share_above_one("retry_ratio: 0.2", "retry_ratio: 2", "retry_ratio")]
+#[case::unit_in_value("keys_ms: 5000", "keys_ms: 5s", "keys_ms")]
+fn mistakes(#[case] from: &str, #[case] to: &str, #[case] place: &str) {
+    let err = DirectEntrySettings::from_yaml(&ENTRY.replace(from, to)).unwrap_err();
+    assert!(err.to_string().contains(place), "{err}");
+}
+
+#[rstest]
+fn missing_link() {
+    let text = AGENT.replace("link_mbps: 9.4\n", "");
+    let err = StagingAgentSettings::from_yaml(&text).unwrap_err();
+    assert!(err.to_string().contains("link_mbps"), "{err}");
+}
