--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,7 @@
 //! What the entry believes of its fleet, each belief with its age.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -70,6 +71,8 @@
     services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
     homes: Mutex<BTreeMap<UpstreamId, ServiceName>>,
     weights: Mutex<BTreeMap<ModelName, Vec<Named>>>,
+    /// The registry was away and came back since the start.
+    saw_return: AtomicBool,
 }
 
 impl View {
@@ -87,6 +90,7 @@
             services: RwLock::default(),
             homes: Mutex::default(),
             weights: Mutex::default(),
+            saw_return: AtomicBool::new(false),
         }
     }
 
@@ -172,11 +176,15 @@
 
     fn take_weights(&self, weights: NamedWeights) {
         let is_first = !lock(&self.confirmed).contains_key(&Topic::Settings);
-        let (hold, last) = if is_first {
-            (self.bounds.weights_at_start, self.bounds.weights_at_start)
+        let waits = self.bounds.weights_last.saturating_sub(self.bounds.weights);
+        // After an outage of the registry the bound counts from its return, also for what was named
+        // before the start.
+        let hold = if is_first && !self.saw_return.load(Ordering::Relaxed) {
+            self.bounds.weights_at_start
         } else {
-            (self.bounds.weights, self.bounds.weights_last)
+            self.bounds.weights
         };
+        let last = hold + waits;
         let now = BootTime::now();
         let mut all = lock(&self.weights);
         let named = all.entry(weights.model.clone()).or_default();
@@ -239,6 +247,12 @@
         }
     }
 
+    fn returned(&self, topic: Topic) {
+        if topic == Topic::Settings {
+            self.saw_return.store(true, Ordering::Relaxed);
+        }
+    }
+
     fn confirmed(&self, topic: Topic, as_of: BootTime) {
         let mut confirmed = lock(&self.confirmed);
         let latest = confirmed.entry(topic).or_insert(as_of);
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{ready_entry, registered};
+use common::{directory, entry, ready_entry, registered, until_readiness};
 use rstest::rstest;
 use wagtailreel_fleet::{Change, LoadedModel, NamedWeights, Upstream};
 use wagtailreel_standins::RegistryStandin;
@@ -89,3 +91,28 @@
     let answer = waiting.await.unwrap();
     assert!(!answer.is_whole || answer.status == 502, "it may have run");
 }
+
+/// Weights that were named before the start are binding after a time of their own, unless the
+/// registry was away: its outage stretches the bound.
+#[rstest]
+#[case::registry_there(false, 1500, 3500)]
+#[case::registry_away(true, 200, 1500)]
+#[tokio::test]
+async fn named_before_start(#[case] is_away: bool, #[case] from: u128, #[case] to: u128) {
+    let registry = RegistryStandin::default();
+    let old = answering().await;
+    registry.config(directory(1));
+    registry.upstream(writer("old", &old, 1));
+    name(&registry, 2);
+    registry.set_away(is_away);
+    let entry = entry(&registry, Duration::from_secs(4)).await;
+    if is_away {
+        until_readiness(&entry, 503).await;
+        registry.set_away(false);
+    }
+    until_status(entry.callers(), 200).await;
+    let served = std::time::Instant::now();
+    until_status(entry.callers(), 503).await;
+    let took = served.elapsed().as_millis();
+    assert!((from..to).contains(&took), "{took}");
+}
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -35,6 +35,11 @@
     /// Takes that the topic's state at `as_of` is known.
     fn confirmed(&self, topic: Topic, as_of: BootTime);
 
+    /// Takes that the registry answers again, before what it says is applied.
+    fn returned(&self, topic: Topic) {
+        let _ = topic;
+    }
+
     /// Waits for a wish to read at once, in place of the pace; never returns if there is none.
     fn wake(&self, topic: Topic) -> impl Future<Output = ()> + Send {
         let _ = topic;
@@ -103,6 +108,7 @@
 {
     if applied.is_back {
         tell(events::REGISTRY_BACK, cfg.topic, "");
+        sink.returned(cfg.topic);
     }
     for change in applied.changes {
         if let Change::Unreadable { key, reason } = &change {
