--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -17,7 +17,8 @@
 use wagtailreel_core::{Outcome, ServiceKind};
 
 use crate::front::answer::{Denial, OUTCOME};
-use crate::front::attempt::{Attempt, Call, Dispatch, Opened, Payload};
+use crate::front::attempt::Attempt;
+use crate::front::dispatch::{Call, Dispatch, Opened, Payload};
 use crate::front::generate::{begin, deny, set_name};
 use crate::front::head::{RequestHead, authenticate, read_body, read_head};
 use crate::shared::Shared;
--- /dev/null
+++ b/crates/entry/src/front/dispatch.rs
@@ -0,0 +1,453 @@
+//! Sends one request to upstreams until one takes it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
+use hyper::body::Incoming;
+use wagtailreel_adapters::{Body, Effect, PlatformError, encode_segment, retry_after};
+use wagtailreel_core::headers::{DEADLINE_MS, EPOCH, PRIORITY, WEIGHTS};
+use wagtailreel_core::{Digest, Epoch, NotRunReason, Outcome, Priority, ServiceKind, headers};
+use wagtailreel_route::{
+    Ask, Attempts, AttemptsConfig, CancelState, Ended, Next, Repeat, prefix_of,
+};
+
+use crate::claims::ClaimTicket;
+use crate::events;
+use crate::front::answer::{Denial, OUTCOME, REASON};
+use crate::front::attempt::Attempt;
+use crate::front::head::RequestHead;
+use crate::metrics::StreamTimes;
+use crate::service::{AdmissionTicket, Slot};
+use crate::shared::Shared;
+
+/// Longest wait for the head of an answer, however alive the upstream is.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// How long the answer to what can't be repeated is waited for after the upstream fell silent.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Longest that a request of high priority waits for room after it was let in: as long as one that
+/// waits to be let in.
+const ROOM_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait between looks for an upstream with room.
+const ROOM_EVERY: Duration = Duration::from_millis(50);
+
+const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
+const CUSTOMER: HeaderName = HeaderName::from_static(headers::CUSTOMER);
+const PIN: HeaderName = HeaderName::from_static(headers::PIN);
+pub(crate) const INCARNATION: HeaderName = HeaderName::from_static(headers::INCARNATION);
+const RESUME_FROM: HeaderName = HeaderName::from_static(headers::RESUME_FROM);
+
+/// What is sent to an agent.
+#[derive(Debug)]
+pub(crate) enum Payload {
+    /// A prompt, answered by a stream of tokens.
+    Generate(Bytes),
+    /// A call of a plain service.
+    Call(Call),
+}
+
+/// A call of a plain service.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    /// Path and query, encoded, without a slash at the start.
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An upstream took the request and began to answer.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) attempt: Attempt,
+    pub(crate) weights: Option<Digest>,
+    pub(crate) epoch: Option<Epoch>,
+}
+
+/// One request on its way through upstreams.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    cx: Arc<Shared>,
+    head: RequestHead,
+    payload: Payload,
+    attempts: Attempts,
+    admission: AdmissionTicket,
+    claim: Option<ClaimTicket>,
+    numbered: u32,
+    switch_wait: Duration,
+}
+
+impl Dispatch {
+    /// Makes the dispatch of a request that was admitted and, if it is an order, claimed.
+    pub(crate) fn new(
+        cx: &Arc<Shared>,
+        head: RequestHead,
+        payload: Payload,
+        admission: AdmissionTicket,
+        claim: Option<ClaimTicket>,
+    ) -> Self {
+        let repeat = match (&payload, &head.order) {
+            (Payload::Generate(_), None) => Repeat::Resumable,
+            _ => Repeat::Never,
+        };
+        let ask = Ask {
+            needs_open: head.document.kind == ServiceKind::Engine,
+            ..Ask::default()
+        };
+        let room_wait = match head.priority {
+            Priority::High => ROOM_WAIT,
+            Priority::Normal | Priority::Low => Duration::ZERO,
+        };
+        let cfg = AttemptsConfig {
+            switch_wait: cx.switch_wait(),
+            room_wait,
+            ..AttemptsConfig::default()
+        };
+        let attempts = Attempts::new(cfg, repeat, ask).with_deadline(head.deadline);
+        Self {
+            cx: Arc::clone(cx),
+            head,
+            payload,
+            attempts,
+            admission,
+            claim,
+            numbered: 0,
+            switch_wait: Duration::ZERO,
+        }
+    }
+
+    /// Sets the prompt by whose head an upstream with a warm cache is chosen.
+    pub(crate) fn with_prompt(mut self, prompt: &str) -> Self {
+        self.attempts.set_prefix(prefix_of(prompt));
+        self
+    }
+
+    /// Returns the request's head.
+    pub(crate) fn head(&self) -> &RequestHead {
+        &self.head
+    }
+
+    /// Sends the request until an upstream takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer if none does.
+    pub(crate) async fn open(&mut self) -> Result<Opened, Denial> {
+        loop {
+            // Subscribed before the choice, so that no change after it is missed.
+            let mut changed = self.head.service.changed();
+            let next = match self.head.service.choose(&mut self.attempts) {
+                Ok(slot) => match self.send(slot).await {
+                    Ok(opened) => {
+                        self.note_switch_wait();
+                        self.admission.ran = true;
+                        return Ok(opened);
+                    }
+                    Err(next) => next,
+                },
+                Err(next) => next,
+            };
+            let began = Instant::now();
+            match self.settle(next) {
+                Step::Again => {}
+                Step::Wait(until) => {
+                    // A standing that changes wakes it; time alone does if only room is wanted.
+                    let for_room = self.attempts.is_started() || self.attempts.awaits_room();
+                    let until = if for_room {
+                        until.min(began + ROOM_EVERY)
+                    } else {
+                        until
+                    };
+                    let _ = tokio::time::timeout_at(until.into(), changed.changed()).await;
+                    if self.attempts.is_at_switch() {
+                        self.switch_wait += began.elapsed();
+                    }
+                }
+                Step::Done(denial) => {
+                    self.note_switch_wait();
+                    return Err(denial);
+                }
+            }
+        }
+    }
+
+    /// Takes that a stream broke off before its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer if no replica may go on with it.
+    pub(crate) fn cut(
+        &mut self,
+        vm: &str,
+        next: u64,
+        weights: Option<Digest>,
+    ) -> Result<(), Denial> {
+        self.note_ended("cut");
+        events::UPSTREAM_FAILED.emit(&[("vm", vm), ("request", &self.head.id)]);
+        let ended = Ended::Cut { next, weights };
+        let next = self.head.service.ended(&mut self.attempts, vm, ended);
+        match self.settle(next) {
+            Step::Again | Step::Wait(_) => Ok(()),
+            Step::Done(denial) => Err(denial),
+        }
+    }
+
+    /// Counts the final outcome.
+    pub(crate) fn note_outcome(&self, outcome: Outcome, reason: Option<NotRunReason>) {
+        let service = self.head.service.name();
+        let metrics = &self.cx.metrics;
+        metrics.outcome(service, &self.head.customer, outcome, reason);
+        if outcome == Outcome::Unknown {
+            events::OUTCOME_UNKNOWN.emit(&[("service", service), ("request", &self.head.id)]);
+        }
+    }
+
+    /// Returns where the times of the answer's stream are counted.
+    pub(crate) fn stream_times(&self) -> StreamTimes {
+        let service = self.head.service.name();
+        self.cx.metrics.stream_times(service, &self.head.customer)
+    }
+
+    /// Counts a stream that goes on at a replica.
+    pub(crate) fn count_resume(&self) {
+        let service = self.head.service.name();
+        self.cx.metrics.resumes.with_label_values(&[service]).inc();
+    }
+
+    /// Counts a request whose caller went away before its answer was whole.
+    pub(crate) fn count_caller_gone(&self) {
+        let service = self.head.service.name();
+        let gone = &self.cx.metrics.callers_gone;
+        gone.with_label_values(&[service]).inc();
+    }
+
+    async fn send(&mut self, slot: Slot) -> Result<Opened, Next> {
+        let vm = slot.vm.clone();
+        let addr = slot.addr;
+        let id = format!("{}-{}", self.head.id, self.numbered);
+        self.numbered += 1;
+        let Some(req) = self.request(addr, &id) else {
+            return Err(self.ended(&vm, Ended::Refused(NotRunReason::Refused, None)));
+        };
+        if let Some(claim) = &mut self.claim {
+            claim.sending();
+        }
+        let mut attempt = Attempt::new(&self.cx, slot, id, self.claim.take(), self.patience());
+        let client = self.cx.client.clone();
+        let sent = client.request_within(req, HEAD_TIMEOUT);
+        let answer = attempt.while_alive(sent).await;
+        let ended = match answer {
+            Some(Ok(response)) => match self.refusal_of(&response) {
+                None => {
+                    self.note_ended("opened");
+                    return Ok(opened(response, attempt));
+                }
+                Some(ended) => ended,
+            },
+            Some(Err(err)) => failure(&vm, &err),
+            None => Ended::Broken,
+        };
+        if ended == Ended::Broken {
+            events::UPSTREAM_FAILED.emit(&[("vm", &vm), ("request", &self.head.id)]);
+            return Err(self.find_out(attempt, &vm).await);
+        }
+        attempt.set_over();
+        self.claim = attempt.take_claim();
+        drop(attempt);
+        Err(self.ended(&vm, ended))
+    }
+
+    /// Returns how the attempt ended if the answer is the agent's own and not the upstream's.
+    fn refusal_of(&self, response: &Response<Incoming>) -> Option<Ended> {
+        let headers = response.headers();
+        let text = |name| headers.get(name)?.to_str().ok();
+        match text(OUTCOME).and_then(Outcome::from_wire) {
+            Some(Outcome::NotRun) => {
+                let reason = text(REASON).and_then(reason_of);
+                let reason = reason.unwrap_or(NotRunReason::Refused);
+                Some(Ended::Refused(reason, retry_after(headers)))
+            }
+            Some(Outcome::Unknown) => Some(Ended::Cancelled(CancelState::Started)),
+            Some(Outcome::Answered) => None,
+            // A stream begins with 200 and tells its outcome at its end.
+            None if self.is_generate() && response.status() == StatusCode::OK => None,
+            // Every other answer of an agent says its outcome: this one is not an agent's, so that
+            // nothing is known of the attempt.
+            None => Some(Ended::Broken),
+        }
+    }
+
+    fn is_generate(&self) -> bool {
+        matches!(self.payload, Payload::Generate(_))
+    }
+
+    /// Asks the agent whether the request was started, after its answer was lost.
+    async fn find_out(&mut self, mut attempt: Attempt, vm: &str) -> Next {
+        let state = attempt.cancel().await;
+        attempt.set_over();
+        self.claim = attempt.take_claim();
+        drop(attempt);
+        let ended = state.map_or(Ended::CancelLost, Ended::Cancelled);
+        self.ended(vm, ended)
+    }
+
+    fn ended(&mut self, vm: &str, ended: Ended) -> Next {
+        self.note_ended(label_of(&ended));
+        self.head.service.ended(&mut self.attempts, vm, ended)
+    }
+
+    /// Turns what comes next into a step, and keeps or frees the claim by it.
+    fn settle(&mut self, next: Next) -> Step {
+        let not_run = |claim: &mut Option<ClaimTicket>| {
+            if let Some(claim) = claim {
+                claim.not_run();
+            }
+        };
+        match next {
+            // For an order, going on at all means that nothing was run so far.
+            Next::Send => {
+                not_run(&mut self.claim);
+                Step::Again
+            }
+            Next::Await(until) => {
+                not_run(&mut self.claim);
+                Step::Wait(until)
+            }
+            Next::NotRun(reason, retry_after) => {
+                not_run(&mut self.claim);
+                Step::Done(Denial::NotRun(reason, retry_after))
+            }
+            Next::Unknown(reason) => Step::Done(Denial::Unknown(reason)),
+            // Neither follows from an end that gets here; unknown claims the least.
+            Next::Answered | Next::AskCancel => Step::Done(Denial::Unknown(
+                wagtailreel_route::UnknownReason::AnswerLost,
+            )),
+        }
+    }
+
+    /// A stream is resumed elsewhere at once; what can't be repeated is worth a wait.
+    fn patience(&self) -> Duration {
+        match self.attempts.repeat() {
+            Repeat::Resumable => Duration::ZERO,
+            Repeat::Never => PATIENCE,
+        }
+    }
+
+    fn request(&self, addr: SocketAddr, id: &str) -> Option<Request<Body>> {
+        let id = encode_segment(id);
+        let (method, uri, body) = match &self.payload {
+            Payload::Generate(body) => (
+                Method::POST,
+                format!("http://{addr}/run/{id}"),
+                body.clone(),
+            ),
+            Payload::Call(call) => (
+                call.method.clone(),
+                format!("http://{addr}/call/{id}/{}", call.path),
+                call.body.clone(),
+            ),
+        };
+        let mut req = Request::new(Body::from(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = Uri::try_from(uri).ok()?;
+        *req.headers_mut() = self.headers()?;
+        Some(req)
+    }
+
+    fn headers(&self) -> Option<HeaderMap> {
+        let mut headers = match &self.payload {
+            Payload::Generate(_) => {
+                let mut headers = HeaderMap::new();
+                let json = HeaderValue::from_static("application/json");
+                headers.insert(header::CONTENT_TYPE, json);
+                headers
+            }
+            Payload::Call(call) => call.headers.clone(),
+        };
+        let text = |value: &str| HeaderValue::try_from(value).ok();
+        headers.insert(SERVICE, text(self.head.service.name())?);
+        headers.insert(CUSTOMER, text(&self.head.customer)?);
+        headers.insert(PRIORITY, text(&self.head.priority.to_string())?);
+        if let Some(deadline) = self.head.deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            headers.insert(DEADLINE_MS, text(&left.as_millis().to_string())?);
+        }
+        if let Some(pin) = self.attempts.ask().pin {
+            headers.insert(PIN, text(&pin.to_string())?);
+        }
+        if self.attempts.resume_from() > 0 {
+            let from = self.attempts.resume_from().to_string();
+            headers.insert(RESUME_FROM, text(&from)?);
+        }
+        Some(headers)
+    }
+
+    fn note_ended(&self, label: &str) {
+        self.cx
+            .metrics
+            .attempts
+            .with_label_values(&[self.head.service.name(), label])
+            .inc();
+    }
+
+    fn note_switch_wait(&mut self) {
+        let wait = std::mem::take(&mut self.switch_wait);
+        if !wait.is_zero() && !self.attempts.is_started() {
+            let service = self.head.service.name();
+            self.cx.metrics.switch_waited(service, wait);
+        }
+    }
+}
+
+/// What follows for the loop over attempts.
+enum Step {
+    Again,
+    Wait(Instant),
+    Done(Denial),
+}
+
+fn opened(response: Response<Incoming>, attempt: Attempt) -> Opened {
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let weights = text(WEIGHTS).and_then(|text| text.parse().ok());
+    let epoch = text(EPOCH).and_then(|text| text.parse().ok());
+    Opened {
+        response,
+        attempt,
+        weights,
+        epoch,
+    }
+}
+
+fn reason_of(text: &str) -> Option<NotRunReason> {
+    serde_json::from_value(serde_json::Value::from(text)).ok()
+}
+
+fn failure(vm: &str, err: &PlatformError) -> Ended {
+    log::debug!("an attempt at {vm} failed: {err}");
+    match err.took_effect() {
+        Effect::No => Ended::NeverSent,
+        Effect::Maybe => Ended::Broken,
+    }
+}
+
+fn label_of(ended: &Ended) -> &'static str {
+    match ended {
+        Ended::Whole => "whole",
+        Ended::NeverSent => "never-sent",
+        Ended::Refused(NotRunReason::Closed | NotRunReason::Lease, _) => "closed",
+        Ended::Refused(..) => "refused",
+        Ended::Broken => "broken",
+        Ended::Cancelled(CancelState::NotRun) => "cancelled",
+        Ended::Cancelled(_) => "lost",
+        Ended::CancelLost => "lost",
+        Ended::Cut { .. } => "cut",
+    }
+}
--- a/crates/entry/src/front/generate.rs
+++ b/crates/entry/src/front/generate.rs
@@ -13,7 +13,7 @@
 
 use crate::claims::{ClaimProblem, ClaimTicket};
 use crate::front::answer::Denial;
-use crate::front::attempt::{Dispatch, Payload};
+use crate::front::dispatch::{Dispatch, Payload};
 use crate::front::head::{RequestHead, authenticate, read_body, read_head};
 use crate::front::stream::AnswerStream;
 use crate::shared::Shared;
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -3,6 +3,8 @@
 mod answer;
 mod attempt;
 mod call;
+mod cancel;
+mod dispatch;
 mod generate;
 mod head;
 mod relay;
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -15,7 +15,8 @@
 
 use crate::events;
 use crate::front::answer::Denial;
-use crate::front::attempt::{Attempt, Dispatch, Opened};
+use crate::front::attempt::Attempt;
+use crate::front::dispatch::{Dispatch, Opened};
 use crate::front::relay::{Finish, Relay};
 use crate::metrics::StreamTimes;
 
