--- /dev/null
+++ b/crates/switch/tests/world/faults.rs
@@ -0,0 +1,111 @@
+//! What faults do to processes.
+
+use super::*;
+
+impl World {
+    pub(crate) fn strike(&mut self, vm: &VmId, fault: Fault) {
+        if self.calm || !self.processes.contains_key(vm) {
+            return;
+        }
+        let befalls = match fault {
+            Fault::Freeze(length) => format!("stands still for {length} ms"),
+            Fault::Restart(_) => "is killed".to_owned(),
+            Fault::Replace(_) => "is killed, and another VM takes its place".to_owned(),
+        };
+        self.note(vm, &befalls);
+        match fault {
+            Fault::Freeze(length) => {
+                let process = self.processes.get_mut(vm).unwrap();
+                if process.frozen {
+                    return;
+                }
+                process.frozen = true;
+                let wake = Item::Wake(vm.clone(), process.incarnation);
+                self.push(self.now + length, wake);
+            }
+            Fault::Restart(after) => {
+                self.kill(vm);
+                self.push(self.now + after, Item::Start(vm.clone()));
+            }
+            Fault::Replace(after) if vm.starts_with('e') => {
+                self.kill(vm);
+                self.replaced += 1;
+                let fresh = entry_name(self.plan.entries + self.replaced - 1);
+                self.listed.retain(|name| name != vm);
+                self.listed.push(fresh.clone());
+                self.list += 1;
+                self.push(self.now + after, Item::Start(fresh));
+                let processes: Vec<(VmId, Incarnation)> = self
+                    .processes
+                    .iter()
+                    .map(|(vm, process)| (vm.clone(), process.incarnation))
+                    .collect();
+                for (vm, incarnation) in processes {
+                    let lag = self.draw(self.plan.lag + 1);
+                    let list = Event::List(self.list, self.listed.clone());
+                    self.push(self.now + lag, Item::To(vm, incarnation, list));
+                }
+            }
+            Fault::Replace(after) => self.strike(vm, Fault::Restart(after)),
+        }
+    }
+
+    pub(crate) fn kill(&mut self, vm: &VmId) {
+        let process = self.processes.remove(vm).unwrap();
+        if let Kind::Agent(agent) = process.kind {
+            self.zombies.push((process.rate, agent.gate));
+        }
+    }
+
+    /// Wakes a process: what came in meanwhile is handled in any order.
+    pub(crate) fn wake(&mut self, vm: &VmId, incarnation: Incarnation) {
+        let Some(process) = self.processes.get_mut(vm) else {
+            return;
+        };
+        if process.incarnation != incarnation {
+            return;
+        }
+        process.frozen = false;
+        let mut held = std::mem::take(&mut process.held);
+        self.note(vm, "wakes");
+        while !held.is_empty() {
+            let index = usize::try_from(self.draw(u64::try_from(held.len()).unwrap())).unwrap();
+            let event = held.swap_remove(index);
+            self.push(self.now, Item::To(vm.clone(), incarnation, event));
+        }
+    }
+
+    pub(crate) fn edit(&mut self, epoch: Epoch) {
+        self.note("--", &format!("edit {epoch} is accepted"));
+        let document = document(self.plan.ready);
+        let state = ServiceState {
+            service: SERVICE.to_owned(),
+            team: "scribes".to_owned(),
+            revision: epoch,
+            epoch,
+            document: Some(Box::new(document)),
+        };
+        self.state.offset = epoch;
+        self.state.services.insert(SERVICE.to_owned(), state);
+        let entries: Vec<(VmId, Incarnation)> = self
+            .processes
+            .iter()
+            .filter(|(_, process)| matches!(process.kind, Kind::Entry(..)))
+            .map(|(vm, process)| (vm.clone(), process.incarnation))
+            .collect();
+        for (vm, incarnation) in entries {
+            let lag = self.draw(self.plan.lag + 1);
+            let state = Event::State(self.state.clone());
+            self.push(self.now + lag, Item::To(vm, incarnation, state));
+        }
+    }
+
+    pub(crate) fn name(&self, victim: Victim, actor: Option<&VmId>) -> VmId {
+        let entries = &self.listed;
+        match victim {
+            Victim::Actor => actor.unwrap_or(&entries[0]).clone(),
+            Victim::Entry(index) => entries[index % entries.len()].clone(),
+            Victim::Agent(index) => agent_name(index % self.plan.agents),
+        }
+    }
+}
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -2,90 +2,27 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
 
+mod faults;
+mod plan;
+mod records;
+mod summary;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::{self, Write as _};
+use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::*;
 use wagtailreel_switch::*;
 
+pub(crate) use plan::*;
+pub(crate) use records::*;
+use summary::Summary;
+
 pub(crate) const LEASE_MS: u64 = 1000;
 pub(crate) const REPORT_MS: u64 = 200;
 pub(crate) const SERVICE: &str = "scribes";
 const DATA_CENTRE: &str = "quito-hall";
 
-/// What befalls a process.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Fault {
-    /// It stands still for so many ms; what it was sending goes out at the end.
-    Freeze(u64),
-    /// It is killed and starts again after so many ms with nothing remembered.
-    Restart(u64),
-    /// An entry is killed and another VM takes its place; the list of VMs lags.
-    Replace(u64),
-}
-
-/// When a fault strikes.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum When {
-    /// At a time in ms.
-    At(u64),
-    /// At the n-th step of any switch, in the middle of the handler that takes it.
-    Step(usize),
-    /// When the first entry begins to close below an epoch, in the middle of that handler.
-    Close(Epoch),
-}
-
-/// Who is struck.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Victim {
-    /// The process that takes the step, or the first entry.
-    Actor,
-    Entry(usize),
-    Agent(usize),
-}
-
-#[derive(Clone, Debug)]
-pub(crate) struct Plan {
-    pub(crate) seed: u64,
-    pub(crate) entries: usize,
-    pub(crate) agents: usize,
-    /// Entries that an agent reports to.
-    pub(crate) homes: usize,
-    pub(crate) ready: u32,
-    pub(crate) bundles: u32,
-    /// Highest delay of a message in ms; the lowest is 1.
-    pub(crate) delay: u64,
-    /// Messages lost in 100; never two in a row on one way.
-    pub(crate) loss: u64,
-    /// Times of edits in ms; the epoch of the n-th is 10(n+1).
-    pub(crate) edits: Vec<u64>,
-    /// The weights of each edit; the n-th has its own if the list is too short.
-    pub(crate) versions: Vec<u64>,
-    /// Highest lag of a new state or list at a process in ms.
-    pub(crate) lag: u64,
-    pub(crate) faults: Vec<(When, Victim, Fault)>,
-}
-
-impl Plan {
-    pub(crate) fn new(entries: usize, agents: usize) -> Self {
-        Self {
-            seed: 1,
-            entries,
-            agents,
-            homes: entries,
-            ready: u32::try_from(agents).unwrap(),
-            bundles: 2,
-            delay: 1,
-            loss: 0,
-            edits: vec![0],
-            versions: Vec::new(),
-            lag: 0,
-            faults: Vec::new(),
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     Round,
@@ -552,112 +489,6 @@
         self.push(self.now + lag, Item::To(vm, incarnation, state));
     }
 
-    fn strike(&mut self, vm: &VmId, fault: Fault) {
-        if self.calm || !self.processes.contains_key(vm) {
-            return;
-        }
-        let befalls = match fault {
-            Fault::Freeze(length) => format!("stands still for {length} ms"),
-            Fault::Restart(_) => "is killed".to_owned(),
-            Fault::Replace(_) => "is killed, and another VM takes its place".to_owned(),
-        };
-        self.note(vm, &befalls);
-        match fault {
-            Fault::Freeze(length) => {
-                let process = self.processes.get_mut(vm).unwrap();
-                if process.frozen {
-                    return;
-                }
-                process.frozen = true;
-                let wake = Item::Wake(vm.clone(), process.incarnation);
-                self.push(self.now + length, wake);
-            }
-            Fault::Restart(after) => {
-                self.kill(vm);
-                self.push(self.now + after, Item::Start(vm.clone()));
-            }
-            Fault::Replace(after) if vm.starts_with('e') => {
-                self.kill(vm);
-                self.replaced += 1;
-                let fresh = entry_name(self.plan.entries + self.replaced - 1);
-                self.listed.retain(|name| name != vm);
-                self.listed.push(fresh.clone());
-                self.list += 1;
-                self.push(self.now + after, Item::Start(fresh));
-                let processes: Vec<(VmId, Incarnation)> = self
-                    .processes
-                    .iter()
-                    .map(|(vm, process)| (vm.clone(), process.incarnation))
-                    .collect();
-                for (vm, incarnation) in processes {
-                    let lag = self.draw(self.plan.lag + 1);
-                    let list = Event::List(self.list, self.listed.clone());
-                    self.push(self.now + lag, Item::To(vm, incarnation, list));
-                }
-            }
-            Fault::Replace(after) => self.strike(vm, Fault::Restart(after)),
-        }
-    }
-
-    fn kill(&mut self, vm: &VmId) {
-        let process = self.processes.remove(vm).unwrap();
-        if let Kind::Agent(agent) = process.kind {
-            self.zombies.push((process.rate, agent.gate));
-        }
-    }
-
-    /// Wakes a process: what came in meanwhile is handled in any order.
-    fn wake(&mut self, vm: &VmId, incarnation: Incarnation) {
-        let Some(process) = self.processes.get_mut(vm) else {
-            return;
-        };
-        if process.incarnation != incarnation {
-            return;
-        }
-        process.frozen = false;
-        let mut held = std::mem::take(&mut process.held);
-        self.note(vm, "wakes");
-        while !held.is_empty() {
-            let index = usize::try_from(self.draw(u64::try_from(held.len()).unwrap())).unwrap();
-            let event = held.swap_remove(index);
-            self.push(self.now, Item::To(vm.clone(), incarnation, event));
-        }
-    }
-
-    fn edit(&mut self, epoch: Epoch) {
-        self.note("--", &format!("edit {epoch} is accepted"));
-        let document = document(self.plan.ready);
-        let state = ServiceState {
-            service: SERVICE.to_owned(),
-            team: "scribes".to_owned(),
-            revision: epoch,
-            epoch,
-            document: Some(Box::new(document)),
-        };
-        self.state.offset = epoch;
-        self.state.services.insert(SERVICE.to_owned(), state);
-        let entries: Vec<(VmId, Incarnation)> = self
-            .processes
-            .iter()
-            .filter(|(_, process)| matches!(process.kind, Kind::Entry(..)))
-            .map(|(vm, process)| (vm.clone(), process.incarnation))
-            .collect();
-        for (vm, incarnation) in entries {
-            let lag = self.draw(self.plan.lag + 1);
-            let state = Event::State(self.state.clone());
-            self.push(self.now + lag, Item::To(vm, incarnation, state));
-        }
-    }
-
-    fn name(&self, victim: Victim, actor: Option<&VmId>) -> VmId {
-        let entries = &self.listed;
-        match victim {
-            Victim::Actor => actor.unwrap_or(&entries[0]).clone(),
-            Victim::Entry(index) => entries[index % entries.len()].clone(),
-            Victim::Agent(index) => agent_name(index % self.plan.agents),
-        }
-    }
-
     fn push(&mut self, at: u64, item: Item) {
         self.count += 1;
         self.queue.insert((at, self.count), item);
@@ -746,47 +577,6 @@
     }
 }
 
-/// What a reader of the transcript wants to know of a process.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Summary {
-    Entry(Epoch, Option<Epoch>),
-    Agent(Epoch, Result<Epoch, NotRunReason>),
-}
-
-impl Summary {
-    fn of(process: &Process, now: Instant) -> Self {
-        match &process.kind {
-            Kind::Entry(opener, _) => {
-                let (granting, close_below) = opener.epochs(now, SERVICE);
-                Self::Entry(close_below, granting)
-            }
-            Kind::Agent(agent) => {
-                let admits = agent.gate.admit(now, None).map(|it| it.epoch);
-                Self::Agent(agent.gate.closed_below(), admits)
-            }
-        }
-    }
-}
-
-impl fmt::Display for Summary {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Entry(close_below, Some(epoch)) => {
-                write!(f, "closes below {close_below}, grants {epoch}")
-            }
-            Self::Entry(close_below, None) => {
-                write!(f, "closes below {close_below}, grants nothing")
-            }
-            Self::Agent(closed_below, Ok(epoch)) => {
-                write!(f, "closed below {closed_below}, admits {epoch}")
-            }
-            Self::Agent(closed_below, Err(reason)) => {
-                write!(f, "closed below {closed_below}, refuses ({reason})")
-            }
-        }
-    }
-}
-
 /// Returns the epochs that take a place in the engine.
 fn held(agent: &Agent) -> Vec<Epoch> {
     let mut report = make_report(&String::new(), 0, agent, 0);
@@ -798,82 +588,3 @@
         .map(|(epoch, _)| epoch)
         .collect()
 }
-
-pub(crate) fn make_report(
-    vm: &VmId,
-    incarnation: Incarnation,
-    agent: &Agent,
-    bundles: u32,
-) -> Report {
-    let mut report = Report {
-        vm: vm.clone(),
-        incarnation,
-        sequence: agent.sequence,
-        data_centre: DATA_CENTRE.to_owned(),
-        region: "sierra".to_owned(),
-        service: SERVICE.to_owned(),
-        data: "127.0.0.1:2".parse().unwrap(),
-        control: "127.0.0.1:3".parse().unwrap(),
-        config: agent.config,
-        in_flight: 0,
-        capacity: 8,
-        load: None,
-        bundles,
-        leaving: false,
-        closed_below: 0,
-        open: None,
-        open_weights: None,
-        weights: BTreeMap::new(),
-        chunks: (0, 0),
-        trouble: None,
-    };
-    agent.gate.fill_report(&mut report);
-    report
-}
-
-pub(crate) fn document(ready: u32) -> Document {
-    let place = Place {
-        data_centre: DATA_CENTRE.to_owned(),
-        vms: VmSelection::All,
-        ready,
-    };
-    Document {
-        service: SERVICE.to_owned(),
-        kind: ServiceKind::Engine,
-        model: None,
-        adapters: Vec::new(),
-        places: vec![place],
-        priority: Priority::Normal,
-        spread: SpreadSettings::default(),
-        limits: BTreeMap::new(),
-        default_limit: None,
-        objectives: Objectives::default(),
-    }
-}
-
-pub(crate) fn vm_entries(names: &[VmId], role: VmRole) -> Vec<VmEntry> {
-    let make = |vm: &VmId| VmEntry {
-        vm: vm.clone(),
-        data_centre: DATA_CENTRE.to_owned(),
-        region: "sierra".to_owned(),
-        role,
-        state: VmState::Live,
-        service: (role == VmRole::Upstream).then(|| SERVICE.to_owned()),
-        control: "127.0.0.1:1".parse().unwrap(),
-        data: "127.0.0.1:1".parse().unwrap(),
-    };
-    names.iter().map(make).collect()
-}
-
-fn homes(vm: &str, entries: &[VmId], count: usize) -> Vec<VmId> {
-    let ranked = rank(vm.as_bytes(), entries.iter().map(String::as_str));
-    ranked.into_iter().take(count).map(str::to_owned).collect()
-}
-
-fn entry_name(index: usize) -> VmId {
-    format!("e{index}")
-}
-
-fn agent_name(index: usize) -> VmId {
-    format!("a{index}")
-}
