Say in the log why an attempt ended, and what was left of the retry budget

Cause: an incident's broken streams could be traced to a used up budget, and others to their upstream's end, only by guessing from times. The line attempt-ended names both now.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -146,14 +146,14 @@
         loop {
             let pick = self.choose()?;
             self.last_pick = Some(pick.clone());
-            let ending = match self.connect(&pick).await {
+            let (ending, why) = match self.connect(&pick).await {
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
                     Sent::Answer(live) => return Ok(*live),
-                    Sent::Ended(ending) => ending,
+                    Sent::Ended(ending, why) => (ending, why),
                 },
-                Err(ending) => ending,
+                Err(ending) => (ending, "no-connection"),
             };
-            match self.ended(&pick.id, ending) {
+            match self.ended(&pick.id, ending, why) {
                 Next::Again => {}
                 Next::Refuse => return Err(Refusal::UpstreamsRefused),
                 Next::PassOn | Next::Unknown => return Err(Refusal::Unknown),
@@ -170,8 +170,9 @@
         }
     }
 
-    /// Takes that an attempt ended without an answer, and decides what follows.
-    pub(crate) fn ended(&mut self, upstream: &str, ending: Ending) -> Next {
+    /// Takes that an attempt ended without an answer, and decides what follows; `why` is what the
+    /// log says of it.
+    pub(crate) fn ended(&mut self, upstream: &str, ending: Ending, why: &'static str) -> Next {
         if ending == Ending::NotSent {
             self.unreached += 1;
         }
@@ -188,6 +189,7 @@
         });
         // An attempt that reached nobody costs nobody anything; the next one is the first.
         let is_repeat = self.sent > 0;
+        let budget = self.service.budget().left();
         if next == Next::Again && is_repeat && !self.service.budget().retry() {
             next = self.without_budget(ending);
         }
@@ -198,7 +200,9 @@
             ("id", &self.admitted.id),
             ("upstream", upstream),
             ("end", &end),
+            ("why", why),
             ("next", &next.to_string()),
+            ("budget", &format!("{budget:.1}")),
             ("sent", &self.sent.to_string()),
             ("left_ms", &left.as_millis().to_string()),
         ]);
@@ -274,10 +278,10 @@
     async fn send(&mut self, pick: &Pick, conn: Connection, last_event: Option<u64>) -> Sent {
         // It may have begun to leave while the connection was made.
         if !self.service.upstreams().may_send(&pick.id) {
-            return Sent::Ended(Ending::NotSent);
+            return Sent::Ended(Ending::NotSent, "began-to-leave");
         }
         let Some(req) = self.request(pick, last_event) else {
-            return Sent::Ended(Ending::NotSent);
+            return Sent::Ended(Ending::NotSent, "no-time");
         };
         let doubted_before = self.may_have_run;
         let unread = self.admitted.head.prompt_tokens;
@@ -291,13 +295,14 @@
         self.sent += 1;
         let (conn, answer) = self.exchange(conn, req).await;
         let response = match answer {
-            Ok(response) => response,
-            Err(SendError::NotSent) => {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent)) => {
                 self.may_have_run = doubted_before;
                 self.sent -= 1;
-                return Sent::Ended(Ending::NotSent);
+                return Sent::Ended(Ending::NotSent, "connection-closed");
             }
-            Err(SendError::Lost) => return Sent::Ended(Ending::Lost),
+            Ok(Err(SendError::Lost)) => return Sent::Ended(Ending::Lost, "connection-broke"),
+            Err(Elapsed) => return Sent::Ended(Ending::Lost, "stalled"),
         };
         let (head, body) = response.into_parts();
         let marks = self.cx.dialect.answer(head.status, &head.headers);
@@ -316,13 +321,13 @@
         &self,
         mut conn: Connection,
         req: Request<Full<Bytes>>,
-    ) -> (Connection, Result<http::Response<Incoming>, SendError>) {
+    ) -> (Connection, Exchanged) {
         let kind = self.admitted.route.kind;
         let answer = if kind.is_stream() && kind.repeatable() {
             let sending = tokio::time::timeout(self.begin_patience(), conn.send(req));
-            sending.await.unwrap_or(Err(SendError::Lost))
+            sending.await.or(Err(Elapsed))
         } else {
-            conn.send(req).await
+            Ok(conn.send(req).await)
         };
         (conn, answer)
     }
@@ -347,7 +352,7 @@
             .as_ref()
             .is_none_or(|id| *id == self.admitted.id);
         if !is_ours {
-            return Sent::Ended(Ending::Lost);
+            return Sent::Ended(Ending::Lost, "answers-another-request");
         }
         let id = live.upstream();
         if let Some(load) = live.marks.load {
@@ -356,12 +361,13 @@
         }
         if live.marks.not_run {
             self.may_have_run = doubted_before;
+            let mut upstreams = self.service.upstreams();
             if live.marks.misdirected {
-                self.service.upstreams().misdirected(id, now);
-            } else {
-                self.service.upstreams().full(id, now);
+                upstreams.misdirected(id, now);
+                return Sent::Ended(Ending::NotRun, "another-instance-or-weights");
             }
-            return Sent::Ended(Ending::NotRun);
+            upstreams.full(id, now);
+            return Sent::Ended(Ending::NotRun, "refused");
         }
         if live.head.status.is_server_error()
             && self.admitted.route.kind == wagtailreel_fleet::RouteKind::Idempotent
@@ -385,7 +391,7 @@
             && left > LEAST_FOR_RETRY
             && self.service.budget().left() >= 1.0;
         if may_repeat {
-            return Sent::Ended(Ending::Failed);
+            return Sent::Ended(Ending::Failed, "own-failure");
         }
         self.judge(&id, Ending::Failed, Instant::now());
         Sent::Answer(Box::new(live))
@@ -416,6 +422,12 @@
 enum Sent {
     /// The upstream answered.
     Answer(Box<Live>),
-    /// It brought no answer.
-    Ended(Ending),
+    /// It brought no answer, and what the log says of it.
+    Ended(Ending, &'static str),
 }
+
+/// The patience for an answer's head is over.
+struct Elapsed;
+
+/// What came of sending a request.
+type Exchanged = Result<Result<http::Response<Incoming>, SendError>, Elapsed>;
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -192,7 +192,7 @@
                 return Ok(Answer::Relayed(head, Box::new(relay)));
             }
             Collected::Broken(upstream) => {
-                if call.ended(&upstream, Ending::Lost) != Next::Again {
+                if call.ended(&upstream, Ending::Lost, "body-broke") != Next::Again {
                     return Err(Refusal::Unknown);
                 }
             }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -228,7 +228,7 @@
         let upstream = live.upstream().to_owned();
         // Ends the work at the upstream before another begins with it.
         drop(live);
-        let next = self.call.ended(&upstream, Ending::Lost);
+        let next = self.call.ended(&upstream, Ending::Lost, why);
         let Mode::Events(cutter) = &mut self.mode else {
             self.tally.done(why);
             return Err(BrokenOff);
