Tell agents of named weights with the questions for their load

And an agent that the registry turns away heard of weights late or never. Entries ask every agent ten times a second anyway, and now tell with it the newest weights they know. Agents poll each 8 s; a change still ends the poll at once.

Test: stage spreading::named_by_entry (registry away; no engine could have taken the weights before).

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -1,13 +1,13 @@
 //! Asks agents how loaded their engines are.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
-use wagtailreel_fleet::{Datagram, LoadStatus, Query};
+use wagtailreel_fleet::{Datagram, LoadStatus, NamedWeights, Query};
 
 use crate::events;
 use crate::view::View;
@@ -38,8 +38,8 @@
             _ = ticks.tick() => {
                 round = round.wrapping_add(1).max(1);
                 asked[round as usize % ROUNDS] = Instant::now();
-                for ip in engines(&view, &home, round.is_multiple_of(FAR_EVERY)) {
-                    let query = Datagram::Query(Query { nonce: round, chunks: None });
+                for (ip, weights) in engines(&view, &home, round.is_multiple_of(FAR_EVERY)) {
+                    let query = Datagram::Query(Query { nonce: round, weights, chunks: None });
                     // A question that is lost is asked again with the next round.
                     let _ = socket.try_send_to(&query.to_bytes(), SocketAddr::new(ip, port));
                     note_asked(&view, ip);
@@ -61,19 +61,23 @@
     }
 }
 
-/// Returns the VMs of the engines whose agents are to be asked now.
-fn engines(view: &View, home: &str, far: bool) -> BTreeSet<IpAddr> {
+/// Returns the VMs of the engines whose agents are to be asked now, and what they are to serve.
+fn engines(view: &View, home: &str, far: bool) -> BTreeMap<IpAddr, Option<NamedWeights>> {
     let Some(directory) = view.directory() else {
-        return BTreeSet::new();
+        return BTreeMap::new();
     };
-    let mut ips = BTreeSet::new();
-    for spec in directory.services().filter(|spec| spec.engine.is_some()) {
+    let mut ips = BTreeMap::new();
+    for spec in directory.services() {
+        let Some(engine) = &spec.engine else {
+            continue;
+        };
+        let named = view.newest_weights(&engine.model);
         let service = view.service(&spec.name);
         let upstreams = service.upstreams();
         let wanted = upstreams
             .members()
             .filter(|member| far || member.upstream.data_centre == home);
-        ips.extend(wanted.map(|member| member.upstream.addr.ip()));
+        ips.extend(wanted.map(|member| (member.upstream.addr.ip(), named.clone())));
     }
     ips
 }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -145,6 +145,20 @@
         binding.map(|named| named.version).max()
     }
 
+    /// Returns the newest weights of `model` that are named.
+    pub(crate) fn newest_weights(&self, model: &str) -> Option<NamedWeights> {
+        let weights = lock(&self.weights);
+        let newest = weights
+            .get(model)?
+            .iter()
+            .map(|named| named.version)
+            .max()?;
+        Some(NamedWeights {
+            model: model.to_owned(),
+            version: newest,
+        })
+    }
+
     /// Returns how much longer a request may wait to begin on `version` of `model`; none if nothing
     /// newer is named.
     pub(crate) fn begin_within(&self, model: &str, version: WeightsVersion) -> Option<Duration> {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
 
-use crate::{ModelName, WeightsVersion};
+use crate::{ModelName, NamedWeights, WeightsVersion};
 
 /// A datagram can't be read.
 #[derive(Debug, Snafu)]
@@ -21,6 +21,10 @@
     /// Told back in the answer.
     #[serde(rename = "n")]
     pub nonce: u32,
+    /// The newest weights that the asker knows to be named. An agent that the registry turns away
+    /// hears of them so, and need not ask the registry often.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub weights: Option<NamedWeights>,
     /// Weights whose chunks the asker wants to hear of.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub chunks: Option<(ModelName, WeightsVersion)>,
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -61,6 +61,13 @@
         })
     }
 
+    /// Takes weights that an entry knows to be named.
+    pub(crate) fn hear(&self, weights: &NamedWeights) {
+        if self.take_weights(weights) {
+            self.changed.notify_one();
+        }
+    }
+
     fn take_directory(&self, directory: &Directory) {
         let mut inner = self.lock();
         if inner
@@ -77,12 +84,13 @@
         inner.model = engine.map(|engine| engine.model.clone());
     }
 
-    fn take_weights(&self, weights: &NamedWeights) {
+    /// Takes weights that are named; returns whether they are news.
+    fn take_weights(&self, weights: &NamedWeights) -> bool {
         let mut inner = self.lock();
         let heard_at = inner.is_confirmed.then(Instant::now);
         let known = inner.named.get(&weights.model).map(|(version, _)| *version);
         if known.is_some_and(|known| known >= weights.version) {
-            return;
+            return false;
         }
         let named = (weights.version, heard_at);
         inner.named.insert(weights.model.clone(), named);
@@ -91,6 +99,7 @@
             ("version", &weights.version.to_string()),
             ("before", &known.unwrap_or_default().to_string()),
         ]);
+        true
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -102,7 +111,9 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Config(directory) => self.take_directory(&directory),
-            Change::Weights(weights) => self.take_weights(&weights),
+            Change::Weights(weights) => {
+                self.take_weights(&weights);
+            }
             // Upstreams are read when a fetch begins; what can't be read was told of.
             Change::Upstream(_) | Change::Gone(_) | Change::Unreadable { .. } => return,
         }
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -22,9 +22,9 @@
 use crate::status::{PeerChunks, StatusBoard};
 use crate::{StagedEngine, events};
 
-/// How long the registry may hold a read of the settings. Weights that are named end the wait; a
-/// connection that has gone silent is noticed after it.
-const SETTINGS_WAIT: Duration = Duration::from_millis(2500);
+/// How long the registry may hold a read of the settings. Weights that are named end the wait; while a
+/// connection has gone silent, entries tell of them.
+const SETTINGS_WAIT: Duration = Duration::from_millis(8000);
 
 /// How much longer than its wait a read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
@@ -106,7 +106,7 @@
             peers: watch::Sender::new(Vec::new()),
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(board.run(tx));
+        tasks.spawn(board.run(tx, Arc::clone(&beliefs)));
         tasks.spawn(follow(registry, beliefs, settings_follow()));
         tasks.spawn(Keeper::new(cx).run());
         tasks.spawn(async move {
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -10,6 +10,7 @@
 
 use crate::EngineReport;
 use crate::askers::Askers;
+use crate::beliefs::Beliefs;
 use crate::shelf::Shelf;
 
 /// Longest datagram in bytes.
@@ -92,6 +93,7 @@
     pub(crate) fn ask(&self, peer: SocketAddr, model: &str, version: WeightsVersion) {
         let query = Query {
             nonce: 0,
+            weights: None,
             chunks: Some((model.to_owned(), version)),
         };
         // A question that is lost is asked again.
@@ -100,14 +102,23 @@
     }
 
     /// Answers questions, and hands on what others have, for as long as it is not dropped.
-    pub(crate) async fn run(self: Arc<Self>, chunks: UnboundedSender<PeerChunks>) {
+    pub(crate) async fn run(
+        self: Arc<Self>,
+        chunks: UnboundedSender<PeerChunks>,
+        beliefs: Arc<Beliefs>,
+    ) {
         let mut buf = vec![0; DATAGRAM];
         loop {
             let Ok((len, from)) = self.socket.recv_from(&mut buf).await else {
                 continue;
             };
             match Datagram::from_bytes(&buf[..len]) {
-                Ok(Datagram::Query(query)) => self.answer(&query, from),
+                Ok(Datagram::Query(query)) => {
+                    self.answer(&query, from);
+                    if let Some(weights) = &query.weights {
+                        beliefs.hear(weights);
+                    }
+                }
                 Ok(Datagram::Status(status)) => {
                     if let Some(held) = status.chunks {
                         let ip = from.ip();
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use wagtailreel_fleet::{
-    Change, ClientLimits, Directory, EngineModel, LoadedModel, NamedWeights, OriginSpec,
-    ServiceSpec, Upstream, UpstreamState,
+    Change, ClientLimits, Datagram, Directory, EngineModel, LoadedModel, NamedWeights, OriginSpec,
+    Query, ServiceSpec, Upstream, UpstreamState,
 };
 use wagtailreel_settings::StagingAgentSettings;
 use wagtailreel_stage::StagingAgent;
@@ -86,6 +86,25 @@
         });
     }
 
+    /// Tells all agents of weights, as an entry does that has heard of them.
+    pub(crate) async fn tell(&self, version: u64) {
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let weights = Some(NamedWeights {
+            model: MODEL.to_owned(),
+            version,
+        });
+        let query = Query {
+            weights,
+            ..Query::default()
+        };
+        let count = self.members.lock().unwrap().len();
+        for host in 1..=u8::try_from(count).unwrap() {
+            let ip = Ipv4Addr::new(127, 77, self.net, host);
+            let datagram = Datagram::Query(query.clone()).to_bytes();
+            socket.send_to(&datagram, (ip, PORT)).await.unwrap();
+        }
+    }
+
     /// Returns an engine.
     pub(crate) fn engine(&self, index: usize) -> TestEngine {
         self.members.lock().unwrap()[index].0.clone()
--- a/crates/stage/tests/spreading.rs
+++ b/crates/stage/tests/spreading.rs
@@ -105,3 +105,13 @@
     fleet.registry.set_away(true);
     until_version(&fleet, 2).await;
 }
+
+#[tokio::test]
+async fn named_by_entry() {
+    let fleet = Fleet::start(11, 2, Some(1)).await;
+    fleet.until_heard(1).await;
+    fleet.registry.set_away(true);
+    fleet.origin.publish(2);
+    fleet.tell(2).await;
+    until_version(&fleet, 2).await;
+}
