--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -333,8 +333,15 @@
     /// Keeps a chunk that is the right one.
     fn take_bytes(&mut self, fetch: &Fetch, data: Bytes) -> Event {
         if self.cx.shelf.put(&self.manifest, fetch.chunk, data) {
+            let is_far = self.is_far(&fetch.from);
+            let from = match fetch.from {
+                Source::Origin => "origin",
+                Source::Peer(_) if is_far => "far",
+                Source::Peer(_) => "near",
+            };
+            self.cx.metrics.chunks.with_label_values(&[from]).inc();
             self.from_origin += u32::from(fetch.from == Source::Origin);
-            self.from_far += u32::from(self.is_far(&fetch.from));
+            self.from_far += u32::from(is_far);
             return Event::Fetched {
                 id: fetch.id,
                 chunk: fetch.chunk,
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -13,6 +13,7 @@
 mod fetch;
 mod loading;
 mod manifest;
+mod metrics;
 mod origin;
 mod peers;
 mod process;
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -108,9 +108,13 @@
         let report = self.cx.engine.report().await;
         let reason = report.as_ref().err().map(ToString::to_string);
         self.report = report.ok();
+        let running = self.report.as_ref().map_or(0, |report| report.running);
+        self.cx.metrics.running.set(i64::from(running));
         if self.cx.board.set_report(model, self.report.clone()) {
             let report = self.report.as_ref();
             let version = report.and_then(|report| report.version_of(model));
+            let gauge = &self.cx.metrics.version;
+            gauge.set(version.and_then(|it| it.try_into().ok()).unwrap_or(0));
             events::ENGINE_CHANGED.emit(&[
                 ("version", &version.unwrap_or_default().to_string()),
                 ("answers", &self.report.is_some().to_string()),
@@ -341,42 +345,48 @@
         }
         self.cx.board.set_switching(true);
         tokio::time::sleep(NOTICE).await;
-        let orders = self.report.as_ref().map_or(0, |report| report.orders);
         let took = started.elapsed();
-        let ended = if took > STAGING {
-            "staged-too-slowly".to_owned()
+        let orders = self.report.as_ref().map_or(0, |report| report.orders);
+        let (outcome, reason) = if took > STAGING {
+            ("staged-too-slowly", String::new())
         } else {
-            let ended = self
-                .cx
-                .engine
-                .load(&target.model, target.version, orders)
-                .await;
-            match ended {
-                Ok(OrderEnd::Begun | OrderEnd::InEffect) => {
-                    self.ordered_at = Some(Instant::now());
-                    "begun".to_owned()
-                }
-                Ok(other) => other.to_string(),
-                // It may have been taken: the engine's state will tell.
-                Err(trouble) => {
-                    self.ordered_at = Some(Instant::now());
-                    trouble.to_string()
-                }
-            }
+            self.order(target, orders).await
         };
         if self.ordered_at.is_none() {
             self.cx.board.set_switching(false);
             self.rollout.order_failed(Instant::now());
         }
+        let loads = &self.cx.metrics.loads;
+        loads.with_label_values(&[outcome]).inc();
         events::LOAD_ORDERED.emit(&[
             ("model", &target.model),
             ("version", &target.version.to_string()),
             ("orders", &orders.to_string()),
-            ("outcome", &ended),
+            ("outcome", outcome),
+            ("reason", &reason),
             ("staging_ms", &took.as_millis().to_string()),
         ]);
     }
 
+    /// Tells the engine to load; returns what became of the order, and why.
+    async fn order(&mut self, target: &Target, orders: u64) -> (&'static str, String) {
+        let engine = &self.cx.engine;
+        let ended = engine.load(&target.model, target.version, orders).await;
+        match ended {
+            Ok(OrderEnd::Begun | OrderEnd::InEffect) => {
+                self.ordered_at = Some(Instant::now());
+                ("begun", String::new())
+            }
+            Ok(OrderEnd::Unfit) => ("unfit", String::new()),
+            Ok(OrderEnd::Fenced) => ("fenced", String::new()),
+            // It may have been taken: the engine's state will tell.
+            Err(trouble) => {
+                self.ordered_at = Some(Instant::now());
+                ("unknown", trouble.to_string())
+            }
+        }
+    }
+
     fn chunks(&self, target: &Target) -> Option<Vec<Bytes>> {
         let shelf = &self.cx.shelf;
         let manifest = shelf.manifest(&target.model, Some(target.version))?;
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -4,6 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::Router;
+use axum::routing::get;
+use http::StatusCode;
+use prometheus::Registry as Prometheus;
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -13,9 +17,11 @@
 use wagtailreel_core::VmEntry;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_settings::StagingAgentSettings;
+use wagtailreel_telemetry::{encode_metrics, lines_dropped};
 
 use crate::beliefs::Beliefs;
 use crate::loading::Keeper;
+use crate::metrics::Metrics;
 use crate::origin::ChunkOrigin;
 use crate::serve::{Giving, router};
 use crate::shelf::Shelf;
@@ -32,6 +38,12 @@
 /// An agent can't start.
 #[derive(Debug, Snafu)]
 pub enum StageError {
+    /// The metrics can't be registered.
+    #[snafu(display("the metrics can't be registered ({source}): report this as a bug"))]
+    Metrics {
+        /// What the library says.
+        source: prometheus::Error,
+    },
     /// The address can't be used.
     #[snafu(display("listen: can't use {addr} ({source}): choose a free address"))]
     Listen {
@@ -50,6 +62,7 @@
     pub(crate) engine: E,
     pub(crate) origin: O,
     pub(crate) client: HttpClient,
+    pub(crate) metrics: Metrics,
     pub(crate) beliefs: Arc<Beliefs>,
     pub(crate) shelf: Arc<Shelf>,
     pub(crate) board: Arc<StatusBoard>,
@@ -88,6 +101,8 @@
             .context(ListenSnafu { addr })?;
         let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
         let vm = settings.vm.clone();
+        let prometheus = Prometheus::new();
+        let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
         let (tx, rx) = unbounded_channel();
         let shelf = Arc::new(Shelf::default());
         let board = Arc::new(StatusBoard::new(Arc::clone(&shelf), socket));
@@ -99,6 +114,7 @@
             engine,
             origin,
             client: HttpClient::new(),
+            metrics: metrics.clone(),
             beliefs: Arc::clone(&beliefs),
             shelf,
             board: Arc::clone(&board),
@@ -109,9 +125,10 @@
         tasks.spawn(board.run(tx, Arc::clone(&beliefs)));
         tasks.spawn(follow(registry, beliefs, settings_follow()));
         tasks.spawn(Keeper::new(cx).run());
+        let routes = router(Arc::new(giving)).merge(metrics_route(prometheus, metrics));
         tasks.spawn(async move {
             // The listener ends only with the process.
-            let _ = axum::serve(listener, router(Arc::new(giving))).await;
+            let _ = axum::serve(listener, routes).await;
         });
         events::STARTED.emit(&[("vm", &vm), ("listen", &addr.to_string())]);
         Ok(Self { vm, tasks })
@@ -124,6 +141,22 @@
     }
 }
 
+/// Returns the route of the metrics, on the listener for other agents.
+fn metrics_route(registry: Prometheus, metrics: Metrics) -> Router {
+    let handler = move || async move {
+        let dropped = i64::try_from(lines_dropped()).unwrap_or(i64::MAX);
+        metrics.lines_dropped.set(dropped);
+        match encode_metrics(&registry) {
+            Ok(text) => (StatusCode::OK, text),
+            Err(e) => (
+                StatusCode::INTERNAL_SERVER_ERROR,
+                e.to_string().into_bytes(),
+            ),
+        }
+    };
+    Router::new().route("/metrics", get(handler))
+}
+
 fn settings_follow() -> FollowConfig {
     FollowConfig {
         topic: Topic::Settings,
