Read the upstreams as often as the bound on leaving ones asks for

Cause: on the grown deployments calls to the store cost most: 43 entries read each 650 ms. The bound on leaving upstreams is 2 s there and here (3 s on the grown ones), and one failed read takes 0.9 s. The pace follows the setting now (1.1 s and 2.1 s), the settings' poll takes 1.8 s.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -22,15 +22,11 @@
 
 /// How long the registry may hold a read of the settings. Each read is priced; a read that returns
 /// empty confirms the configuration, which has to be done well within the bound on keys.
-const SETTINGS_WAIT: Duration = Duration::from_millis(1500);
+const SETTINGS_WAIT: Duration = Duration::from_millis(1800);
 
 /// How much longer than its wait a read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time between two reads of the upstreams, which change several times a second. With a read's
-/// time-out it stays below the 2 s within which a draining upstream gets nothing more.
-const UPSTREAMS_PACE: Duration = Duration::from_millis(650);
-
 /// How long an upstream that vanished while the registry was away has to register again.
 const LAPSE_HOLD: Duration = Duration::from_millis(2300);
 
@@ -108,6 +104,7 @@
         let home = settings.data_centre.clone();
         let view = Arc::new(View::new(home.clone(), regions, bounds));
         let agent_port = settings.agent_port;
+        let pace = settings.bounds.upstreams_pace;
         let cx = Arc::new(Shared {
             dialect,
             view: Arc::clone(&view),
@@ -124,7 +121,7 @@
             Arc::clone(&view),
             settings_follow(),
         ));
-        tasks.spawn(follow(registry, Arc::clone(&view), upstreams_follow()));
+        tasks.spawn(follow(registry, Arc::clone(&view), upstreams_follow(pace)));
         tasks.spawn(load::ask_agents(
             Arc::clone(&view),
             socket,
@@ -188,11 +185,13 @@
     }
 }
 
-fn upstreams_follow() -> FollowConfig {
+/// Returns how the upstreams are followed: they change several times a second, so that a read which
+/// waits would be a call for every heartbeat.
+fn upstreams_follow(pace: Duration) -> FollowConfig {
     FollowConfig {
         topic: Topic::Upstreams,
         wait: Duration::ZERO,
-        pace: UPSTREAMS_PACE,
+        pace,
         timeout: READ_TIMEOUT,
         lapse_hold: LAPSE_HOLD,
     }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -192,6 +192,7 @@
             weights_last: Duration::from_millis(600),
             weights_at_start: Duration::from_secs(2),
             retry_ratio: 0.2,
+            upstreams_pace: Duration::from_millis(100),
             grace: Duration::from_secs(2),
         },
     };
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -33,6 +33,15 @@
 /// How long an accepted configuration may take to be in force, unless told otherwise.
 const DEFAULT_CONFIG_MS: u64 = 2000;
 
+/// How long a leaving upstream may still get requests, unless told otherwise.
+const DEFAULT_DRAIN_MS: u64 = 2000;
+
+/// Part of the bound on leaving upstreams that is kept for one read that fails and is made again.
+const DRAIN_MARGIN: Duration = Duration::from_millis(900);
+
+/// Shortest time between two reads of the upstreams.
+const LEAST_PACE: Duration = Duration::from_millis(300);
+
 /// How long a process may take to end, unless told otherwise.
 const DEFAULT_GRACE_MS: u64 = 8000;
 
@@ -99,6 +108,8 @@
     pub weights_at_start: Duration,
     /// Retries for each request.
     pub retry_ratio: f64,
+    /// Time between two reads of the upstreams.
+    pub upstreams_pace: Duration,
     /// How long the process may take to end.
     pub grace: Duration,
 }
@@ -196,6 +207,7 @@
             weights_last: bounds.weights.saturating_sub(BEGIN_MARGIN),
             weights_at_start: bounds.stable.saturating_sub(WEIGHTS_MARGIN / 2),
             retry_ratio: bounds.retry_ratio * RETRY_SHARE,
+            upstreams_pace: bounds.drain.saturating_sub(DRAIN_MARGIN).max(LEAST_PACE),
             grace: bounds.grace.saturating_sub(GRACE_MARGIN),
         },
     })
@@ -237,6 +249,7 @@
     weights: Duration,
     stable: Duration,
     config: Duration,
+    drain: Duration,
     grace: Duration,
     retry_ratio: f64,
 }
@@ -248,6 +261,7 @@
             weights: Duration::from_millis(DEFAULT_WEIGHTS_MS),
             stable: Duration::from_millis(DEFAULT_STABLE_MS),
             config: Duration::from_millis(DEFAULT_CONFIG_MS),
+            drain: Duration::from_millis(DEFAULT_DRAIN_MS),
             grace: Duration::from_millis(DEFAULT_GRACE_MS),
             retry_ratio: DEFAULT_RETRY_RATIO,
         }
@@ -266,6 +280,7 @@
     let weights = bound("weights_ms", usual.weights);
     let stable = bound("stable_ms", usual.stable);
     let config = bound("config_ms", usual.config);
+    let drain = bound("drain_ms", usual.drain);
     let grace = bound("grace_ms", usual.grace);
     let retry_ratio = f.optional(
         "retry_ratio",
@@ -283,6 +298,7 @@
         weights: weights?,
         stable: stable?,
         config: config?,
+        drain: drain?,
         grace: grace?,
         retry_ratio: retry_ratio?,
     })
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod partition;
 #[path = "support/requests.rs"]
 mod requests;
+mod signals;
 mod support;
 mod switch;
 mod weights;
