Look at the agents that draw what one's own data centre lacks

The agent that is to bring a chunk into its data centre saw 5 of 50 agents abroad, and heard of the chunk only once it had come to one of them. The ranking tells who draws it. The window of chunks that are drawn at once is 24 in place of 12, since a fleet of 76 sees little of how far the drawing is. Test: crossing::drawers_are_watched.

--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -344,10 +344,13 @@
             .collect();
         let mut alive = all.clone();
         alive.retain(|vm, _| !self.lost.contains(vm));
-        let neighbours = self.choose_neighbours(&alive);
+        let mut neighbours = self.choose_neighbours(&alive);
+        self.place(&alive, neighbours.is_empty());
+        if self.tuning.cross.is_some() {
+            neighbours.extend(self.ranking.drawers_abroad());
+        }
         self.watched = self.choose_neighbours(&all);
         self.watched.extend(neighbours.iter().cloned());
-        self.place(&alive, neighbours.is_empty());
         self.peers.set_neighbours(neighbours, now);
     }
 
--- a/crates/spread/src/ranking.rs
+++ b/crates/spread/src/ranking.rs
@@ -1,6 +1,6 @@
 //! Who draws which chunk from the origin: the same order at every VM, without talking.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use wagtailreel_core::{ChunkIndex, DataCentre, Digest, VmId, Weigh, rank_score};
 
@@ -57,6 +57,22 @@
         self.home_ahead[chunk as usize]
     }
 
+    /// Returns the VMs of other data centres that draw what the own VM brings into its data centre.
+    ///
+    /// Without looking at them it would hear of a chunk only once that had come to one of a few
+    /// neighbours abroad.
+    pub(crate) fn drawers_abroad(&self) -> BTreeSet<VmId> {
+        let brought = self.chunks.iter().zip(&self.home_ahead);
+        let brought = brought.filter(|(_, ahead)| **ahead == 0);
+        let firsts = brought.filter_map(|(chunk, _)| {
+            let score = |vm: &str| rank_score(chunk.as_bytes(), vm);
+            let members = self.members.iter();
+            members.max_by_key(|(vm, _)| (score(vm), std::cmp::Reverse(*vm)))
+        });
+        let abroad = firsts.filter(|(_, data_centre)| **data_centre != self.own.data_centre);
+        abroad.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Gives every chunk the same position, for policies that rank VMs and not chunks.
     pub(crate) fn set_all(&mut self, position: u32) {
         self.positions.fill(position);
--- a/crates/spread/tests/crossing.rs
+++ b/crates/spread/tests/crossing.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use wagtailreel_core::{Digest, SpreadSettings, VmEntry, VmRole, VmState, Weigh};
+use wagtailreel_core::{Digest, SpreadSettings, VmEntry, VmRole, VmState, Weigh, rank_score};
 use wagtailreel_spread::{
     Action, ChunkSet, Event, Fetch, Planner, PlannerConfig, Site, Source, Tuning,
 };
@@ -112,3 +112,51 @@
     }
     assert_eq!(brought, CHUNKS as usize, "nobody else brought the others");
 }
+
+/// In a fleet of which a VM sees but a small part, it looks at those that draw what it is to bring.
+#[rstest]
+fn drawers_are_watched() {
+    let now = Instant::now();
+    let names: Vec<VmEntry> = (0..30)
+        .map(|at| entry(&format!("home-{at}"), "home"))
+        .chain((0..60).map(|at| entry(&format!("far-{at}"), "abroad")))
+        .collect();
+    let digests: Vec<Digest> = (0..CHUNKS)
+        .map(|chunk| Digest::of(&chunk.to_be_bytes()))
+        .collect();
+    let first = |chunk: &Digest, all: &mut dyn Iterator<Item = &VmEntry>| {
+        let score = |it: &&VmEntry| rank_score(chunk.as_bytes(), &it.vm);
+        all.max_by_key(score).unwrap().clone()
+    };
+    for chunk in &digests {
+        let drawer = first(chunk, &mut names.iter());
+        let bringer = first(
+            chunk,
+            &mut names.iter().filter(|it| it.data_centre == "home"),
+        );
+        if drawer.data_centre == "home" {
+            continue;
+        }
+        let cfg = PlannerConfig {
+            own: Site::of(&bringer),
+            chunks: digests.clone(),
+            have: ChunkSet::new(CHUNKS),
+            settings: SpreadSettings {
+                weigh: Weigh::OriginBytes,
+                ..SpreadSettings::default()
+            },
+            seed: 7,
+        };
+        let tuning = Tuning {
+            cross: Some(WAIT),
+            near: 3,
+            far: 1,
+            ..Tuning::default()
+        };
+        let mut planner = Planner::new(cfg, now).with_tuning(tuning);
+        let others = names.iter().filter(|it| it.vm != bringer.vm).cloned();
+        planner.apply(Event::Peers(others.collect()), now);
+        assert!(planner.watched().contains(&drawer.vm));
+        assert!(planner.watched().len() < 20, "but few in all");
+    }
+}
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -46,6 +46,7 @@
 fn tuning() -> Tuning {
     Tuning {
         learn: Duration::from_millis(120),
+        window: 24,
         stall: Duration::from_millis(500),
         lost_after: Duration::from_millis(500),
         first_guess: Duration::from_millis(150),
