--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -5,16 +5,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::response::Parts;
-use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use wagtailreel_fleet::UpstreamId;
 
 use crate::admit::Admitted;
-use crate::dialect::{AnswerHead, Dialect, Dispatch};
+use crate::dialect::{Dialect, Dispatch};
 use crate::ending::{Attempt, Ending, Next, next_step};
 use crate::events;
+use crate::live::{Lease, Live};
 use crate::members::{Ask, Pick, Shortage};
 use crate::pool::{Connection, SendError};
 use crate::refusal::Refusal;
@@ -41,64 +41,6 @@
     pub(crate) body: Bytes,
 }
 
-/// Counts a request at an upstream for as long as it is there.
-#[derive(Debug)]
-pub(crate) struct Lease {
-    service: Arc<Service>,
-    id: UpstreamId,
-    /// Prompt tokens that the upstream is still to read.
-    unread: u32,
-}
-
-impl Lease {
-    /// Takes that the answer has begun.
-    pub(crate) fn begun(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        if unread > 0 {
-            self.service.upstreams().begun(&self.id, unread);
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        self.begun();
-        self.service.upstreams().finished(&self.id);
-    }
-}
-
-/// An answer whose head has come.
-#[derive(Debug)]
-pub(crate) struct Live {
-    pub(crate) head: Parts,
-    pub(crate) body: Incoming,
-    pub(crate) marks: AnswerHead,
-    pub(crate) conn: Connection,
-    pub(crate) lease: Lease,
-}
-
-impl Live {
-    /// Gives the connection back after the whole answer was read.
-    pub(crate) fn finish(self) {
-        let closes = self
-            .head
-            .headers
-            .get(header::CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        let is_framed = self.head.headers.contains_key(header::CONTENT_LENGTH)
-            || self.head.headers.contains_key(header::TRANSFER_ENCODING);
-        if !closes && is_framed {
-            let keep = self.marks.keep_alive;
-            self.lease.service.pool.give_back(self.conn, keep);
-        }
-    }
-
-    /// Returns the id of the upstream.
-    pub(crate) fn upstream(&self) -> &str {
-        &self.lease.id
-    }
-}
-
 /// One request and its attempts.
 ///
 /// Invariant: `may_have_run` is set before the first byte of an attempt can leave, and cleared only
@@ -285,12 +227,7 @@
         };
         let doubted_before = self.may_have_run;
         let unread = self.admitted.head.prompt_tokens;
-        self.service.upstreams().started(&pick.id, unread);
-        let lease = Lease {
-            service: Arc::clone(&self.service),
-            id: pick.id.clone(),
-            unread,
-        };
+        let lease = Lease::new(&self.service, &pick.id, unread);
         self.may_have_run = true;
         self.sent += 1;
         let (conn, answer) = self.exchange(conn, req).await;
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -18,10 +18,11 @@
 use wagtailreel_adapters::discard;
 
 use crate::admit::{Admitted, admit, strip_hop_by_hop};
-use crate::attempt::{Call, Live, Template};
+use crate::attempt::{Call, Template};
 use crate::dialect::Dialect;
 use crate::ending::{Ending, Next};
 use crate::events;
+use crate::live::Live;
 use crate::members::Pick;
 use crate::refusal::Refusal;
 use crate::relay::{BrokenOff, Collected, Relay, collect};
--- /dev/null
+++ b/crates/direct/src/member.rs
@@ -0,0 +1,138 @@
+//! One upstream as an entry knows it.
+
+use std::time::{Duration, Instant};
+
+use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamState, WeightsVersion};
+
+/// How long an agent's word on its engine is used. Agents are asked several times a second; after
+/// this time only the entry's own count and the registry are left.
+const STATUS_VALID: Duration = Duration::from_millis(1500);
+
+/// How long an upstream's load, told with an answer, is used.
+const LOAD_VALID: Duration = Duration::from_millis(500);
+
+/// An agent that leaves questions open for longer is silent, or its link is choked: the same link
+/// carries the engine's answers. Agents abroad are asked each 500 ms.
+const OPEN_QUESTION: Duration = Duration::from_millis(700);
+
+/// A question and its answer that take longer speak of a choked link. The longest way there and
+/// back takes 6 ms.
+const CHOKED: Duration = Duration::from_millis(120);
+
+/// Entries that are thought to send to one engine at the same time: an engine that has just loaded
+/// is empty to all entries of its data centre, and gets the requests of each.
+const ENTRIES_AT_ONCE: f64 = 2.0;
+
+/// Where a figure on an upstream's load comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum LoadSource {
+    /// The entry's own count.
+    #[display("own")]
+    Own,
+    /// The upstream's answers.
+    #[display("answers")]
+    Answers,
+    /// The agent beside it.
+    #[display("agent")]
+    Agent,
+}
+
+/// One upstream as this entry knows it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What it says of itself in the registry.
+    pub upstream: Upstream,
+    /// Requests of this entry that are there now; exact.
+    pub own: u32,
+    /// Prompt tokens of those that have not begun to answer; exact.
+    pub(crate) own_unread: u32,
+    /// Requests of others, as of the last word on its load; late.
+    pub(crate) others: u32,
+    pub(crate) others_at: Option<Instant>,
+    pub(crate) status: Option<(LoadStatus, Instant)>,
+    pub(crate) failures: u32,
+    pub(crate) shunned_until: Option<Instant>,
+    /// Since when the agent owes an answer.
+    pub(crate) asked_since: Option<Instant>,
+    /// How long the last question and its answer took.
+    pub(crate) round_trip: Duration,
+    pub(crate) is_gone: bool,
+}
+
+impl Member {
+    pub(crate) fn new(upstream: Upstream) -> Self {
+        Self {
+            upstream,
+            own: 0,
+            own_unread: 0,
+            others: 0,
+            others_at: None,
+            status: None,
+            failures: 0,
+            shunned_until: None,
+            asked_since: None,
+            round_trip: Duration::ZERO,
+            is_gone: false,
+        }
+    }
+
+    /// Returns the agent's word while it is fresh.
+    pub(crate) fn fresh_status(&self, now: Instant) -> Option<&LoadStatus> {
+        let (status, at) = self.status.as_ref()?;
+        (now.saturating_duration_since(*at) <= STATUS_VALID).then_some(status)
+    }
+
+    /// Returns the requests that are thought to be there, and whose word it is.
+    pub fn in_flight(&self, now: Instant) -> (u32, LoadSource) {
+        let valid = if self.fresh_status(now).is_some() {
+            STATUS_VALID
+        } else {
+            LOAD_VALID
+        };
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) <= valid;
+        if !self.others_at.is_some_and(is_fresh) {
+            return (self.own, LoadSource::Own);
+        }
+        let source = if self.fresh_status(now).is_some() {
+            LoadSource::Agent
+        } else {
+            LoadSource::Answers
+        };
+        (self.own.saturating_add(self.others), source)
+    }
+
+    /// Returns the version of `model` that the upstream holds whole.
+    pub(crate) fn version_of(&self, model: &str, now: Instant) -> Option<WeightsVersion> {
+        match self.fresh_status(now) {
+            Some(status) => status.version,
+            None => self.upstream.version_of(model),
+        }
+    }
+
+    /// Returns how long the engine is thought to read the prompts that it has.
+    pub(crate) fn reading(&self, per_second: f64) -> Duration {
+        if per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        let tokens = f64::from(self.own_unread) * ENTRIES_AT_ONCE;
+        Duration::try_from_secs_f64(tokens / per_second).unwrap_or(Duration::MAX)
+    }
+
+    /// Says whether the link to the upstream is in doubt.
+    pub(crate) fn is_doubted(&self, now: Instant) -> bool {
+        let owes = |since: Instant| now.saturating_duration_since(since) > OPEN_QUESTION;
+        self.round_trip > CHOKED || self.asked_since.is_some_and(owes)
+    }
+
+    pub(crate) fn takes_new(&self, now: Instant) -> bool {
+        self.upstream.state == UpstreamState::Ready
+            && !self.is_gone
+            && self.shunned_until.is_none_or(|until| now >= until)
+            && !self.fresh_status(now).is_some_and(|it| it.is_switching)
+    }
+
+    pub(crate) fn take_load(&mut self, total: u32, at: Instant) {
+        self.others = total.saturating_sub(self.own);
+        self.others_at = Some(at);
+    }
+}
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -6,12 +6,7 @@
 use wagtailreel_core::{DataCentre, Region};
 use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamId, UpstreamState, WeightsVersion};
 
-/// How long an agent's word on its engine is used. Agents are asked several times a second; after
-/// this time only the entry's own count and the registry are left.
-const STATUS_VALID: Duration = Duration::from_millis(1500);
-
-/// How long an upstream's load, told with an answer, is used.
-const LOAD_VALID: Duration = Duration::from_millis(500);
+use crate::member::{LoadSource, Member};
 
 /// First time for which an upstream is passed over after failures in a row, doubled with each.
 const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -23,22 +18,10 @@
 /// upstream fails some requests of its own accord.
 const SHUN_AFTER: u32 = 2;
 
-/// An agent that leaves questions open for longer is silent, or its link is choked: the same link
-/// carries the engine's answers. Agents abroad are asked each 500 ms.
-const OPEN_QUESTION: Duration = Duration::from_millis(700);
-
-/// A question and its answer that take longer speak of a choked link. The longest way there and
-/// back takes 6 ms.
-const CHOKED: Duration = Duration::from_millis(120);
-
 /// Requests that an entry keeps at an upstream whose link is in doubt. Eight entries fill one batch
 /// of 16 if all do.
 const DOUBTED_REQUESTS: u32 = 2;
 
-/// Entries that are thought to send to one engine at the same time: an engine that has just loaded
-/// is empty to all entries of its data centre, and gets the requests of each.
-const ENTRIES_AT_ONCE: f64 = 2.0;
-
 /// Reading that is worth a request abroad. Answers are wanted within 300 ms, of which 60 go into
 /// the first pass.
 const LONG_READING: Duration = Duration::from_millis(160);
@@ -50,120 +33,6 @@
 /// before it, and an answer that starts later than its objective earns a quarter.
 const ENGINE_QUEUE: u32 = 1;
 
-/// Where a figure on an upstream's load comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum LoadSource {
-    /// The entry's own count.
-    #[display("own")]
-    Own,
-    /// The upstream's answers.
-    #[display("answers")]
-    Answers,
-    /// The agent beside it.
-    #[display("agent")]
-    Agent,
-}
-
-/// One upstream as this entry knows it.
-#[derive(Clone, Debug)]
-pub struct Member {
-    /// What it says of itself in the registry.
-    pub upstream: Upstream,
-    /// Requests of this entry that are there now; exact.
-    pub own: u32,
-    /// Prompt tokens of those that have not begun to answer; exact.
-    own_unread: u32,
-    /// Requests of others, as of the last word on its load; late.
-    others: u32,
-    others_at: Option<Instant>,
-    status: Option<(LoadStatus, Instant)>,
-    failures: u32,
-    shunned_until: Option<Instant>,
-    /// Since when the agent owes an answer.
-    asked_since: Option<Instant>,
-    /// How long the last question and its answer took.
-    round_trip: Duration,
-    is_gone: bool,
-}
-
-impl Member {
-    fn new(upstream: Upstream) -> Self {
-        Self {
-            upstream,
-            own: 0,
-            own_unread: 0,
-            others: 0,
-            others_at: None,
-            status: None,
-            failures: 0,
-            shunned_until: None,
-            asked_since: None,
-            round_trip: Duration::ZERO,
-            is_gone: false,
-        }
-    }
-
-    /// Returns the agent's word while it is fresh.
-    fn fresh_status(&self, now: Instant) -> Option<&LoadStatus> {
-        let (status, at) = self.status.as_ref()?;
-        (now.saturating_duration_since(*at) <= STATUS_VALID).then_some(status)
-    }
-
-    /// Returns the requests that are thought to be there, and whose word it is.
-    pub fn in_flight(&self, now: Instant) -> (u32, LoadSource) {
-        let valid = if self.fresh_status(now).is_some() {
-            STATUS_VALID
-        } else {
-            LOAD_VALID
-        };
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) <= valid;
-        if !self.others_at.is_some_and(is_fresh) {
-            return (self.own, LoadSource::Own);
-        }
-        let source = if self.fresh_status(now).is_some() {
-            LoadSource::Agent
-        } else {
-            LoadSource::Answers
-        };
-        (self.own.saturating_add(self.others), source)
-    }
-
-    /// Returns the version of `model` that the upstream holds whole.
-    fn version_of(&self, model: &str, now: Instant) -> Option<WeightsVersion> {
-        match self.fresh_status(now) {
-            Some(status) => status.version,
-            None => self.upstream.version_of(model),
-        }
-    }
-
-    /// Returns how long the engine is thought to read the prompts that it has.
-    fn reading(&self, per_second: f64) -> Duration {
-        if per_second <= 0.0 {
-            return Duration::ZERO;
-        }
-        let tokens = f64::from(self.own_unread) * ENTRIES_AT_ONCE;
-        Duration::try_from_secs_f64(tokens / per_second).unwrap_or(Duration::MAX)
-    }
-
-    /// Says whether the link to the upstream is in doubt.
-    fn is_doubted(&self, now: Instant) -> bool {
-        let owes = |since: Instant| now.saturating_duration_since(since) > OPEN_QUESTION;
-        self.round_trip > CHOKED || self.asked_since.is_some_and(owes)
-    }
-
-    fn takes_new(&self, now: Instant) -> bool {
-        self.upstream.state == UpstreamState::Ready
-            && !self.is_gone
-            && self.shunned_until.is_none_or(|until| now >= until)
-            && !self.fresh_status(now).is_some_and(|it| it.is_switching)
-    }
-
-    fn take_load(&mut self, total: u32, at: Instant) {
-        self.others = total.saturating_sub(self.own);
-        self.others_at = Some(at);
-    }
-}
-
 /// What one request asks of the choice.
 #[derive(Clone, Debug, Default)]
 pub struct Ask<'a> {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -9,11 +9,12 @@
 use http_body_util::BodyExt as _;
 use snafu::Snafu;
 
-use crate::attempt::{Call, Live, STALL};
+use crate::attempt::{Call, STALL};
 use crate::cutter::{Cut, Cutter};
 use crate::dialect::Dialect;
 use crate::ending::{Ending, Next};
 use crate::front::Tally;
+use crate::live::Live;
 use crate::refusal::Refusal;
 
 /// Longest body of an answer that is no stream which is read whole before it is passed on, so that
--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -264,7 +264,7 @@
     fleet.started("a", 1500);
     fleet.started("b", 0);
     fleet.started("b", 0);
-    let mut choose = |fleet: &mut Upstreams| fleet.choose(&ask, now).unwrap().id;
+    let choose = |fleet: &mut Upstreams| fleet.choose(&ask, now).unwrap().id;
     assert_eq!(
         choose(&mut fleet),
         "b",
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -17,6 +17,7 @@
 mod origin;
 mod peers;
 mod process;
+mod resolve;
 mod rollout;
 mod serve;
 mod shelf;
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -14,8 +14,9 @@
 use crate::manifest::ChunkManifest;
 use crate::origin::ChunkOrigin;
 use crate::process::Surroundings;
+use crate::resolve::ask_manifest;
 use crate::{
-    EngineReport, OrderEnd, Rollout, Situation, StagedEngine, Target, Todo, events, fetch, peers,
+    EngineReport, OrderEnd, Rollout, Situation, StagedEngine, Target, Todo, events, fetch,
 };
 
 /// Time between two looks at the engine. Its figures are some hundred milliseconds old as it is.
@@ -32,16 +33,10 @@
 /// Longest time between the order to load and the engine's word that it is loading.
 const ORDER_SETTLES: Duration = Duration::from_millis(600);
 
-/// Pause before a manifest is asked for again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(200);
-
 /// Agents ask for the manifest of what their engines hold one after the other within this time, so
 /// that all but the first get it from each other.
 const LEARN_WITHIN: Duration = Duration::from_secs(3);
 
-/// Agents that are asked for a manifest before the origin is.
-const MANIFEST_PEERS: usize = 3;
-
 /// A fetch under way.
 struct Fetching {
     version: WeightsVersion,
@@ -407,34 +402,3 @@
         Ok(())
     }
 }
-
-/// Asks other agents and then the origin for a manifest.
-async fn ask_manifest<R, E, O>(
-    cx: Arc<Surroundings<R, E, O>>,
-    model: ModelName,
-    version: Option<WeightsVersion>,
-    origin: Option<SocketAddr>,
-) -> Option<Arc<ChunkManifest>>
-where
-    R: Registry,
-    O: ChunkOrigin,
-{
-    let mut peers_known = fetch::list_peers(&cx).await.unwrap_or_default();
-    // Those near first: the bytes of another data centre are dear.
-    peers_known.sort_by_key(|peer| peer.data_centre != cx.settings.data_centre);
-    for peer in peers_known.iter().take(MANIFEST_PEERS) {
-        if let Some(manifest) = peers::manifest(&cx.client, peer.data, &model, version).await {
-            return Some(Arc::new(manifest));
-        }
-    }
-    let reason = match origin {
-        None => "no origin is known".to_owned(),
-        Some(origin) => match cx.origin.manifest(origin, &model, version).await {
-            Ok(manifest) => return Some(Arc::new(manifest)),
-            Err(trouble) => trouble.to_string(),
-        },
-    };
-    events::MANIFEST_MISSING.emit(&[("model", &model), ("reason", &reason)]);
-    tokio::time::sleep(MANIFEST_PAUSE).await;
-    None
-}
