--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -50,6 +50,9 @@
                 let Ok(Datagram::Status(status)) = Datagram::from_bytes(&buf[..len]) else {
                     continue;
                 };
+                if let Some(naming) = &status.naming {
+                    view.learn_naming(naming);
+                }
                 if let Some(load) = status.load {
                     // What comes without being asked for has no nonce.
                     let since = asked[status.nonce as usize % ROUNDS];
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -7,8 +7,8 @@
 
 use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
-    BootTime, Change, Directory, ModelName, NamedWeights, Sink, Topic, Upstream, UpstreamId,
-    WeightsVersion,
+    BootTime, Change, Directory, HeardNaming, ModelName, NamedWeights, Sink, Topic, Upstream,
+    UpstreamId, WeightsVersion,
 };
 use wagtailreel_route::{BudgetConfig, RetryBudget};
 
@@ -45,6 +45,10 @@
     binding_from: BootTime,
     /// Requests that wait to begin on older weights are taken back at this moment.
     last_begin: BootTime,
+    /// The process was started after they were named, and guessed since when they are.
+    is_guess: bool,
+    /// An agent told since when they are named.
+    was_learned: bool,
 }
 
 /// Bounds of what the entry believes.
@@ -188,6 +192,28 @@
         }
     }
 
+    /// Takes when an agent heard of weights that were named before this process started.
+    ///
+    /// The earliest that any agent heard of them counts; the entry's own guess gives way to it.
+    pub(crate) fn learn_naming(&self, naming: &HeardNaming) {
+        let mut all = lock(&self.weights);
+        let Some(named) = all.get_mut(&naming.weights.model) else {
+            return;
+        };
+        let mut named = named.iter_mut();
+        let Some(named) = named.find(|it| it.version == naming.weights.version) else {
+            return;
+        };
+        let heard_at = BootTime::now().minus(Duration::from_millis(naming.age_ms.into()));
+        let binding_from = heard_at.plus(self.bounds.weights);
+        if named.is_guess || (named.was_learned && binding_from < named.binding_from) {
+            named.is_guess = false;
+            named.was_learned = true;
+            named.binding_from = binding_from;
+            named.last_begin = heard_at.plus(self.bounds.weights_last);
+        }
+    }
+
     fn take_weights(&self, weights: NamedWeights) {
         let is_first = !lock(&self.confirmed).contains_key(&Topic::Settings);
         let waits = self.bounds.weights_last.saturating_sub(self.bounds.weights);
@@ -209,6 +235,8 @@
             version: weights.version,
             binding_from: now.plus(hold),
             last_begin: now.plus(last),
+            is_guess: is_first,
+            was_learned: false,
         });
         events::WEIGHTS_NAMED.emit(&[
             ("model", &weights.model),
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -170,8 +170,17 @@
     registry.upstream(Change::Upstream(Box::new(registered(id, addr))));
 }
 
-/// Starts an entry that trusts keys for `keys`.
+/// Starts an entry that trusts keys for `keys`, without agents.
 pub(crate) async fn entry(registry: &RegistryStandin, keys: Duration) -> DirectEntry<TestDialect> {
+    entry_with_agents(registry, keys, 9).await
+}
+
+/// Starts an entry whose agents listen on `agent_port`.
+pub(crate) async fn entry_with_agents(
+    registry: &RegistryStandin,
+    keys: Duration,
+    agent_port: u16,
+) -> DirectEntry<TestDialect> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = DirectEntrySettings {
         vm: "entry-1".to_owned(),
@@ -183,7 +192,7 @@
             agents: any,
         },
         registry: any,
-        agent_port: 9,
+        agent_port,
         threads: 1,
         bounds: DirectBounds {
             keys,
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -7,9 +7,12 @@
 
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, ready_entry, registered, until_readiness};
+use common::{directory, entry, entry_with_agents, ready_entry, registered, until_readiness};
 use rstest::rstest;
-use wagtailreel_fleet::{Change, LoadedModel, NamedWeights, Upstream};
+use tokio::net::UdpSocket;
+use wagtailreel_fleet::{
+    Change, Datagram, HeardNaming, LoadedModel, NamedWeights, Status, Upstream,
+};
 use wagtailreel_standins::RegistryStandin;
 
 const MODEL: &str = "epitaph";
@@ -116,3 +119,50 @@
     let took = served.elapsed().as_millis();
     assert!((from..to).contains(&took), "{took}");
 }
+
+/// Answers an entry's questions as an agent that heard of weights 2 when it was started.
+async fn agent() -> u16 {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let heard = std::time::Instant::now();
+    tokio::spawn(async move {
+        let mut buf = [0; 2048];
+        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
+            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
+                continue;
+            };
+            let weights = NamedWeights {
+                model: MODEL.to_owned(),
+                version: 2,
+            };
+            let age_ms = u32::try_from(heard.elapsed().as_millis()).unwrap();
+            let status = Status {
+                nonce: query.nonce,
+                naming: Some(HeardNaming { weights, age_ms }),
+                ..Status::default()
+            };
+            let answer = Datagram::Status(status).to_bytes();
+            socket.send_to(&answer, from).await.unwrap();
+        }
+    });
+    port
+}
+
+#[tokio::test]
+async fn learned_naming() {
+    let registry = RegistryStandin::default();
+    let old = answering().await;
+    registry.config(directory(1));
+    registry.upstream(writer("old", &old, 1));
+    name(&registry, 2);
+    let port = agent().await;
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    until_status(entry.callers(), 200).await;
+    let served = std::time::Instant::now();
+    until_status(entry.callers(), 503).await;
+    let took = served.elapsed().as_millis();
+    assert!(
+        took < 1500,
+        "the agent's word goes before the guess: {took}"
+    );
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,6 @@
 pub use follow::{FollowConfig, Sink, follow};
 pub use follower::{Applied, Follower, Step};
 pub use registry::{Change, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
-pub use status::{Datagram, HeldChunks, LoadStatus, Query, Status, StatusError};
+pub use status::{Datagram, HeardNaming, HeldChunks, LoadStatus, Query, Status, StatusError};
 pub use upstream::{LoadedModel, Upstream, UpstreamId, UpstreamState};
 pub use weights::{ModelName, NamedWeights, WeightsVersion};
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -30,6 +30,17 @@
     pub chunks: Option<(ModelName, WeightsVersion)>,
 }
 
+/// Weights that were named lately, as an agent heard of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardNaming {
+    /// The weights.
+    #[serde(flatten)]
+    pub weights: NamedWeights,
+    /// How long ago the agent heard of them, in milliseconds.
+    #[serde(rename = "age")]
+    pub age_ms: u32,
+}
+
 /// An engine's load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadStatus {
@@ -79,6 +90,10 @@
     /// The engine's load; none while the engine does not answer.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub load: Option<LoadStatus>,
+    /// Weights that were named lately. An entry that has just started learns from it how long their
+    /// bound still lasts.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub naming: Option<HeardNaming>,
     /// The chunks that were asked for.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub chunks: Option<HeldChunks>,
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -8,7 +8,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::AbortOnDropHandle;
 use wagtailreel_core::{ChunkIndex, rank_score};
-use wagtailreel_fleet::{ModelName, Registry, WeightsVersion};
+use wagtailreel_fleet::{ModelName, NamedWeights, Registry, WeightsVersion};
 
 use crate::beliefs::Wanted;
 use crate::manifest::ChunkManifest;
@@ -145,6 +145,11 @@
         let known = self.target.as_ref().filter(|it| it.model == wanted.model);
         let known = known.map(|target| target.version);
         if let Some((version, named_at)) = wanted.version {
+            if let Some(heard_at) = named_at {
+                let model = wanted.model.clone();
+                let weights = NamedWeights { model, version };
+                self.cx.board.set_naming(weights, heard_at);
+            }
             if known != Some(version) && self.may_move_on() {
                 // The bound of the weights that are skipped goes on to count.
                 let skipped = self.target.take().filter(|_| !self.is_loaded(known));
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -2,11 +2,13 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
-use wagtailreel_fleet::{Datagram, HeldChunks, LoadStatus, Query, Status, WeightsVersion};
+use wagtailreel_fleet::{
+    Datagram, HeardNaming, HeldChunks, LoadStatus, NamedWeights, Query, Status, WeightsVersion,
+};
 
 use crate::EngineReport;
 use crate::askers::Askers;
@@ -22,8 +24,12 @@
     report: Option<(EngineReport, Instant)>,
     model: String,
     is_switching: bool,
+    naming: Option<(NamedWeights, Instant)>,
 }
 
+/// How long agents tell of weights that were named. The longest bound is 10 s.
+const NAMING_TOLD: Duration = Duration::from_secs(12);
+
 /// What an agent tells of its engine, and to whom.
 #[derive(Debug)]
 pub(crate) struct StatusBoard {
@@ -62,6 +68,23 @@
         changed
     }
 
+    /// Takes weights that were named, and when the agent heard of them.
+    pub(crate) fn set_naming(&self, weights: NamedWeights, heard_at: Instant) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.naming = Some((weights, heard_at));
+    }
+
+    /// Returns the weights that were named lately.
+    fn naming(&self, now: Instant) -> Option<HeardNaming> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let (weights, heard_at) = known.naming.as_ref()?;
+        let age = now.saturating_duration_since(*heard_at);
+        (age <= NAMING_TOLD).then(|| HeardNaming {
+            weights: weights.clone(),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
     /// Takes whether the engine is about to load, and tells all askers at once.
     pub(crate) fn set_switching(&self, is_switching: bool) {
         {
@@ -80,6 +103,7 @@
         let status = Status {
             nonce: 0,
             load: self.load(now),
+            naming: self.naming(now),
             chunks: None,
         };
         let datagram = Datagram::Status(status).to_bytes();
@@ -141,6 +165,7 @@
         let status = Status {
             nonce: query.nonce,
             load: self.load(now),
+            naming: self.naming(now),
             chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
         };
         let datagram = Datagram::Status(status).to_bytes();
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -56,7 +56,7 @@
 const AGENT_HELP: &str = "\
 wagtailreel-agent: the gate in front of one engine or plain service
 
-usage: wagtailreel-agent [--settings FILE] [--check yes]
+usage: wagtailreel-agent --settings FILE [--check yes]
 
 options:
   --settings FILE      YAML settings; without it the file that WAGTAILREEL_CONFIG names
