Apply a doubted removal when its time is over

Ruled out: a missed record (it was read with the first page).

Change: the pause until the next read ends when a doubted removal is due; the doubt lasts 2.1 s; while the registry is away, reads of the upstreams time out after 0.5 s and pause 0.2 s at most, so that the return is noticed early enough.

Test: follow::doubted_removal failed (1.5 s, the pace) and passes.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -27,8 +27,18 @@
 /// How much longer than its wait a read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest pause after failed reads of the settings.
+const SETTINGS_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long a read of the upstreams may take; a slow registry takes a quarter of a second.
+const UPSTREAMS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest pause after failed reads of the upstreams. With the time-out and the time to register
+/// again it stays below the 3 s after which a removal has to be in force again.
+const UPSTREAMS_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long an upstream that vanished while the registry was away has to register again.
-const LAPSE_HOLD: Duration = Duration::from_millis(2300);
+const LAPSE_HOLD: Duration = Duration::from_millis(2100);
 
 /// How long callers are still taken after a signal to end: the balancer needs two questions, a
 /// second apart, to notice.
@@ -181,6 +191,7 @@
         wait: SETTINGS_WAIT,
         pace: Duration::ZERO,
         timeout: READ_TIMEOUT,
+        longest_pause: SETTINGS_PAUSE,
         lapse_hold: Duration::ZERO,
     }
 }
@@ -192,7 +203,8 @@
         topic: Topic::Upstreams,
         wait: Duration::ZERO,
         pace,
-        timeout: READ_TIMEOUT,
+        timeout: UPSTREAMS_TIMEOUT,
+        longest_pause: UPSTREAMS_PAUSE,
         lapse_hold: LAPSE_HOLD,
     }
 }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -7,10 +7,6 @@
 /// First pause after a failed call, in place of an answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest pause after failed calls. Each call costs the registry work while it is in trouble; a
-/// return is noticed within this time.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FollowConfig {
@@ -23,6 +19,9 @@
     pub pace: Duration,
     /// How much longer than the wait an answer may take.
     pub timeout: Duration,
+    /// Longest pause after failed calls. Each call costs the registry work while it is in trouble; a
+    /// return is noticed within this time and the time-out.
+    pub longest_pause: Duration,
     /// How long a removal is doubted that is read just after the registry was away.
     pub lapse_hold: Duration,
 }
@@ -61,7 +60,8 @@
             Ok(applied) => {
                 pause = FIRST_PAUSE;
                 take(sink.as_ref(), &cfg, applied);
-                rest(sink.as_ref(), &cfg).await;
+                let due = follower.next_due(BootTime::now());
+                rest(sink.as_ref(), &cfg, due).await;
             }
             Err(err) => {
                 if follower.failed(&err) {
@@ -69,7 +69,7 @@
                 }
                 if !matches!(err, RegistryError::Expired { .. }) {
                     tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    pause = (pause * 2).min(cfg.longest_pause);
                 }
             }
         }
@@ -120,7 +120,8 @@
     sink.confirmed(cfg.topic, applied.as_of);
 }
 
-async fn rest<S>(sink: &S, cfg: &FollowConfig)
+/// Waits until the next call is due, or a doubted removal before it.
+async fn rest<S>(sink: &S, cfg: &FollowConfig, due: Option<Duration>)
 where
     S: Sink,
 {
@@ -128,7 +129,7 @@
         return;
     }
     tokio::select! {
-        () = tokio::time::sleep(cfg.pace) => {}
+        () = tokio::time::sleep(due.map_or(cfg.pace, |due| due.min(cfg.pace))) => {}
         () = sink.wake(cfg.topic) => {}
     }
 }
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -143,6 +143,12 @@
         due.into_iter().map(Change::Gone).collect()
     }
 
+    /// Returns how long it is until a doubted removal has to be looked at again.
+    pub fn next_due(&self, now: BootTime) -> Option<Duration> {
+        let soonest = self.doubted.values().min()?;
+        Some(soonest.since(now))
+    }
+
     fn answered(&mut self, now: BootTime) -> bool {
         let is_back = self.is_away;
         if is_back {
--- /dev/null
+++ b/crates/fleet/tests/follow.rs
@@ -0,0 +1,75 @@
+//! The task that follows a topic.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use wagtailreel_fleet::{
+    BootTime, Change, FollowConfig, Sink, Topic, Upstream, UpstreamState, follow,
+};
+use wagtailreel_standins::RegistryStandin;
+
+/// What was applied and confirmed.
+#[derive(Debug, Default)]
+struct Told {
+    gone: watch::Sender<Vec<String>>,
+    known: watch::Sender<u32>,
+}
+
+impl Sink for Told {
+    fn apply(&self, change: Change) {
+        match change {
+            Change::Gone(id) => self.gone.send_modify(|gone| gone.push(id)),
+            Change::Upstream(_) => self.known.send_modify(|known| *known += 1),
+            _ => {}
+        }
+    }
+
+    fn confirmed(&self, _topic: Topic, _as_of: BootTime) {}
+}
+
+fn upstream(id: &str) -> Change {
+    Change::Upstream(Box::new(Upstream {
+        id: id.to_owned(),
+        service: "scribes".to_owned(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "hall".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: Vec::new(),
+    }))
+}
+
+/// A removal whose time to be doubted is over is applied then, however long the pace is.
+#[tokio::test]
+async fn doubted_removal() {
+    let registry = RegistryStandin::default();
+    let told = Arc::new(Told::default());
+    let cfg = FollowConfig {
+        topic: Topic::Upstreams,
+        wait: Duration::ZERO,
+        pace: Duration::from_millis(1500),
+        timeout: Duration::from_secs(1),
+        longest_pause: Duration::from_millis(50),
+        lapse_hold: Duration::from_millis(100),
+    };
+    registry.upstream(upstream("a"));
+    let mut known = told.known.subscribe();
+    let mut gone = told.gone.subscribe();
+    let following = tokio::spawn(follow(registry.clone(), Arc::clone(&told), cfg));
+    known.wait_for(|known| *known == 1).await.unwrap();
+    registry.set_away(true);
+    // The task has to see the outage before it is over.
+    registry.until_refused().await;
+    registry.upstream(Change::Gone("a".to_owned()));
+    registry.upstream(upstream("b"));
+    registry.set_away(false);
+    known.wait_for(|known| *known == 2).await.unwrap();
+    let back = std::time::Instant::now();
+    gone.wait_for(|gone| !gone.is_empty()).await.unwrap();
+    let took = back.elapsed();
+    assert!(took < Duration::from_millis(800), "{took:?}");
+    following.abort();
+}
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -35,6 +35,9 @@
 /// How much longer than its wait a read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest pause after failed reads.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
 /// An agent can't start.
 #[derive(Debug, Snafu)]
 pub enum StageError {
@@ -163,6 +166,7 @@
         wait: SETTINGS_WAIT,
         pace: Duration::ZERO,
         timeout: READ_TIMEOUT,
+        longest_pause: LONGEST_PAUSE,
         lapse_hold: Duration::ZERO,
     }
 }
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use wagtailreel_fleet::{
     Change, Directory, Keyed, NamedWeights, Page, Registry, RegistryError, Snapshot, Topic,
 };
@@ -13,6 +13,7 @@
 struct Inner {
     records: Mutex<Vec<(Topic, Change)>>,
     is_away: AtomicBool,
+    refused: watch::Sender<u64>,
     changed: Notify,
 }
 
@@ -44,6 +45,14 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Waits until a call was refused since the registry was last told to be away.
+    pub async fn until_refused(&self) {
+        let mut refused = self.inner.refused.subscribe();
+        let before = *refused.borrow_and_update();
+        // The sender lives as long as the registry.
+        let _ = refused.wait_for(|now| *now > before).await;
+    }
+
     fn push(&self, topic: Topic, change: Change) {
         self.records().push((topic, change));
         self.inner.changed.notify_waiters();
@@ -51,6 +60,7 @@
 
     fn check(&self) -> Result<(), RegistryError> {
         if self.inner.is_away.load(Ordering::SeqCst) {
+            self.inner.refused.send_modify(|refused| *refused += 1);
             let reason = "told to be away".to_owned();
             return Err(RegistryError::Away { reason });
         }
