Keep more of the bound on leaving upstreams for a read that fails

The margin of 0.9 s covers the time-out and the pause, not a slow answer. Ruled out: a doubted removal (it drained). The margin is 1.3 s.

--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -36,8 +36,9 @@
 /// How long a leaving upstream may still get requests, unless told otherwise.
 const DEFAULT_DRAIN_MS: u64 = 2000;
 
-/// Part of the bound on leaving upstreams that is kept for one read that fails and is made again.
-const DRAIN_MARGIN: Duration = Duration::from_millis(900);
+/// Part of the bound on leaving upstreams that is kept for one read that fails and is made again: its
+/// time-out of 0.5 s, the pause, a slow answer, and the request's own way.
+const DRAIN_MARGIN: Duration = Duration::from_millis(1300);
 
 /// Shortest time between two reads of the upstreams.
 const LEAST_PACE: Duration = Duration::from_millis(300);
