Ask other agents for a manifest before the origin

Cause: all 75 agents asked the origin for the manifest of new weights, beside chunks on their way over its 9 Mbit/s.

Change: two agents of each data centre ask the origin at once, the others ask those two, one more and one far away, and the origin only after three rounds.

Tests that failed first: spreading::few_manifests (8 given, bound 4), spreading::manifest_from_afar (never).

--- a/crates/stage/src/resolve.rs
+++ b/crates/stage/src/resolve.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wagtailreel_core::{VmEntry, rank_score};
 use wagtailreel_fleet::{ModelName, Registry, WeightsVersion};
+use wagtailreel_settings::StagingAgentSettings;
 
 use crate::manifest::ChunkManifest;
 use crate::origin::ChunkOrigin;
@@ -14,10 +16,14 @@
 /// Pause before a manifest is asked for again.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(200);
 
-/// Agents that are asked for a manifest before the origin is.
-const MANIFEST_PEERS: usize = 3;
+/// Agents of the own data centre that ask the origin at once. Of 75 agents that all do, each with
+/// chunks on the way from the origin too, those of one data centre got no answer for 20 s.
+const ORIGIN_ASKERS: usize = 2;
 
-/// Asks other agents and then the origin for a manifest.
+/// Rounds in which an agent asks only others before it asks the origin in place of the first.
+const PATIENT_ROUNDS: u32 = 3;
+
+/// Asks other agents and then the origin for a manifest, until one has it or the origin fails.
 pub(crate) async fn ask_manifest<R, E, O>(
     cx: Arc<Surroundings<R, E, O>>,
     model: ModelName,
@@ -28,13 +34,20 @@
     R: Registry,
     O: ChunkOrigin,
 {
-    let mut peers_known = fetch::list_peers(&cx).await.unwrap_or_default();
-    // Those near first: the bytes of another data centre are dear.
-    peers_known.sort_by_key(|peer| peer.data_centre != cx.settings.data_centre);
-    for peer in peers_known.iter().take(MANIFEST_PEERS) {
-        if let Some(manifest) = peers::manifest(&cx.client, peer.data, &model, version).await {
-            return Some(Arc::new(manifest));
+    let peers = fetch::list_peers(&cx).await.unwrap_or_default();
+    let order = Order::new(&cx.settings, &peers, &model, version);
+    let mut round = 0;
+    loop {
+        for peer in order.asked_in(round) {
+            if let Some(manifest) = peers::manifest(&cx.client, peer, &model, version).await {
+                return Some(Arc::new(manifest));
+            }
+        }
+        if order.ahead < ORIGIN_ASKERS || round >= PATIENT_ROUNDS {
+            break;
         }
+        tokio::time::sleep(MANIFEST_PAUSE).await;
+        round += 1;
     }
     let reason = match origin {
         None => "no origin is known".to_owned(),
@@ -47,3 +60,46 @@
     tokio::time::sleep(MANIFEST_PAUSE).await;
     None
 }
+
+/// In which order agents are asked for a manifest; the same for all agents of a data centre, so that
+/// those asked first are those that ask the origin.
+struct Order {
+    /// Agents of the own data centre that ask the origin before this one does.
+    ahead: usize,
+    near: Vec<SocketAddr>,
+    /// Agents of other data centres. Their bytes are dear, but a data centre whose agents the origin
+    /// does not answer has no other way.
+    far: Vec<SocketAddr>,
+}
+
+impl Order {
+    fn new(
+        settings: &StagingAgentSettings,
+        peers: &[VmEntry],
+        model: &str,
+        version: Option<WeightsVersion>,
+    ) -> Self {
+        let key = format!("{model} {}", version.unwrap_or_default());
+        let score = |vm: &str| rank_score(key.as_bytes(), vm);
+        let own = score(&settings.listen.ip().to_string());
+        let mut ranked: Vec<(u64, &VmEntry)> = peers.iter().map(|it| (score(&it.vm), it)).collect();
+        ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        let is_near = |peer: &VmEntry| peer.data_centre == settings.data_centre;
+        let near = ranked.iter().filter(|(_, peer)| is_near(peer));
+        let far = ranked.iter().filter(|(_, peer)| !is_near(peer));
+        Self {
+            ahead: near.clone().filter(|(score, _)| *score > own).count(),
+            near: near.map(|(_, peer)| peer.data).collect(),
+            far: far.map(|(_, peer)| peer.data).collect(),
+        }
+    }
+
+    /// Returns whom to ask in a round: those that ask the origin, one more, and one far away.
+    fn asked_in(&self, round: u32) -> impl Iterator<Item = SocketAddr> + '_ {
+        let round = round as usize;
+        let first = self.near.iter().take(ORIGIN_ASKERS);
+        let another = self.near.iter().skip(ORIGIN_ASKERS + round).take(1);
+        let afar = self.far.iter().skip(round).take(1);
+        first.chain(another).chain(afar).copied()
+    }
+}
--- a/crates/stage/tests/common/origin.rs
+++ b/crates/stage/tests/common/origin.rs
@@ -18,6 +18,7 @@
     spoil: u32,
     is_away: bool,
     asked: BTreeSet<u64>,
+    manifests: u32,
 }
 
 /// An origin of weights in memory; it has version 1 at first.
@@ -34,6 +35,7 @@
             spoil: 0,
             is_away: false,
             asked: BTreeSet::new(),
+            manifests: 0,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -52,6 +54,11 @@
         self.lock().given
     }
 
+    /// Returns how many manifests were given.
+    pub(crate) fn manifests(&self) -> u32 {
+        self.lock().manifests
+    }
+
     /// Makes every call fail, or none.
     pub(crate) fn set_away(&self, is_away: bool) {
         self.lock().is_away = is_away;
@@ -89,7 +96,11 @@
     ) -> Result<ChunkManifest, OriginTrouble> {
         self.check()?;
         let version = version.unwrap_or(self.lock().newest);
-        self.lock().asked.insert(version);
+        {
+            let mut state = self.lock();
+            state.asked.insert(version);
+            state.manifests += 1;
+        }
         let kind = DigestKind::Sha256;
         Ok(ChunkManifest {
             model: model.clone(),
--- a/crates/stage/tests/spreading.rs
+++ b/crates/stage/tests/spreading.rs
@@ -115,3 +115,28 @@
     fleet.tell(2).await;
     until_version(&fleet, 2).await;
 }
+
+/// A data centre in which nobody got the manifest from the origin gets it from another one.
+#[tokio::test]
+async fn manifest_from_afar() {
+    let fleet = Fleet::start(14, 1, Some(1)).await;
+    fleet.until_heard(1).await;
+    fleet.origin.set_away(true);
+    for _ in 0..4 {
+        fleet.add_in("yard", None).await;
+    }
+    until_version(&fleet, 1).await;
+}
+
+/// Agents that all want a manifest at once don't all ask the origin for it.
+#[tokio::test]
+async fn few_manifests() {
+    let fleet = Fleet::start(15, 8, Some(1)).await;
+    fleet.until_heard(1).await;
+    let before = fleet.origin.manifests();
+    fleet.name(2);
+    fleet.tell(2).await;
+    until_version(&fleet, 2).await;
+    let given = fleet.origin.manifests() - before;
+    assert!(given <= 4, "{given}");
+}
