Take the configuration once where processes start together

After all machines lost their power 15 entries and 25 agents of each region read it at once over 30 Mbit/s: no entry of two regions had a configuration for 7 s, and chunks of weights did not get through either.

Change: an entry that starts asks the agents before it has a configuration, and waits up to 0.3 s to hear of its neighbours; the neighbour that reads answers once it has read. An agent waits up to 2 s for an entry and reads through one of its own choice, so that no entry carries all of them. Manifests are asked for each 0.1 s.

Tests: reading::start_together; weights::learned_naming hung once with a wait of 0.6 s, since its agent named no entry as real ones do: it does now, and the wait is 0.3 s. weights::named_before_start waited for readiness in place of a refused read of the settings; it waits for that read now.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -89,7 +89,7 @@
 /// Returns the VMs of the engines whose agents are to be asked now.
 fn engines(view: &View, home: &str, far: bool) -> BTreeMap<IpAddr, Asked> {
     let Some(directory) = view.directory() else {
-        return BTreeMap::new();
+        return all_near(view, home);
     };
     let mut ips = BTreeMap::new();
     for spec in directory.services() {
@@ -110,6 +110,25 @@
     ips
 }
 
+/// Returns the VMs of all upstreams of the own data centre.
+///
+/// Without a configuration it is not known which of them are engines, and their agents tell through
+/// which neighbour the configuration is to be had.
+fn all_near(view: &View, home: &str) -> BTreeMap<IpAddr, Asked> {
+    let mut ips = BTreeMap::new();
+    for service in view.services() {
+        let upstreams = service.upstreams();
+        let near = upstreams
+            .members()
+            .filter(|it| it.upstream.data_centre == home);
+        for member in near {
+            let (weights, is_near) = (None, true);
+            ips.insert(member.upstream.addr.ip(), Asked { weights, is_near });
+        }
+    }
+    ips
+}
+
 fn note_asked(view: &View, ip: IpAddr) {
     let now = Instant::now();
     for service in view.services() {
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -7,11 +7,11 @@
 
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, entry_with_agents, ready_entry, registered, until_readiness};
+use common::{directory, entry, entry_with_agents, ready_entry, registered};
 use rstest::rstest;
 use tokio::net::UdpSocket;
 use wagtailreel_fleet::{
-    Change, Datagram, HeardNaming, LoadedModel, NamedWeights, Status, Upstream,
+    Change, Datagram, HeardNaming, LoadedModel, NamedWeights, Status, Topic, Upstream,
 };
 use wagtailreel_standins::RegistryStandin;
 
@@ -127,7 +127,8 @@
     registry.set_away(is_away);
     let entry = entry(&registry, Duration::from_secs(4)).await;
     if is_away {
-        until_readiness(&entry, 503).await;
+        // The entry has to see the outage before it is over.
+        registry.until_refused(Topic::Settings).await;
         registry.set_away(false);
     }
     until_status(entry.callers(), 200).await;
@@ -156,6 +157,7 @@
             let status = Status {
                 nonce: query.nonce,
                 naming: Some(HeardNaming { weights, age_ms }),
+                entries: vec![from],
                 ..Status::default()
             };
             let answer = Datagram::Status(status).to_bytes();
--- a/crates/fleet/tests/follow.rs
+++ b/crates/fleet/tests/follow.rs
@@ -68,7 +68,7 @@
     known.wait_for(|known| *known == 1).await.unwrap();
     registry.set_away(true);
     // The task has to see the outage before it is over.
-    registry.until_refused().await;
+    registry.until_refused(Topic::Upstreams).await;
     registry.upstream(Change::Gone("a".to_owned()));
     registry.upstream(upstream("b"));
     registry.set_away(false);
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -136,9 +136,10 @@
         asked.is_some_and(|at| BootTime::now().since(at) <= span)
     }
 
-    /// Returns the newest record of each key.
-    pub(crate) fn newest(&self, topic: Topic) -> Result<Copy, Lack> {
+    /// Returns the newest record of each key; waits up to `wait` for the first read to end.
+    pub(crate) async fn newest(&self, topic: Topic, wait: Duration) -> Result<Copy, Lack> {
         self.note_asked();
+        self.until_read(topic, wait).await;
         let held = self.shelf(topic).lock();
         let as_of = held.as_of.ok_or(Lack::Unread)?;
         let mut items = held.since(0);
@@ -174,6 +175,15 @@
         })
     }
 
+    /// Processes that start together ask before there is anything to give.
+    async fn until_read(&self, topic: Topic, wait: Duration) {
+        let shelf = self.shelf(topic);
+        let mut end = shelf.end.subscribe();
+        let read = async { while shelf.lock().as_of.is_none() && end.changed().await.is_ok() {} };
+        // Without a read in time the answer says so.
+        let _ = tokio::time::timeout(wait, read).await;
+    }
+
     fn note_asked(&self) {
         let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
         *asked = Some(BootTime::now());
--- a/crates/nearby/src/neighbours.rs
+++ b/crates/nearby/src/neighbours.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::watch;
 use wagtailreel_fleet::BootTime;
 
 /// How long an entry counts as there after an agent named it. Agents are asked each 100 ms.
@@ -25,6 +26,7 @@
 pub struct Neighbours {
     own: SocketAddr,
     seen: Mutex<Seen>,
+    was_named: watch::Sender<bool>,
 }
 
 impl Neighbours {
@@ -33,6 +35,7 @@
         Self {
             own,
             seen: Mutex::default(),
+            was_named: watch::Sender::new(false),
         }
     }
 
@@ -51,6 +54,14 @@
         for entry in entries.iter().filter(|entry| **entry != self.own) {
             seen.named.insert(*entry, now);
         }
+        self.was_named.send_replace(true);
+    }
+
+    /// Waits until an agent has named entries, and for `limit` at most.
+    pub(crate) async fn until_named(&self, limit: Duration) {
+        let mut was_named = self.was_named.subscribe();
+        // The sender lives as long as the neighbours; without a word there may be none.
+        let _ = tokio::time::timeout(limit, was_named.wait_for(|was_named| *was_named)).await;
     }
 
     /// Passes over a neighbour for a while; returns whether it was not passed over before.
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -1,6 +1,7 @@
 //! The registry, read through a neighbour where there is one.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -36,6 +37,20 @@
 /// Time for the neighbour's answer that is too old, and for the own call in its place.
 const LAST_CALLS: Duration = Duration::from_millis(1100);
 
+/// How long an entry that starts waits to hear of its neighbours: a read of the upstreams, and two
+/// questions to their agents.
+const ENTRY_START: Duration = Duration::from_millis(300);
+
+/// How long another process that starts waits to be asked by an entry that has started too.
+const GUEST_START: Duration = Duration::from_secs(2);
+
+/// How long a neighbour that starts may take to read the registry.
+const FIRST_READ: Duration = Duration::from_millis(1500);
+
+/// How long a copy may take in all, once it has begun. A configuration of 2,000 routes to 14
+/// neighbours takes 1.5 s over a link of 60 Mbit/s.
+const COPY: Duration = Duration::from_millis(2500);
+
 /// Longest copy that is taken, in bytes. A configuration of 270 routes takes about 150 KB.
 const LONGEST: usize = 32 << 20;
 
@@ -48,6 +63,9 @@
     pub upstreams_age: Duration,
     /// How long a neighbour may wait for news.
     pub wait: Duration,
+    /// How long the first read of the settings waits to hear of neighbours. Of processes that start
+    /// together each would read all of a large configuration over its region's link.
+    pub start_wait: Duration,
 }
 
 impl NearbyConfig {
@@ -58,6 +76,7 @@
             settings_age: settings.saturating_sub(LAST_CALLS).max(READER_WAIT + LATE),
             upstreams_age: pace + LATE,
             wait: NEIGHBOUR_WAIT,
+            start_wait: ENTRY_START,
         }
     }
 
@@ -67,6 +86,7 @@
             settings_age: age,
             upstreams_age: age,
             wait: Duration::ZERO,
+            start_wait: GUEST_START,
         }
     }
 
@@ -91,6 +111,16 @@
     Unreadable { source: serde_json::Error },
 }
 
+/// What a neighbour is asked.
+#[derive(Debug)]
+struct Question {
+    topic: Topic,
+    path: String,
+    wait: Duration,
+    /// An empty answer comes at the end of the wait.
+    is_for_news: bool,
+}
+
 /// The registry, read through a neighbour where there is one.
 #[derive(Clone, Debug)]
 pub struct Nearby<R> {
@@ -102,6 +132,7 @@
     neighbours: Arc<Neighbours>,
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
+    has_started: Arc<AtomicBool>,
 }
 
 impl<R> Nearby<R>
@@ -117,6 +148,7 @@
             mirror: None,
             neighbours,
             reader: Arc::default(),
+            has_started: Arc::default(),
         }
     }
 
@@ -128,11 +160,15 @@
     }
 
     /// Asks the neighbour that reads for this entry; none if there is none, or it is no use.
-    async fn ask(&self, topic: Topic, path: &str, wait: Duration) -> Option<(Copy, BootTime)> {
+    async fn ask(&self, question: Question) -> Option<(Copy, BootTime)> {
+        let topic = question.topic;
+        if topic == Topic::Settings && !self.has_started.swap(true, Ordering::Relaxed) {
+            self.neighbours.until_named(self.cfg.start_wait).await;
+        }
         let reader = self.neighbours.reader(BootTime::now());
         self.note_reader(topic, reader);
         let reader = reader?;
-        match self.copy_from(reader, topic, path, wait).await {
+        match self.copy_from(reader, question).await {
             Ok(answer) => answer,
             Err(err) => {
                 if self.neighbours.avoid(reader, BootTime::now()) {
@@ -151,23 +187,16 @@
     async fn copy_from(
         &self,
         neighbour: SocketAddr,
-        topic: Topic,
-        path: &str,
-        wait: Duration,
+        question: Question,
     ) -> Result<Option<(Copy, BootTime)>, NeighbourError> {
-        let url = format!("http://{neighbour}/v1/registry/{topic}{path}");
+        let Question { topic, wait, .. } = question;
+        let url = format!("http://{neighbour}/v1/registry/{topic}{}", question.path);
         let req = Request::get(&url).body(Body::default());
         let req = req.map_err(|e| silent(&e))?;
         let sent = BootTime::now();
-        let exchange = async {
-            let response = self.client.request(req).await.map_err(|e| silent(&e))?;
-            let status = response.status();
-            let body = collect_body(&url, response.into_body(), LONGEST, NEIGHBOUR_TIMEOUT).await;
-            Ok((status, body.map_err(|e| silent(&e))?))
-        };
-        let answer = tokio::time::timeout(wait + NEIGHBOUR_TIMEOUT, exchange).await;
-        let (status, body) = answer.map_err(|e| silent(&e))??;
-        match status {
+        let answer = self.client.request_within(req, wait + NEIGHBOUR_TIMEOUT);
+        let answer = answer.await.map_err(|e| silent(&e))?;
+        match answer.status() {
             StatusCode::OK => {}
             StatusCode::GONE => return Ok(None),
             status => {
@@ -175,11 +204,15 @@
                 return RefusedSnafu { status }.fail();
             }
         }
+        let body = collect_body(&url, answer.into_body(), LONGEST, NEIGHBOUR_TIMEOUT);
+        let body = tokio::time::timeout(COPY, body).await;
+        let body = body.map_err(|e| silent(&e))?.map_err(|e| silent(&e))?;
         let copy: Copy = snafu::ResultExt::context(serde_json::from_slice(&body), UnreadableSnafu)?;
         if copy.age > self.cfg.longest_age(topic) {
             return OldSnafu { age: copy.age }.fail();
         }
-        let told = Page::answer_as_of(copy.items.is_empty(), sent, wait, BootTime::now());
+        let has_waited = question.is_for_news && copy.items.is_empty();
+        let told = Page::answer_as_of(has_waited, sent, wait, BootTime::now());
         let as_of = told.minus(copy.age);
         Ok(Some((copy, as_of)))
     }
@@ -221,8 +254,13 @@
     R: Registry,
 {
     async fn newest(&self, topic: Topic, timeout: Duration) -> Result<Snapshot, RegistryError> {
-        let copy = self.ask(topic, "/newest", Duration::ZERO).await;
-        let snapshot = match copy {
+        let question = Question {
+            topic,
+            path: format!("/newest?wait_ms={}", FIRST_READ.as_millis()),
+            wait: FIRST_READ,
+            is_for_news: false,
+        };
+        let snapshot = match self.ask(question).await {
             Some((copy, as_of)) => Snapshot {
                 items: copy.items,
                 end: copy.next,
@@ -244,9 +282,13 @@
         wait: Duration,
         timeout: Duration,
     ) -> Result<Page, RegistryError> {
-        let path = format!("?from={from}&wait_ms={}", self.cfg.wait.as_millis());
-        let copy = self.ask(topic, &path, self.cfg.wait).await;
-        let page = match copy {
+        let question = Question {
+            topic,
+            path: format!("?from={from}&wait_ms={}", self.cfg.wait.as_millis()),
+            wait: self.cfg.wait,
+            is_for_news: true,
+        };
+        let page = match self.ask(question).await {
             Some((copy, as_of)) => Page {
                 items: copy.items,
                 next: copy.next,
--- a/crates/nearby/src/serve.rs
+++ b/crates/nearby/src/serve.rs
@@ -8,7 +8,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use http::StatusCode;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use wagtailreel_core::Offset;
 use wagtailreel_fleet::Topic;
 
@@ -19,12 +19,20 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
 /// What a neighbour wants to read.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Wanted {
+#[derive(Debug, Deserialize)]
+struct Wanted {
     /// Place of the first record.
-    pub(crate) from: Offset,
+    #[serde(default)]
+    from: Offset,
     /// How long to wait for it, in milliseconds.
-    pub(crate) wait_ms: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl Wanted {
+    fn wait(&self) -> Duration {
+        Duration::from_millis(self.wait_ms).min(LONGEST_WAIT)
+    }
 }
 
 /// Returns the routes on which neighbours read.
@@ -35,8 +43,12 @@
         .with_state(mirror)
 }
 
-async fn newest(State(mirror): State<Arc<Mirror>>, Path(topic): Path<Topic>) -> Response {
-    match mirror.newest(topic) {
+async fn newest(
+    State(mirror): State<Arc<Mirror>>,
+    Path(topic): Path<Topic>,
+    Query(wanted): Query<Wanted>,
+) -> Response {
+    match mirror.newest(topic, wanted.wait()).await {
         Ok(copy) => Json(copy).into_response(),
         Err(lack) => refuse(lack),
     }
@@ -47,8 +59,7 @@
     Path(topic): Path<Topic>,
     Query(wanted): Query<Wanted>,
 ) -> Response {
-    let wait = Duration::from_millis(wanted.wait_ms).min(LONGEST_WAIT);
-    match mirror.read(topic, wanted.from, wait).await {
+    match mirror.read(topic, wanted.from, wanted.wait()).await {
         Ok(copy) => Json(copy).into_response(),
         Err(lack) => refuse(lack),
     }
--- a/crates/nearby/tests/reading.rs
+++ b/crates/nearby/tests/reading.rs
@@ -196,3 +196,28 @@
     let change = newest.items.into_iter().next().unwrap().change;
     assert_eq!(change, Change::Config(Box::new(directory)));
 }
+
+/// Entries that start together, with nothing known yet, take a configuration over their region's
+/// link once.
+#[rstest]
+#[tokio::test]
+async fn start_together() {
+    let store = RegistryStandin::default();
+    store.set_delay(Duration::from_millis(300));
+    let first = Entry::at("127.0.0.1:0", store.clone()).await;
+    let second = Entry::at("127.0.0.2:0", RegistryStandin::default()).await;
+    let late = Arc::clone(&second.neighbours);
+    let addr = first.addr;
+    let naming = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        late.hear(&[addr], BootTime::now());
+    });
+    let (one, two) = tokio::join!(
+        first.registry.newest(Topic::Settings, TIMEOUT),
+        second.registry.newest(Topic::Settings, TIMEOUT),
+    );
+    naming.await.unwrap();
+    assert!(!one.unwrap().is_second_hand);
+    assert!(two.unwrap().is_second_hand);
+    assert_eq!(second.store.calls(), 0);
+}
--- a/crates/stage/src/askers.rs
+++ b/crates/stage/src/askers.rs
@@ -12,9 +12,6 @@
 /// How long an entry of the own data centre counts as there without asking again.
 const NEAR_FOR: Duration = Duration::from_millis(600);
 
-/// Entries of the own data centre that are told of: the first, and who stands in if it is silent.
-const NEAR_TOLD: usize = 2;
-
 #[derive(Clone, Copy, Debug)]
 struct Asker {
     at: Instant,
@@ -40,13 +37,13 @@
         seen.keys().copied().collect()
     }
 
-    /// Returns the first entries of the own data centre in the order of their addresses.
-    pub(crate) fn first_near(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Returns the entries of the own data centre in the order of their addresses.
+    pub(crate) fn near(&self, now: Instant) -> Vec<SocketAddr> {
         let seen = self.lock();
         let is_there =
             |asker: &Asker| asker.is_near && now.saturating_duration_since(asker.at) <= NEAR_FOR;
         let near = seen.iter().filter(|(_, asker)| is_there(asker));
-        near.map(|(addr, _)| *addr).take(NEAR_TOLD).collect()
+        near.map(|(addr, _)| *addr).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Asker>> {
--- a/crates/stage/src/resolve.rs
+++ b/crates/stage/src/resolve.rs
@@ -14,14 +14,14 @@
 use crate::{events, fetch, peers};
 
 /// Pause before a manifest is asked for again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(200);
+const MANIFEST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Agents of the own data centre that ask the origin at once. Of 75 agents that all do, each with
 /// chunks on the way from the origin too, those of one data centre got no answer for 20 s.
 const ORIGIN_ASKERS: usize = 2;
 
 /// Rounds in which an agent asks only others before it asks the origin in place of the first.
-const PATIENT_ROUNDS: u32 = 3;
+const PATIENT_ROUNDS: u32 = 6;
 
 /// Asks other agents and then the origin for a manifest, until one has it or the origin fails.
 pub(crate) async fn ask_manifest<R, E, O>(
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use wagtailreel_core::rank_score;
 use wagtailreel_fleet::{
     BootTime, Datagram, HeardNaming, HeldChunks, LoadStatus, NamedWeights, Query, Status,
     WeightsVersion,
@@ -20,6 +21,9 @@
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 4096;
 
+/// Entries of the own data centre that are told of: the first, and who stands in if it is silent.
+const NEAR_TOLD: usize = 2;
+
 /// What an agent tells of its engine.
 #[derive(Debug, Default)]
 struct Known {
@@ -171,8 +175,9 @@
         let chunks = query.chunks.as_ref();
         // To an entry of another data centre the entries here are no neighbours.
         let entries = if query.is_near {
-            let entries = self.askers.first_near(now);
-            self.neighbours.hear(&entries, BootTime::now());
+            let mut entries = self.askers.near(now);
+            self.hear_one(&entries);
+            entries.truncate(NEAR_TOLD);
             entries
         } else {
             Vec::new()
@@ -189,6 +194,21 @@
         let _ = self.socket.try_send_to(&datagram, from);
     }
 
+    /// Takes one of the entries to read the registry through: each agent another, since one link
+    /// would carry a large configuration to all of them for seconds.
+    fn hear_one(&self, entries: &[SocketAddr]) {
+        let Ok(own) = self.socket.local_addr() else {
+            return;
+        };
+        let own = own.to_string();
+        let first = entries
+            .iter()
+            .max_by_key(|entry| rank_score(own.as_bytes(), &entry.to_string()));
+        if let Some(first) = first {
+            self.neighbours.hear(&[*first], BootTime::now());
+        }
+    }
+
     fn load(&self, now: Instant) -> Option<LoadStatus> {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let (report, at) = known.report.as_ref()?;
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -19,7 +19,7 @@
     page_len: AtomicUsize,
     handed: AtomicUsize,
     calls: AtomicUsize,
-    refused: watch::Sender<u64>,
+    refused: watch::Sender<BTreeMap<Topic, u64>>,
     changed: Notify,
 }
 
@@ -79,12 +79,13 @@
         self.inner.calls.load(Ordering::SeqCst)
     }
 
-    /// Waits until a call was refused since the registry was last told to be away.
-    pub async fn until_refused(&self) {
+    /// Waits until a read of `topic` was refused from now on.
+    pub async fn until_refused(&self, topic: Topic) {
         let mut refused = self.inner.refused.subscribe();
-        let before = *refused.borrow_and_update();
+        let count = |refused: &BTreeMap<Topic, u64>| refused.get(&topic).copied();
+        let before = count(&refused.borrow_and_update());
         // The sender lives as long as the registry.
-        let _ = refused.wait_for(|now| *now > before).await;
+        let _ = refused.wait_for(|now| count(now) > before).await;
     }
 
     fn push(&self, topic: Topic, change: Change) {
@@ -92,9 +93,10 @@
         self.inner.changed.notify_waiters();
     }
 
-    fn check(&self) -> Result<(), RegistryError> {
+    fn check(&self, topic: Topic) -> Result<(), RegistryError> {
         if self.inner.is_away.load(Ordering::SeqCst) {
-            self.inner.refused.send_modify(|refused| *refused += 1);
+            let refused = &self.inner.refused;
+            refused.send_modify(|refused| *refused.entry(topic).or_default() += 1);
             let reason = "told to be away".to_owned();
             return Err(RegistryError::Away { reason });
         }
@@ -146,7 +148,7 @@
         let sent = BootTime::now();
         self.inner.calls.fetch_add(1, Ordering::SeqCst);
         self.delay().await;
-        self.check()?;
+        self.check(topic)?;
         let (items, end) = self.from(topic, 0);
         let items = newest_of_each(items);
         self.note_handed(items.len());
@@ -170,7 +172,7 @@
         let deadline = tokio::time::Instant::now() + wait;
         let (items, end, as_of) = loop {
             let changed = self.inner.changed.notified();
-            self.check()?;
+            self.check(topic)?;
             let (items, end) = self.from(topic, from);
             if !items.is_empty() {
                 break (items, end, sent);
