Lock one service for each answer of an agent

Each question and answer about an engine's load locked every service and went through its upstreams, though only the engine's own has the VM. The question now keeps the service for the answer.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -12,7 +12,7 @@
 use wagtailreel_nearby::Neighbours;
 
 use crate::events;
-use crate::view::View;
+use crate::view::{Service, View};
 
 /// Time between two questions to the agents of the own data centre. An engine starts and ends
 /// about one request in this time.
@@ -40,13 +40,21 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; DATAGRAM];
     let mut round: u32 = 0;
-    let mut asked = [Instant::now(); ROUNDS];
+    let mut asked_at = [Instant::now(); ROUNDS];
+    // The service of each VM's upstream, so that an answer locks that one alone.
+    let mut services: BTreeMap<IpAddr, Arc<Service>> = BTreeMap::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
                 round = round.wrapping_add(1).max(1);
-                asked[round as usize % ROUNDS] = Instant::now();
-                for (ip, asked) in engines(&view, &home, round.is_multiple_of(FAR_EVERY)) {
+                let now = Instant::now();
+                asked_at[round as usize % ROUNDS] = now;
+                let is_far_turn = round.is_multiple_of(FAR_EVERY);
+                if is_far_turn {
+                    // All are asked now, and those that are gone are forgotten.
+                    services.clear();
+                }
+                for (ip, asked) in engines(&view, &home, is_far_turn) {
                     let query = Datagram::Query(Query {
                         nonce: round,
                         weights: asked.weights,
@@ -55,7 +63,8 @@
                     });
                     // A question that is lost is asked again with the next round.
                     let _ = socket.try_send_to(&query.to_bytes(), SocketAddr::new(ip, port));
-                    note_asked(&view, ip);
+                    asked.service.upstreams().asked(ip, now);
+                    services.insert(ip, asked.service);
                 }
             }
             received = socket.recv_from(&mut buf) => {
@@ -67,11 +76,11 @@
                 if let Some(naming) = &status.naming {
                     view.learn_naming(naming);
                 }
-                if let Some(load) = status.load {
+                if let (Some(load), Some(service)) = (status.load, services.get(&from.ip())) {
                     // What comes without being asked for has no nonce.
-                    let since = asked[status.nonce as usize % ROUNDS];
+                    let since = asked_at[status.nonce as usize % ROUNDS];
                     let round_trip = (status.nonce != 0).then(|| since.elapsed());
-                    take(&view, from.ip(), &load, round_trip);
+                    take(service, from.ip(), &load, round_trip);
                 }
             }
         }
@@ -80,6 +89,7 @@
 
 /// An agent that is to be asked.
 struct Asked {
+    service: Arc<Service>,
     /// What its engine is to serve.
     weights: Option<NamedWeights>,
     /// It stands in the entry's data centre.
@@ -91,23 +101,15 @@
     let Some(directory) = view.directory() else {
         return all_near(view, home);
     };
-    let mut ips = BTreeMap::new();
+    let mut agents = BTreeMap::new();
     for spec in directory.services() {
-        let Some(engine) = &spec.engine else {
-            continue;
-        };
-        let named = view.newest_weights(&engine.model);
-        let service = view.service(&spec.name);
-        let upstreams = service.upstreams();
-        for member in upstreams.members() {
-            let is_near = member.upstream.data_centre == home;
-            if is_near || far {
-                let weights = named.clone();
-                ips.insert(member.upstream.addr.ip(), Asked { weights, is_near });
-            }
+        if let Some(engine) = &spec.engine {
+            let named = view.newest_weights(&engine.model);
+            let service = view.service(&spec.name);
+            add_agents(&mut agents, &service, named.as_ref(), home, far);
         }
     }
-    ips
+    agents
 }
 
 /// Returns the VMs of all upstreams of the own data centre.
@@ -115,38 +117,42 @@
 /// Without a configuration it is not known which of them are engines, and their agents tell through
 /// which neighbour the configuration is to be had.
 fn all_near(view: &View, home: &str) -> BTreeMap<IpAddr, Asked> {
-    let mut ips = BTreeMap::new();
+    let mut agents = BTreeMap::new();
     for service in view.services() {
-        let upstreams = service.upstreams();
-        let near = upstreams
-            .members()
-            .filter(|it| it.upstream.data_centre == home);
-        for member in near {
-            let (weights, is_near) = (None, true);
-            ips.insert(member.upstream.addr.ip(), Asked { weights, is_near });
-        }
+        add_agents(&mut agents, &service, None, home, false);
     }
-    ips
+    agents
 }
 
-fn note_asked(view: &View, ip: IpAddr) {
-    let now = Instant::now();
-    for service in view.services() {
-        service.upstreams().asked(ip, now);
+fn add_agents(
+    agents: &mut BTreeMap<IpAddr, Asked>,
+    service: &Arc<Service>,
+    weights: Option<&NamedWeights>,
+    home: &str,
+    far: bool,
+) {
+    for member in service.upstreams().members() {
+        let is_near = member.upstream.data_centre == home;
+        if is_near || far {
+            let asked = Asked {
+                service: Arc::clone(service),
+                weights: weights.cloned(),
+                is_near,
+            };
+            agents.insert(member.upstream.addr.ip(), asked);
+        }
     }
 }
 
-fn take(view: &View, ip: IpAddr, load: &LoadStatus, round_trip: Option<Duration>) {
+fn take(service: &Service, ip: IpAddr, load: &LoadStatus, round_trip: Option<Duration>) {
     let now = Instant::now();
-    for service in view.services() {
-        let changed = service.upstreams().status(ip, load, round_trip, now);
-        if changed {
-            events::UPSTREAM_CHANGED.emit(&[
-                ("upstream_ip", &ip.to_string()),
-                ("version", &load.version.unwrap_or_default().to_string()),
-                ("switching", &load.is_switching.to_string()),
-                ("age_ms", &load.age_ms.to_string()),
-            ]);
-        }
+    let changed = service.upstreams().status(ip, load, round_trip, now);
+    if changed {
+        events::UPSTREAM_CHANGED.emit(&[
+            ("upstream_ip", &ip.to_string()),
+            ("version", &load.version.unwrap_or_default().to_string()),
+            ("switching", &load.is_switching.to_string()),
+            ("age_ms", &load.age_ms.to_string()),
+        ]);
     }
 }
