Follow a neighbour through a burst

Cause, from reading the change as a newcomer: in a burst the entry that reads for others takes the newest of each key each 0.4 s and no longer knows the records one by one. Its neighbours were told so, and each went to the registry itself: the herd that reading once is meant to end.

Change: who lacks such records reads the neighbour's newest.

--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use http::{Request, StatusCode};
-use snafu::Snafu;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt as _, Snafu};
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
 use wagtailreel_core::Offset;
 use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
@@ -121,6 +122,15 @@
     is_for_news: bool,
 }
 
+/// What a neighbour answers.
+#[derive(Debug)]
+enum Heard {
+    /// What it knows, and the moment of which it speaks.
+    Known(Copy, BootTime),
+    /// It knows only the newest of what stood before this place.
+    Expired(Offset),
+}
+
 /// The registry, read through a neighbour where there is one.
 #[derive(Clone, Debug)]
 pub struct Nearby<R> {
@@ -160,7 +170,7 @@
     }
 
     /// Asks the neighbour that reads for this entry; none if there is none, or it is no use.
-    async fn ask(&self, question: Question) -> Option<(Copy, BootTime)> {
+    async fn ask(&self, question: Question) -> Option<Heard> {
         let topic = question.topic;
         if topic == Topic::Settings && !self.has_started.swap(true, Ordering::Relaxed) {
             self.neighbours.until_named(self.cfg.start_wait).await;
@@ -169,7 +179,7 @@
         self.note_reader(topic, reader);
         let reader = reader?;
         match self.copy_from(reader, question).await {
-            Ok(answer) => answer,
+            Ok(heard) => Some(heard),
             Err(err) => {
                 if self.neighbours.avoid(reader, BootTime::now()) {
                     events::NEIGHBOUR_AVOIDED.emit(&[
@@ -183,12 +193,12 @@
         }
     }
 
-    /// Reads a copy; none if the neighbour does not know the records one by one.
+    /// Asks one neighbour.
     async fn copy_from(
         &self,
         neighbour: SocketAddr,
         question: Question,
-    ) -> Result<Option<(Copy, BootTime)>, NeighbourError> {
+    ) -> Result<Heard, NeighbourError> {
         let Question { topic, wait, .. } = question;
         let url = format!("http://{neighbour}/v1/registry/{topic}{}", question.path);
         let req = Request::get(&url).body(Body::default());
@@ -196,25 +206,25 @@
         let sent = BootTime::now();
         let answer = self.client.request_within(req, wait + NEIGHBOUR_TIMEOUT);
         let answer = answer.await.map_err(|e| silent(&e))?;
-        match answer.status() {
-            StatusCode::OK => {}
-            StatusCode::GONE => return Ok(None),
-            status => {
-                let status = status.as_u16();
-                return RefusedSnafu { status }.fail();
-            }
+        let status = answer.status();
+        if !matches!(status, StatusCode::OK | StatusCode::GONE) {
+            let status = status.as_u16();
+            return RefusedSnafu { status }.fail();
         }
         let body = collect_body(&url, answer.into_body(), LONGEST, NEIGHBOUR_TIMEOUT);
         let body = tokio::time::timeout(COPY, body).await;
         let body = body.map_err(|e| silent(&e))?.map_err(|e| silent(&e))?;
-        let copy: Copy = snafu::ResultExt::context(serde_json::from_slice(&body), UnreadableSnafu)?;
+        if status == StatusCode::GONE {
+            return read_json(&body).map(Heard::Expired);
+        }
+        let copy: Copy = read_json(&body)?;
         if copy.age > self.cfg.longest_age(topic) {
             return OldSnafu { age: copy.age }.fail();
         }
         let has_waited = question.is_for_news && copy.items.is_empty();
         let told = Page::answer_as_of(has_waited, sent, wait, BootTime::now());
         let as_of = told.minus(copy.age);
-        Ok(Some((copy, as_of)))
+        Ok(Heard::Known(copy, as_of))
     }
 
     /// Tells once that a topic comes from somewhere else than before.
@@ -241,6 +251,13 @@
     }
 }
 
+fn read_json<T>(body: &[u8]) -> Result<T, NeighbourError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).context(UnreadableSnafu)
+}
+
 fn silent<E>(err: &E) -> NeighbourError
 where
     E: std::fmt::Display,
@@ -261,13 +278,13 @@
             is_for_news: false,
         };
         let snapshot = match self.ask(question).await {
-            Some((copy, as_of)) => Snapshot {
+            Some(Heard::Known(copy, as_of)) => Snapshot {
                 items: copy.items,
                 end: copy.next,
                 as_of,
                 is_second_hand: true,
             },
-            None => self.registry.newest(topic, timeout).await?,
+            Some(Heard::Expired(_)) | None => self.registry.newest(topic, timeout).await?,
         };
         if let Some(mirror) = &self.mirror {
             mirror.take_snapshot(topic, &snapshot);
@@ -289,13 +306,16 @@
             is_for_news: true,
         };
         let page = match self.ask(question).await {
-            Some((copy, as_of)) => Page {
+            Some(Heard::Known(copy, as_of)) => Page {
                 items: copy.items,
                 next: copy.next,
                 end: copy.next,
                 as_of,
                 is_second_hand: true,
             },
+            // In a burst the neighbour reads the newest of each key, time and again; all that follow
+            // it would read the registry themselves.
+            Some(Heard::Expired(first)) => return Err(RegistryError::Expired { first }),
             None => {
                 let wait = self.held_for(wait);
                 self.registry.read(topic, from, wait, timeout).await?
