Name the records of a neighbour, and wait for a status in one place

A type named like the standard trait Copy would stop a newcomer; the tests of beliefs and weights each had a loop of their own. Behaviour stays as it is.

--- a/crates/direct/tests/beliefs.rs
+++ b/crates/direct/tests/beliefs.rs
@@ -7,26 +7,11 @@
 
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, ready_entry, register, registered, until_readiness};
+use common::{directory, entry, ready_entry, register, registered, until_readiness, until_status};
 use rstest::rstest;
 use wagtailreel_fleet::{Change, UpstreamState};
 use wagtailreel_standins::RegistryStandin;
 
-/// Repeats a call until it is answered with `status`.
-async fn until_status(
-    addr: std::net::SocketAddr,
-    path: &str,
-    status: u16,
-) -> common::caller::Answer {
-    loop {
-        let answer = call(addr, "GET", path).await;
-        if answer.status == status {
-            return answer;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 #[tokio::test]
 async fn no_configuration() {
     let registry = RegistryStandin::default();
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -211,6 +211,17 @@
         .unwrap()
 }
 
+/// Repeats a call until it is answered with `status`.
+pub(crate) async fn until_status(addr: SocketAddr, path: &str, status: u16) -> caller::Answer {
+    loop {
+        let answer = caller::call(addr, "GET", path).await;
+        if answer.status == status {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Waits until the entry tells the balancer `status`.
 pub(crate) async fn until_readiness(entry: &DirectEntry<TestDialect>, status: u16) {
     loop {
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -7,7 +7,7 @@
 
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, entry_with_agents, ready_entry, registered};
+use common::{directory, entry, entry_with_agents, ready_entry, registered, until_status};
 use rstest::rstest;
 use tokio::net::UdpSocket;
 use wagtailreel_fleet::{
@@ -17,6 +17,9 @@
 
 const MODEL: &str = "epitaph";
 
+/// A path of the service that needs the model.
+const WRITTEN: &str = "/written/1";
+
 fn writer(id: &str, upstream: &TestUpstream, version: u64) -> Change {
     Change::Upstream(Box::new(Upstream {
         service: "writers".to_owned(),
@@ -36,13 +39,6 @@
     });
 }
 
-/// Repeats a call until it is answered with `status`.
-async fn until_status(addr: std::net::SocketAddr, status: u16) {
-    while call(addr, "GET", "/written/1").await.status != status {
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
-    }
-}
-
 /// Waits until the entry tells its agents of `version`.
 async fn until_told(socket: &UdpSocket, version: u64) {
     let mut buf = [0; 2048];
@@ -67,12 +63,12 @@
     let (old, new) = (answering().await, answering().await);
     let entry = ready_entry(&registry, &[]).await;
     registry.upstream(writer("old", &old, 1));
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     name(&registry, 2);
-    until_status(entry.callers(), 503).await;
+    until_status(entry.callers(), WRITTEN, 503).await;
     let reached = old.seen().len();
     registry.upstream(writer("new", &new, 2));
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     assert_eq!(old.seen().len(), reached, "older ones get nothing more");
 }
 
@@ -88,7 +84,7 @@
     registry.config(directory(1));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     registry.upstream(writer("old", &old, 1));
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     name(&registry, 2);
     until_told(&socket, 2).await;
     let callers = entry.callers();
@@ -131,9 +127,9 @@
         registry.until_refused(Topic::Settings).await;
         registry.set_away(false);
     }
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     let served = std::time::Instant::now();
-    until_status(entry.callers(), 503).await;
+    until_status(entry.callers(), WRITTEN, 503).await;
     let took = served.elapsed().as_millis();
     assert!((from..to).contains(&took), "{took}");
 }
@@ -176,9 +172,9 @@
     name(&registry, 2);
     let port = agent().await;
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     let served = std::time::Instant::now();
-    until_status(entry.callers(), 503).await;
+    until_status(entry.callers(), WRITTEN, 503).await;
     let took = served.elapsed().as_millis();
     assert!(
         took < 1500,
@@ -197,8 +193,8 @@
     registry.set_delay(Duration::from_millis(600));
     let entry = entry(&registry, Duration::from_secs(4)).await;
     let started = std::time::Instant::now();
-    until_status(entry.callers(), 200).await;
-    until_status(entry.callers(), 503).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
+    until_status(entry.callers(), WRITTEN, 503).await;
     let took = started.elapsed().as_millis();
     assert!(took < 2450, "{took}");
 }
@@ -211,19 +207,19 @@
     let old = answering().await;
     let entry = ready_entry(&registry, &[]).await;
     registry.upstream(writer("old", &old, 1));
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     // Longer than the bound on weights since the entry's last read began.
     name(&registry, 2);
     registry.upstream(writer("old", &old, 2));
     tokio::time::sleep(Duration::from_millis(450)).await;
-    until_status(entry.callers(), 200).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
     registry.set_page_len(1);
     registry.config(directory(2));
     registry.config(directory(3));
     name(&registry, 3);
     name(&registry, 4);
     let named = std::time::Instant::now();
-    until_status(entry.callers(), 503).await;
+    until_status(entry.callers(), WRITTEN, 503).await;
     let took = named.elapsed().as_millis();
     assert!(took < 350, "{took}");
 }
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -8,7 +8,7 @@
 use wagtailreel_core::Offset;
 use wagtailreel_fleet::{BootTime, Change, Keyed, ModelName, Page, Snapshot, Topic, UpstreamId};
 
-use crate::wire::Copy;
+use crate::wire::KnownRecords;
 
 /// What a record is about; a later record of the same key replaces it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -137,14 +137,14 @@
     }
 
     /// Returns the newest record of each key; waits up to `wait` for the first read to end.
-    pub(crate) async fn newest(&self, topic: Topic, wait: Duration) -> Result<Copy, Lack> {
+    pub(crate) async fn newest(&self, topic: Topic, wait: Duration) -> Result<KnownRecords, Lack> {
         self.note_asked();
         self.until_read(topic, wait).await;
         let held = self.shelf(topic).lock();
         let as_of = held.as_of.ok_or(Lack::Unread)?;
         let mut items = held.since(0);
         items.retain(|item| !matches!(item.change, Change::Gone(_)));
-        Ok(Copy {
+        Ok(KnownRecords {
             items,
             next: held.end,
             age: BootTime::now().since(as_of),
@@ -157,7 +157,7 @@
         topic: Topic,
         from: Offset,
         wait: Duration,
-    ) -> Result<Copy, Lack> {
+    ) -> Result<KnownRecords, Lack> {
         self.note_asked();
         let shelf = self.shelf(topic);
         let mut end = shelf.end.subscribe();
@@ -168,7 +168,7 @@
         if from < held.floor {
             return Err(Lack::Before(held.floor));
         }
-        Ok(Copy {
+        Ok(KnownRecords {
             items: held.since(from),
             next: held.end.max(from),
             age: BootTime::now().since(as_of),
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -12,7 +12,7 @@
 use wagtailreel_core::Offset;
 use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
 
-use crate::wire::Copy;
+use crate::wire::KnownRecords;
 use crate::{Mirror, Neighbours, events};
 
 /// How long a neighbour may wait for news. With the time-out it stays well below the 2 s in which a
@@ -126,7 +126,7 @@
 #[derive(Debug)]
 enum Heard {
     /// What it knows, and the moment of which it speaks.
-    Known(Copy, BootTime),
+    Known(KnownRecords, BootTime),
     /// It knows only the newest of what stood before this place.
     Expired(Offset),
 }
@@ -217,7 +217,7 @@
         if status == StatusCode::GONE {
             return read_json(&body).map(Heard::Expired);
         }
-        let copy: Copy = read_json(&body)?;
+        let copy: KnownRecords = read_json(&body)?;
         if copy.age > self.cfg.longest_age(topic) {
             return OldSnafu { age: copy.age }.fail();
         }
--- a/crates/nearby/src/wire.rs
+++ b/crates/nearby/src/wire.rs
@@ -10,7 +10,7 @@
 /// Records that a neighbour knows.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Copy {
+pub(crate) struct KnownRecords {
     /// The records, the newest of each key, in the order of the log.
     pub(crate) items: Vec<Keyed>,
     /// Place of the next record to be read.
