--- a/crates/agent/src/loader.rs
+++ b/crates/agent/src/loader.rs
@@ -8,103 +8,24 @@
 //! - an order never carries a lower fencing number than one before it;
 //! - a bundle is dropped only when no request of its epochs runs and none can be admitted.
 
+mod phases;
+mod retry;
+mod room;
+mod view;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
-use rand::{RngExt as _, SeedableRng as _};
 use wagtailreel_core::{Digest, Epoch, WeightsPhase};
 
-/// Wait before an order is given again, at first.
-const FIRST_RETRY: Duration = Duration::from_millis(250);
-
-/// Longest wait before an order is given again.
-const LONGEST_RETRY: Duration = Duration::from_secs(15);
+use retry::Retry;
+pub use view::{Action, EngineView, Staged, View};
 
 /// Questions in a row without an answer after which the engine counts as away.
 const AWAY_AFTER: u32 = 3;
 
-/// What the engine says that it holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineView {
-    /// Digests of the bundles.
-    pub bundles: BTreeSet<Digest>,
-}
-
-/// How far the chunks of one epoch are.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Staged {
-    /// Digest of the bundle, once its manifests are there.
-    pub bundle: Option<Digest>,
-    /// All chunks are there and verified.
-    pub complete: bool,
-    /// The chunks can't be brought.
-    pub failed: bool,
-}
-
-/// What the loader decides by.
-#[derive(Clone, Debug)]
-pub struct View<'a> {
-    /// The time.
-    pub now: Instant,
-    /// Epoch of the service's state.
-    pub epoch: Epoch,
-    /// The state's document names this VM, with weights.
-    pub wanted: bool,
-    /// Epochs below this are closed.
-    pub closed_below: Epoch,
-    /// How far the chunks of each epoch are. An epoch whose chunks are gone is not in it.
-    pub staged: &'a BTreeMap<Epoch, Staged>,
-    /// Epochs that the gate lets go.
-    pub droppable: &'a [Epoch],
-    /// The gate lets an engine without room give up the open bundle for `epoch`.
-    pub may_swap: bool,
-    /// Requests that run, by epoch.
-    pub running: &'a BTreeMap<Epoch, u32>,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Tell the gate how far an epoch is.
-    SetPhase {
-        /// The epoch.
-        epoch: Epoch,
-        /// Its phase.
-        phase: WeightsPhase,
-        /// Digest of its bundle, if known.
-        bundle: Option<Digest>,
-    },
-    /// Tell the gate to admit no more requests to an epoch, so that its bundle can go.
-    GiveUp {
-        /// The epoch.
-        epoch: Epoch,
-    },
-    /// Order the engine to load an epoch's bundle.
-    Load {
-        /// The epoch.
-        epoch: Epoch,
-        /// Digest of its bundle.
-        bundle: Digest,
-        /// Fencing number of the order.
-        fence: Epoch,
-    },
-    /// Break off the load that is under way: its epoch is no longer wanted.
-    AbortLoad,
-    /// Order the engine to drop a bundle.
-    Unload {
-        /// Digest of the bundle.
-        bundle: Digest,
-        /// Fencing number of the order.
-        fence: Epoch,
-    },
-    /// Drop an epoch's chunks and have the gate forget the epoch.
-    Forget {
-        /// The epoch.
-        epoch: Epoch,
-    },
-}
-
 /// The order that is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Order {
@@ -116,14 +37,6 @@
     Unload,
 }
 
-/// When a failed order may be given again, and why it failed.
-#[derive(Clone, Debug)]
-struct Retry {
-    at: Instant,
-    failures: u32,
-    why: String,
-}
-
 /// Brings an engine to hold the bundle of the wanted epoch.
 #[derive(Debug)]
 pub struct Loader {
@@ -338,46 +251,6 @@
         actions.push(Action::AbortLoad);
     }
 
-    /// Lets go of the epochs that may go and have no request left; says whether a bundle goes.
-    fn drop_drained(&mut self, view: &View<'_>, actions: &mut Vec<Action>) -> bool {
-        let gone = self.leaving_epochs(view);
-        for epoch in gone.iter().filter(|epoch| is_drained(view, **epoch)) {
-            let held = self.bundle_of(*epoch).filter(|bundle| self.holds(bundle));
-            if let Some(bundle) = held.filter(|bundle| !self.is_shared(view, &gone, *bundle)) {
-                self.order_unload(bundle, actions);
-                return true;
-            }
-            self.forget(*epoch);
-            actions.push(Action::Forget { epoch: *epoch });
-        }
-        false
-    }
-
-    /// Returns the epochs whose bundles and chunks are to go, or have gone.
-    fn leaving_epochs(&self, view: &View<'_>) -> BTreeSet<Epoch> {
-        let has_gone = |epoch: &Epoch| {
-            let bundle = self.bundle_of(*epoch);
-            !view.staged.contains_key(epoch) && !bundle.is_some_and(|it| self.holds(&it))
-        };
-        let mut gone: BTreeSet<Epoch> = self.epochs.keys().copied().filter(has_gone).collect();
-        gone.extend(&self.given_up);
-        gone.extend(view.droppable);
-        gone.retain(|epoch| self.epochs.contains_key(epoch));
-        if view.wanted {
-            gone.remove(&view.epoch);
-        }
-        gone
-    }
-
-    /// Says whether an epoch that stays needs `bundle`, or a leaving one still runs requests on
-    /// it.
-    fn is_shared(&self, view: &View<'_>, gone: &BTreeSet<Epoch>, bundle: Digest) -> bool {
-        self.epochs
-            .iter()
-            .filter(|(epoch, _)| !gone.contains(epoch) || !is_drained(view, **epoch))
-            .any(|(_, staged)| staged.bundle == Some(bundle))
-    }
-
     fn forget(&mut self, epoch: Epoch) {
         self.epochs.remove(&epoch);
         self.given_up.remove(&epoch);
@@ -389,100 +262,6 @@
         self.epochs.get(&epoch).and_then(|staged| staged.bundle)
     }
 
-    /// Returns the epoch to load next: the open one that an engine lost, then the wanted one.
-    fn next_load(&self, view: &View<'_>) -> Option<(Epoch, Digest)> {
-        let lost_open = Some(view.closed_below)
-            .filter(|epoch| *epoch != view.epoch)
-            // With room for one bundle, the new one is loaded rather than the old one again.
-            .filter(|_| self.room > 1 || !self.is_ready(view));
-        let wanted = Some(view.epoch).filter(|_| view.wanted);
-        lost_open
-            .into_iter()
-            .chain(wanted)
-            .filter(|epoch| !self.given_up.contains(epoch) && !view.droppable.contains(epoch))
-            .find_map(|epoch| {
-                let staged = self.epochs.get(&epoch).filter(|staged| staged.complete)?;
-                let bundle = staged.bundle.filter(|bundle| !self.holds(bundle))?;
-                Some((epoch, bundle))
-            })
-    }
-
-    /// Says whether the chunks of the wanted epoch are all there.
-    fn is_ready(&self, view: &View<'_>) -> bool {
-        let staged = self.epochs.get(&view.epoch);
-        view.wanted && staged.is_some_and(|staged| staged.complete)
-    }
-
-    /// Drops a bundle that no epoch needs, or gives up the open epoch if the gate lets it.
-    fn make_room(&mut self, view: &View<'_>, target: Epoch, actions: &mut Vec<Action>) {
-        let known: BTreeSet<Digest> = self.epochs.values().filter_map(|s| s.bundle).collect();
-        let stray = self
-            .bundles()
-            .find(|bundle| !known.contains(*bundle))
-            .copied();
-        if let Some(bundle) = stray {
-            self.order_unload(bundle, actions);
-            return;
-        }
-        if target != view.epoch || !view.may_swap || !self.given_up.is_empty() {
-            return;
-        }
-        let victim = self
-            .epochs
-            .iter()
-            .find(|(epoch, staged)| {
-                **epoch < target && staged.bundle.is_some_and(|bundle| self.holds(&bundle))
-            })
-            .map(|(epoch, _)| *epoch);
-        if let Some(epoch) = victim {
-            self.given_up.insert(epoch);
-            self.told.remove(&epoch);
-            actions.push(Action::GiveUp { epoch });
-        }
-    }
-
-    /// Returns the phases that the gate has not been told yet.
-    fn phases(&mut self) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for (epoch, staged) in &self.epochs {
-            if self.given_up.contains(epoch) {
-                continue;
-            }
-            let now = (self.phase(*epoch, staged), staged.bundle);
-            if self.told.insert(*epoch, now) != Some(now) {
-                actions.push(Action::SetPhase {
-                    epoch: *epoch,
-                    phase: now.0,
-                    bundle: now.1,
-                });
-            }
-        }
-        actions
-    }
-
-    /// Returns the phase of one epoch.
-    fn phase(&self, epoch: Epoch, staged: &Staged) -> WeightsPhase {
-        let is_loading = matches!(self.order, Some(Order::Load { epoch: e, .. }) if e == epoch);
-        let was = self.told.get(&epoch).map(|told| told.0);
-        let is_held = staged.bundle.is_some_and(|bundle| self.holds(&bundle));
-        if is_loading {
-            return WeightsPhase::Loading;
-        }
-        if self.unverified {
-            // What was true before the order is kept until the engine was looked at again.
-            if let Some(was) = was {
-                return was;
-            }
-        }
-        match (is_held && !self.unverified, staged.complete) {
-            (true, _) => WeightsPhase::Loaded,
-            (false, true) if self.retry.is_some() && epoch == self.fence => WeightsPhase::Failed,
-            (false, true) => WeightsPhase::Staged,
-            (false, false) if staged.failed => WeightsPhase::Failed,
-            (false, false) => WeightsPhase::Fetching,
-        }
-    }
-
     fn order_load(&mut self, epoch: Epoch, bundle: Digest, actions: &mut Vec<Action>) {
         self.order = Some(Order::Load {
             epoch,
@@ -512,31 +291,4 @@
         let engine = self.engine.as_ref();
         engine.is_some_and(|engine| engine.bundles.contains(bundle))
     }
-
-    fn has_room(&self) -> bool {
-        self.bundles().count() < self.room
-    }
-
-    fn waits(&self, now: Instant) -> bool {
-        self.retry.as_ref().is_some_and(|retry| now < retry.at)
-    }
-
-    /// Takes note of a failure: the next try comes later each time, with jitter.
-    fn fail(&mut self, now: Instant, why: String) {
-        let failures = self.retry.as_ref().map_or(0, |retry| retry.failures);
-        let longest = FIRST_RETRY
-            .saturating_mul(1 << failures.min(10))
-            .min(LONGEST_RETRY);
-        let wait = longest.mul_f64(self.rng.random_range(0.5..1.0));
-        self.retry = Some(Retry {
-            at: now + wait,
-            failures: failures.saturating_add(1),
-            why,
-        });
-    }
-}
-
-/// Says whether no request of `epoch` runs.
-fn is_drained(view: &View<'_>, epoch: Epoch) -> bool {
-    view.running.get(&epoch).copied().unwrap_or(0) == 0
 }
--- /dev/null
+++ b/crates/agent/src/loader/phases.rs
@@ -0,0 +1,49 @@
+//! How far the weights of each epoch are, as the gate is told.
+
+use wagtailreel_core::{Epoch, WeightsPhase};
+
+use super::{Action, Loader, Order, Staged};
+
+impl Loader {
+    /// Returns the phases that the gate has not been told yet.
+    pub(super) fn phases(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (epoch, staged) in &self.epochs {
+            if self.given_up.contains(epoch) {
+                continue;
+            }
+            let now = (self.phase(*epoch, staged), staged.bundle);
+            if self.told.insert(*epoch, now) != Some(now) {
+                actions.push(Action::SetPhase {
+                    epoch: *epoch,
+                    phase: now.0,
+                    bundle: now.1,
+                });
+            }
+        }
+        actions
+    }
+
+    /// Returns the phase of one epoch.
+    fn phase(&self, epoch: Epoch, staged: &Staged) -> WeightsPhase {
+        let is_loading = matches!(self.order, Some(Order::Load { epoch: e, .. }) if e == epoch);
+        let was = self.told.get(&epoch).map(|told| told.0);
+        let is_held = staged.bundle.is_some_and(|bundle| self.holds(&bundle));
+        if is_loading {
+            return WeightsPhase::Loading;
+        }
+        if self.unverified {
+            // What was true before the order is kept until the engine was looked at again.
+            if let Some(was) = was {
+                return was;
+            }
+        }
+        match (is_held && !self.unverified, staged.complete) {
+            (true, _) => WeightsPhase::Loaded,
+            (false, true) if self.retry.is_some() && epoch == self.fence => WeightsPhase::Failed,
+            (false, true) => WeightsPhase::Staged,
+            (false, false) if staged.failed => WeightsPhase::Failed,
+            (false, false) => WeightsPhase::Fetching,
+        }
+    }
+}
--- a/crates/switch/src/opener.rs
+++ b/crates/switch/src/opener.rs
@@ -1,18 +1,20 @@
 //! The entry's side of the switch: who is told to close, who to open, and who gets a lease.
 
+mod closing;
+mod granting;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::{
-    DataCentre, Directive, Epoch, Incarnation, PeerState, Report, ServiceName, ServicePeerState,
-    ServiceState, StateView, VmEntry, VmId, VmRole, VmState, WeightsPhase,
+    DataCentre, Epoch, Incarnation, PeerState, Report, ServiceName, ServicePeerState, StateView,
+    VmEntry, VmId, VmRole, VmState,
 };
 
 use crate::Timing;
 use crate::peers::Peers;
-use crate::ready::{choose_swaps, needed};
-use crate::table::{AgentRow, Table};
+use crate::table::Table;
 
 /// How long an agent's last report is kept after it fell silent.
 const FORGET_AGENT: Duration = Duration::from_secs(60);
@@ -221,50 +223,6 @@
         self.peers.states()
     }
 
-    /// Returns the directive for an agent whose message has just been taken in.
-    ///
-    /// Its `peers` are left empty: the shell adds them if the agent hasn't seen them.
-    pub fn directive(&self, now: Instant, vm: &str) -> Directive {
-        let mut directive = self.refusal();
-        let Some(row) = self.table.newest(vm) else {
-            return directive;
-        };
-        let service = &row.report.service;
-        let known = self.state.services.get(service);
-        directive.state = known
-            .filter(|state| state.revision > row.report.config)
-            .cloned();
-        let Some(switch) = self.switches.get(service) else {
-            return directive;
-        };
-        directive.close_below = switch.close_below;
-        directive.swap_to = switch
-            .swaps
-            .as_ref()
-            .filter(|(_, vms)| vms.contains(vm))
-            .map(|(target, _)| *target);
-        if let Some(epoch) = self.granted(now, switch)
-            && self.serves(known, epoch, vm)
-        {
-            directive.open = Some(epoch);
-            directive.lease = self.timing.lease();
-        }
-        directive
-    }
-
-    /// Returns the directive for an agent whose message was not taken in: it grants nothing.
-    pub fn refusal(&self) -> Directive {
-        Directive {
-            config: self.state.offset,
-            state: None,
-            lease: Duration::ZERO,
-            close_below: 0,
-            open: None,
-            swap_to: None,
-            peers: Vec::new(),
-        }
-    }
-
     /// Returns what this entry tells the others of its data centre. The shell adds the demand.
     pub fn peer_state(&self, now: Instant) -> PeerState {
         let mut entries = self.peers.present(now);
@@ -336,128 +294,6 @@
         }
     }
 
-    /// Says whether the switch to the target is to begin now, noting since when it could.
-    fn should_close(&self, now: Instant, name: &str, switch: &mut Switch) -> bool {
-        let target = self.target(name);
-        let Some(known) = self.state.services.get(name) else {
-            return false;
-        };
-        if target <= switch.close_below {
-            switch.ready_since = None;
-            switch.at_hand_since = None;
-            switch.swaps = None;
-            return false;
-        }
-        let place = known
-            .document
-            .as_ref()
-            .and_then(|document| document.place(&self.cfg.data_centre));
-        let Some(place) = place else {
-            // Deleted, or no longer in this data centre: there is nothing to wait for.
-            return true;
-        };
-        let agents = self.candidates(now, name, known);
-        let one_bundle = agents.iter().any(|row| row.report.bundles == 1);
-        let listed = self
-            .listed
-            .get(name)
-            .map(|listed| agents.len().max(*listed));
-        let needed = needed(place, listed, one_bundle);
-        let at_hand = agents.iter().filter(|row| is_at_hand(row, target)).count();
-        if at_hand < needed {
-            switch.at_hand_since = None;
-        }
-        // Entries that choose while they know of different agents choose different ones, and all
-        // of them together could leave nobody to serve: so all agents are waited for, for a while.
-        let all = at_hand >= listed.unwrap_or(agents.len());
-        let may_swap = at_hand >= needed && (all || self.has_waited(now, switch, target));
-        let chosen = (one_bundle && may_swap).then(|| choose_swaps(target, needed, &agents));
-        switch.swaps = chosen.map(|vms| (target, vms));
-        let loaded = agents.iter().filter(|row| has_loaded(row, target)).count();
-        if loaded < needed {
-            switch.ready_since = None;
-            return false;
-        }
-        let since = *switch.ready_since.get_or_insert(now);
-        let waited = now >= since + self.timing.longest_lease() * 2;
-        let responsive = self.is_responsive(now, name, switch.close_below, target);
-        self.peers.may_grant(now) && (responsive || waited)
-    }
-
-    /// Says whether enough agents have had the weights of `target` at hand for so long that the
-    /// rest is not waited for.
-    fn has_waited(&self, now: Instant, switch: &mut Switch, target: Epoch) -> bool {
-        let since = switch.at_hand_since.filter(|(epoch, _)| *epoch == target);
-        let (_, since) = *switch.at_hand_since.insert(since.unwrap_or((target, now)));
-        now >= since + self.timing.longest_lease() * 2
-    }
-
-    /// Says whether a switch begun now would go through without waiting for anyone's silence.
-    fn is_responsive(&self, now: Instant, name: &str, close_below: Epoch, target: Epoch) -> bool {
-        let silent = |row: &AgentRow| {
-            let age = now.saturating_duration_since(row.contact);
-            age >= self.timing.silent() && age < self.timing.longest_lease()
-        };
-        let none_silent = self
-            .table
-            .agents_of(name)
-            .all(|row| row.report.closed_below >= target || !silent(row));
-        none_silent && self.peers.is_responsive(now, name, close_below)
-    }
-
-    /// Says whether leases for `close_below` may be granted: nobody can admit anything below.
-    fn may_open(&self, now: Instant, name: &str, switch: &Switch) -> bool {
-        let epoch = switch.close_below;
-        epoch > 0
-            && self.peers.may_grant(now)
-            && self.own_closed_below(now, name, epoch) >= epoch
-            && self.peers.all_closed(now, name, epoch)
-    }
-
-    /// Returns the epoch below which no agent can hold a lease from this entry, at most
-    /// `close_below`.
-    fn own_closed_below(&self, now: Instant, name: &str, close_below: Epoch) -> Epoch {
-        // The process that ran on this VM before may have granted until just before this one
-        // started, and to agents that haven't reported yet.
-        if now < self.born + self.timing.longest_lease() {
-            return 0;
-        }
-        self.table
-            .closed_below(now, self.timing, name)
-            .map_or(close_below, |closed| closed.min(close_below))
-    }
-
-    fn service_peer_state(&self, now: Instant, name: &str, switch: &Switch) -> ServicePeerState {
-        ServicePeerState {
-            close_below: switch.close_below,
-            open: self.granted(now, switch).unwrap_or(0),
-            all_closed_below: self.own_closed_below(now, name, switch.close_below),
-        }
-    }
-
-    fn granted(&self, now: Instant, switch: &Switch) -> Option<Epoch> {
-        switch.granting.filter(|_| self.peers.may_grant(now))
-    }
-
-    /// Says whether the VM is to serve `epoch`, as far as this entry has its document.
-    fn serves(&self, known: Option<&ServiceState>, epoch: Epoch, vm: &str) -> bool {
-        known.is_none_or(|state| {
-            let document = state.document.as_ref();
-            state.epoch != epoch
-                || document.is_some_and(|document| document.names_vm(&self.cfg.data_centre, vm))
-        })
-    }
-
-    /// Returns the live agents that the document means.
-    fn candidates(&self, now: Instant, name: &str, known: &ServiceState) -> Vec<&AgentRow> {
-        self.table
-            .agents_of(name)
-            .filter(|row| now < row.contact + self.timing.longest_lease())
-            .filter(|row| !row.report.leaving)
-            .filter(|row| self.serves(Some(known), known.epoch, &row.report.vm))
-            .collect()
-    }
-
     fn target(&self, name: &str) -> Epoch {
         self.state.services.get(name).map_or(0, |state| state.epoch)
     }
@@ -500,21 +336,6 @@
     }
 }
 
-/// Says whether the weights of `epoch` are verified at the agent, or further.
-fn is_at_hand(row: &AgentRow, epoch: Epoch) -> bool {
-    let phase = row.report.weights.get(&epoch);
-    phase.is_some_and(|phase| {
-        matches!(
-            phase,
-            WeightsPhase::Staged | WeightsPhase::Loading | WeightsPhase::Loaded
-        )
-    })
-}
-
-fn has_loaded(row: &AgentRow, epoch: Epoch) -> bool {
-    row.report.weights.get(&epoch) == Some(&WeightsPhase::Loaded)
-}
-
 /// Says whether a report changes anything that a step of the switch depends on.
 fn differs(before: &Report, after: &Report) -> bool {
     before.incarnation != after.incarnation
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -2,8 +2,11 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
 
+mod agent;
+mod entry;
 mod faults;
 mod plan;
+mod process;
 mod records;
 mod summary;
 
@@ -14,7 +17,10 @@
 use wagtailreel_core::*;
 use wagtailreel_switch::*;
 
+pub(crate) use agent::Agent;
+use entry::{Words, on_entry};
 pub(crate) use plan::*;
+use process::{Kind, Process};
 pub(crate) use records::*;
 use summary::Summary;
 
@@ -48,45 +54,6 @@
     Edit(Epoch),
 }
 
-#[derive(Debug)]
-struct Process {
-    incarnation: Incarnation,
-    frozen: bool,
-    /// What came in while the process was frozen.
-    held: Vec<Event>,
-    /// Runs of this clock in 1000 runs of the true one.
-    rate: u64,
-    kind: Kind,
-}
-
-#[derive(Debug)]
-enum Kind {
-    Entry(Box<Opener>, Words),
-    Agent(Box<Agent>),
-}
-
-/// What an entry's shell remembers.
-#[derive(Debug, Default)]
-struct Words {
-    /// Version of the list of VMs that the entry has.
-    list: u64,
-    /// When each agent sent its last word, by the agent's clock.
-    sent_at: BTreeMap<VmId, Instant>,
-}
-
-#[derive(Debug, Default)]
-pub(crate) struct Agent {
-    gate: Gate,
-    sequence: u64,
-    config: Offset,
-    target: Epoch,
-    /// Epochs that were loaded once.
-    loaded: BTreeSet<Epoch>,
-    /// Version of the list of VMs that the agent has.
-    list: u64,
-    entries: Vec<VmId>,
-}
-
 pub(crate) struct World {
     plan: Plan,
     pub(crate) now: u64,
@@ -316,179 +283,6 @@
         self.push(self.now + delay, Item::To(to.clone(), target, event));
     }
 
-    fn on_agent(
-        &mut self,
-        now: Instant,
-        vm: &VmId,
-        incarnation: Incarnation,
-        agent: &mut Agent,
-        event: Event,
-        out: &mut Vec<(Option<u64>, VmId, Event)>,
-    ) {
-        let mut report = false;
-        match event {
-            Event::ReportDue => {
-                report = true;
-                out.push((Some(REPORT_MS), vm.clone(), Event::ReportDue));
-            }
-            Event::Directive(from, sent_at, directive) => {
-                let change = agent.gate.on_directive(now, sent_at, &from, &directive);
-                report |= change.is_some();
-                if let Some(state) = &directive.state
-                    && state.revision > agent.config
-                {
-                    agent.config = state.revision;
-                    agent.target = state.epoch;
-                    report |= self.take_target(vm, agent, out);
-                }
-            }
-            Event::Staged(epoch) if epoch == agent.target => {
-                agent.gate.set_phase(epoch, WeightsPhase::Staged, None);
-                report = true;
-            }
-            Event::Loaded(epoch) if agent.gate.phase(epoch) == Some(WeightsPhase::Loading) => {
-                let digest = self.digest(epoch);
-                agent
-                    .gate
-                    .set_phase(epoch, WeightsPhase::Loaded, Some(digest));
-                agent.loaded.insert(epoch);
-                self.note(vm, &format!("has loaded {epoch}"));
-                report = true;
-            }
-            Event::List(version, entries) if version > agent.list => {
-                agent.list = version;
-                agent.entries = entries;
-            }
-            _ => {}
-        }
-        report |= self.load(vm, agent, out);
-        if report {
-            agent.sequence += 1;
-            for entry in homes(vm, &agent.entries, self.plan.homes) {
-                let report = make_report(vm, incarnation, agent, self.plan.bundles);
-                out.push((None, entry, Event::Report(now, Box::new(report))));
-            }
-        }
-    }
-
-    /// Begins to bring the target's weights, unless the engine holds them already.
-    fn take_target(
-        &mut self,
-        vm: &VmId,
-        agent: &mut Agent,
-        out: &mut Vec<(Option<u64>, VmId, Event)>,
-    ) -> bool {
-        let epoch = agent.target;
-        let digest = self.digest(epoch);
-        let same = |old: &Epoch| {
-            agent.gate.phase(*old) == Some(WeightsPhase::Loaded) && self.digest(*old) == digest
-        };
-        if agent.loaded.iter().any(same) {
-            agent
-                .gate
-                .set_phase(epoch, WeightsPhase::Loaded, Some(digest));
-            agent.loaded.insert(epoch);
-            self.note(vm, &format!("holds the weights of {epoch} already"));
-            return true;
-        }
-        let staged = 20 + self.draw(400);
-        out.push((Some(staged), vm.clone(), Event::Staged(epoch)));
-        false
-    }
-
-    /// Returns the digest of the weights of an epoch.
-    fn digest(&self, epoch: Epoch) -> Digest {
-        let index = usize::try_from(epoch / 10 - 1).unwrap();
-        let version = self.plan.versions.get(index).copied().unwrap_or(epoch);
-        Digest::of(&version.to_be_bytes())
-    }
-
-    /// Loads the target if the engine has a place for it, as an agent would.
-    fn load(
-        &mut self,
-        vm: &VmId,
-        agent: &mut Agent,
-        out: &mut Vec<(Option<u64>, VmId, Event)>,
-    ) -> bool {
-        let target = agent.target;
-        if agent.gate.phase(target) != Some(WeightsPhase::Staged) {
-            return false;
-        }
-        let places = usize::try_from(self.plan.bundles).unwrap();
-        if held(agent).len() >= places {
-            for epoch in agent.gate.droppable(target) {
-                agent.gate.forget(epoch);
-                self.note(vm, &format!("drops {epoch}"));
-            }
-        }
-        if held(agent).len() >= places {
-            let gives_up = agent.gate.open().filter(|_| places == 1);
-            let Some(open) = gives_up.filter(|_| agent.gate.may_swap(target)) else {
-                return false;
-            };
-            agent.gate.forget(open);
-            self.note(vm, &format!("gives up {open} to load {target}"));
-        }
-        agent.gate.set_phase(target, WeightsPhase::Loading, None);
-        let loaded = 20 + self.draw(400);
-        out.push((Some(loaded), vm.clone(), Event::Loaded(target)));
-        true
-    }
-
-    fn start(&mut self, vm: VmId) {
-        self.starts += 1;
-        if self.now > 0 {
-            self.note(&vm, "starts");
-        }
-        let incarnation = self.starts;
-        let rate = 995 + self.draw(11);
-        let now = self.clock(rate);
-        let kind = if vm.starts_with('e') {
-            let cfg = OpenerConfig {
-                vm: vm.clone(),
-                incarnation,
-                data_centre: DATA_CENTRE.to_owned(),
-                control: "127.0.0.1:1".parse().unwrap(),
-                lease: Duration::from_millis(LEASE_MS),
-            };
-            let mut opener = Opener::new(cfg, now);
-            // A process has its list of VMs before it starts its rounds.
-            opener.on_entries(now, &vm_entries(&self.listed, VmRole::Entry));
-            let agents: Vec<VmId> = (0..self.plan.agents).map(agent_name).collect();
-            opener.on_vms(now, &vm_entries(&agents, VmRole::Upstream));
-            Kind::Entry(
-                Box::new(opener),
-                Words {
-                    list: self.list,
-                    ..Words::default()
-                },
-            )
-        } else {
-            Kind::Agent(Box::new(Agent {
-                list: self.list,
-                entries: self.listed.clone(),
-                ..Agent::default()
-            }))
-        };
-        let process = Process {
-            incarnation,
-            frozen: false,
-            held: Vec::new(),
-            rate,
-            kind,
-        };
-        self.processes.insert(vm.clone(), process);
-        let lag = self.draw(self.plan.lag + 1);
-        let first = if vm.starts_with('e') {
-            Event::Round
-        } else {
-            Event::ReportDue
-        };
-        self.push(self.now, Item::To(vm.clone(), incarnation, first));
-        let state = Event::State(self.state.clone());
-        self.push(self.now + lag, Item::To(vm, incarnation, state));
-    }
-
     fn push(&mut self, at: u64, item: Item) {
         self.count += 1;
         self.queue.insert((at, self.count), item);
@@ -512,79 +306,3 @@
         (z ^ (z >> 31)).checked_rem(below).unwrap_or(0)
     }
 }
-
-fn on_entry(
-    now: Instant,
-    vm: &VmId,
-    opener: &mut Opener,
-    words: &mut Words,
-    event: Event,
-    out: &mut Vec<(Option<u64>, VmId, Event)>,
-) {
-    let mut round = false;
-    match event {
-        Event::Round => {
-            round = true;
-            let again = u64::try_from(opener.timing().round().as_millis()).unwrap();
-            out.push((Some(again), vm.clone(), Event::Round));
-        }
-        Event::Timeout(peer, started) => opener.on_peer_failure(now, started, &peer),
-        Event::Call(from, started, state) => {
-            opener.on_peer_call(now, &state);
-            out.push((None, from, Event::Answer(started, opener.peer_state(now))));
-        }
-        Event::Answer(started, state) => opener.on_peer_answer(now, started, &state),
-        Event::Report(sent_at, report) => {
-            let directive = if opener.on_report(now, &report) {
-                words.sent_at.insert(report.vm.clone(), sent_at);
-                opener.directive(now, &report.vm)
-            } else {
-                opener.refusal()
-            };
-            let directive = Event::Directive(vm.clone(), sent_at, Box::new(directive));
-            out.push((None, report.vm.clone(), directive));
-        }
-        Event::State(state) => {
-            opener.on_state(now, &state);
-        }
-        Event::List(version, entries) if version > words.list => {
-            words.list = version;
-            opener.on_entries(now, &vm_entries(&entries, VmRole::Entry));
-        }
-        _ => {}
-    }
-    let mut changes = opener.take_changes();
-    if round || changes.peers {
-        opener.on_round(now);
-        changes.services.extend(opener.take_changes().services);
-        let timeout = u64::try_from(opener.timing().attempt().as_millis()).unwrap();
-        for peer in opener.peers().into_keys() {
-            out.push((Some(timeout), vm.clone(), Event::Timeout(peer.clone(), now)));
-            let call = Event::Call(vm.clone(), now, opener.peer_state(now));
-            out.push((None, peer, call));
-        }
-    }
-    if !changes.services.is_empty() {
-        // A hanging call is answered: its lease runs from when the call was sent.
-        for (agent, sent_at) in &words.sent_at {
-            let directive = Box::new(opener.directive(now, agent));
-            out.push((
-                None,
-                agent.clone(),
-                Event::Directive(vm.clone(), *sent_at, directive),
-            ));
-        }
-    }
-}
-
-/// Returns the epochs that take a place in the engine.
-fn held(agent: &Agent) -> Vec<Epoch> {
-    let mut report = make_report(&String::new(), 0, agent, 0);
-    agent.gate.fill_report(&mut report);
-    report
-        .weights
-        .into_iter()
-        .filter(|(_, phase)| *phase >= WeightsPhase::Loading)
-        .map(|(epoch, _)| epoch)
-        .collect()
-}
--- a/crates/transfer/src/driver.rs
+++ b/crates/transfer/src/driver.rs
@@ -1,23 +1,22 @@
 //! The one task that owns what is wanted and under way.
 
+mod keeping;
+mod notes;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Interval, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use wagtailreel_adapters::Origin;
-use wagtailreel_core::{Digest, Epoch, VmEntry, VmId, WeightsPhase};
-use wagtailreel_spread::{ChunkSet, Failure, Fetch, Source};
+use wagtailreel_core::{Epoch, VmEntry, VmId, WeightsPhase};
 
 use crate::current::{Current, Generation, Note, Surroundings};
-use crate::fetch::Trouble;
 use crate::layout::Layout;
-use crate::metrics::Giver;
-use crate::{EpochProgress, Wanted, events, manifests};
+use crate::{Wanted, events, manifests};
 
 /// Time between two looks at what takes long.
 const TICK: Duration = Duration::from_millis(25);
@@ -227,192 +226,6 @@
         }
     }
 
-    /// Takes what a task says, unless its transfer was replaced.
-    fn note(&mut self, note: Note) {
-        let generation = match &note {
-            Note::NoManifest { generation, .. }
-            | Note::Layout { generation, .. }
-            | Note::Fetched { generation, .. }
-            | Note::Have { generation, .. }
-            | Note::Verified { generation, .. } => *generation,
-        };
-        let is_current = |it: &UnderWay<O>| it.generation == generation;
-        if !self.under_way.as_ref().is_some_and(is_current) {
-            return;
-        }
-        match note {
-            Note::NoManifest { text, .. } => self.no_manifest(text),
-            Note::Layout { layout, .. } => match layout {
-                Ok(layout) => self.place(Arc::new(layout)),
-                Err(trouble) => self.fail(trouble),
-            },
-            Note::Fetched {
-                fetch,
-                giver,
-                result,
-                ..
-            } => self.fetched(&fetch, giver, result),
-            Note::Have { vm, have, .. } => self.have(vm, have),
-            Note::Verified { result, .. } => match result {
-                Ok(()) => self.staged(),
-                Err(trouble) => self.fail(trouble),
-            },
-        }
-    }
-
-    fn no_manifest(&mut self, text: String) {
-        self.emit(events::NO_MANIFEST, &[("trouble", &text)]);
-        self.set_trouble(Some(text));
-    }
-
-    /// Starts to fetch the chunks of a bundle, if it fits.
-    fn place(&mut self, layout: Arc<Layout>) {
-        let Some(under_way) = &mut self.under_way else {
-            return;
-        };
-        let epoch = under_way.epoch;
-        let generation = under_way.generation;
-        // What was replaced gives its place to the new bundle, but for what both have.
-        under_way.stage = Stage::NoMemory(Arc::clone(&layout));
-        self.left_over = None;
-        self.prune();
-        let Some(kept) = self.epochs.get_mut(&epoch) else {
-            return;
-        };
-        kept.layout = Some(Arc::clone(&layout));
-        let memory = self.around.shared.cfg.memory;
-        let needed = needed(&self.around.shared.staged(), &layout);
-        if needed > memory {
-            kept.phase = WeightsPhase::Failed;
-            let trouble = format!(
-                "the weights need {needed} bytes of memory along with those that are kept, and \
-                 the agent's setting allows {memory}: raise it, or let older weights go"
-            );
-            self.emit(events::NO_MEMORY, &[("trouble", &trouble)]);
-            self.set_trouble(Some(trouble));
-            return;
-        }
-        kept.phase = WeightsPhase::Fetching;
-        kept.trouble = None;
-        let current = Current::start(
-            self.around.clone(),
-            layout,
-            kept.wanted.settings.clone(),
-            generation,
-            &self.peers,
-            memory - needed,
-        );
-        if let Some(under_way) = &mut self.under_way {
-            under_way.stage = Stage::Chunks(Box::new(current));
-        }
-        self.count();
-    }
-
-    /// Takes the end of a fetch.
-    fn fetched(&mut self, fetch: &Fetch, giver: Giver, result: Result<Bytes, Trouble>) {
-        let from_origin = fetch.from == Source::Origin;
-        match result {
-            Ok(bytes) => {
-                self.around.shared.metrics.fetched(fetch.reason);
-                if from_origin {
-                    self.origin_gives();
-                }
-                if let Some(current) = self.current() {
-                    current.take(fetch, bytes);
-                }
-                self.count();
-            }
-            Err(trouble) => {
-                if trouble.failure == Failure::Corrupt {
-                    self.corrupt(fetch, giver);
-                }
-                if from_origin {
-                    self.origin_fails(trouble.text);
-                }
-                if let Some(current) = self.current() {
-                    current.fail(fetch.id, trouble.failure);
-                }
-            }
-        }
-    }
-
-    /// Says that a chunk came corrupt.
-    fn corrupt(&mut self, fetch: &Fetch, giver: Giver) {
-        self.around.shared.metrics.corrupt(giver);
-        let Some(current) = self.current() else {
-            return;
-        };
-        let chunk = current.layout.chunk(fetch.chunk).digest.to_string();
-        let giver = fetch.from.to_string();
-        events::CORRUPT.emit(&[("giver", &giver), ("chunk", &chunk)]);
-    }
-
-    /// Says that the origin fails, once until it gives again.
-    fn origin_fails(&mut self, text: String) {
-        let is_new = self.kept().is_some_and(|kept| kept.trouble.is_none());
-        if is_new {
-            events::ORIGIN_FAILS.emit(&[("trouble", &text)]);
-        }
-        self.set_trouble(Some(text));
-    }
-
-    /// Says that the origin gives again, if it failed.
-    fn origin_gives(&mut self) {
-        if self.kept().is_some_and(|kept| kept.trouble.is_some()) {
-            events::ORIGIN_GIVES.emit(&[]);
-            self.set_trouble(None);
-        }
-    }
-
-    /// Takes what a neighbour has, or why it doesn't say.
-    fn have(&mut self, vm: VmId, have: Result<ChunkSet, String>) {
-        match &have {
-            Ok(_) if self.lost.remove(&vm) => events::NEIGHBOUR_FOUND.emit(&[("vm", &vm)]),
-            Err(text) if self.lost.insert(vm.clone()) => {
-                events::NEIGHBOUR_LOST.emit(&[("vm", &vm), ("trouble", text)]);
-            }
-            _ => {}
-        }
-        if let Some(current) = self.current() {
-            current.set_have(vm, have.ok());
-        }
-    }
-
-    /// Notes that all is there and verified.
-    fn staged(&mut self) {
-        let Some(under_way) = self.under_way.take() else {
-            return;
-        };
-        let Stage::Chunks(current) = under_way.stage else {
-            return;
-        };
-        let Some(kept) = self.epochs.get_mut(&under_way.epoch) else {
-            return;
-        };
-        let layout = &current.layout;
-        kept.phase = WeightsPhase::Staged;
-        kept.have = layout.count();
-        kept.trouble = None;
-        let epoch = under_way.epoch.to_string();
-        let bundle = layout.digest.to_string();
-        events::STAGED.emit(&[("epoch", &epoch), ("bundle", &bundle)]);
-        let mut staged = self.around.shared.staged();
-        staged.insert(under_way.epoch, Arc::clone(layout));
-    }
-
-    /// Gives the bundle up, since it can't be right.
-    fn fail(&mut self, trouble: String) {
-        self.emit(events::BAD_MANIFEST, &[("trouble", &trouble)]);
-        if let Some(kept) = self.kept() {
-            kept.phase = WeightsPhase::Failed;
-            kept.have = 0;
-        }
-        self.set_trouble(Some(trouble));
-        self.under_way = None;
-        self.left_over = None;
-        self.prune();
-    }
-
     /// Returns the epoch under way.
     fn kept(&mut self) -> Option<&mut Kept> {
         let epoch = self.under_way.as_ref()?.epoch;
@@ -440,75 +253,6 @@
         all.extend_from_slice(fields);
         event.emit(&all);
     }
-
-    /// Drops the chunks that no kept bundle needs.
-    fn prune(&self) {
-        let shared = &self.around.shared;
-        let mut layouts: Vec<Arc<Layout>> = shared.staged().values().cloned().collect();
-        layouts.extend(self.left_over.clone());
-        layouts.extend(self.under_way.as_ref().and_then(|it| match &it.stage {
-            Stage::Chunks(current) => Some(Arc::clone(&current.layout)),
-            Stage::NoMemory(layout) => Some(Arc::clone(layout)),
-            Stage::Manifests { .. } => None,
-        }));
-        let bundles = layouts.iter().map(|layout| layout.digest).collect();
-        let chunks = layouts
-            .iter()
-            .flat_map(|layout| &layout.chunks)
-            .map(|chunk| chunk.digest)
-            .collect();
-        // Peers stop being told of chunks before these go.
-        shared.haves.retain(&bundles);
-        shared.store.retain(&chunks);
-    }
-
-    /// Publishes how far all is, if that changed.
-    fn publish(&self) {
-        let shared = &self.around.shared;
-        let bytes = shared.store.bytes();
-        shared
-            .metrics
-            .kept
-            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
-        let epochs: BTreeMap<Epoch, EpochProgress> = self
-            .epochs
-            .iter()
-            .map(|(epoch, kept)| (*epoch, kept.progress()))
-            .collect();
-        shared.progress.send_if_modified(|progress| {
-            let changed = progress.bytes != bytes || progress.epochs != epochs;
-            progress.bytes = bytes;
-            progress.epochs = epochs;
-            changed
-        });
-    }
-}
-
-impl Kept {
-    /// Returns how far the epoch is.
-    fn progress(&self) -> EpochProgress {
-        let layout = self.layout.as_ref();
-        EpochProgress {
-            phase: self.phase,
-            have: self.have,
-            total: layout.map_or(0, |layout| layout.count()),
-            bundle: layout.map(|layout| Arc::clone(&layout.bundle)),
-            trouble: self.trouble.clone(),
-        }
-    }
-}
-
-/// Returns how many bytes `layout` needs along with what is staged, shared chunks counted once.
-fn needed(staged: &BTreeMap<Epoch, Arc<Layout>>, layout: &Arc<Layout>) -> u64 {
-    let lengths: BTreeMap<Digest, u64> = staged
-        .values()
-        .chain([layout])
-        .flat_map(|layout| &layout.chunks)
-        .map(|chunk| (chunk.digest, chunk.length))
-        .collect();
-    lengths
-        .values()
-        .fold(0, |sum, length| sum.saturating_add(*length))
 }
 
 /// Makes the ticks; a late one puts off those after it.
