Open listeners and make a test's upstream in one place

Entry, agent and direct entry each opened a listener and asked its address; three test programs made the same upstream.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod error;
 mod http;
+mod listen;
 mod log;
 mod origin;
 mod plain;
@@ -23,6 +24,7 @@
     BaseUrl, BaseUrlError, Body, HttpClient, HttpEngine, HttpLog, HttpOrigin, HttpPlainService,
     HttpVmList, Returning, TokenStream, collect_body, discard, encode_segment, retry_after,
 };
+pub use crate::listen::bind;
 pub use crate::log::{LogPage, LogRecord, LogService};
 pub use crate::origin::Origin;
 pub use crate::plain::PlainService;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use wagtailreel_adapters::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList};
+use wagtailreel_adapters::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList, bind};
 use wagtailreel_control::{AgentControl, AgentControlConfig};
 use wagtailreel_core::{Incarnation, ServiceKind, VmEntry};
 use wagtailreel_settings::AgentSettings;
@@ -66,7 +66,9 @@
     pub async fn start(settings: AgentSettings) -> Result<Self, AgentError> {
         let registry = Registry::new();
         let metrics = Metrics::new(&registry).context(MetricsSnafu)?;
-        let (listener, data) = listen(settings.listen.data).await?;
+        let (listener, data) = bind(settings.listen.data).await.context(ListenSnafu {
+            addr: settings.listen.data,
+        })?;
         let control = start_control(&settings, &registry)?;
         let facts = facts_of(&settings, data, control.addr());
         let hub = Arc::new(Hub::new(facts, settings.upstream.capacity, metrics));
@@ -149,14 +151,6 @@
     }
 }
 
-async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), AgentError> {
-    let listener = TcpListener::bind(addr)
-        .await
-        .context(ListenSnafu { addr })?;
-    let bound = listener.local_addr().context(ListenSnafu { addr })?;
-    Ok((listener, bound))
-}
-
 fn start_control(
     settings: &AgentSettings,
     registry: &Registry,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_nearby::{Mirror, Nearby, NearbyConfig, Neighbours};
 use wagtailreel_settings::DirectEntrySettings;
@@ -276,11 +277,5 @@
     addr: SocketAddr,
     setting: &'static str,
 ) -> Result<(TcpListener, SocketAddr), DirectError> {
-    let listener = TcpListener::bind(addr)
-        .await
-        .context(ListenSnafu { addr, setting })?;
-    let addr = listener
-        .local_addr()
-        .context(ListenSnafu { addr, setting })?;
-    Ok((listener, addr))
+    bind(addr).await.context(ListenSnafu { addr, setting })
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use wagtailreel_adapters::{BaseUrl, HttpClient, HttpLog, HttpVmList};
+use wagtailreel_adapters::{BaseUrl, HttpClient, HttpLog, HttpVmList, bind};
 use wagtailreel_control::{EntryControl, EntryControlConfig};
 use wagtailreel_core::Incarnation;
 use wagtailreel_fold::SnapshotRule;
@@ -154,13 +154,7 @@
     addr: SocketAddr,
     setting: &'static str,
 ) -> Result<(TcpListener, SocketAddr), EntryError> {
-    let listener = TcpListener::bind(addr)
-        .await
-        .context(ListenSnafu { addr, setting })?;
-    let addr = listener
-        .local_addr()
-        .context(ListenSnafu { addr, setting })?;
-    Ok((listener, addr))
+    bind(addr).await.context(ListenSnafu { addr, setting })
 }
 
 fn share(settings: EntrySettings, registry: Registry) -> Result<Shared, EntryError> {
--- a/crates/fleet/tests/follow.rs
+++ b/crates/fleet/tests/follow.rs
@@ -5,10 +5,8 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use wagtailreel_fleet::{
-    BootTime, Change, FollowConfig, Sink, Topic, Upstream, UpstreamState, follow,
-};
-use wagtailreel_standins::RegistryStandin;
+use wagtailreel_fleet::{BootTime, Change, FollowConfig, Sink, Topic, follow};
+use wagtailreel_standins::{RegistryStandin, ready_upstream as upstream};
 
 /// What was applied and confirmed.
 #[derive(Debug, Default)]
@@ -33,19 +31,6 @@
     fn confirmed(&self, _topic: Topic, _as_of: BootTime) {}
 }
 
-fn upstream(id: &str) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        id: id.to_owned(),
-        service: "scribes".to_owned(),
-        addr: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "hall".to_owned(),
-        slots: 4,
-        state: UpstreamState::Ready,
-        warmup_left: Duration::ZERO,
-        models: Vec::new(),
-    }))
-}
-
 /// A removal whose time to be doubted is over is applied then, however long the pace is.
 #[tokio::test]
 async fn doubted_removal() {
--- a/crates/fleet/tests/follower.rs
+++ b/crates/fleet/tests/follower.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{
-    BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot, Step, Upstream, UpstreamState,
-};
+use wagtailreel_fleet::{BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot, Step};
+use wagtailreel_standins::ready_upstream as upstream;
 
 const HOLD: Duration = Duration::from_millis(2300);
 
@@ -17,19 +16,6 @@
     BootTime::new(Duration::from_millis(ms))
 }
 
-fn upstream(id: &str) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        id: id.to_owned(),
-        service: "scribes".to_owned(),
-        addr: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "hall".to_owned(),
-        slots: 4,
-        state: UpstreamState::Ready,
-        warmup_left: Duration::ZERO,
-        models: Vec::new(),
-    }))
-}
-
 fn keyed(offset: u64, change: Change) -> Keyed {
     Keyed { offset, change }
 }
--- a/crates/nearby/tests/common/mod.rs
+++ b/crates/nearby/tests/common/mod.rs
@@ -7,9 +7,10 @@
 
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use wagtailreel_fleet::{BootTime, Change, Upstream, UpstreamState};
+use wagtailreel_fleet::BootTime;
 use wagtailreel_nearby::{Mirror, Nearby, NearbyConfig, Neighbours, router};
 use wagtailreel_standins::RegistryStandin;
+pub(crate) use wagtailreel_standins::ready_upstream as upstream;
 
 /// Time between two reads of the upstreams.
 pub(crate) const PACE: Duration = Duration::from_millis(300);
@@ -80,16 +81,3 @@
         self.serving.abort();
     }
 }
-
-pub(crate) fn upstream(id: &str) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        id: id.to_owned(),
-        service: "scribes".to_owned(),
-        addr: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "hall".to_owned(),
-        slots: 4,
-        state: UpstreamState::Ready,
-        warmup_left: Duration::ZERO,
-        models: Vec::new(),
-    }))
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -26,7 +26,7 @@
 pub use log::{LogConfig, LogFaults, LogStandin, LogStats};
 pub use origin::{OriginConfig, OriginFaults, OriginModel, OriginStandin, OriginStats};
 pub use plain::{PlainConfig, PlainFaults, PlainStandin, PlainStats};
-pub use registry::RegistryStandin;
+pub use registry::{RegistryStandin, ready_upstream};
 pub use server::StartError;
 pub use token::{TokenSource, prefix_hash, prompt_hash, token_text};
 pub use vms::{VmChange, VmListConfig, VmListFaults, VmListStandin, VmListStats};
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -1,6 +1,7 @@
 //! A registry in memory that can be away; it is handed over as it is, without a protocol.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use tokio::sync::{Notify, watch};
 use wagtailreel_fleet::{
     BootTime, Change, Directory, Keyed, NamedWeights, Page, Registry, RegistryError, Snapshot,
-    Topic,
+    Topic, Upstream, UpstreamState,
 };
 
 #[derive(Debug, Default)]
@@ -200,3 +201,17 @@
     items.sort_by_key(|item| item.offset);
     items
 }
+
+/// Returns the record of an upstream that is ready and holds no weights.
+pub fn ready_upstream(id: &str) -> Change {
+    Change::Upstream(Box::new(Upstream {
+        id: id.to_owned(),
+        service: "scribes".to_owned(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: "hall".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: Vec::new(),
+    }))
+}
