Write the last log lines before a process ends, and take signals from the start

The thread now counts what it wrote; a guard, dropped after the runtime, waits for it at an end by return, error and panic, for 1 s at most if standard output is stuck.

The new test found a second one: handlers were set after the start, so a SIGTERM in between ended the process with nothing said. They are set before.

Ruled out: the line being left out by the budget (400 a second; a start writes a few). Spawned tasks looked at: both direct processes abort theirs on purpose at the end of the grace.

--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -7,7 +7,7 @@
 use env_logger::Target;
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 
-use crate::stdout::Lines;
+use crate::stdout::{Lines, LogGuard};
 
 /// Collects a record's pairs in the order of their keys.
 #[derive(Default)]
@@ -62,11 +62,13 @@
 /// Starts logging to standard output, in the same format, without ever holding up the process:
 /// lines beyond a budget, or beyond what standard output takes, are left out and counted.
 ///
+/// The guard is to be kept until the process has done its work; it writes the last lines.
+///
 /// # Errors
 ///
 /// Returns what the system says if the thread that writes can't be started.
-pub fn init_stdout_logging(process: &str) -> std::io::Result<()> {
-    let lines = Lines::start()?;
+pub fn init_stdout_logging(process: &str) -> std::io::Result<LogGuard> {
+    let (lines, guard) = Lines::start(std::io::stdout())?;
     start(process, Some(Target::Pipe(Box::new(lines))));
-    Ok(())
+    Ok(guard)
 }
--- a/crates/telemetry/src/stdout.rs
+++ b/crates/telemetry/src/stdout.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Lines that wait for standard output. At 400 bytes a line they hold 400 KB.
@@ -13,6 +13,10 @@
 /// below; what a storm of failures writes beyond it is counted and left out.
 const MOST_PER_SECOND: u32 = 400;
 
+/// Longest wait at the end of a process for lines that are not written yet. A reader of standard
+/// output that is stuck holds up the end no longer; the shortest grace that is configured is 8 s.
+const LAST_LINES: Duration = Duration::from_secs(1);
+
 /// Lines that were left out since the start.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -39,47 +43,104 @@
     }
 }
 
+/// How far the thread that writes has come.
+#[derive(Debug, Default)]
+struct Progress {
+    taken: AtomicU64,
+    written: Mutex<u64>,
+    changed: Condvar,
+}
+
+impl Progress {
+    fn add_written(&self, lines: u64) {
+        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        *written += lines;
+        self.changed.notify_all();
+    }
+
+    /// Waits until all lines that were taken so far are written, or `longest` has passed.
+    fn wait(&self, longest: Duration) {
+        let taken = self.taken.load(Ordering::Acquire);
+        let written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        // After the bound the rest is lost: nobody reads standard output.
+        let _ = self
+            .changed
+            .wait_timeout_while(written, longest, |written| *written < taken);
+    }
+}
+
+/// Keeps the last lines of a process: when it is dropped, at an orderly end as well as by a panic,
+/// it waits until the lines that were taken are written.
+#[derive(Debug, Default)]
+#[must_use = "the last lines are lost if the guard is dropped before the process has done its work"]
+pub struct LogGuard {
+    lines: Option<(SyncSender<Vec<u8>>, Arc<Progress>)>,
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let Some((tx, progress)) = self.lines.take() else {
+            return;
+        };
+        // Wakes the thread, so that it also tells of lines that were left out last. A full queue
+        // wakes it as well.
+        if tx.try_send(Vec::new()).is_ok() {
+            progress.taken.fetch_add(1, Ordering::Release);
+        }
+        progress.wait(LAST_LINES);
+    }
+}
+
 /// Hands lines to a thread that writes them; leaves out what is too much.
 #[derive(Debug)]
-pub(crate) struct Lines {
+pub struct Lines {
     tx: SyncSender<Vec<u8>>,
-    budget: Mutex<Budget>,
+    progress: Arc<Progress>,
+    budget: Budget,
 }
 
 impl Lines {
-    /// Starts the thread that writes.
+    /// Starts the thread that writes to `out`, and returns the guard of the last lines with it.
     ///
     /// # Errors
     ///
     /// Returns what the system says if the thread can't be started.
-    pub(crate) fn start() -> io::Result<Self> {
+    pub fn start<W>(out: W) -> io::Result<(Self, LogGuard)>
+    where
+        W: Write + Send + 'static,
+    {
         let (tx, rx) = sync_channel(MOST_WAITING);
+        let progress = Arc::new(Progress::default());
+        let done = Arc::clone(&progress);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 * 1024)
-            .spawn(move || write_all(&rx))?;
-        Ok(Self {
+            .spawn(move || write_all(&rx, out, &done))?;
+        let guard = LogGuard {
+            lines: Some((tx.clone(), Arc::clone(&progress))),
+        };
+        let lines = Self {
             tx,
-            budget: Mutex::new(Budget {
+            progress,
+            budget: Budget {
                 since: Instant::now(),
                 lines: 0,
-            }),
-        })
+            },
+        };
+        Ok((lines, guard))
     }
 }
 
 impl Write for Lines {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let budget = self
-            .budget
-            .get_mut()
-            .unwrap_or_else(PoisonError::into_inner);
-        if !budget.allows(Instant::now()) {
+        if !self.budget.allows(Instant::now()) {
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return Ok(buf.len());
         }
         match self.tx.try_send(buf.to_vec()) {
-            Ok(()) => {}
+            Ok(()) => {
+                self.progress.taken.fetch_add(1, Ordering::Release);
+            }
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
@@ -93,11 +154,16 @@
 }
 
 /// Writes lines as they come, several at once if several wait; tells how many were left out.
-fn write_all(rx: &Receiver<Vec<u8>>) {
+fn write_all<W>(rx: &Receiver<Vec<u8>>, mut out: W, progress: &Progress)
+where
+    W: Write,
+{
     let mut told = 0;
     while let Ok(mut buf) = rx.recv() {
+        let mut lines = 1;
         while let Ok(more) = rx.try_recv() {
             buf.extend_from_slice(&more);
+            lines += 1;
         }
         let dropped = lines_dropped();
         if dropped > told {
@@ -106,7 +172,8 @@
                 format!("{{\"message\":\"lines-left-out\",\"total\":{dropped}}}\n").as_bytes(),
             );
         }
-        // Where standard output is gone there is nobody to tell.
-        let _ = io::stdout().write_all(&buf);
+        // Where the output is gone there is nobody to tell.
+        let _ = out.write_all(&buf).and_then(|()| out.flush());
+        progress.add_written(lines);
     }
 }
--- a/src/commands/direct.rs
+++ b/src/commands/direct.rs
@@ -3,6 +3,7 @@
 use wagtailreel_direct::DirectEntry;
 use wagtailreel_platform::{Marks, Store};
 use wagtailreel_settings::DirectEntrySettings;
+use wagtailreel_telemetry::LogGuard;
 
 use super::process::Process;
 
@@ -24,8 +25,8 @@
         Some(settings.threads)
     }
 
-    fn log(vm: &str) {
-        super::log_to_stdout(vm);
+    fn log(vm: &str) -> LogGuard {
+        super::log_to_stdout(vm)
     }
 
     async fn start(settings: DirectEntrySettings) -> Result<Self, String> {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -17,6 +17,7 @@
 use wagtailreel_agent_core::AgentProcess;
 use wagtailreel_entry::EntryProcess;
 use wagtailreel_settings::DirectEntrySettings;
+use wagtailreel_telemetry::LogGuard;
 
 use self::direct::DirectProcess;
 use self::staging::StagingProcess;
@@ -166,8 +167,16 @@
 }
 
 /// Starts the log on standard output, or on standard error where no thread can write it.
-fn log_to_stdout(vm: &str) {
-    if wagtailreel_telemetry::init_stdout_logging(vm).is_err() {
-        wagtailreel_telemetry::init_logging(vm);
-    }
+fn log_to_stdout(vm: &str) -> LogGuard {
+    wagtailreel_telemetry::init_stdout_logging(vm).unwrap_or_else(|e| {
+        let guard = log_to_stderr(vm);
+        log::warn!("the log goes to standard error, since its thread can't be started: {e}");
+        guard
+    })
+}
+
+/// Starts the log on standard error, which takes each line before it returns.
+fn log_to_stderr(vm: &str) -> LogGuard {
+    wagtailreel_telemetry::init_logging(vm);
+    LogGuard::default()
 }
--- a/src/commands/process.rs
+++ b/src/commands/process.rs
@@ -3,12 +3,12 @@
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 
-use wagtailreel_telemetry::events;
+use wagtailreel_telemetry::{LogGuard, events};
 
-use super::block_on;
+use super::{block_on, log_to_stderr};
 use crate::args::{Options, read_text};
 use crate::error::{BadInputSnafu, CommandError, StartSnafu};
-use crate::signals::{Hangup, wait_for_end};
+use crate::signals::{EndSignals, Hangup};
 
 /// Name of the environment variable that holds the path of the settings file.
 const SETTINGS_VARIABLE: &str = "WAGTAILREEL_CONFIG";
@@ -30,9 +30,9 @@
         None
     }
 
-    /// Starts the log.
-    fn log(vm: &str) {
-        wagtailreel_telemetry::init_logging(vm);
+    /// Starts the log; the guard keeps its last lines.
+    fn log(vm: &str) -> LogGuard {
+        log_to_stderr(vm)
     }
 
     /// Starts the process on the current runtime.
@@ -60,7 +60,8 @@
         println!("{}: no mistakes", path.display());
         return Ok(());
     }
-    P::log(P::vm(&settings));
+    // Dropped after the runtime, so that what its tasks told last is written as well.
+    let _log = P::log(P::vm(&settings));
     let threads = P::threads(&settings);
     block_on(threads, serve::<P>(settings, path, text))?
 }
@@ -80,13 +81,16 @@
 where
     P: Process,
 {
+    // A signal that comes while the process starts counts as well.
+    let mut ends = EndSignals::new();
+    let hangups = Hangup::new();
     let process = match P::start(settings).await {
         Ok(process) => process,
         Err(what) => return StartSnafu { what }.fail(),
     };
     tokio::select! {
-        () = wait_for_end() => {}
-        () = watch_settings::<P>(path, text) => {}
+        () = ends.wait() => {}
+        () = watch_settings::<P>(hangups, path, text) => {}
     }
     process.shutdown().await;
     Ok(())
@@ -96,11 +100,10 @@
 ///
 /// Addresses and names are bound at the start, so new ones come into force with the next start. A
 /// file that doesn't fit changes nothing.
-async fn watch_settings<P>(path: &Path, mut text: String)
+async fn watch_settings<P>(mut hangups: Hangup, path: &Path, mut text: String)
 where
     P: Process,
 {
-    let mut hangups = Hangup::new();
     loop {
         hangups.wait().await;
         let outcome = match read_text(path) {
--- a/src/commands/staging.rs
+++ b/src/commands/staging.rs
@@ -3,6 +3,7 @@
 use wagtailreel_platform::{Engine, Origin, Store};
 use wagtailreel_settings::StagingAgentSettings;
 use wagtailreel_stage::StagingAgent;
+use wagtailreel_telemetry::LogGuard;
 
 use super::process::Process;
 
@@ -24,8 +25,8 @@
         Some(1)
     }
 
-    fn log(vm: &str) {
-        super::log_to_stdout(vm);
+    fn log(vm: &str) -> LogGuard {
+        super::log_to_stdout(vm)
     }
 
     async fn start(settings: StagingAgentSettings) -> Result<Self, String> {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -2,23 +2,37 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// Where a handler can't be set, it waits for the other signal alone.
-pub(crate) async fn wait_for_end() {
-    let interrupt = tokio::signal::ctrl_c();
-    match signal(SignalKind::terminate()) {
-        Ok(mut terminate) => {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt => {}
+/// The signals that end the process: SIGTERM and SIGINT.
+#[derive(Debug)]
+pub(crate) struct EndSignals {
+    signals: Vec<Signal>,
+}
+
+impl EndSignals {
+    /// Begins to take the signals. Before that they end the process at once, with what it has begun.
+    pub(crate) fn new() -> Self {
+        let kinds = [
+            ("SIGTERM", SignalKind::terminate()),
+            ("SIGINT", SignalKind::interrupt()),
+        ];
+        let mut signals = Vec::new();
+        for (name, kind) in kinds {
+            match signal(kind) {
+                Ok(taken) => signals.push(taken),
+                Err(e) => log::warn!("{name} can't be handled, and ends the process at once: {e}"),
             }
         }
-        Err(e) => {
-            log::warn!("SIGTERM can't be handled: {e}");
-            // An error here means that SIGINT can't be handled either; the process then ends.
-            let _ = interrupt.await;
+        Self { signals }
+    }
+
+    /// Waits for the first of them; for ever where none can be taken.
+    pub(crate) async fn wait(&mut self) {
+        let waits = self.signals.iter_mut().map(|it| Box::pin(it.recv()));
+        let waits: Vec<_> = waits.collect();
+        if waits.is_empty() {
+            std::future::pending::<()>().await;
         }
+        futures::future::select_all(waits).await;
     }
 }
 
--- a/tests/all/signals.rs
+++ b/tests/all/signals.rs
@@ -1,12 +1,14 @@
 //! Processes of a fleet whose upstreams name themselves, and the signals that they get.
 
 use std::fs;
-use std::io::{BufRead as _, BufReader};
-use std::net::TcpListener;
+use std::io::{BufRead as _, BufReader, PipeReader, PipeWriter, Read as _, Write as _};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::Duration;
 
 use rstest::rstest;
+use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tempfile::TempDir;
@@ -124,3 +126,61 @@
     process.until("-stopped");
     assert!(process.child.wait().unwrap().success());
 }
+
+/// Returns a pipe that takes no byte until it is read, and how many bytes fill it.
+fn full_pipe() -> (PipeReader, PipeWriter, usize) {
+    let (reader, mut writer) = std::io::pipe().unwrap();
+    let flags = fcntl_getfl(&writer).unwrap();
+    fcntl_setfl(&writer, flags | OFlags::NONBLOCK).unwrap();
+    let mut filled = 0;
+    while let Ok(taken) = writer.write(&[b'\n'; 4096]) {
+        filled += taken;
+    }
+    fcntl_setfl(&writer, flags).unwrap();
+    (reader, writer, filled)
+}
+
+/// Starts an entry whose log nobody reads, ends it, and returns the log's reader, what fills it, and
+/// the process once it no longer listens.
+fn ended_unread() -> (PipeReader, usize, Child) {
+    let (program, args, text) = entry();
+    let status = text.split("status: \"").nth(1).unwrap();
+    let status = status.split('"').next().unwrap().to_owned();
+    let dir = TempDir::new().unwrap();
+    let settings = dir.path().join("settings.yaml");
+    fs::write(&settings, text).unwrap();
+    let (reader, writer, filled) = full_pipe();
+    let child = Command::new(program)
+        .args(args)
+        .env("WAGTAILREEL_CONFIG", &settings)
+        .stdout(writer)
+        .spawn()
+        .unwrap();
+    // A pause between two tries, since a full backlog delays a connection by a second.
+    let listens = || {
+        std::thread::sleep(Duration::from_millis(5));
+        TcpStream::connect(&status).is_ok()
+    };
+    while !listens() {}
+    let pid = Pid::from_raw(child.id().cast_signed()).unwrap();
+    kill_process(pid, Signal::TERM).unwrap();
+    while listens() {}
+    (reader, filled, child)
+}
+
+#[rstest]
+fn slow_log_reader() {
+    let (mut reader, filled, mut child) = ended_unread();
+    let mut log = Vec::new();
+    reader.read_to_end(&mut log).unwrap();
+    let log = String::from_utf8(log.split_off(filled)).unwrap();
+    assert!(log.contains("entry-started"), "{log}");
+    assert!(log.contains("entry-stopped"), "{log}");
+    assert!(child.wait().unwrap().success());
+}
+
+#[rstest]
+fn stuck_log_reader() {
+    let (_reader, _, mut child) = ended_unread();
+    assert!(child.wait().unwrap().success());
+}
