--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -209,10 +209,10 @@
     async fn connect(&mut self, pick: &Pick) -> Result<Connection, Ending> {
         self.tried.insert(pick.id.clone());
         let repeatable = self.admitted.route.kind.repeatable();
-        if let Some(conn) = self.service.pool.take(pick.addr, repeatable) {
+        if let Some(conn) = self.service.pool.take(pick.addr, pick.started, repeatable) {
             return Ok(conn);
         }
-        let opened = Connection::open(pick.addr).await;
+        let opened = Connection::open(pick.addr, pick.started).await;
         // Nothing was sent, whatever kept the connection from being made.
         opened.or(Err(Ending::NotSent))
     }
--- a/crates/direct/src/live.rs
+++ b/crates/direct/src/live.rs
@@ -5,7 +5,7 @@
 use http::header;
 use http::response::Parts;
 use hyper::body::Incoming;
-use wagtailreel_fleet::UpstreamId;
+use wagtailreel_fleet::{UpstreamId, UpstreamStart};
 
 use crate::dialect::AnswerHead;
 use crate::pool::Connection;
@@ -16,6 +16,7 @@
 pub(crate) struct Lease {
     service: Arc<Service>,
     id: UpstreamId,
+    start: UpstreamStart,
     /// Prompt tokens that the upstream is still to read.
     unread: u32,
 }
@@ -23,10 +24,11 @@
 impl Lease {
     /// Counts a request with a prompt of `unread` tokens at the upstream `id`.
     pub(crate) fn new(service: &Arc<Service>, id: &str, unread: u32) -> Self {
-        service.upstreams().started(id, unread);
+        let start = service.upstreams().started(id, unread);
         Self {
             service: Arc::clone(service),
             id: id.to_owned(),
+            start,
             unread,
         }
     }
@@ -35,7 +37,7 @@
     pub(crate) fn begun(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         if unread > 0 {
-            self.service.upstreams().begun(&self.id, unread);
+            self.service.upstreams().begun(&self.id, self.start, unread);
         }
     }
 }
@@ -43,7 +45,7 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         self.begun();
-        self.service.upstreams().finished(&self.id);
+        self.service.upstreams().finished(&self.id, self.start);
     }
 }
 
--- a/crates/direct/src/member.rs
+++ b/crates/direct/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamState, WeightsVersion};
+use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamStart, UpstreamState, WeightsVersion};
 
 /// How long an agent's word on its engine is used. Agents are asked several times a second; after
 /// this time only the entry's own count and the registry are left.
@@ -76,6 +76,27 @@
         }
     }
 
+    /// Says whether `start` is an earlier one than the start that is known.
+    pub(crate) const fn is_before(&self, start: UpstreamStart) -> bool {
+        start < self.upstream.started
+    }
+
+    /// Says whether `start` is a later one than the start that is known.
+    pub(crate) const fn is_restart(&self, start: UpstreamStart) -> bool {
+        start > self.upstream.started
+    }
+
+    /// Takes that the upstream started again: it holds and knows nothing of before, and nothing that
+    /// was believed of it counts.
+    pub(crate) fn restart(&mut self, start: UpstreamStart) {
+        let upstream = Upstream {
+            started: start,
+            models: Vec::new(),
+            ..self.upstream.clone()
+        };
+        *self = Self::new(upstream);
+    }
+
     /// Returns the agent's word while it is fresh.
     pub(crate) fn fresh_status(&self, now: Instant) -> Option<&LoadStatus> {
         let (status, at) = self.status.as_ref()?;
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::{DataCentre, Region};
-use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamId, UpstreamState, WeightsVersion};
+use wagtailreel_fleet::{
+    LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState, WeightsVersion,
+};
 
 use crate::member::{LoadSource, Member};
 
@@ -51,6 +53,8 @@
 pub struct Pick {
     /// Id of the upstream.
     pub id: UpstreamId,
+    /// Which start of it was chosen.
+    pub started: UpstreamStart,
     /// Its address.
     pub addr: std::net::SocketAddr,
     /// The version of the weights that the request is to run on.
@@ -107,6 +111,12 @@
         let addr = upstream.addr;
         let id = upstream.id.clone();
         let changed = match self.members.get_mut(&upstream.id) {
+            // Said before the restart that is known already.
+            Some(member) if member.is_before(upstream.started) => return false,
+            Some(member) if member.is_restart(upstream.started) => {
+                *member = Member::new(upstream);
+                true
+            }
             Some(member) => {
                 let changed = member.upstream.state != upstream.state
                     || member.upstream.models != upstream.models;
@@ -164,6 +174,12 @@
         else {
             return false;
         };
+        if status.started != 0 && member.is_before(status.started) {
+            return false;
+        }
+        if member.is_restart(status.started) {
+            member.restart(status.started);
+        }
         let before = member.status.as_ref();
         let changed = before.is_none_or(|(before, _)| {
             before.version != status.version || before.is_switching != status.is_switching
@@ -219,29 +235,39 @@
         }
     }
 
-    /// Counts a request with a prompt of `tokens` that goes to an upstream.
-    pub fn started(&mut self, id: &str, tokens: u32) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.own = member.own.saturating_add(1);
-            member.own_unread = member.own_unread.saturating_add(tokens);
-        }
+    /// Counts a request with a prompt of `tokens` that goes to an upstream; returns which start of it
+    /// the count is of.
+    pub fn started(&mut self, id: &str, tokens: u32) -> UpstreamStart {
+        let Some(member) = self.members.get_mut(id) else {
+            return 0;
+        };
+        member.own = member.own.saturating_add(1);
+        member.own_unread = member.own_unread.saturating_add(tokens);
+        member.upstream.started
     }
 
     /// Counts that a prompt of `tokens` was read: its answer has begun, or never will.
-    pub fn begun(&mut self, id: &str, tokens: u32) {
-        if let Some(member) = self.members.get_mut(id) {
+    pub fn begun(&mut self, id: &str, start: UpstreamStart, tokens: u32) {
+        if let Some(member) = self.same_start(id, start) {
             member.own_unread = member.own_unread.saturating_sub(tokens);
         }
     }
 
     /// Counts a request that is over at an upstream.
-    pub fn finished(&mut self, id: &str) {
-        if let Some(member) = self.members.get_mut(id) {
+    pub fn finished(&mut self, id: &str, start: UpstreamStart) {
+        if let Some(member) = self.same_start(id, start) {
             member.own = member.own.saturating_sub(1);
         }
         self.forget();
     }
 
+    /// Returns the member if it has not been restarted since: what went to it before is counted no
+    /// more.
+    fn same_start(&mut self, id: &str, start: UpstreamStart) -> Option<&mut Member> {
+        let member = self.members.get_mut(id)?;
+        (member.upstream.started == start).then_some(member)
+    }
+
     /// Returns the members that are registered.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| !member.is_gone)
@@ -307,6 +333,7 @@
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let pick = Pick {
                     id: member.upstream.id.clone(),
+                    started: member.upstream.started,
                     addr: member.upstream.addr,
                     version,
                     in_flight,
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -14,6 +14,7 @@
 use rustix::net::sockopt;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use wagtailreel_fleet::UpstreamStart;
 
 /// How long a connection may take to be made. The longest way takes 3 ms; a lost opening packet is
 /// repeated after a second, which is later than another upstream answers.
@@ -40,6 +41,9 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
+    /// The start of the upstream that it was opened to. Another one knows nothing of it, also where
+    /// the end of the connection never came.
+    start: UpstreamStart,
     task: AbortHandle,
 }
 
@@ -60,7 +64,7 @@
 
 impl Connection {
     /// Opens a connection.
-    pub(crate) async fn open(addr: SocketAddr) -> Result<Self, SendError> {
+    pub(crate) async fn open(addr: SocketAddr, start: UpstreamStart) -> Result<Self, SendError> {
         let connecting = TcpStream::connect(addr);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
         let Ok(Ok(stream)) = stream else {
@@ -78,6 +82,7 @@
         Ok(Self {
             sender,
             addr,
+            start,
             task: task.abort_handle(),
         })
     }
@@ -127,14 +132,20 @@
 }
 
 impl Pool {
-    /// Takes the connection to `addr` that was used last.
-    pub(crate) fn take(&self, addr: SocketAddr, repeatable: bool) -> Option<Connection> {
+    /// Takes the connection to this start of the upstream at `addr` that was used last.
+    pub(crate) fn take(
+        &self,
+        addr: SocketAddr,
+        start: UpstreamStart,
+        repeatable: bool,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let kept = idle.get_mut(&addr)?;
         while let Some(last) = kept.pop() {
             let is_fresh = now.saturating_duration_since(last.since) <= FRESH;
-            let is_sound = last.until > now && !last.conn.sender.is_closed();
+            let is_sound =
+                last.until > now && !last.conn.sender.is_closed() && last.conn.start == start;
             if is_sound && (repeatable || is_fresh) {
                 return Some(last.conn);
             }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -286,6 +286,7 @@
         let fields = [
             ("upstream", upstream.id.clone()),
             ("service", upstream.service.clone()),
+            ("started", upstream.started.to_string()),
             ("addr", upstream.addr.to_string()),
             ("state", upstream.state.to_string()),
             ("version", version.unwrap_or_default().to_string()),
@@ -313,8 +314,9 @@
             Change::Weights(weights) => self.take_weights(weights),
             Change::Upstream(upstream) => self.take_upstream(*upstream),
             Change::Gone(id) => self.remove_upstream(&id),
-            // The follower has told of it; the last good belief stays.
-            Change::Unreadable { .. } => {}
+            // The follower has told of it. Of the settings the last good belief stays; a record of an
+            // upstream names none any more.
+            Change::Unreadable { key, .. } => self.remove_upstream(&key),
         }
     }
 
--- a/crates/direct/tests/beliefs.rs
+++ b/crates/direct/tests/beliefs.rs
@@ -126,3 +126,35 @@
     ending.await.unwrap();
     assert!(tokio::net::TcpStream::connect(callers).await.is_err());
 }
+
+#[tokio::test]
+async fn record_becomes_unreadable() {
+    let registry = RegistryStandin::default();
+    let (spoilt, sound) = (
+        TestUpstream::start(&[]).await,
+        TestUpstream::start(&[]).await,
+    );
+    let named = [("a", spoilt.addr), ("b", sound.addr)];
+    let entry = ready_entry(&registry, &named).await;
+    registry.upstream(Change::Unreadable {
+        key: "a".to_owned(),
+        reason: "no state `odd` is known".to_owned(),
+    });
+    registry.upstream(Change::Unreadable {
+        key: "nobody".to_owned(),
+        reason: "EOF".to_owned(),
+    });
+    // Both take turns until the record is read.
+    let mut last = spoilt.seen().len();
+    loop {
+        for _ in 0..4 {
+            assert_eq!(call(entry.callers(), "GET", "/read/1").await.status, 200);
+        }
+        let seen = spoilt.seen().len();
+        if seen == last {
+            break;
+        }
+        last = seen;
+    }
+    assert!(!sound.seen().is_empty(), "the other one holds");
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -155,6 +155,7 @@
 pub(crate) fn registered(id: &str, addr: SocketAddr) -> Upstream {
     Upstream {
         id: id.to_owned(),
+        started: 0,
         service: "desk".to_owned(),
         addr,
         data_centre: "hall".to_owned(),
--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -22,6 +22,7 @@
 fn upstream(id: &str, host: u8, data_centre: &str) -> Upstream {
     Upstream {
         id: id.to_owned(),
+        started: 0,
         service: "scribes".to_owned(),
         addr: addr(host),
         data_centre: data_centre.to_owned(),
@@ -89,7 +90,7 @@
         fleet.started("a", 0);
     }
     assert_eq!(choose(&mut fleet, now), Err(Shortage::Full));
-    fleet.finished("a");
+    fleet.finished("a", 0);
     assert!(choose(&mut fleet, now).is_ok());
 }
 
@@ -130,7 +131,7 @@
     assert!(fleet.remove("a"));
     assert!(!fleet.may_send("a"));
     assert_eq!(choose(&mut fleet, now), Err(Shortage::NoUpstream));
-    fleet.finished("a");
+    fleet.finished("a", 0);
     assert!(!fleet.remove("a"), "it was forgotten with its last request");
 }
 
@@ -277,6 +278,6 @@
         "far",
         "rather abroad than behind long prompts"
     );
-    fleet.begun("a", 4000);
+    fleet.begun("a", 0, 4000);
     assert_eq!(choose(&mut fleet), "a");
 }
--- /dev/null
+++ b/crates/direct/tests/restart.rs
@@ -0,0 +1,110 @@
+//! An upstream that starts again under its old id.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use common::registered;
+use rstest::rstest;
+use wagtailreel_direct::{Ask, Pick, Shortage, Upstreams};
+use wagtailreel_fleet::{LoadStatus, LoadedModel, Upstream};
+
+const MODEL: &str = "epitaph";
+
+/// Returns the record of the start `started`, with weights of version 3.
+fn record(started: u64) -> Upstream {
+    let mut upstream = registered("a", SocketAddr::from(([10, 0, 0, 1], 80)));
+    upstream.started = started;
+    upstream.models = vec![LoadedModel {
+        model: MODEL.to_owned(),
+        version: 3,
+        whole: true,
+    }];
+    upstream
+}
+
+fn fleet(started: u64) -> Upstreams {
+    let mut fleet = Upstreams::new("hall".to_owned(), BTreeMap::new());
+    fleet.update(record(started));
+    fleet
+}
+
+fn choose(fleet: &mut Upstreams) -> Result<Pick, Shortage> {
+    let ask = Ask {
+        model: Some(MODEL),
+        ..Ask::default()
+    };
+    fleet.choose(&ask, Instant::now())
+}
+
+fn word(started: u64, version: Option<u64>) -> LoadStatus {
+    LoadStatus {
+        started,
+        version,
+        running: 3,
+        ..LoadStatus::default()
+    }
+}
+
+fn hear(fleet: &mut Upstreams, word: &LoadStatus) -> bool {
+    let ip = SocketAddr::from(([10, 0, 0, 1], 80)).ip();
+    fleet.status(ip, word, None, Instant::now())
+}
+
+#[rstest]
+fn counts_end() {
+    let mut fleet = fleet(100);
+    let start = fleet.started("a", 50);
+    assert_eq!(choose(&mut fleet).unwrap().in_flight, 1);
+    assert!(fleet.update(record(200)), "a restart is a change");
+    assert_eq!(choose(&mut fleet).unwrap().in_flight, 0);
+    let new = fleet.started("a", 50);
+    assert_eq!((start, new), (100, 200));
+    fleet.begun("a", start, 50);
+    fleet.finished("a", start);
+    let pick = choose(&mut fleet).unwrap();
+    assert_eq!(pick.in_flight, 1, "what ended was sent before the restart");
+    assert_eq!(pick.started, 200);
+}
+
+#[rstest]
+fn weights_end() {
+    let mut fleet = fleet(100);
+    assert!(hear(&mut fleet, &word(100, Some(3))));
+    let mut empty = record(200);
+    empty.models.clear();
+    fleet.update(empty);
+    assert_eq!(choose(&mut fleet), Err(Shortage::Weights));
+}
+
+#[rstest]
+fn agent_hears_first() {
+    let mut fleet = fleet(100);
+    fleet.started("a", 0);
+    assert!(hear(&mut fleet, &word(200, None)));
+    assert_eq!(choose(&mut fleet), Err(Shortage::Weights));
+    assert!(!fleet.update(record(100)), "the record is from before");
+    assert_eq!(choose(&mut fleet), Err(Shortage::Weights));
+}
+
+#[rstest]
+fn late_word() {
+    let mut fleet = fleet(200);
+    assert!(!hear(&mut fleet, &word(100, Some(2))));
+    let pick = choose(&mut fleet).unwrap();
+    assert_eq!((pick.version, pick.in_flight), (Some(3), 0));
+}
+
+#[rstest]
+fn failures_end() {
+    let mut fleet = fleet(100);
+    for _ in 0..3 {
+        fleet.failed("a", Instant::now());
+    }
+    assert!(choose(&mut fleet).is_err(), "it is passed over");
+    fleet.update(record(200));
+    assert!(choose(&mut fleet).is_ok());
+}
--- a/crates/direct/tests/session.rs
+++ b/crates/direct/tests/session.rs
@@ -62,6 +62,7 @@
         });
         self.line(&format!("{id} in {place}: {state}, weights {version:?}"));
         self.fleet.update(Upstream {
+            started: 0,
             id,
             service: "scribes".to_owned(),
             addr: SocketAddr::from(([10, 0, 0, host], 80)),
@@ -116,7 +117,7 @@
 
     /// An attempt ends without an answer.
     fn ends(&mut self, id: &str, ending: Ending, sent: u32) {
-        self.fleet.finished(id);
+        self.fleet.finished(id, 0);
         let now = self.now();
         let shun = self.fleet.failed(id, now);
         let next = next_step(Attempt {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
 
-use crate::{ModelName, NamedWeights, WeightsVersion};
+use crate::{ModelName, NamedWeights, UpstreamStart, WeightsVersion};
 
 /// A datagram can't be read.
 #[derive(Debug, Snafu)]
@@ -49,6 +49,9 @@
 /// An engine's load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadStatus {
+    /// Which start of the engine the figures are from.
+    #[serde(rename = "b", default)]
+    pub started: UpstreamStart,
     /// The version of the weights that the engine holds whole; none while it has none.
     #[serde(rename = "v")]
     pub version: Option<WeightsVersion>,
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -9,9 +9,13 @@
 
 use crate::{ModelName, WeightsVersion};
 
-/// Id of one start of an upstream; a restart has another.
+/// Id of an upstream. A restart may have the same one; [`UpstreamStart`] tells the two apart.
 pub type UpstreamId = String;
 
+/// When an upstream started, in milliseconds of the Unix epoch by its own clock; 0 where upstreams
+/// don't tell, and have another id for each start. A later start has a higher one.
+pub type UpstreamStart = u64;
+
 /// Whether an upstream takes new requests.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display, Serialize, Deserialize,
@@ -40,8 +44,11 @@
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Id of this start of the upstream.
+    /// Id of the upstream.
     pub id: UpstreamId,
+    /// Which start of it this is.
+    #[serde(default)]
+    pub started: UpstreamStart,
     /// The service that it runs.
     pub service: ServiceName,
     /// Where it takes requests.
--- a/crates/stage/src/engine.rs
+++ b/crates/stage/src/engine.rs
@@ -3,11 +3,13 @@
 use bytes::Bytes;
 use snafu::Snafu;
 use wagtailreel_core::ChunkIndex;
-use wagtailreel_fleet::{LoadedModel, WeightsVersion};
+use wagtailreel_fleet::{LoadedModel, UpstreamStart, WeightsVersion};
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
+    /// Which start of the engine this is; 0 where engines don't tell.
+    pub started: UpstreamStart,
     /// The weights that it holds.
     pub models: Vec<LoadedModel>,
     /// An order is being carried out.
--- a/crates/stage/src/events.rs
+++ b/crates/stage/src/events.rs
@@ -92,6 +92,15 @@
     remedy: "If it does not answer for long, look at the engine.",
 };
 
+/// The engine started again.
+pub const ENGINE_RESTARTED: Event = Event {
+    id: 6223,
+    name: "engine-restarted",
+    level: Level::Warn,
+    meaning: "The engine started again under its old id: it holds nothing and has begun no order.",
+    remedy: "If it recurs, look at the engine's own log.",
+};
+
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -104,4 +113,5 @@
     LOAD_ORDERED,
     STAGING_FAILED,
     ENGINE_CHANGED,
+    ENGINE_RESTARTED,
 ];
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -8,7 +8,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::AbortOnDropHandle;
 use wagtailreel_core::{ChunkIndex, rank_score};
-use wagtailreel_fleet::{ModelName, NamedWeights, Registry, WeightsVersion};
+use wagtailreel_fleet::{ModelName, NamedWeights, Registry, UpstreamStart, WeightsVersion};
 
 use crate::beliefs::Wanted;
 use crate::manifest::ChunkManifest;
@@ -48,6 +48,8 @@
     cx: Arc<Surroundings<R, E, O>>,
     rollout: Rollout,
     report: Option<EngineReport>,
+    /// The start of the engine that its last state was from.
+    engine_start: Option<UpstreamStart>,
     target: Option<Target>,
     fetching: Option<Fetching>,
     resolving: Option<AbortOnDropHandle<Option<Arc<ChunkManifest>>>>,
@@ -67,6 +69,7 @@
             cx,
             rollout,
             report: None,
+            engine_start: None,
             target: None,
             fetching: None,
             resolving: None,
@@ -103,6 +106,7 @@
         let report = self.cx.engine.report().await;
         let reason = report.as_ref().err().map(ToString::to_string);
         self.report = report.ok();
+        self.note_start();
         let running = self.report.as_ref().map_or(0, |report| report.running);
         self.cx.metrics.running.set(i64::from(running));
         if self.cx.board.set_report(model, self.report.clone()) {
@@ -120,6 +124,26 @@
         self.settle(model);
     }
 
+    /// Takes which start of the engine its state is from. Another one holds nothing, has begun no
+    /// order, and knows of none.
+    fn note_start(&mut self) {
+        let Some(report) = &self.report else {
+            return;
+        };
+        let before = self.engine_start.replace(report.started);
+        if before.is_none_or(|before| before >= report.started) {
+            return;
+        }
+        events::ENGINE_RESTARTED.emit(&[
+            ("started", &report.started.to_string()),
+            ("before", &before.unwrap_or_default().to_string()),
+            ("orders", &report.orders.to_string()),
+        ]);
+        self.ordered_at = None;
+        self.rollout.restarted();
+        self.cx.board.set_switching(false);
+    }
+
     /// Lets requests come again once the order to load was carried out, or came to nothing.
     fn settle(&mut self, model: &str) {
         let Some(ordered_at) = self.ordered_at else {
--- a/crates/stage/src/rollout.rs
+++ b/crates/stage/src/rollout.rs
@@ -108,6 +108,11 @@
         self.paused_until = Some(now + ORDER_PAUSE);
     }
 
+    /// Takes that the engine started again: what an order before it came to says nothing of it.
+    pub const fn restarted(&mut self) {
+        self.paused_until = None;
+    }
+
     /// Returns when the engine's turn to load comes.
     ///
     /// Requests that began before may end after the bound, so an engine's last moment to begin is
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -220,6 +220,7 @@
         );
         let age = now.saturating_duration_since(*at).as_millis();
         Some(LoadStatus {
+            started: report.started,
             version: report.version_of(&known.model),
             is_switching: known.is_switching || report.is_busy,
             queued: report.queued,
--- a/crates/stage/tests/common/engine.rs
+++ b/crates/stage/tests/common/engine.rs
@@ -26,6 +26,7 @@
     version: Option<u64>,
     staged: BTreeMap<ChunkIndex, Bytes>,
     orders: u64,
+    restarts: u64,
     fault: Option<OrderFault>,
     is_spoilt: bool,
 }
@@ -72,6 +73,7 @@
         let mut state = self.lock();
         state.version = None;
         state.orders = 0;
+        state.restarts += 1;
     }
 
     /// Spoils a staged chunk.
@@ -103,6 +105,7 @@
             whole: true,
         });
         Ok(EngineReport {
+            started: state.restarts,
             models: models.into_iter().collect(),
             orders: state.orders,
             ..EngineReport::default()
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -180,6 +180,7 @@
     });
     Upstream {
         id: format!("engine-{ip}"),
+        started: 0,
         service: "scribes".to_owned(),
         addr: SocketAddr::new(ip, 1),
         data_centre: "hall".to_owned(),
--- a/crates/stage/tests/rollout.rs
+++ b/crates/stage/tests/rollout.rs
@@ -16,6 +16,7 @@
         whole: true,
     });
     EngineReport {
+        started: 0,
         models: models.into_iter().collect(),
         is_busy,
         ..EngineReport::default()
@@ -101,6 +102,16 @@
     assert_eq!(next(&rollout, &report, &target, true, later), Todo::Load);
 }
 
+#[rstest]
+fn restart_after_order() {
+    let now = Instant::now();
+    let mut rollout = Rollout::new(BOUND, now);
+    rollout.order_failed(now);
+    rollout.restarted();
+    let (report, target) = (report(None, false), target(2, None));
+    assert_eq!(next(&rollout, &report, &target, true, now), Todo::Load);
+}
+
 #[rstest]
 #[case::early(500, 0.1, false, true)]
 #[case::too_late_for_another_fetch(4000, 0.1, false, false)]
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -206,6 +206,7 @@
 pub fn ready_upstream(id: &str) -> Change {
     Change::Upstream(Box::new(Upstream {
         id: id.to_owned(),
+        started: 0,
         service: "scribes".to_owned(),
         addr: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_centre: "hall".to_owned(),
