Place requests by when they are expected to begin, and have agents keep places

Now an entry tells the agent beside the engine of each request it is about to send, with the time to read its prompt. The agent counts it until the engine's own figures hold it, keeps how long the engine still reads, and tells the other entries of its data centre at once. An entry predicts the first event on each engine (wait for a slot, reading left, own reading, passes; by the operator's figures, slots and the engine's pace) and takes one that is expected in time, the own data centre first while that leaves a margin. A request that has no slot and is not expected in time is refused at once; how long its caller stays away grows with the share that was refused in the last second, up to 0.3 of what it has left (before: 0.2 s always).

Ruled out: processor time (entries use 2 in 100 of their share), links (a push is 150 bytes within the data centre).

What decides stands in one crate now: members, endings and the new modules are moved to route::direct. LONG_READING, READING_STEP and ENGINE_QUEUE are gone: the configuration's own figures take their place.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Uri, header};
 use rand::RngExt as _;
 use wagtailreel_core::{CustomerId, RequestId, ServiceName};
-use wagtailreel_fleet::{Directory, ModelName, Route};
+use wagtailreel_fleet::{Directory, EngineModel, ModelName, Route};
 
 use crate::dialect::{Dialect, RequestHead};
 use crate::refusal::Refusal;
@@ -41,8 +41,8 @@
     pub(crate) service: ServiceName,
     /// The model that an engine needs; none at a plain service.
     pub(crate) model: Option<ModelName>,
-    /// Prompt tokens that an engine reads in a second; 0 at a plain service.
-    pub(crate) read_per_second: f64,
+    /// What the service's engines take for an answer; none at a plain service.
+    pub(crate) engine: Option<EngineModel>,
     /// The customer whose key the request carries; none on a public route.
     pub(crate) customer: Option<CustomerId>,
     pub(crate) rank: u8,
@@ -72,9 +72,8 @@
     }
     let service = share(&route).ok_or(Refusal::NoUpstream)?;
     let spec = directory.service(&service);
-    let engine = spec.and_then(|spec| spec.engine.as_ref());
-    let model = engine.map(|engine| engine.model.clone());
-    let read_per_second = engine.map_or(0.0, |engine| engine.read_per_second);
+    let engine = spec.and_then(|spec| spec.engine.clone());
+    let model = engine.as_ref().map(|engine| engine.model.clone());
     let (customer, customer_rank) = customer.unzip();
     let rank = customer_rank.flatten().unwrap_or(route.rank);
     Ok(Admitted {
@@ -82,12 +81,11 @@
         head,
         service,
         model,
-        read_per_second,
+        engine,
         customer,
         rank,
         route,
         directory,
-
         deadline: Instant::now() + patience,
     })
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -12,14 +12,14 @@
 
 use crate::admit::Admitted;
 use crate::dialect::{Dialect, Dispatch};
-use crate::ending::{Attempt, Ending, Next, next_step};
 use crate::events;
 use crate::live::{Lease, Live};
-use crate::members::{Ask, Pick, Shortage};
 use crate::pool::{Connection, SendError};
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::view::Service;
+use wagtailreel_route::direct::{Ask, Pick, Prediction, Shortage};
+use wagtailreel_route::direct::{Attempt, Ending, Next, next_step};
 
 /// How long a stream that may go on elsewhere waits for its next event. Callers give up a stream
 /// after a gap of 2.4 s; half of it leaves another upstream the time to start.
@@ -28,8 +28,7 @@
 /// Time that must be left for another attempt to be worth making.
 const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
 
-/// When a place is expected to be free at full engines: with 16 in a batch and answers of about
-/// 1.7 s one ends each 0.1 s.
+/// When a place is expected to be free at a full plain service, whose answers nobody can predict.
 const FREE_IN: Duration = Duration::from_millis(200);
 
 /// A request as it is sent to every upstream.
@@ -185,18 +184,33 @@
             model,
             least_version: model.and_then(|model| self.cx.view.least_version(model)),
             tried: self.tried.clone(),
-            read_per_second: self.admitted.read_per_second,
+            engine: self.admitted.engine.as_ref(),
+            prompt: self.admitted.head.prompt_tokens,
+            objective: self.admitted.route.objective,
         };
-        let chosen = self.service.upstreams().choose(&ask, Instant::now());
+        let now = Instant::now();
+        let chosen = self.service.upstreams().choose(&ask, now);
+        let is_full = chosen == Err(Shortage::Full);
+        self.service.pressure().count(is_full, now);
         chosen.map_err(|shortage| {
             self.not_sent(match shortage {
                 Shortage::NoUpstream => Refusal::NoUpstream,
                 Shortage::Weights => Refusal::Weights,
-                Shortage::Full => Refusal::Full { free_in: FREE_IN },
+                Shortage::Full => Refusal::Full {
+                    free_in: self.free_in(&ask, now),
+                },
             })
         })
     }
 
+    /// Returns when a caller that finds no room is to come back.
+    fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Duration {
+        let free_in = self.service.upstreams().free_in(ask, now);
+        let left = self.admitted.deadline.saturating_duration_since(now);
+        let pressure = self.service.pressure();
+        pressure.pause(free_in.unwrap_or(FREE_IN), left)
+    }
+
     /// Makes sure that a request which may have run is not refused as not run.
     const fn not_sent(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
@@ -226,8 +240,7 @@
             return Sent::Ended(Ending::NotSent, "no-time");
         };
         let doubted_before = self.may_have_run;
-        let unread = self.admitted.head.prompt_tokens;
-        let lease = Lease::new(&self.service, &pick.id, unread);
+        let lease = self.take_place(pick);
         self.may_have_run = true;
         self.sent += 1;
         let (conn, answer) = self.exchange(conn, req).await;
@@ -253,6 +266,20 @@
         self.take_answer(live, doubted_before)
     }
 
+    /// Counts the request at its upstream, here and at the agent beside it.
+    fn take_place(&self, pick: &Pick) -> Lease {
+        let tokens = self.admitted.head.prompt_tokens;
+        let lease = Lease::new(&self.service, &pick.id, tokens);
+        if let Some(engine) = &self.admitted.engine {
+            let reading = Prediction::reading(engine, tokens);
+            let mut upstreams = self.service.upstreams();
+            upstreams.reads(&pick.id, reading, Instant::now());
+            drop(upstreams);
+            self.cx.agents.announce(pick.addr.ip(), reading);
+        }
+        lease
+    }
+
     /// Waits for the head of an answer; a stream that may go on elsewhere not for ever.
     async fn exchange(
         &self,
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -20,13 +20,13 @@
 use crate::admit::{Admitted, admit, strip_hop_by_hop};
 use crate::attempt::{Call, Template};
 use crate::dialect::Dialect;
-use crate::ending::{Ending, Next};
 use crate::events;
 use crate::live::Live;
-use crate::members::Pick;
 use crate::refusal::Refusal;
 use crate::relay::{BrokenOff, Collected, Relay, collect};
 use crate::shared::Shared;
+use wagtailreel_route::direct::Pick;
+use wagtailreel_route::direct::{Ending, Next};
 
 /// Head and idle time of a connection while there is no configuration.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -373,6 +373,8 @@
         let distance = distance.unwrap_or_default();
         let load = pick.map(|pick| format!("{} by {}", pick.in_flight, pick.source));
         let load = load.unwrap_or_default();
+        let expected = pick.and_then(|pick| pick.expected);
+        let expected = expected.map(|expected| expected.as_millis().to_string());
         let first = self.first.map(|first| first.as_millis().to_string());
         event.emit(&[
             ("id", &self.id),
@@ -384,6 +386,7 @@
             ("upstream", pick.map_or("", |pick| &pick.id)),
             ("distance", &distance),
             ("load", &load),
+            ("expected_ms", &expected.unwrap_or_default()),
             ("sent", &self.sent.to_string()),
             ("prompt", &self.prompt_tokens.to_string()),
             ("answer", &self.answer_tokens.to_string()),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,13 +12,10 @@
 mod attempt;
 mod cutter;
 mod dialect;
-mod ending;
 pub mod events;
 mod front;
 mod live;
 mod load;
-mod member;
-mod members;
 mod metrics;
 mod pool;
 mod process;
@@ -30,8 +27,8 @@
 
 pub use cutter::{Cut, Cutter};
 pub use dialect::{AnswerHead, Dialect, Dispatch, RequestHead, ServerLoad};
-pub use ending::{Attempt, Ending, Next, next_step};
-pub use member::{LoadSource, Member};
-pub use members::{Ask, Pick, Shortage, Upstreams};
 pub use process::{DirectEntry, DirectError};
 pub use refusal::Refusal;
+pub use wagtailreel_route::direct::{
+    Ask, Attempt, Ending, LoadSource, Member, Next, Pick, Shortage, Upstreams, next_step,
+};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -28,12 +28,48 @@
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 2048;
 
+/// The way to the agents beside engines.
+#[derive(Clone, Debug)]
+pub(crate) struct Agents {
+    socket: Arc<UdpSocket>,
+    port: u16,
+}
+
+impl Agents {
+    /// Makes the way to agents that listen on `port` of their VMs.
+    pub(crate) fn new(socket: UdpSocket, port: u16) -> Self {
+        Self {
+            socket: Arc::new(socket),
+            port,
+        }
+    }
+
+    /// Tells the agent on the VM `ip` of a request that is about to go to its engine, whose prompt
+    /// takes `reading`.
+    pub(crate) fn announce(&self, ip: IpAddr, reading: Duration) {
+        self.send(
+            ip,
+            Query {
+                sends_us: Some(u32::try_from(reading.as_micros()).unwrap_or(u32::MAX)),
+                ..Query::default()
+            },
+        );
+    }
+
+    fn send(&self, ip: IpAddr, query: Query) {
+        let datagram = Datagram::Query(query).to_bytes();
+        // What is lost is made up for by the next question.
+        let _ = self
+            .socket
+            .try_send_to(&datagram, SocketAddr::new(ip, self.port));
+    }
+}
+
 /// Asks the agents of all engines for their load, for as long as it is not dropped.
 pub(crate) async fn ask_agents(
     view: Arc<View>,
     neighbours: Arc<Neighbours>,
-    socket: UdpSocket,
-    port: u16,
+    agents: Agents,
     home: DataCentre,
 ) {
     let mut ticks = tokio::time::interval(NEAR);
@@ -55,19 +91,17 @@
                     services.clear();
                 }
                 for (ip, asked) in engines(&view, &home, is_far_turn) {
-                    let query = Datagram::Query(Query {
+                    agents.send(ip, Query {
                         nonce: round,
                         weights: asked.weights,
-                        chunks: None,
                         is_near: asked.is_near,
+                        ..Query::default()
                     });
-                    // A question that is lost is asked again with the next round.
-                    let _ = socket.try_send_to(&query.to_bytes(), SocketAddr::new(ip, port));
                     asked.service.upstreams().asked(ip, now);
                     services.insert(ip, asked.service);
                 }
             }
-            received = socket.recv_from(&mut buf) => {
+            received = agents.socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 let Ok(Datagram::Status(status)) = Datagram::from_bytes(&buf[..len]) else {
                     continue;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -18,6 +18,7 @@
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::dialect::Dialect;
+use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::view::{Bounds, View};
@@ -123,8 +124,10 @@
         let agent_port = settings.agent_port;
         let pace = settings.bounds.upstreams_pace;
         let lapse_after = settings.bounds.lapse_after;
+        let agents = Agents::new(socket, agent_port);
         let cx = Arc::new(Shared {
             dialect,
+            agents: agents.clone(),
             view: Arc::clone(&view),
             metrics,
             registry: prometheus,
@@ -157,8 +160,7 @@
         tasks.spawn(load::ask_agents(
             Arc::clone(&view),
             neighbours,
-            socket,
-            agent_port,
+            agents,
             home,
         ));
         tasks.spawn(front::accept(Arc::clone(&cx), callers, connections.clone()));
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -12,10 +12,10 @@
 use crate::attempt::{Call, STALL};
 use crate::cutter::{Cut, Cutter};
 use crate::dialect::Dialect;
-use crate::ending::{Ending, Next};
 use crate::front::Tally;
 use crate::live::Live;
 use crate::refusal::Refusal;
+use wagtailreel_route::direct::{Ending, Next};
 
 /// Longest body of an answer that is no stream which is read whole before it is passed on, so that
 /// one that breaks off can be asked for again or told as a failure.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -8,6 +8,7 @@
 use wagtailreel_fleet::Topic;
 use wagtailreel_settings::DirectEntrySettings;
 
+use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::view::View;
 
@@ -17,6 +18,7 @@
     pub(crate) dialect: D,
     pub(crate) settings: DirectEntrySettings,
     pub(crate) view: Arc<View>,
+    pub(crate) agents: Agents,
     pub(crate) metrics: Metrics,
     pub(crate) registry: Registry,
     /// The entry leaves; answers say that their connection ends.
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
@@ -13,8 +13,8 @@
 use wagtailreel_route::{BudgetConfig, RetryBudget};
 
 use crate::events;
-use crate::members::Upstreams;
 use crate::pool::Pool;
+use wagtailreel_route::direct::{Pressure, Upstreams};
 
 /// Retries that this entry may save up for each service. The budget is one for all entries; with
 /// 8 entries they spend 40 of the 104 that the users allow beyond the share of the requests.
@@ -29,6 +29,7 @@
 pub(crate) struct Service {
     upstreams: Mutex<Upstreams>,
     budget: Mutex<RetryBudget>,
+    pressure: Mutex<Pressure>,
     pub(crate) pool: Pool,
 }
 
@@ -37,6 +38,10 @@
         lock(&self.upstreams)
     }
 
+    pub(crate) fn pressure(&self) -> MutexGuard<'_, Pressure> {
+        lock(&self.pressure)
+    }
+
     pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.budget)
     }
@@ -133,6 +138,7 @@
             Arc::new(Service {
                 upstreams: Mutex::new(upstreams),
                 budget: Mutex::new(RetryBudget::new(budget)),
+                pressure: Mutex::new(Pressure::new(Instant::now())),
                 pool: Pool::default(),
             })
         });
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -128,13 +128,13 @@
         .with_routes(routes)
         .with_services(vec![
             service("desk", None),
-            service("writers", Some(engine())),
+            service("writers", Some(engine_model())),
         ])
         .with_customers(vec![customer])
 }
 
 /// Returns what an engine's answers take.
-fn engine() -> EngineModel {
+pub(crate) fn engine_model() -> EngineModel {
     EngineModel {
         model: "epitaph".to_owned(),
         slots: 4,
--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -1,7 +1,9 @@
 //! Which upstream a request goes to.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::collections::{BTreeMap, BTreeSet};
+mod common;
+
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -153,8 +155,7 @@
     let ask = Ask {
         model: Some(MODEL),
         least_version: least,
-        tried: BTreeSet::new(),
-        read_per_second: 0.0,
+        ..Ask::default()
     };
     let chosen = fleet.choose(&ask, now).map(|pick| pick.id);
     assert_eq!(chosen, expected.map(ToOwned::to_owned));
@@ -258,8 +259,10 @@
         upstream("b", 2, "hall"),
         upstream("far", 3, "quay"),
     ]);
+    let engine = common::engine_model();
     let ask = Ask {
-        read_per_second: 30_000.0,
+        engine: Some(&engine),
+        objective: Duration::from_millis(300),
         ..Ask::default()
     };
     fleet.started("a", 1500);
--- a/crates/direct/tests/session.rs
+++ b/crates/direct/tests/session.rs
@@ -1,6 +1,8 @@
 //! A whole session of one service, as a person would read it: what an entry hears, what it chooses.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -94,11 +96,14 @@
     /// A request with a prompt of `tokens` comes.
     fn request(&mut self, tokens: u32, least: Option<u64>, tried: &[&str]) {
         let tried: BTreeSet<String> = tried.iter().map(|id| (*id).to_owned()).collect();
+        let engine = common::engine_model();
         let ask = Ask {
             model: Some(MODEL),
             least_version: least,
             tried,
-            read_per_second: 30_000.0,
+            engine: Some(&engine),
+            prompt: tokens,
+            objective: Duration::from_millis(300),
         };
         let now = self.now();
         match self.fleet.choose(&ask, now) {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -33,6 +33,10 @@
     /// The asker is an entry of the agent's data centre.
     #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_near: bool,
+    /// The asker is about to send the engine a request, whose prompt takes so many microseconds to
+    /// read. It wants no answer.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub sends_us: Option<u32>,
 }
 
 /// Weights that were named lately, as an agent heard of them.
@@ -58,12 +62,15 @@
     /// The engine takes nothing new: it is about to load other weights, or loads them.
     #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_switching: bool,
-    /// Requests that wait at the engine.
+    /// Requests that wait at the engine, or are on their way there.
     #[serde(rename = "q")]
     pub queued: u32,
     /// Requests that the engine works on.
     #[serde(rename = "r")]
     pub running: u32,
+    /// How long the engine still reads prompts, in milliseconds.
+    #[serde(rename = "u", default)]
+    pub reading_ms: u32,
     /// Share of its memory that is taken, 0 to 1.
     #[serde(rename = "m")]
     pub memory: f32,
--- a/crates/direct/src/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -2,7 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamStart, UpstreamState, WeightsVersion};
+use wagtailreel_fleet::{
+    EngineModel, LoadStatus, Upstream, UpstreamStart, UpstreamState, WeightsVersion,
+};
+
+use super::prediction::{Prediction, reading};
+use super::reading::ReadingQueue;
+use super::upstreams::Shortage;
 
 /// How long an agent's word on its engine is used. Agents are asked several times a second; after
 /// this time only the entry's own count and the registry are left.
@@ -46,6 +52,8 @@
     pub own: u32,
     /// Prompt tokens of those that have not begun to answer; exact.
     pub(crate) own_unread: u32,
+    /// What the engine is to read, by its agent's last word and what was sent since.
+    pub(crate) reading: ReadingQueue,
     /// Requests of others, as of the last word on its load; late.
     pub(crate) others: u32,
     pub(crate) others_at: Option<Instant>,
@@ -65,6 +73,7 @@
             upstream,
             own: 0,
             own_unread: 0,
+            reading: ReadingQueue::default(),
             others: 0,
             others_at: None,
             status: None,
@@ -130,13 +139,49 @@
         }
     }
 
+    /// Returns the version of `model` on which a request may run there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Shortage::Weights`] if there is none, or only one that is older than `least`.
+    pub(crate) fn serves(
+        &self,
+        model: &str,
+        least: Option<WeightsVersion>,
+        now: Instant,
+    ) -> Result<WeightsVersion, Shortage> {
+        let held = self.version_of(model, now).ok_or(Shortage::Weights)?;
+        if least.is_some_and(|least| held < least) {
+            return Err(Shortage::Weights);
+        }
+        Ok(held)
+    }
+
     /// Returns how long the engine is thought to read the prompts that it has.
-    pub(crate) fn reading(&self, per_second: f64) -> Duration {
-        if per_second <= 0.0 {
-            return Duration::ZERO;
+    pub(crate) fn reading_left(&self, engine: &EngineModel, now: Instant) -> Duration {
+        let own = reading(engine, self.own_unread);
+        if self.fresh_status(now).is_none() {
+            return own.mul_f64(ENTRIES_AT_ONCE);
+        }
+        own.max(self.reading.left(now))
+    }
+
+    /// Returns the same in steps of a usual prompt, within which load decides.
+    pub(crate) fn reading_step(&self, engine: &EngineModel, now: Instant) -> u128 {
+        let step = reading(engine, engine.usual_prompt).max(Duration::from_millis(1));
+        self.reading_left(engine, now).as_nanos() / step.as_nanos()
+    }
+
+    /// Returns what is known of the engine for a prediction.
+    pub(crate) fn predict<'a>(&self, engine: &'a EngineModel, now: Instant) -> Prediction<'a> {
+        let pace = self.fresh_status(now).map_or(1.0, |status| status.pace);
+        Prediction {
+            model: engine,
+            slots: self.upstream.slots.max(1),
+            in_flight: self.in_flight(now).0,
+            reading_left: self.reading_left(engine, now),
+            pace: f64::from(pace),
         }
-        let tokens = f64::from(self.own_unread) * ENTRIES_AT_ONCE;
-        Duration::try_from_secs_f64(tokens / per_second).unwrap_or(Duration::MAX)
     }
 
     /// Says whether the link to the upstream is in doubt.
--- /dev/null
+++ b/crates/route/src/direct/mod.rs
@@ -0,0 +1,22 @@
+//! Decisions of an entry that sends requests straight to upstreams, and of the agents beside them.
+//!
+//! [`Upstreams`] chooses where a request goes or refuses it, by what [`Prediction`] expects of each
+//! engine; [`Places`] is the agent's account of requests on their way to its engine, which all
+//! entries share; [`Pressure`] says when a refused caller is to come back; [`next_step`] says what
+//! follows from the end of an attempt.
+
+mod ending;
+mod member;
+mod places;
+mod prediction;
+mod pressure;
+mod reading;
+mod upstreams;
+
+pub use ending::{Attempt, Ending, Next, next_step};
+pub use member::{LoadSource, Member};
+pub use places::Places;
+pub use prediction::Prediction;
+pub use pressure::Pressure;
+pub use reading::ReadingQueue;
+pub use upstreams::{Ask, Pick, Shortage, Upstreams};
--- a/crates/direct/src/members.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -5,10 +5,10 @@
 
 use wagtailreel_core::{DataCentre, Region};
 use wagtailreel_fleet::{
-    LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState, WeightsVersion,
+    EngineModel, LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState, WeightsVersion,
 };
 
-use crate::member::{LoadSource, Member};
+use super::member::{LoadSource, Member};
 
 /// First time for which an upstream is passed over after failures in a row, doubled with each.
 const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -24,16 +24,12 @@
 /// of 16 if all do.
 const DOUBTED_REQUESTS: u32 = 2;
 
-/// Reading that is worth a request abroad. Answers are wanted within 300 ms, of which 60 go into
-/// the first pass.
-const LONG_READING: Duration = Duration::from_millis(160);
+/// Share of the objective within which the first event has to be expected for an engine nearby to go
+/// before one abroad. The rest is for what a mean doesn't say: the turn of a pass, longer answers.
+const SAFE_SHARE: f64 = 0.7;
 
-/// Difference in reading, in milliseconds, that goes before one in load: a mean prompt's.
-const READING_STEP: u128 = 30;
-
-/// Requests that may wait at a full engine. Each waits about a tenth of a second for the one
-/// before it, and an answer that starts later than its objective earns a quarter.
-const ENGINE_QUEUE: u32 = 1;
+/// Requests that may wait at a full upstream whose answers nobody can predict.
+const QUEUE: u32 = 1;
 
 /// What one request asks of the choice.
 #[derive(Clone, Debug, Default)]
@@ -44,8 +40,12 @@
     pub least_version: Option<WeightsVersion>,
     /// Upstreams that the request was sent to or that it did not reach.
     pub tried: BTreeSet<UpstreamId>,
-    /// Prompt tokens that the engine reads in a second; 0 at a plain service.
-    pub read_per_second: f64,
+    /// What the service's engines take for an answer; none at a plain service.
+    pub engine: Option<&'a EngineModel>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Time to the first event within which the answer is wanted.
+    pub objective: Duration,
 }
 
 /// An upstream that was chosen.
@@ -65,6 +65,8 @@
     pub source: LoadSource,
     /// 0 in the own data centre, 1 in its region, 2 beyond.
     pub distance: u8,
+    /// Time to the first event that was expected; none at a plain service.
+    pub expected: Option<Duration>,
 }
 
 /// Why no upstream was chosen.
@@ -187,6 +189,8 @@
         member.take_load(status.queued.saturating_add(status.running), now);
         member.asked_since = None;
         member.round_trip = round_trip.unwrap_or(member.round_trip);
+        let reading_left = Duration::from_millis(status.reading_ms.into());
+        member.reading.set(reading_left, now);
         member.status = Some((status.clone(), now));
         changed
     }
@@ -203,7 +207,7 @@
     /// Takes that an upstream says it is full.
     pub fn full(&mut self, id: &str, now: Instant) {
         if let Some(member) = self.members.get_mut(id) {
-            let slots = member.upstream.slots.saturating_add(ENGINE_QUEUE);
+            let slots = member.upstream.slots.saturating_add(QUEUE);
             member.take_load(slots.max(member.own), now);
         }
     }
@@ -246,6 +250,13 @@
         member.upstream.started
     }
 
+    /// Takes that the prompt of a request which was just counted takes `reading`.
+    pub fn reads(&mut self, id: &str, reading: Duration, now: Instant) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.reading.add(reading, now);
+        }
+    }
+
     /// Counts that a prompt of `tokens` was read: its answer has begun, or never will.
     pub fn begun(&mut self, id: &str, start: UpstreamStart, tokens: u32) {
         if let Some(member) = self.same_start(id, start) {
@@ -282,8 +293,9 @@
 
     /// Chooses an upstream for a request.
     ///
-    /// The own data centre goes first, then its region, then others: a request abroad costs bytes
-    /// of narrow links. Within each the least loaded goes first, and equals take turns.
+    /// One that is expected to begin in time goes first. Of those the own data centre's go before its
+    /// region's and others: a request abroad costs bytes of narrow links. Then the one with the least
+    /// to read and the least load goes first, and equals take turns.
     ///
     /// # Errors
     ///
@@ -294,58 +306,80 @@
         self.turn = self.turn.wrapping_add(1);
         let count = self.members.len().max(1) as u64;
         for (position, member) in self.members.values().enumerate() {
-            if !member.takes_new(now) || ask.tried.contains(&member.upstream.id) {
-                continue;
-            }
-            let version = match ask.model {
-                None => None,
-                Some(model) => match member.version_of(model, now) {
-                    Some(version) if ask.least_version.is_none_or(|least| version >= least) => {
-                        Some(version)
-                    }
-                    _ => {
-                        shortage = shortage.max_with(Shortage::Weights);
-                        continue;
-                    }
-                },
+            let offer = match self.offer(member, ask, now) {
+                Ok(offer) => offer,
+                Err(lack) => {
+                    shortage = shortage.max_with(lack);
+                    continue;
+                }
             };
-            let (in_flight, source) = member.in_flight(now);
-            let slots = member.upstream.slots.max(1);
-            if in_flight >= slots.saturating_add(ENGINE_QUEUE) {
-                shortage = Shortage::Full;
-                continue;
-            }
-            let is_doubted = member.is_doubted(now);
-            if is_doubted && member.own >= DOUBTED_REQUESTS {
-                shortage = Shortage::Full;
-                continue;
-            }
-            let reading = member.reading(ask.read_per_second);
-            let rank = Rank {
-                is_doubted,
-                waits: in_flight >= slots || reading > LONG_READING,
-                distance: self.distance(&member.upstream.data_centre),
-                reading: reading.as_millis() / READING_STEP,
-                load: u64::from(in_flight) * 1000 / u64::from(slots),
-                turn: (position as u64).wrapping_add(self.turn) % count,
-            };
-            let distance = rank.distance;
+            let turn = (position as u64).wrapping_add(self.turn) % count;
+            let rank = Rank { turn, ..offer.rank };
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                let pick = Pick {
-                    id: member.upstream.id.clone(),
-                    started: member.upstream.started,
-                    addr: member.upstream.addr,
-                    version,
-                    in_flight,
-                    source,
-                    distance,
-                };
-                best = Some((rank, pick));
+                best = Some((rank, offer.pick));
             }
         }
         best.map(|(_, pick)| pick).ok_or(shortage)
     }
 
+    /// Returns when the first place for a request gets free at the engines that are full.
+    pub fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
+        let engine = ask.engine?;
+        let takes_new = self.members.values().filter(|it| it.takes_new(now));
+        let waits = takes_new.map(|it| it.predict(engine, now).slot_wait());
+        waits.min()
+    }
+
+    /// Says what `member` has to offer to a request, or what it lacks.
+    fn offer(&self, member: &Member, ask: &Ask<'_>, now: Instant) -> Result<Offer, Shortage> {
+        if !member.takes_new(now) || ask.tried.contains(&member.upstream.id) {
+            return Err(Shortage::NoUpstream);
+        }
+        let version = match ask.model {
+            None => None,
+            Some(model) => Some(member.serves(model, ask.least_version, now)?),
+        };
+        let (in_flight, source) = member.in_flight(now);
+        let slots = member.upstream.slots.max(1);
+        let expected = ask
+            .engine
+            .map(|engine| member.predict(engine, now).first_event(ask.prompt));
+        let is_late = expected.map_or(in_flight >= slots, |expected| expected > ask.objective);
+        // A request that has a slot is served, though late; one that also waits for a slot is
+        // better off elsewhere, or told so at once.
+        let is_full = match expected {
+            Some(_) => in_flight >= slots && is_late,
+            None => in_flight >= slots.saturating_add(QUEUE),
+        };
+        let is_doubted = member.is_doubted(now);
+        if is_full || (is_doubted && member.own >= DOUBTED_REQUESTS) {
+            return Err(Shortage::Full);
+        }
+        let distance = self.distance(&member.upstream.data_centre);
+        let rank = Rank {
+            is_doubted,
+            is_late,
+            is_unsafe: expected.is_some_and(|it| it > ask.objective.mul_f64(SAFE_SHARE)),
+            distance,
+            reading: ask
+                .engine
+                .map_or(0, |engine| member.reading_step(engine, now)),
+            load: u64::from(in_flight) * 1000 / u64::from(slots),
+            turn: 0,
+        };
+        let pick = Pick {
+            id: member.upstream.id.clone(),
+            started: member.upstream.started,
+            addr: member.upstream.addr,
+            version,
+            in_flight,
+            source,
+            distance,
+            expected,
+        };
+        Ok(Offer { rank, pick })
+    }
+
     fn distance(&self, data_centre: &str) -> u8 {
         if data_centre == self.data_centre {
             return 0;
@@ -371,11 +405,18 @@
     }
 }
 
+/// What an upstream has to offer to a request.
+struct Offer {
+    rank: Rank,
+    pick: Pick,
+}
+
 /// Order in which upstreams are preferred, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     is_doubted: bool,
-    waits: bool,
+    is_late: bool,
+    is_unsafe: bool,
     distance: u8,
     reading: u128,
     load: u64,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod budget;
 mod chooser;
+pub mod direct;
 mod limits;
 mod membership;
 mod overload;
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -103,13 +103,18 @@
         let model = wanted
             .map(|wanted| wanted.model.as_str())
             .unwrap_or_default();
+        let asked_at = Instant::now();
         let report = self.cx.engine.report().await;
         let reason = report.as_ref().err().map(ToString::to_string);
         self.report = report.ok();
         self.note_start();
         let running = self.report.as_ref().map_or(0, |report| report.running);
         self.cx.metrics.running.set(i64::from(running));
-        if self.cx.board.set_report(model, self.report.clone()) {
+        if self
+            .cx
+            .board
+            .set_report(model, self.report.clone(), asked_at)
+        {
             let report = self.report.as_ref();
             let version = report.and_then(|report| report.version_of(model));
             let gauge = &self.cx.metrics.version;
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -12,6 +12,7 @@
     WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
+use wagtailreel_route::direct::Places;
 
 use crate::EngineReport;
 use crate::askers::Askers;
@@ -31,6 +32,8 @@
     model: String,
     is_switching: bool,
     naming: Option<(NamedWeights, Instant)>,
+    /// Requests on their way to the engine.
+    places: Places,
 }
 
 /// How long agents tell of weights that were named. The longest bound is 10 s.
@@ -65,15 +68,28 @@
         }
     }
 
-    /// Takes the engine's state, none if it does not answer; returns whether its weights or its
-    /// answering changed.
-    pub(crate) fn set_report(&self, model: &str, report: Option<EngineReport>) -> bool {
+    /// Takes the engine's state that was asked for at `asked_at`, none if it does not answer; returns
+    /// whether its weights or its answering changed.
+    pub(crate) fn set_report(
+        &self,
+        model: &str,
+        report: Option<EngineReport>,
+        asked_at: Instant,
+    ) -> bool {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         model.clone_into(&mut known.model);
         let version = |report: Option<&EngineReport>| report.map(|it| it.version_of(model));
         let before = version(known.report.as_ref().map(|(report, _)| report));
         let changed = before != version(report.as_ref());
-        known.report = report.map(|report| (report, Instant::now()));
+        let now = Instant::now();
+        known.places.figures(asked_at);
+        if report
+            .as_ref()
+            .is_some_and(|it| it.running + it.queued == 0)
+        {
+            known.places.idle(now);
+        }
+        known.report = report.map(|report| (report, now));
         changed
     }
 
@@ -109,6 +125,23 @@
     /// Tells all askers the engine's state without being asked.
     pub(crate) fn tell_all(&self) {
         let now = Instant::now();
+        self.tell(&self.askers.recent(now), now);
+    }
+
+    /// Takes that an entry is about to send a request, and tells the other entries of the data centre
+    /// at once, so that they don't choose the engine for the same room.
+    fn take_place(&self, reading: Duration, from: SocketAddr) {
+        let now = Instant::now();
+        {
+            let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            known.places.take(reading, now);
+        }
+        let mut near = self.askers.near(now);
+        near.retain(|entry| *entry != from);
+        self.tell(&near, now);
+    }
+
+    fn tell(&self, askers: &[SocketAddr], now: Instant) {
         let status = Status {
             nonce: 0,
             load: self.load(now),
@@ -117,9 +150,9 @@
             entries: Vec::new(),
         };
         let datagram = Datagram::Status(status).to_bytes();
-        for asker in self.askers.recent(now) {
+        for asker in askers {
             // An asker that misses it asks again.
-            let _ = self.socket.try_send_to(&datagram, asker);
+            let _ = self.socket.try_send_to(&datagram, *asker);
         }
     }
 
@@ -129,7 +162,7 @@
             nonce: 0,
             weights: None,
             chunks: Some((model.to_owned(), version)),
-            is_near: false,
+            ..Query::default()
         };
         // A question that is lost is asked again.
         let datagram = Datagram::Query(query).to_bytes();
@@ -148,6 +181,10 @@
                 continue;
             };
             match Datagram::from_bytes(&buf[..len]) {
+                Ok(Datagram::Query(Query {
+                    sends_us: Some(micros),
+                    ..
+                })) => self.take_place(Duration::from_micros(micros.into()), from),
                 Ok(Datagram::Query(query)) => {
                     self.answer(&query, from);
                     if let Some(weights) = &query.weights {
@@ -223,7 +260,9 @@
             started: report.started,
             version: report.version_of(&known.model),
             is_switching: known.is_switching || report.is_busy,
-            queued: report.queued,
+            queued: report.queued.saturating_add(known.places.on_their_way(now)),
+            reading_ms: u32::try_from(known.places.reading_left(now).as_millis())
+                .unwrap_or(u32::MAX),
             running: report.running,
             memory,
             pace,
