Send callers away by the share that was refused, also for want of weights

Hypothesis: while weights or upstreams are missing for seconds, a pause of 0.7 s brings callers back into the same outage and their second refusal is final. The pause now grows with the share refused in the last second, as for full ones.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -10,7 +10,7 @@
 use wagtailreel_fleet::{Directory, EngineModel, ModelName, Route};
 
 use crate::dialect::{Dialect, RequestHead};
-use crate::refusal::Refusal;
+use crate::refusal::{LONG_PAUSE, Refusal};
 use crate::shared::Shared;
 
 /// Time that a request must have left to be worth starting.
@@ -70,7 +70,9 @@
     if patience < LEAST_TIME {
         return Err(Refusal::Deadline);
     }
-    let service = share(&route).ok_or(Refusal::NoUpstream)?;
+    let service = share(&route).ok_or(Refusal::NoUpstream {
+        back_in: LONG_PAUSE,
+    })?;
     let spec = directory.service(&service);
     let engine = spec.and_then(|spec| spec.engine.clone());
     let model = engine.as_ref().map(|engine| engine.model.clone());
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::events;
 use crate::live::{Lease, Live};
 use crate::pool::{Connection, SendError};
-use crate::refusal::Refusal;
+use crate::refusal::{LONG_PAUSE, Refusal};
 use crate::shared::Shared;
 use crate::view::Service;
 use wagtailreel_route::direct::{Ask, Pick, Prediction, Shortage};
@@ -190,27 +190,23 @@
         };
         let now = Instant::now();
         let chosen = self.service.upstreams().choose(&ask, now);
-        let is_full = chosen == Err(Shortage::Full);
-        self.service.pressure().count(is_full, now);
+        self.service.pressure().count(chosen.is_err(), now);
         chosen.map_err(|shortage| {
+            let free_in = match shortage {
+                Shortage::Full => self.service.upstreams().free_in(&ask, now),
+                Shortage::NoUpstream | Shortage::Weights => Some(LONG_PAUSE),
+            };
+            let left = self.admitted.deadline.saturating_duration_since(now);
+            let pressure = self.service.pressure();
+            let back_in = pressure.pause(free_in.unwrap_or(FREE_IN), left);
             self.not_sent(match shortage {
-                Shortage::NoUpstream => Refusal::NoUpstream,
-                Shortage::Weights => Refusal::Weights,
-                Shortage::Full => Refusal::Full {
-                    free_in: self.free_in(&ask, now),
-                },
+                Shortage::NoUpstream => Refusal::NoUpstream { back_in },
+                Shortage::Weights => Refusal::Weights { back_in },
+                Shortage::Full => Refusal::Full { back_in },
             })
         })
     }
 
-    /// Returns when a caller that finds no room is to come back.
-    fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Duration {
-        let free_in = self.service.upstreams().free_in(ask, now);
-        let left = self.admitted.deadline.saturating_duration_since(now);
-        let pressure = self.service.pressure();
-        pressure.pause(free_in.unwrap_or(FREE_IN), left)
-    }
-
     /// Makes sure that a request which may have run is not refused as not run.
     const fn not_sent(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -8,7 +8,7 @@
 use rand::RngExt as _;
 
 /// How long a caller stays away from an entry that has no configuration or no upstream yet.
-const LONG_PAUSE: Duration = Duration::from_millis(700);
+pub(crate) const LONG_PAUSE: Duration = Duration::from_millis(700);
 
 /// Share by which a time to come back is stretched at random, so that callers that were refused
 /// together don't return together.
@@ -40,15 +40,21 @@
     BodyBroken,
     /// The service has no upstream that can be reached.
     #[display("no-upstream")]
-    NoUpstream,
+    NoUpstream {
+        /// When the caller is to come back.
+        back_in: Duration,
+    },
     /// No upstream holds the wanted weights yet.
     #[display("weights")]
-    Weights,
+    Weights {
+        /// When the caller is to come back.
+        back_in: Duration,
+    },
     /// All upstreams are full.
     #[display("full")]
     Full {
-        /// When a place is expected to be free.
-        free_in: Duration,
+        /// When the caller is to come back.
+        back_in: Duration,
     },
     /// The upstreams that were asked did not run it.
     #[display("upstreams-refused")]
@@ -70,8 +76,8 @@
         match self {
             Self::NoConfiguration
             | Self::StaleConfiguration
-            | Self::NoUpstream
-            | Self::Weights
+            | Self::NoUpstream { .. }
+            | Self::Weights { .. }
             | Self::Full { .. }
             | Self::UpstreamsRefused
             | Self::Deadline => StatusCode::SERVICE_UNAVAILABLE,
@@ -87,10 +93,10 @@
     /// Returns when a request that was not run is best sent again.
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfiguration | Self::StaleConfiguration | Self::NoUpstream | Self::Weights => {
-                Some(LONG_PAUSE)
+            Self::NoConfiguration | Self::StaleConfiguration => Some(LONG_PAUSE),
+            Self::NoUpstream { back_in } | Self::Weights { back_in } | Self::Full { back_in } => {
+                Some(back_in)
             }
-            Self::Full { free_in } => Some(free_in),
             Self::UpstreamsRefused | Self::Deadline => Some(Duration::from_millis(250)),
             _ => None,
         }
@@ -106,8 +112,8 @@
             Self::NoId => "the request has no id: give it one",
             Self::BodyTooLarge => "the body is too long: send a shorter one",
             Self::BodyBroken => "the body broke off: send the request again",
-            Self::NoUpstream => "no upstream can be reached: send the request again later",
-            Self::Weights => "the weights are on their way: send the request again later",
+            Self::NoUpstream { .. } => "no upstream can be reached: send the request again later",
+            Self::Weights { .. } => "the weights are on their way: send the request again later",
             Self::Full { .. } => "all upstreams are busy: send the request again later",
             Self::UpstreamsRefused => "the upstreams refused: send the request again later",
             Self::Deadline => "too little time was left: send the request again with more",
