Ask three engines abroad how they are before a request goes there

Words from abroad are up to 0.5 s old, and all entries that spill over chose the same few engines by them; what stalled there for 1.2 s was sent a second time.

An entry now asks the agents of three engines drawn at random (one UDP exchange, 2 ms there and back; 15 ms at most) and chooses among those that answered and the near ones. If none answers, it goes by what it heard before.

Ruled out: asking all far agents as often as near ones (72 Mbit/s over links of 26).

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rand::RngExt as _;
 use wagtailreel_fleet::UpstreamId;
 
 use crate::admit::Admitted;
@@ -25,6 +26,14 @@
 /// after a gap of 2.4 s; half of it leaves another upstream the time to start.
 pub(crate) const STALL: Duration = Duration::from_millis(1200);
 
+/// Upstreams abroad that are asked before a request goes there. Of three drawn at random one has
+/// room unless four in five have none.
+const ASKED_ABROAD: usize = 3;
+
+/// Longest wait for the words of upstreams abroad: a way there and back of 6 ms, the longest that is
+/// known, and a turn of either process. It is lost where they are cut off.
+const ABROAD_PATIENCE: Duration = Duration::from_millis(15);
+
 /// Time that must be left for another attempt to be worth making.
 const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
 
@@ -85,7 +94,7 @@
     /// Returns the refusal that the caller gets.
     pub(crate) async fn obtain(&mut self, last_event: Option<u64>) -> Result<Live, Refusal> {
         loop {
-            let pick = self.choose()?;
+            let pick = self.choose_counted().await?;
             self.last_pick = Some(pick.clone());
             let (ending, why) = match self.connect(&pick).await {
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
@@ -175,22 +184,75 @@
         }
     }
 
-    fn choose(&self) -> Result<Pick, Refusal> {
-        if self.admitted.customer.is_some() && !self.cx.trusts_keys() {
-            return Err(self.not_sent(Refusal::StaleConfiguration));
+    /// Chooses an upstream, and counts whether there was one.
+    async fn choose_counted(&self) -> Result<Pick, Refusal> {
+        let chosen = self.choose_heard().await;
+        let mut pressure = self.service.pressure();
+        pressure.count(chosen.is_err(), Instant::now());
+        drop(pressure);
+        chosen
+    }
+
+    /// Chooses an upstream; asks a few abroad how they are before a request goes there.
+    async fn choose_heard(&self) -> Result<Pick, Refusal> {
+        let pick = self.choose(None)?;
+        if !pick.is_hearsay {
+            return Ok(pick);
+        }
+        let asked_at = Instant::now();
+        let asked = self.ask_abroad(asked_at).await;
+        if asked == 0 {
+            // Nobody answers in time: what was heard before is all there is.
+            return Ok(pick);
+        }
+        self.choose(Some(asked_at))
+    }
+
+    /// Asks a few upstreams abroad and waits for their words; returns how many came.
+    async fn ask_abroad(&self, asked_at: Instant) -> usize {
+        let ips = {
+            let ticket = rand::rng().random();
+            let upstreams = self.service.upstreams();
+            upstreams.hearsay(&self.ask(None), ASKED_ABROAD, ticket, asked_at)
+        };
+        for ip in &ips {
+            self.cx.agents.ask(*ip);
         }
+        let count = || self.service.upstreams().heard_of(&ips, asked_at);
+        let all_heard = async {
+            loop {
+                let heard = self.service.heard.notified();
+                if count() == ips.len() {
+                    return;
+                }
+                heard.await;
+            }
+        };
+        // Those that are late count as not asked.
+        let _ = tokio::time::timeout(ABROAD_PATIENCE, all_heard).await;
+        count()
+    }
+
+    fn ask(&self, heard_since: Option<Instant>) -> Ask<'_> {
         let model = self.admitted.model.as_deref();
-        let ask = Ask {
+        Ask {
             model,
             least_version: model.and_then(|model| self.cx.view.least_version(model)),
             tried: self.tried.clone(),
             engine: self.admitted.engine.as_ref(),
             prompt: self.admitted.head.prompt_tokens,
             objective: self.admitted.route.objective,
-        };
+            heard_since,
+        }
+    }
+
+    fn choose(&self, heard_since: Option<Instant>) -> Result<Pick, Refusal> {
+        if self.admitted.customer.is_some() && !self.cx.trusts_keys() {
+            return Err(self.not_sent(Refusal::StaleConfiguration));
+        }
+        let ask = self.ask(heard_since);
         let now = Instant::now();
         let chosen = self.service.upstreams().choose(&ask, now);
-        self.service.pressure().count(chosen.is_err(), now);
         chosen.map_err(|shortage| {
             let free_in = match shortage {
                 Shortage::Full => self.service.upstreams().free_in(&ask, now),
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -56,6 +56,11 @@
         );
     }
 
+    /// Asks the agent on the VM `ip` how its engine is, out of turn.
+    pub(crate) fn ask(&self, ip: IpAddr) {
+        self.send(ip, Query::default());
+    }
+
     fn send(&self, ip: IpAddr, query: Query) {
         let datagram = Datagram::Query(query).to_bytes();
         // What is lost is made up for by the next question.
@@ -181,6 +186,7 @@
 fn take(service: &Service, ip: IpAddr, load: &LoadStatus, round_trip: Option<Duration>) {
     let now = Instant::now();
     let changed = service.upstreams().status(ip, load, round_trip, now);
+    service.heard.notify_waiters();
     if changed {
         events::UPSTREAM_CHANGED.emit(&[
             ("upstream_ip", &ip.to_string()),
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
 use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
     BootTime, Change, Directory, HeardNaming, ModelName, NamedWeights, Sink, Topic, Upstream,
@@ -30,6 +31,8 @@
     upstreams: Mutex<Upstreams>,
     budget: Mutex<RetryBudget>,
     pressure: Mutex<Pressure>,
+    /// An agent told of one of the upstreams.
+    pub(crate) heard: Notify,
     pub(crate) pool: Pool,
 }
 
@@ -139,6 +142,7 @@
                 upstreams: Mutex::new(upstreams),
                 budget: Mutex::new(RetryBudget::new(budget)),
                 pressure: Mutex::new(Pressure::new(Instant::now())),
+                heard: Notify::new(),
                 pool: Pool::default(),
             })
         });
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -112,6 +112,17 @@
         (now.saturating_duration_since(*at) <= STATUS_VALID).then_some(status)
     }
 
+    /// Says whether the agent's last word is younger than `age`.
+    pub(crate) fn heard_within(&self, age: Duration, now: Instant) -> bool {
+        let heard = self.status.as_ref().map(|(_, at)| *at);
+        heard.is_some_and(|at| now.saturating_duration_since(at) <= age)
+    }
+
+    /// Says whether the agent's last word came after `since`.
+    pub(crate) fn heard_since(&self, since: Instant) -> bool {
+        self.status.as_ref().is_some_and(|(_, at)| *at > since)
+    }
+
     /// Returns the requests that are thought to be there, and whose word it is.
     pub fn in_flight(&self, now: Instant) -> (u32, LoadSource) {
         let valid = if self.fresh_status(now).is_some() {
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -1,9 +1,10 @@
 //! The upstreams of one service: what is known of each, and which one a request goes to.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use wagtailreel_core::{DataCentre, Region};
+use wagtailreel_core::{DataCentre, Region, rank_score};
 use wagtailreel_fleet::{
     EngineModel, LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState, WeightsVersion,
 };
@@ -28,6 +29,10 @@
 /// before one abroad. The rest is for what a mean doesn't say: the turn of a pass, longer answers.
 const SAFE_SHARE: f64 = 0.7;
 
+/// A word on an upstream abroad that is older is hearsay. Near ones tell of each request at once;
+/// far ones are asked twice a second, in which time an engine takes five requests.
+const FRESH: Duration = Duration::from_millis(50);
+
 /// Requests that may wait at a full upstream whose answers nobody can predict.
 const QUEUE: u32 = 1;
 
@@ -46,6 +51,8 @@
     pub prompt: u32,
     /// Time to the first event within which the answer is wanted.
     pub objective: Duration,
+    /// Only upstreams of which there is a word since then, or that are nearby, are chosen from.
+    pub heard_since: Option<Instant>,
 }
 
 /// An upstream that was chosen.
@@ -67,6 +74,8 @@
     pub distance: u8,
     /// Time to the first event that was expected; none at a plain service.
     pub expected: Option<Duration>,
+    /// What is known of it is hearsay: it stands abroad, from where words come seldom.
+    pub is_hearsay: bool,
 }
 
 /// Why no upstream was chosen.
@@ -152,7 +161,7 @@
     }
 
     /// Takes that the agent beside the engine at `ip` was asked.
-    pub fn asked(&mut self, ip: std::net::IpAddr, now: Instant) {
+    pub fn asked(&mut self, ip: IpAddr, now: Instant) {
         for member in self.members.values_mut() {
             if member.upstream.addr.ip() == ip {
                 member.asked_since.get_or_insert(now);
@@ -164,7 +173,7 @@
     /// returns whether its weights changed.
     pub fn status(
         &mut self,
-        ip: std::net::IpAddr,
+        ip: IpAddr,
         status: &LoadStatus,
         round_trip: Option<Duration>,
         now: Instant,
@@ -322,6 +331,33 @@
         best.map(|(_, pick)| pick).ok_or(shortage)
     }
 
+    /// Returns up to `most` upstreams that are known by hearsay and may take a request, drawn by
+    /// `ticket`.
+    ///
+    /// The draw keeps entries that spill over at the same moment from all asking after the same few.
+    pub fn hearsay(&self, ask: &Ask<'_>, most: usize, ticket: u64, now: Instant) -> Vec<IpAddr> {
+        let offers = self.members.values();
+        let offers = offers.filter_map(|member| self.offer(member, ask, now).ok());
+        let mut known: Vec<(bool, u64, IpAddr)> = offers
+            .filter(|offer| offer.pick.is_hearsay)
+            .map(|offer| {
+                let score = rank_score(&ticket.to_be_bytes(), &offer.pick.id);
+                (offer.rank.is_late, score, offer.pick.addr.ip())
+            })
+            .collect();
+        known.sort_unstable();
+        known.truncate(most);
+        known.into_iter().map(|(_, _, ip)| ip).collect()
+    }
+
+    /// Says of how many of `ips` there is a word since `since`.
+    pub fn heard_of(&self, ips: &[IpAddr], since: Instant) -> usize {
+        let members = self.members.values();
+        let heard = members
+            .filter(|member| ips.contains(&member.upstream.addr.ip()) && member.heard_since(since));
+        heard.count()
+    }
+
     /// Returns when the first place for a request gets free at the engines that are full.
     pub fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
         let engine = ask.engine?;
@@ -351,11 +387,16 @@
             Some(_) => in_flight >= slots && is_late,
             None => in_flight >= slots.saturating_add(QUEUE),
         };
+        let distance = self.distance(&member.upstream.data_centre);
+        let is_hearsay = distance > 0 && ask.engine.is_some() && !member.heard_within(FRESH, now);
+        let is_unheard = |since| is_hearsay && !member.heard_since(since);
+        if ask.heard_since.is_some_and(is_unheard) {
+            return Err(Shortage::Full);
+        }
         let is_doubted = member.is_doubted(now);
         if is_full || (is_doubted && member.own >= DOUBTED_REQUESTS) {
             return Err(Shortage::Full);
         }
-        let distance = self.distance(&member.upstream.data_centre);
         let rank = Rank {
             is_doubted,
             is_late,
@@ -376,6 +417,7 @@
             source,
             distance,
             expected,
+            is_hearsay,
         };
         Ok(Offer { rank, pick })
     }
