--- /dev/null
+++ b/crates/direct/tests/places.rs
@@ -0,0 +1,107 @@
+//! What an entry tells agents, and asks them, of the requests that it is about to send.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::caller::call;
+use common::upstream::{Act, TestUpstream};
+use common::{directory, entry_with_agents, registered, until_status};
+use tokio::net::UdpSocket;
+use wagtailreel_fleet::{Change, Datagram, LoadStatus, LoadedModel, Query, Status, Upstream};
+use wagtailreel_standins::RegistryStandin;
+
+const WRITTEN: &str = "/written/1";
+
+fn writer(upstream: &TestUpstream, data_centre: &str) -> Change {
+    Change::Upstream(Box::new(Upstream {
+        service: "writers".to_owned(),
+        data_centre: data_centre.to_owned(),
+        models: vec![LoadedModel {
+            model: "epitaph".to_owned(),
+            version: 1,
+            whole: true,
+        }],
+        ..registered("a", upstream.addr)
+    }))
+}
+
+/// Waits for the next question that `is_it` looks for.
+async fn until_asked<F>(socket: &UdpSocket, is_it: F) -> SocketAddr
+where
+    F: Fn(&Query) -> bool,
+{
+    let mut buf = [0; 2048];
+    loop {
+        let (len, from) = socket.recv_from(&mut buf).await.unwrap();
+        if let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len])
+            && is_it(&query)
+        {
+            return from;
+        }
+    }
+}
+
+/// Answers a question: the engine works on `running` requests.
+async fn tell(socket: &UdpSocket, entry: SocketAddr, running: u32) {
+    let load = LoadStatus {
+        version: Some(1),
+        running,
+        pace: 1.0,
+        ..LoadStatus::default()
+    };
+    let status = Status {
+        load: Some(load),
+        ..Status::default()
+    };
+    let datagram = Datagram::Status(status).to_bytes();
+    socket.send_to(&datagram, entry).await.unwrap();
+}
+
+#[tokio::test]
+async fn request_announced() {
+    let registry = RegistryStandin::default();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
+    registry.config(directory(1));
+    registry.upstream(writer(&upstream, "hall"));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
+    until_asked(&socket, |query| query.sends_us.is_some()).await;
+}
+
+/// Words from abroad are old: an engine that was free then may be full.
+#[tokio::test]
+async fn asked_abroad() {
+    let registry = RegistryStandin::default();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
+    registry.config(directory(1));
+    registry.upstream(writer(&upstream, "quay"));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    // Without an answer the request goes by what is known.
+    until_status(entry.callers(), WRITTEN, 200).await;
+    let reached = upstream.seen().len();
+    let is_out_of_turn = |query: &Query| query.nonce == 0 && query.sends_us.is_none();
+    let callers = entry.callers();
+    let agent = tokio::spawn(async move {
+        loop {
+            let from = until_asked(&socket, is_out_of_turn).await;
+            tell(&socket, from, 900).await;
+        }
+    });
+    let answer = loop {
+        let answer = call(callers, "GET", WRITTEN).await;
+        if answer.status != 200 {
+            break answer;
+        }
+    };
+    agent.abort();
+    assert_eq!(answer.status, 503, "the engine is full by now");
+    assert!(answer.header("retry-after").is_some());
+    assert!(upstream.seen().len() >= reached);
+}
--- a/crates/direct/tests/session.rs
+++ b/crates/direct/tests/session.rs
@@ -104,6 +104,7 @@
             engine: Some(&engine),
             prompt: tokens,
             objective: Duration::from_millis(300),
+            heard_since: None,
         };
         let now = self.now();
         match self.fleet.choose(&ask, now) {
--- a/crates/stage/tests/neighbours.rs
+++ b/crates/stage/tests/neighbours.rs
@@ -61,3 +61,27 @@
     assert_eq!(ask(&fleet, &far, false).await.entries, vec![]);
     assert_eq!(ask(&fleet, &near, true).await.entries, vec![near_addr]);
 }
+
+/// Entries that choose at the same moment must not all choose the same engine.
+#[tokio::test]
+async fn places_told() {
+    let fleet = Fleet::start(43, 1, Some(1)).await;
+    let ((sender, _), (other, _)) = (entry().await, entry().await);
+    ask(&fleet, &sender, true).await;
+    let before = ask(&fleet, &other, true).await.load.unwrap();
+    let taken = Query {
+        sends_us: Some(90_000),
+        ..Query::default()
+    };
+    let datagram = Datagram::Query(taken).to_bytes();
+    sender.send_to(&datagram, fleet.addr(0)).await.unwrap();
+    let mut buf = [0; 4096];
+    let (len, _) = other.recv_from(&mut buf).await.unwrap();
+    let Datagram::Status(told) = Datagram::from_bytes(&buf[..len]).unwrap() else {
+        panic!("no status");
+    };
+    let load = told.load.unwrap();
+    assert_eq!(told.nonce, 0, "nobody asked");
+    assert_eq!(load.queued, before.queued + 1);
+    assert!((80..=90).contains(&load.reading_ms), "{load:?}");
+}
