Draw weights in a window that fits the origin's link

Window and wait were worked out for links of 9.4 and 15 Mbit/s.

Both now follow from the configuration: the origin's link and the size of a chunk. Draws that take 0.4 s together, and a wait of twice that; without either figure as before.

Spread model, 97 VMs, 96 chunks of 45 ms: 1.31 copies in 1.60 of the bound -> 1.00 in 1.23 (slow_origin::drawn_once, failed first).

--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -147,6 +147,7 @@
         usual_prompt: 100,
         usual_answer: 100,
         chunks: 4,
+        chunk_bytes: 0,
         load_time: Duration::from_millis(300),
     }
 }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -113,6 +113,9 @@
     pub usual_answer: u32,
     /// Chunks of the model's weights.
     pub chunks: u32,
+    /// Bytes of a chunk; 0 if its operator doesn't tell.
+    #[serde(default)]
+    pub chunk_bytes: u32,
     /// Time that loading staged weights takes.
     #[serde_as(as = "DurationNanoSeconds<u64>")]
     pub load_time: Duration,
@@ -125,6 +128,9 @@
     pub addr: SocketAddr,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// What its link carries, in Mbit/s; 0 if its operator doesn't tell.
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 /// One service.
@@ -283,6 +289,17 @@
             .find_map(|service| service.origin.as_ref())
     }
 
+    /// Returns how long the origin's link takes for one chunk of an engine's weights, if its operator
+    /// tells the link and the chunks.
+    pub fn draw_time(&self, engine: &EngineModel) -> Option<Duration> {
+        let link = self.origin()?.link_mbps * 1e6;
+        let bits = f64::from(engine.chunk_bytes) * 8.0;
+        if link <= 0.0 || bits <= 0.0 {
+            return None;
+        }
+        Duration::try_from_secs_f64(bits / link).ok()
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/route/tests/lab/mod.rs
+++ b/crates/route/tests/lab/mod.rs
@@ -112,6 +112,7 @@
         usual_prompt: 900,
         usual_answer: 95,
         chunks: 1,
+        chunk_bytes: 0,
         load_time: Duration::ZERO,
     }
 }
--- a/crates/spread/tests/model/mod.rs
+++ b/crates/spread/tests/model/mod.rs
@@ -19,6 +19,7 @@
 use wagtailreel_core::{Digest, SpreadSettings, VmEntry, VmRole, VmState};
 use wagtailreel_spread::{
     Action, ChunkSet, Event, Failure, Fetch, FetchId, Planner, PlannerConfig, Reason, Site, Source,
+    Tuning,
 };
 
 /// What a step is on the planners' clock.
@@ -54,6 +55,9 @@
     pub stalled: BTreeMap<usize, u64>,
     /// VM that gives nothing but corrupt chunks.
     pub liar: Option<usize>,
+    /// Slices that the origin gives a step.
+    pub origin_slices: usize,
+    pub tuning: Tuning,
     /// When the origin refuses.
     pub origin_down: Range<u64>,
     /// When the first data centre is cut off from the others and the origin.
@@ -88,6 +92,8 @@
             dead: BTreeMap::new(),
             stalled: BTreeMap::new(),
             liar: None,
+            origin_slices: ORIGIN_SLICES,
+            tuning: Tuning::default(),
             origin_down: 0..0,
             cut: 0..0,
         }
@@ -166,7 +172,7 @@
                 seed: setup.seed * 1000 + at as u64,
             };
             Node {
-                planner: Planner::new(cfg, now),
+                planner: Planner::new(cfg, now).with_tuning(setup.tuning.clone()),
                 got: Vec::new(),
                 has: ChunkSet::new(setup.chunks),
                 told: BTreeMap::new(),
@@ -335,7 +341,7 @@
         for one in &mut self.transfers {
             let has_room = one.unsent > 0 && one.left - one.unsent < BUFFER;
             let sends = match one.from {
-                None => has_room && drawn.len() < ORIGIN_SLICES && drawn.insert(one.to),
+                None => has_room && drawn.len() < self.setup.origin_slices && drawn.insert(one.to),
                 Some(at) => has_room && !stalled(&at) && given.insert(at),
             };
             one.unsent -= u32::from(sends);
--- /dev/null
+++ b/crates/spread/tests/slow_origin.rs
@@ -0,0 +1,60 @@
+//! An origin whose link is as narrow as that of one VM.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod model;
+
+use std::time::Duration;
+
+use model::{Model, Outcome, STEP, Setup};
+use rstest::rstest;
+use wagtailreel_core::{SpreadPolicy, SpreadSettings, Weigh};
+use wagtailreel_spread::Tuning;
+
+/// Steps in which a link carries a chunk: 45 ms.
+const CHUNK: u32 = 9;
+
+/// Plays 97 VMs that bring 96 chunks with a window of 24 draws, fitted to the link or not.
+fn play(draw_time: Option<Duration>) -> Outcome {
+    let settings = SpreadSettings {
+        weigh: Weigh::OriginBytes,
+        policy: SpreadPolicy::Balanced,
+        rate: None,
+    };
+    let tuning = Tuning {
+        learn: Duration::from_millis(120),
+        window: 24,
+        stall: Duration::from_millis(500),
+        ..Tuning::default()
+    };
+    let mut setup = Setup::new(97, 96, settings, 3);
+    setup.slices = CHUNK;
+    setup.origin_slices = 1;
+    setup.tuning = tuning.with_draw_time(draw_time);
+    Model::new(setup).run(12)
+}
+
+#[rstest]
+fn drawn_once() {
+    let fitted = play(Some(STEP * CHUNK));
+    let fixed = play(None);
+    println!("fitted: {fitted:?}, 24 at once: {fixed:?}");
+    assert!(fitted.is_done && fitted.origin <= 1.1, "{fitted:?}");
+    assert!(fixed.origin > 1.3, "the load shows the fault: {fixed:?}");
+    assert!(fitted.ratio < fixed.ratio, "{fixed:?}");
+}
+
+#[rstest]
+#[case::narrow(500, 4, 4000)]
+#[case::of_the_model(45, 8, 720)]
+#[case::wide(2, 64, 500)]
+#[case::very_wide(0, 24, 500)]
+fn window(#[case] draw_ms: u64, #[case] chunks: u32, #[case] stall_ms: u64) {
+    let tuning = Tuning {
+        window: 24,
+        stall: Duration::from_millis(500),
+        ..Tuning::default()
+    };
+    let tuning = tuning.with_draw_time(Some(Duration::from_millis(draw_ms)));
+    assert_eq!(tuning.window, chunks);
+    assert_eq!(tuning.stall, Duration::from_millis(stall_ms));
+}
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 use wagtailreel_core::ServiceName;
@@ -19,6 +19,7 @@
     config: Option<ConfigVersion>,
     model: Option<ModelName>,
     origin: Option<SocketAddr>,
+    draw_time: Option<Duration>,
     named: BTreeMap<ModelName, (WeightsVersion, Option<Instant>)>,
     is_confirmed: bool,
 }
@@ -38,6 +39,8 @@
     /// The version that was named, and when the agent heard of it; none if none was.
     pub(crate) version: Option<(WeightsVersion, Option<Instant>)>,
     pub(crate) origin: Option<SocketAddr>,
+    /// How long the origin's link takes for one chunk.
+    pub(crate) draw_time: Option<Duration>,
 }
 
 impl Beliefs {
@@ -58,6 +61,7 @@
             model,
             version,
             origin: inner.origin,
+            draw_time: inner.draw_time,
         })
     }
 
@@ -81,6 +85,7 @@
         let engine = directory
             .service(&self.service)
             .and_then(|spec| spec.engine.as_ref());
+        inner.draw_time = engine.and_then(|engine| directory.draw_time(engine));
         inner.model = engine.map(|engine| engine.model.clone());
     }
 
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -42,9 +42,18 @@
 /// How long the registry may take to list the upstreams.
 const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Where chunks are drawn from, and how fast.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FromOrigin {
+    /// The origin; none if none is known.
+    pub(crate) origin: Option<SocketAddr>,
+    /// How long its link takes for one chunk, if that is known.
+    pub(crate) draw_time: Option<Duration>,
+}
+
 /// Numbers of the planner for chunks that take tens of milliseconds.
-fn tuning() -> Tuning {
-    Tuning {
+fn tuning(draw_time: Option<Duration>) -> Tuning {
+    let tuning = Tuning {
         learn: Duration::from_millis(120),
         window: 24,
         stall: Duration::from_millis(500),
@@ -56,7 +65,8 @@
         origin_pause: Duration::from_millis(100),
         origin_pause_most: Duration::from_millis(800),
         ..Tuning::default()
-    }
+    };
+    tuning.with_draw_time(draw_time)
 }
 
 /// One fetch's end.
@@ -110,7 +120,7 @@
 pub(crate) async fn bring<R, E, O>(
     cx: Arc<Surroundings<R, E, O>>,
     manifest: Arc<ChunkManifest>,
-    origin: Option<SocketAddr>,
+    from: FromOrigin,
     read_stage: bool,
 ) where
     R: Registry,
@@ -129,7 +139,7 @@
         ("have", &have.count().to_string()),
         ("chunks", &manifest.count().to_string()),
     ]);
-    let mut bringing = Bringing::new(cx, manifest, origin, have);
+    let mut bringing = Bringing::new(cx, manifest, from, have);
     bringing.run().await;
 }
 
@@ -175,7 +185,7 @@
     fn new(
         cx: Arc<Surroundings<R, E, O>>,
         manifest: Arc<ChunkManifest>,
-        origin: Option<SocketAddr>,
+        from: FromOrigin,
         have: ChunkSet,
     ) -> Self {
         let now = Instant::now();
@@ -199,11 +209,11 @@
             },
             now,
         )
-        .with_tuning(tuning());
+        .with_tuning(tuning(from.draw_time));
         Self {
             cx,
             manifest,
-            origin,
+            origin: from.origin,
             planner,
             peers: BTreeMap::new(),
             heard: BTreeMap::new(),
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -321,7 +321,7 @@
         match todo {
             Todo::Wait if has_all => self.fetch_ahead(&target, wanted).await,
             Todo::Wait => {}
-            Todo::Fetch => self.fetch(&target, wanted.origin).await,
+            Todo::Fetch => self.fetch(&target, wanted).await,
             Todo::Load if self.ordered_at.is_none() => self.load(&target).await,
             Todo::Load => {}
         }
@@ -338,17 +338,17 @@
             named_at,
         };
         if version > target.version && !self.cx.shelf.is_full(&ahead.model, version) {
-            self.fetch(&ahead, wanted.origin).await;
+            self.fetch(&ahead, wanted).await;
         }
     }
 
-    async fn fetch(&mut self, target: &Target, origin: Option<SocketAddr>) {
+    async fn fetch(&mut self, target: &Target, wanted: &Wanted) {
         let running = self.fetching.as_ref();
         if running.is_some_and(|it| it.version == target.version && !it.task.is_finished()) {
             return;
         }
         self.fetching = None;
-        let manifest = self.resolve(&target.model, Some(target.version), origin);
+        let manifest = self.resolve(&target.model, Some(target.version), wanted.origin);
         let Some(manifest) = manifest.await else {
             return;
         };
@@ -357,7 +357,11 @@
         let serves = report.and_then(|it| it.version_of(&target.model));
         let read_stage = serves.is_none();
         let cx = Arc::clone(&self.cx);
-        let task = tokio::spawn(fetch::bring(cx, manifest, origin, read_stage));
+        let from = fetch::FromOrigin {
+            origin: wanted.origin,
+            draw_time: wanted.draw_time,
+        };
+        let task = tokio::spawn(fetch::bring(cx, manifest, from, read_stage));
         self.fetching = Some(Fetching {
             version: target.version,
             task: AbortOnDropHandle::new(task),
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -210,6 +210,7 @@
         usual_prompt: 100,
         usual_answer: 100,
         chunks: CHUNKS,
+        chunk_bytes: 0,
         load_time: Duration::from_millis(10),
     };
     let service = |name: &str, engine, origin| ServiceSpec {
@@ -221,6 +222,7 @@
     let origin = OriginSpec {
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: "hall".to_owned(),
+        link_mbps: 0.0,
     };
     Directory::new(1, limits).with_services(vec![
         service("scribes", Some(engine), None),
