--- a/crates/telemetry/tests/last_lines.rs
+++ b/crates/telemetry/tests/last_lines.rs
@@ -1,4 +1,5 @@
 //! The last lines of a process are written before it ends.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::io::{self, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -29,8 +30,17 @@
     }
 }
 
-/// Returns an output, what lets it go, what tells of writes under way, and what it has taken.
-fn held() -> (Held, SyncSender<()>, Receiver<()>, Arc<Mutex<Vec<u8>>>) {
+/// The test's side of a held output.
+struct Gate {
+    /// Lets one write go.
+    open: SyncSender<()>,
+    /// Tells of writes under way.
+    under_way: Receiver<()>,
+    /// What was written.
+    out: Arc<Mutex<Vec<u8>>>,
+}
+
+fn held() -> (Held, Gate) {
     let (open, gate) = sync_channel(16);
     let (reached, under_way) = sync_channel(16);
     let out = Arc::new(Mutex::new(Vec::new()));
@@ -39,7 +49,12 @@
         reached,
         out: Arc::clone(&out),
     };
-    (held, open, under_way, out)
+    let gate = Gate {
+        open,
+        under_way,
+        out,
+    };
+    (held, gate)
 }
 
 /// Lets the output go just before the guard is dropped.
@@ -57,7 +72,12 @@
 #[case::by_return(false)]
 #[case::by_panic(true)]
 fn written_before_end(#[case] by_panic: bool) {
-    let (held, open, under_way, out) = held();
+    let (held, gate) = held();
+    let Gate {
+        open,
+        under_way,
+        out,
+    } = gate;
     let (mut lines, guard) = Lines::start(held).unwrap();
     lines.write_all(b"first\n").unwrap();
     under_way.recv().unwrap();
@@ -74,11 +94,11 @@
 
 #[rstest]
 fn stuck_output() {
-    let (held, _open, under_way, out) = held();
+    let (held, gate) = held();
     let (mut lines, guard) = Lines::start(held).unwrap();
     lines.write_all(b"first\n").unwrap();
-    under_way.recv().unwrap();
+    gate.under_way.recv().unwrap();
     // Returns, though nothing is ever let through.
     drop(guard);
-    assert!(out.lock().unwrap().is_empty());
+    assert!(gate.out.lock().unwrap().is_empty());
 }
