Forget what was learned of predictions when nothing new is learned

Half of it is now forgotten in 3 s.

correction::forgotten could not have passed: there was no time in the type; learned and follows_down hold what was there.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -330,8 +330,9 @@
     /// Takes that the first event of an attempt has come.
     pub(crate) fn begun(&self) {
         if let Some(pick) = &self.last_pick {
-            let seen = self.sent_at.elapsed();
-            self.service.upstreams().begun_after(pick, seen);
+            let now = Instant::now();
+            let seen = now.saturating_duration_since(self.sent_at);
+            self.service.upstreams().begun_after(pick, seen, now);
         }
     }
 
--- a/crates/route/src/direct/correction.rs
+++ b/crates/route/src/direct/correction.rs
@@ -1,6 +1,6 @@
 //! How much later than predicted first events come.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Share of the requests that begin within what was predicted and the correction.
 const SHARE: f64 = 0.8;
@@ -9,6 +9,10 @@
 /// of 100 ms within two seconds.
 const STEP: f64 = 0.01;
 
+/// Time after which half of what was learned is forgotten. Without it a correction that lets nobody
+/// wait any more would never be learned anew, and callers be refused long after an overload.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+
 /// Largest correction, in seconds. What is further off says nothing of the next request.
 const MOST: f64 = 1.0;
 
@@ -19,27 +23,50 @@
 /// little. A quantile of what was seen takes the place of a margin that fits one load only.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Correction {
-    at_once: f64,
-    waiting: f64,
+    at_once: Quantile,
+    waiting: Quantile,
+}
+
+/// A quantile of what was seen over what was predicted, in seconds, and when it was learned last.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Quantile {
+    over: f64,
+    at: Option<Instant>,
+}
+
+impl Quantile {
+    /// Returns what is left of it at `now`.
+    fn at(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at);
+        self.over * 0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    fn learn(&mut self, over: f64, now: Instant) {
+        let known = self.at(now);
+        let moved = if over > known { SHARE } else { SHARE - 1.0 };
+        self.over = (known + STEP * moved).clamp(0.0, MOST);
+        self.at = Some(now);
+    }
 }
 
 impl Correction {
     /// Takes that a first event that was predicted for `expected` came after `seen`; `waits` says
     /// whether the request had to wait for a slot.
-    pub fn learn(&mut self, waits: bool, expected: Duration, seen: Duration) {
+    pub fn learn(&mut self, waits: bool, expected: Duration, seen: Duration, now: Instant) {
         let over = seen.as_secs_f64() - expected.as_secs_f64();
-        let quantile = if waits {
-            &mut self.waiting
+        if waits {
+            self.waiting.learn(over, now);
         } else {
-            &mut self.at_once
-        };
-        let moved = if over > *quantile { SHARE } else { SHARE - 1.0 };
-        *quantile = (*quantile + STEP * moved).clamp(0.0, MOST);
+            self.at_once.learn(over, now);
+        }
     }
 
     /// Returns within what time a first event that was predicted for `expected` most likely comes.
-    pub fn apply(&self, waits: bool, expected: Duration) -> Duration {
+    pub fn apply(&self, waits: bool, expected: Duration, now: Instant) -> Duration {
         let quantile = if waits { self.waiting } else { self.at_once };
-        expected + Duration::from_secs_f64(quantile)
+        expected + Duration::from_secs_f64(quantile.at(now))
     }
 }
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -294,9 +294,9 @@
     }
 
     /// Takes that the first event of a request came `seen` after it was sent to `pick`.
-    pub fn begun_after(&mut self, pick: &Pick, seen: Duration) {
+    pub fn begun_after(&mut self, pick: &Pick, seen: Duration, now: Instant) {
         if let Some(expected) = pick.expected {
-            self.correction.learn(pick.waits, expected, seen);
+            self.correction.learn(pick.waits, expected, seen, now);
         }
     }
 
@@ -393,7 +393,7 @@
             .engine
             .map(|engine| member.predict(engine, now).first_event(ask.prompt));
         let waits = in_flight >= slots;
-        let likely = expected.map(|expected| self.correction.apply(waits, expected));
+        let likely = expected.map(|expected| self.correction.apply(waits, expected, now));
         let is_late = likely.map_or(waits, |likely| likely > ask.objective);
         // A request that has a slot is served, though late; one that also waits for a slot is
         // better off elsewhere, or told so at once.
--- /dev/null
+++ b/crates/route/tests/correction.rs
@@ -0,0 +1,45 @@
+//! What is learned of predictions, and forgotten.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_route::direct::Correction;
+
+const EXPECTED: Duration = Duration::from_millis(200);
+
+/// Returns a correction that has seen first events 500 ms late for a while.
+fn after_overload(waits: bool, now: Instant) -> Correction {
+    let mut correction = Correction::default();
+    for _ in 0..200 {
+        correction.learn(waits, EXPECTED, EXPECTED + Duration::from_millis(500), now);
+    }
+    correction
+}
+
+#[rstest]
+fn learned() {
+    let now = Instant::now();
+    let correction = after_overload(true, now);
+    assert!(correction.apply(true, EXPECTED, now) >= Duration::from_millis(690));
+    let other = correction.apply(false, EXPECTED, now);
+    assert_eq!(other, EXPECTED, "who finds a slot is learned of apart");
+}
+
+/// Where nobody is let in to wait any more, nothing new is learned of waiting.
+#[rstest]
+fn forgotten() {
+    let now = Instant::now();
+    let correction = after_overload(true, now);
+    let later = now + Duration::from_secs(12);
+    assert!(correction.apply(true, EXPECTED, later) < Duration::from_millis(240));
+}
+
+#[rstest]
+fn follows_down() {
+    let now = Instant::now();
+    let mut correction = after_overload(false, now);
+    for _ in 0..400 {
+        correction.learn(false, EXPECTED, EXPECTED, now);
+    }
+    assert!(correction.apply(false, EXPECTED, now) < Duration::from_millis(220));
+}
--- a/crates/route/tests/lab/mod.rs
+++ b/crates/route/tests/lab/mod.rs
@@ -274,7 +274,8 @@
         let pick = request.pick.unwrap();
         self.entries[entry].begun(&pick.id, 0, request.prompt);
         if self.pattern.corrects {
-            self.entries[entry].begun_after(&pick, seen);
+            let now = self.instant();
+            self.entries[entry].begun_after(&pick, seen, now);
         }
     }
 
