--- a/crates/route/src/direct/correction.rs
+++ b/crates/route/src/direct/correction.rs
@@ -9,10 +9,15 @@
 /// of 100 ms within two seconds.
 const STEP: f64 = 0.01;
 
-/// Time after which half of what was learned is forgotten. Without it a correction that lets nobody
-/// wait any more would never be learned anew, and callers be refused long after an overload.
+/// Time after which half of what was learned is forgotten, once nothing new is learned. Without it a
+/// correction that lets nobody wait any more would never be learned anew, and callers be refused long
+/// after an overload.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time without anything new after which forgetting begins. Under load an entry learns several times
+/// a second, and forgetting in between would keep the correction below what is seen.
+const REMEMBERED: Duration = Duration::from_secs(1);
+
 /// Largest correction, in seconds. What is further off says nothing of the next request.
 const MOST: f64 = 1.0;
 
@@ -41,6 +46,7 @@
             return 0.0;
         };
         let age = now.saturating_duration_since(at);
+        let age = age.saturating_sub(REMEMBERED);
         self.over * 0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 
--- a/crates/stage/src/events.rs
+++ b/crates/stage/src/events.rs
@@ -95,7 +95,7 @@
 /// The engine started again.
 pub const ENGINE_RESTARTED: Event = Event {
     id: 6223,
-    name: "engine-restarted",
+    name: "staged-engine-restarted",
     level: Level::Warn,
     meaning: "The engine started again under its old id: it holds nothing and has begun no order.",
     remedy: "If it recurs, look at the engine's own log.",
