Ask a registry that is away by the first entries only, and count every call to it

While the registry is away each process asked it after each vain question to its neighbours: all of them, each 0.2 to 0.4 s, for both topics.

A neighbour that is behind says so at once; two others are asked then, and only the first two entries of a data centre go on calling a registry that did not answer. The others call it again after 1.6 to 2.4 s (agents after 4 to 6 s), so that one that reaches it where its neighbours can't still knows of a change within the bounds. Each call is an event and a counter with its topic, cause and outcome.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -14,7 +14,7 @@
 use tokio_util::task::TaskTracker;
 use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
-use wagtailreel_nearby::{Mirror, Nearby, NearbyConfig, Neighbours};
+use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours};
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::dialect::Dialect;
@@ -112,6 +112,7 @@
         let (socket, copies, own) = listen_for_agents(agents).await?;
         let prometheus = Prometheus::new();
         let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
+        let calls = CallCounters::register(&prometheus).context(MetricsSnafu)?;
         let bounds = Bounds {
             weights: settings.bounds.weights,
             weights_last: settings.bounds.weights_last,
@@ -144,7 +145,8 @@
             NearbyConfig::new(cx.settings.bounds.denial, pace),
             Arc::clone(&neighbours),
         )
-        .with_mirror(Arc::clone(&mirror));
+        .with_mirror(Arc::clone(&mirror))
+        .with_counters(calls);
         tasks.spawn(serve(
             "listen.agents",
             copies,
--- /dev/null
+++ b/crates/nearby/src/config.rs
@@ -0,0 +1,90 @@
+//! Limits of reading through neighbours.
+
+use std::time::Duration;
+
+use wagtailreel_fleet::Topic;
+
+/// How long a neighbour may wait for news. With the time-out it stays well below the 2 s in which a
+/// change of the registry has to be in force.
+const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
+
+/// How long the registry may hold a read whose answer is passed on: neighbours measure its age.
+pub(crate) const READER_WAIT: Duration = Duration::from_millis(600);
+
+/// How late a neighbour's read of the registry may come.
+const LATE: Duration = Duration::from_millis(300);
+
+/// Time for the neighbour's answer that is too old, and for the own call in its place.
+const LAST_CALLS: Duration = Duration::from_millis(1100);
+
+/// How long an entry that starts waits to hear of its neighbours: a read of the upstreams, and two
+/// questions to their agents.
+const ENTRY_START: Duration = Duration::from_millis(300);
+
+/// How long another process that starts waits to be asked by an entry that has started too.
+const GUEST_START: Duration = Duration::from_secs(2);
+
+/// Entries of a data centre that go on asking a registry which does not answer: the first, and one
+/// that stands in where the first is cut off.
+const READERS: usize = 2;
+
+/// Pause of the other entries. A change has to be in force 3 s after an entry reaches the registry
+/// again at the earliest, since it has to have been in touch for as long.
+const ENTRY_PAUSE: Duration = Duration::from_millis(1600);
+
+/// Pause of processes that ask now and then. Entries tell them of what is urgent.
+const GUEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// How old a neighbour's knowledge may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NearbyConfig {
+    /// Of the settings.
+    pub settings_age: Duration,
+    /// Of the upstreams.
+    pub upstreams_age: Duration,
+    /// How long a neighbour may wait for news.
+    pub wait: Duration,
+    /// Entries, first in order, that go on asking a registry which does not answer. The others hear
+    /// of its return from them.
+    pub readers: usize,
+    /// How long the others wait after the registry did not answer them before they ask it again; half
+    /// as long again at most.
+    pub own_pause: Duration,
+    /// How long the first read of the settings waits to hear of neighbours. Of processes that start
+    /// together each would read all of a large configuration over its region's link.
+    pub start_wait: Duration,
+}
+
+impl NearbyConfig {
+    /// Makes the limits under which a change of the settings is in force within `settings`, and one
+    /// of the upstreams, which readers read each `pace`, 1.3 s after that time.
+    pub fn new(settings: Duration, pace: Duration) -> Self {
+        Self {
+            settings_age: settings.saturating_sub(LAST_CALLS).max(READER_WAIT + LATE),
+            upstreams_age: pace + LATE,
+            wait: NEIGHBOUR_WAIT,
+            readers: READERS,
+            own_pause: ENTRY_PAUSE,
+            start_wait: ENTRY_START,
+        }
+    }
+
+    /// Makes the limits of a process that asks now and then, and does not wait for news.
+    pub const fn seldom(age: Duration) -> Self {
+        Self {
+            settings_age: age,
+            upstreams_age: age,
+            wait: Duration::ZERO,
+            readers: 0,
+            own_pause: GUEST_PAUSE,
+            start_wait: GUEST_START,
+        }
+    }
+
+    pub(crate) const fn longest_age(&self, topic: Topic) -> Duration {
+        match topic {
+            Topic::Settings => self.settings_age,
+            Topic::Upstreams => self.upstreams_age,
+        }
+    }
+}
--- a/crates/nearby/src/events.rs
+++ b/crates/nearby/src/events.rs
@@ -21,5 +21,15 @@
     remedy: "Look at the neighbour and its link to the registry.",
 };
 
+/// The process called the registry itself.
+pub const REGISTRY_CALLED: Event = Event {
+    id: 6303,
+    name: "registry-called",
+    level: Level::Info,
+    meaning: "The process called the registry for `topic`, since it comes first among its neighbours \
+              or the neighbours that it asked were behind or silent (`cause`).",
+    remedy: "Nothing; where `cause` is not `first` for long, look at the neighbours that are avoided.",
+};
+
 /// All events of this crate.
-pub const ALL: &[Event] = &[READER_CHANGED, NEIGHBOUR_AVOIDED];
+pub const ALL: &[Event] = &[READER_CHANGED, NEIGHBOUR_AVOIDED, REGISTRY_CALLED];
--- a/crates/nearby/src/lib.rs
+++ b/crates/nearby/src/lib.rs
@@ -4,17 +4,24 @@
 //! [`Registry`](wagtailreel_fleet::Registry) that reads from the first entry of the data centre and
 //! goes to the registry itself if that entry is silent, behind, or itself. Which entry is first
 //! follows from what agents say they are asked by ([`Neighbours`]): there is no election, and two
-//! readers at once cost calls, nothing else. A copy always carries the age of what it says, so that
+//! readers at once cost calls, nothing else. While the registry does not answer, only the first ones
+//! go on asking it ([`OwnTurn`]), and the others hear of its return from them. A copy always carries the age of what it says, so that
 //! a bound on a belief's age holds however many hands the belief went through.
 
+mod calls;
+mod config;
 pub mod events;
 mod mirror;
 mod neighbours;
+mod own_turn;
 mod registry;
 mod serve;
 mod wire;
 
+pub use calls::CallCounters;
+pub use config::NearbyConfig;
 pub use mirror::Mirror;
 pub use neighbours::Neighbours;
-pub use registry::{Nearby, NearbyConfig};
+pub use own_turn::OwnTurn;
+pub use registry::Nearby;
 pub use serve::router;
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -151,15 +151,21 @@
         })
     }
 
-    /// Returns what stands at `from` and after it; waits up to `wait` for the first of it.
+    /// Returns what stands at `from` and after it; waits up to `wait` for the first of it, unless what
+    /// is known is older than `oldest`.
     pub(crate) async fn read(
         &self,
         topic: Topic,
         from: Offset,
         wait: Duration,
+        oldest: Duration,
     ) -> Result<KnownRecords, Lack> {
         self.note_asked();
         let shelf = self.shelf(topic);
+        let now = BootTime::now();
+        let known_as_of = shelf.lock().as_of;
+        let is_behind = known_as_of.is_some_and(|as_of| now.since(as_of) > oldest);
+        let wait = if is_behind { Duration::ZERO } else { wait };
         let mut end = shelf.end.subscribe();
         // The sender lives as long as the mirror; without news the answer is empty.
         let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
--- a/crates/nearby/src/neighbours.rs
+++ b/crates/nearby/src/neighbours.rs
@@ -14,10 +14,32 @@
 /// How long an entry that failed to answer is passed over.
 const AVOIDED_FOR: Duration = Duration::from_secs(3);
 
+/// How long an entry whose knowledge was too old counts as behind. Until then others are asked too.
+const BEHIND_FOR: Duration = Duration::from_secs(3);
+
+/// Neighbours that are asked, one after the other, before the registry is. Those that are behind say
+/// so at once; one in three reads the registry unless most are cut off from it.
+const MOST_ASKED: usize = 3;
+
 #[derive(Debug, Default)]
 struct Seen {
     named: BTreeMap<SocketAddr, BootTime>,
     avoided: BTreeMap<SocketAddr, BootTime>,
+    behind: BTreeMap<SocketAddr, BootTime>,
+}
+
+impl Seen {
+    fn forget(&mut self, now: BootTime) {
+        self.named.retain(|_, at| now.since(*at) <= NAMED_FOR);
+        self.avoided.retain(|_, until| *until > now);
+        self.behind.retain(|_, until| *until > now);
+    }
+
+    /// Returns the neighbours that come before `own` and answer, in order.
+    fn before(&self, own: SocketAddr) -> impl Iterator<Item = SocketAddr> {
+        let named = self.named.keys().copied().take_while(move |it| *it < own);
+        named.filter(|it| !self.avoided.contains_key(it))
+    }
 }
 
 /// Which entry of the data centre reads the registry for the others: the one whose address comes
@@ -70,14 +92,35 @@
         before.is_none_or(|until| until < now)
     }
 
-    /// Returns the neighbour to read from, none if this entry reads the registry itself.
-    pub fn reader(&self, now: BootTime) -> Option<SocketAddr> {
+    /// Takes that what a neighbour knows is too old; returns whether it was not behind before.
+    pub fn behind(&self, neighbour: SocketAddr, now: BootTime) -> bool {
+        let before = self.lock().behind.insert(neighbour, now.plus(BEHIND_FOR));
+        before.is_none_or(|until| until < now)
+    }
+
+    /// Returns the neighbours to read from, in the order in which they are to be asked; none if this
+    /// entry reads the registry itself.
+    ///
+    /// The first is asked even if it was behind lately: it asks the registry most often.
+    pub fn candidates(&self, now: BootTime) -> Vec<SocketAddr> {
         let mut seen = self.lock();
-        seen.named.retain(|_, at| now.since(*at) <= NAMED_FOR);
-        seen.avoided.retain(|_, until| *until > now);
-        let mut named = seen.named.keys();
-        let first = named.find(|addr| !seen.avoided.contains_key(addr))?;
-        (*first < self.own).then_some(*first)
+        seen.forget(now);
+        let mut before = seen.before(self.own);
+        let first = before.next();
+        let others = before.filter(|it| !seen.behind.contains_key(it));
+        first.into_iter().chain(others).take(MOST_ASKED).collect()
+    }
+
+    /// Returns how many neighbours come before this entry.
+    pub fn place(&self, now: BootTime) -> usize {
+        let mut seen = self.lock();
+        seen.forget(now);
+        seen.before(self.own).count()
+    }
+
+    /// Returns the entry's own address.
+    pub(crate) const fn own(&self) -> SocketAddr {
+        self.own
     }
 
     fn lock(&self) -> MutexGuard<'_, Seen> {
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -2,22 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http::{Request, StatusCode};
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt as _, Snafu};
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
-use wagtailreel_core::Offset;
+use wagtailreel_core::{Offset, rank_score};
 use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
 
+use crate::calls::Cause;
+use crate::config::READER_WAIT;
 use crate::wire::KnownRecords;
-use crate::{Mirror, Neighbours, events};
-
-/// How long a neighbour may wait for news. With the time-out it stays well below the 2 s in which a
-/// change of the registry has to be in force.
-const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
+use crate::{CallCounters, Mirror, NearbyConfig, Neighbours, OwnTurn, events};
 
 /// How much longer than its wait a neighbour's answer may take. In one data centre it takes a few
 /// milliseconds; a large configuration to a dozen neighbours takes 0.1 s.
@@ -26,25 +24,9 @@
 /// How long a connection to a neighbour may take to be made.
 const NEIGHBOUR_CONNECT: Duration = Duration::from_millis(250);
 
-/// How long the registry may hold a read whose answer is passed on: neighbours measure its age.
-const READER_WAIT: Duration = Duration::from_millis(600);
-
 /// How long after a neighbour's question this entry reads for it.
 const READS_FOR: Duration = Duration::from_secs(2);
 
-/// How late a neighbour's read of the registry may come.
-const LATE: Duration = Duration::from_millis(300);
-
-/// Time for the neighbour's answer that is too old, and for the own call in its place.
-const LAST_CALLS: Duration = Duration::from_millis(1100);
-
-/// How long an entry that starts waits to hear of its neighbours: a read of the upstreams, and two
-/// questions to their agents.
-const ENTRY_START: Duration = Duration::from_millis(300);
-
-/// How long another process that starts waits to be asked by an entry that has started too.
-const GUEST_START: Duration = Duration::from_secs(2);
-
 /// How long a neighbour that starts may take to read the registry.
 const FIRST_READ: Duration = Duration::from_millis(1500);
 
@@ -55,50 +37,6 @@
 /// Longest copy that is taken, in bytes. A configuration of 270 routes takes about 150 KB.
 const LONGEST: usize = 32 << 20;
 
-/// How old a neighbour's knowledge may be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NearbyConfig {
-    /// Of the settings.
-    pub settings_age: Duration,
-    /// Of the upstreams.
-    pub upstreams_age: Duration,
-    /// How long a neighbour may wait for news.
-    pub wait: Duration,
-    /// How long the first read of the settings waits to hear of neighbours. Of processes that start
-    /// together each would read all of a large configuration over its region's link.
-    pub start_wait: Duration,
-}
-
-impl NearbyConfig {
-    /// Makes the limits under which a change of the settings is in force within `settings`, and one
-    /// of the upstreams, which readers read each `pace`, 1.3 s after that time.
-    pub fn new(settings: Duration, pace: Duration) -> Self {
-        Self {
-            settings_age: settings.saturating_sub(LAST_CALLS).max(READER_WAIT + LATE),
-            upstreams_age: pace + LATE,
-            wait: NEIGHBOUR_WAIT,
-            start_wait: ENTRY_START,
-        }
-    }
-
-    /// Makes the limits of a process that asks now and then, and does not wait for news.
-    pub const fn seldom(age: Duration) -> Self {
-        Self {
-            settings_age: age,
-            upstreams_age: age,
-            wait: Duration::ZERO,
-            start_wait: GUEST_START,
-        }
-    }
-
-    const fn longest_age(&self, topic: Topic) -> Duration {
-        match topic {
-            Topic::Settings => self.settings_age,
-            Topic::Upstreams => self.upstreams_age,
-        }
-    }
-}
-
 /// A neighbour can't be read from.
 #[derive(Debug, Snafu)]
 enum NeighbourError {
@@ -143,6 +81,8 @@
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
     has_started: Arc<AtomicBool>,
+    own_turn: Arc<Mutex<OwnTurn>>,
+    counters: Option<CallCounters>,
 }
 
 impl<R> Nearby<R>
@@ -151,6 +91,7 @@
 {
     /// Makes a view of `registry` for a process that gives nothing to others.
     pub fn new(registry: R, cfg: NearbyConfig, neighbours: Arc<Neighbours>) -> Self {
+        let pause = stretched(cfg.own_pause, neighbours.own());
         Self {
             registry,
             client: HttpClient::with_connect_timeout(NEIGHBOUR_CONNECT),
@@ -159,6 +100,8 @@
             neighbours,
             reader: Arc::default(),
             has_started: Arc::default(),
+            own_turn: Arc::new(Mutex::new(OwnTurn::new(pause))),
+            counters: None,
         }
     }
 
@@ -169,38 +112,119 @@
         self
     }
 
-    /// Asks the neighbour that reads for this entry; none if there is none, or it is no use.
-    async fn ask(&self, question: Question) -> Option<Heard> {
+    /// Counts calls to the registry in `counters`.
+    #[must_use]
+    pub fn with_counters(mut self, counters: CallCounters) -> Self {
+        self.counters = Some(counters);
+        self
+    }
+
+    /// Asks the neighbour that reads for this entry, and a few others if it is behind.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Cause`] for asking the registry itself.
+    async fn ask(&self, question: &Question) -> Result<Heard, Cause> {
         let topic = question.topic;
         if topic == Topic::Settings && !self.has_started.swap(true, Ordering::Relaxed) {
             self.neighbours.until_named(self.cfg.start_wait).await;
         }
-        let reader = self.neighbours.reader(BootTime::now());
-        self.note_reader(topic, reader);
-        let reader = reader?;
-        match self.copy_from(reader, question).await {
-            Ok(heard) => Some(heard),
-            Err(err) => {
-                if self.neighbours.avoid(reader, BootTime::now()) {
-                    events::NEIGHBOUR_AVOIDED.emit(&[
-                        ("neighbour", &reader.to_string()),
-                        ("topic", &topic.to_string()),
-                        ("reason", &err.to_string()),
-                    ]);
+        let candidates = self.neighbours.candidates(BootTime::now());
+        let mut cause = Cause::First;
+        for candidate in &candidates {
+            match self.copy_from(*candidate, question).await {
+                Ok(heard) => {
+                    self.note_reader(topic, Some(*candidate));
+                    return Ok(heard);
+                }
+                Err(err) => {
+                    cause = self.pass_over(*candidate, topic, &err);
+                    // Another wait would take the rest of the time that a change has.
+                    if !matches!(err, NeighbourError::Old { .. }) {
+                        break;
+                    }
                 }
-                None
             }
         }
+        Err(cause)
+    }
+
+    /// Takes that a neighbour was no use.
+    fn pass_over(&self, neighbour: SocketAddr, topic: Topic, err: &NeighbourError) -> Cause {
+        let now = BootTime::now();
+        let (is_news, cause) = match err {
+            // One that has read nothing yet refuses.
+            NeighbourError::Old { .. } | NeighbourError::Refused { .. } => {
+                (self.neighbours.behind(neighbour, now), Cause::NeighbourOld)
+            }
+            NeighbourError::Silent { .. } | NeighbourError::Unreadable { .. } => (
+                self.neighbours.avoid(neighbour, now),
+                Cause::NeighbourSilent,
+            ),
+        };
+        if is_news {
+            events::NEIGHBOUR_AVOIDED.emit(&[
+                ("neighbour", &neighbour.to_string()),
+                ("topic", &topic.to_string()),
+                ("reason", &err.to_string()),
+            ]);
+        }
+        cause
+    }
+
+    /// Makes a call to the registry itself, if one is due.
+    async fn call<F, T>(&self, topic: Topic, cause: Cause, call: F) -> Result<T, RegistryError>
+    where
+        F: Future<Output = Result<T, RegistryError>>,
+    {
+        let sent = BootTime::now();
+        let is_reader = self.neighbours.place(sent) < self.cfg.readers;
+        if !self.lock_turn().is_due(is_reader, sent) {
+            let reason = "it did not answer lately, and neighbours know only old things".to_owned();
+            return Err(RegistryError::Away { reason });
+        }
+        self.note_reader(topic, None);
+        let answer = call.await;
+        let now = BootTime::now();
+        let outcome = match &answer {
+            Ok(_) | Err(RegistryError::Expired { .. }) => {
+                self.lock_turn().answered();
+                "answered"
+            }
+            Err(_) => {
+                self.lock_turn().failed(now);
+                "failed"
+            }
+        };
+        if let Some(counters) = &self.counters {
+            counters.count(topic, cause, outcome);
+        }
+        events::REGISTRY_CALLED.emit(&[
+            ("topic", &topic.to_string()),
+            ("cause", &cause.to_string()),
+            ("outcome", outcome),
+            ("ms", &now.since(sent).as_millis().to_string()),
+        ]);
+        answer
+    }
+
+    fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
+        self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Asks one neighbour.
     async fn copy_from(
         &self,
         neighbour: SocketAddr,
-        question: Question,
+        question: &Question,
     ) -> Result<Heard, NeighbourError> {
-        let Question { topic, wait, .. } = question;
-        let url = format!("http://{neighbour}/v1/registry/{topic}{}", question.path);
+        let Question { topic, wait, .. } = *question;
+        let oldest = self.cfg.longest_age(topic);
+        let url = format!(
+            "http://{neighbour}/v1/registry/{topic}{}&oldest_ms={}",
+            question.path,
+            oldest.as_millis()
+        );
         let req = Request::get(&url).body(Body::default());
         let req = req.map_err(|e| silent(&e))?;
         let sent = BootTime::now();
@@ -218,7 +242,7 @@
             return read_json(&body).map(Heard::Expired);
         }
         let copy: KnownRecords = read_json(&body)?;
-        if copy.age > self.cfg.longest_age(topic) {
+        if copy.age > oldest {
             return OldSnafu { age: copy.age }.fail();
         }
         let has_waited = question.is_for_news && copy.items.is_empty();
@@ -251,6 +275,14 @@
     }
 }
 
+/// Stretches a pause by up to a half, by the process's address, so that processes which failed
+/// together don't call together.
+fn stretched(pause: Duration, own: SocketAddr) -> Duration {
+    let share = rank_score(&[], &own.to_string()) % 1000;
+    // Below 1,000, so that nothing is lost.
+    pause + pause.mul_f64(f64::from(u16::try_from(share).unwrap_or_default()) / 2000.0)
+}
+
 fn read_json<T>(body: &[u8]) -> Result<T, NeighbourError>
 where
     T: DeserializeOwned,
@@ -277,14 +309,21 @@
             wait: FIRST_READ,
             is_for_news: false,
         };
-        let snapshot = match self.ask(question).await {
-            Some(Heard::Known(copy, as_of)) => Snapshot {
+        let snapshot = match self.ask(&question).await {
+            Ok(Heard::Known(copy, as_of)) => Snapshot {
                 items: copy.items,
                 end: copy.next,
                 as_of,
                 is_second_hand: true,
             },
-            Some(Heard::Expired(_)) | None => self.registry.newest(topic, timeout).await?,
+            Ok(Heard::Expired(_)) => {
+                let call = self.registry.newest(topic, timeout);
+                self.call(topic, Cause::NeighbourOld, call).await?
+            }
+            Err(cause) => {
+                let call = self.registry.newest(topic, timeout);
+                self.call(topic, cause, call).await?
+            }
         };
         if let Some(mirror) = &self.mirror {
             mirror.take_snapshot(topic, &snapshot);
@@ -305,8 +344,8 @@
             wait: self.cfg.wait,
             is_for_news: true,
         };
-        let page = match self.ask(question).await {
-            Some(Heard::Known(copy, as_of)) => Page {
+        let page = match self.ask(&question).await {
+            Ok(Heard::Known(copy, as_of)) => Page {
                 items: copy.items,
                 next: copy.next,
                 end: copy.next,
@@ -315,10 +354,11 @@
             },
             // In a burst the neighbour reads the newest of each key, time and again; all that follow
             // it would read the registry themselves.
-            Some(Heard::Expired(first)) => return Err(RegistryError::Expired { first }),
-            None => {
+            Ok(Heard::Expired(first)) => return Err(RegistryError::Expired { first }),
+            Err(cause) => {
                 let wait = self.held_for(wait);
-                self.registry.read(topic, from, wait, timeout).await?
+                let call = self.registry.read(topic, from, wait, timeout);
+                self.call(topic, cause, call).await?
             }
         };
         if let Some(mirror) = &self.mirror {
--- a/crates/nearby/src/serve.rs
+++ b/crates/nearby/src/serve.rs
@@ -27,12 +27,18 @@
     /// How long to wait for it, in milliseconds.
     #[serde(default)]
     wait_ms: u64,
+    /// Oldest knowledge that is of use, in milliseconds; who is behind says so without waiting.
+    oldest_ms: Option<u64>,
 }
 
 impl Wanted {
     fn wait(&self) -> Duration {
         Duration::from_millis(self.wait_ms).min(LONGEST_WAIT)
     }
+
+    fn oldest(&self) -> Duration {
+        self.oldest_ms.map_or(Duration::MAX, Duration::from_millis)
+    }
 }
 
 /// Returns the routes on which neighbours read.
@@ -59,7 +65,8 @@
     Path(topic): Path<Topic>,
     Query(wanted): Query<Wanted>,
 ) -> Response {
-    match mirror.read(topic, wanted.from, wanted.wait()).await {
+    let read = mirror.read(topic, wanted.from, wanted.wait(), wanted.oldest());
+    match read.await {
         Ok(copy) => Json(copy).into_response(),
         Err(lack) => refuse(lack),
     }
--- a/crates/nearby/tests/common/mod.rs
+++ b/crates/nearby/tests/common/mod.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use wagtailreel_fleet::BootTime;
+use wagtailreel_fleet::{BootTime, Change, FollowConfig, Sink, Topic, follow};
 use wagtailreel_nearby::{Mirror, Nearby, NearbyConfig, Neighbours, router};
 use wagtailreel_standins::RegistryStandin;
 pub(crate) use wagtailreel_standins::ready_upstream as upstream;
@@ -15,6 +16,66 @@
 /// Time between two reads of the upstreams.
 pub(crate) const PACE: Duration = Duration::from_millis(300);
 
+/// What one entry believes.
+#[derive(Debug, Default)]
+pub(crate) struct Told {
+    known: watch::Sender<Vec<String>>,
+    as_of: watch::Sender<Option<BootTime>>,
+}
+
+impl Told {
+    /// Waits until the upstream `id` is known.
+    pub(crate) async fn until_known(&self, id: &str) {
+        let mut known = self.known.subscribe();
+        let is_there = |known: &Vec<String>| known.iter().any(|it| it == id);
+        let wait = known.wait_for(is_there);
+        tokio::time::timeout(Duration::from_secs(10), wait)
+            .await
+            .unwrap()
+            .unwrap();
+    }
+}
+
+impl Sink for Told {
+    fn apply(&self, change: Change) {
+        if let Change::Upstream(upstream) = change {
+            self.known.send_modify(|known| known.push(upstream.id));
+        }
+    }
+
+    fn confirmed(&self, _topic: Topic, as_of: BootTime) {
+        self.as_of.send_replace(Some(as_of));
+    }
+}
+
+/// Follows the upstreams as `entry` does.
+pub(crate) fn following(entry: &Entry) -> (Arc<Told>, JoinHandle<()>) {
+    let told = Arc::new(Told::default());
+    let cfg = FollowConfig {
+        topic: Topic::Upstreams,
+        wait: Duration::ZERO,
+        pace: PACE,
+        second_hand_pace: Duration::ZERO,
+        timeout: Duration::from_millis(500),
+        longest_pause: Duration::from_millis(50),
+        lapse_hold: Duration::ZERO,
+        lapse_after: Duration::ZERO,
+    };
+    let task = tokio::spawn(follow(entry.registry.clone(), Arc::clone(&told), cfg));
+    (told, task)
+}
+
+/// Keeps `entry` told of `others`, as agents do.
+pub(crate) fn keep_told(entry: &Entry, others: Vec<SocketAddr>) -> JoinHandle<()> {
+    let neighbours = Arc::clone(&entry.neighbours);
+    tokio::spawn(async move {
+        loop {
+            neighbours.hear(&others, BootTime::now());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    })
+}
+
 /// An entry's view of the registry, and what it gives to neighbours.
 pub(crate) struct Entry {
     pub(crate) addr: SocketAddr,
--- a/crates/nearby/tests/neighbours.rs
+++ b/crates/nearby/tests/neighbours.rs
@@ -16,6 +16,11 @@
     SocketAddr::from(([10, 0, 0, host], 7700))
 }
 
+/// Returns who is asked first.
+fn first(neighbours: &Neighbours, now: BootTime) -> Option<SocketAddr> {
+    neighbours.candidates(now).first().copied()
+}
+
 #[rstest]
 #[case::first_itself(1, &[2, 3], None)]
 #[case::another_first(3, &[1, 2], Some(1))]
@@ -25,15 +30,15 @@
     let neighbours = Neighbours::new(addr(own));
     let named: Vec<SocketAddr> = named.iter().map(|host| addr(*host)).collect();
     neighbours.hear(&named, at(0));
-    assert_eq!(neighbours.reader(at(100)), reader.map(addr));
+    assert_eq!(first(&neighbours, at(100)), reader.map(addr));
 }
 
 #[rstest]
 fn named_long_ago() {
     let neighbours = Neighbours::new(addr(9));
     neighbours.hear(&[addr(1)], at(0));
-    assert_eq!(neighbours.reader(at(400)), Some(addr(1)));
-    assert_eq!(neighbours.reader(at(600)), None);
+    assert_eq!(first(&neighbours, at(400)), Some(addr(1)));
+    assert_eq!(first(&neighbours, at(600)), None);
 }
 
 #[rstest]
@@ -42,10 +47,10 @@
     neighbours.hear(&[addr(1), addr(2)], at(0));
     assert!(neighbours.avoid(addr(1), at(0)), "it is news");
     assert!(!neighbours.avoid(addr(1), at(10)));
-    assert_eq!(neighbours.reader(at(100)), Some(addr(2)));
+    assert_eq!(first(&neighbours, at(100)), Some(addr(2)));
     neighbours.hear(&[addr(1), addr(2)], at(3200));
     assert_eq!(
-        neighbours.reader(at(3200)),
+        first(&neighbours, at(3200)),
         Some(addr(1)),
         "it is tried anew"
     );
@@ -55,5 +60,22 @@
 fn unknown_own_address() {
     let neighbours = Neighbours::new("0.0.0.0:7700".parse().unwrap());
     neighbours.hear(&[addr(1)], at(0));
-    assert_eq!(neighbours.reader(at(0)), None);
+    assert_eq!(first(&neighbours, at(0)), None);
+}
+
+/// A neighbour that is behind is asked only as the first, and others after it.
+#[rstest]
+fn behind_neighbour() {
+    let neighbours = Neighbours::new(addr(9));
+    let named: Vec<SocketAddr> = (1..9).map(addr).collect();
+    neighbours.hear(&named, at(0));
+    assert_eq!(neighbours.candidates(at(0)), [addr(1), addr(2), addr(3)]);
+    for host in [1, 2, 3] {
+        assert!(neighbours.behind(addr(host), at(0)), "it is news");
+    }
+    assert!(!neighbours.behind(addr(1), at(10)));
+    assert_eq!(neighbours.candidates(at(20)), [addr(1), addr(4), addr(5)]);
+    assert_eq!(neighbours.place(at(20)), 8, "all of them answer");
+    neighbours.hear(&named, at(3100));
+    assert_eq!(neighbours.candidates(at(3100)), [addr(1), addr(2), addr(3)]);
 }
--- a/crates/nearby/tests/reading.rs
+++ b/crates/nearby/tests/reading.rs
@@ -6,73 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Entry, PACE, upstream};
+use common::{Entry, following, keep_told, upstream};
 use rstest::rstest;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use wagtailreel_fleet::{
-    BootTime, Change, ClientLimits, Directory, FollowConfig, Registry as _, Sink, Topic, follow,
-};
+use wagtailreel_fleet::{BootTime, Change, ClientLimits, Directory, Registry as _, Topic};
 use wagtailreel_standins::RegistryStandin;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What one entry believes.
-#[derive(Debug, Default)]
-struct Told {
-    known: watch::Sender<Vec<String>>,
-    as_of: watch::Sender<Option<BootTime>>,
-}
-
-impl Sink for Told {
-    fn apply(&self, change: Change) {
-        if let Change::Upstream(upstream) = change {
-            self.known.send_modify(|known| known.push(upstream.id));
-        }
-    }
-
-    fn confirmed(&self, _topic: Topic, as_of: BootTime) {
-        self.as_of.send_replace(Some(as_of));
-    }
-}
-
-fn following(entry: &Entry) -> (Arc<Told>, JoinHandle<()>) {
-    let told = Arc::new(Told::default());
-    let cfg = FollowConfig {
-        topic: Topic::Upstreams,
-        wait: Duration::ZERO,
-        pace: PACE,
-        second_hand_pace: Duration::ZERO,
-        timeout: Duration::from_millis(500),
-        longest_pause: Duration::from_millis(50),
-        lapse_hold: Duration::ZERO,
-        lapse_after: Duration::ZERO,
-    };
-    let task = tokio::spawn(follow(entry.registry.clone(), Arc::clone(&told), cfg));
-    (told, task)
-}
-
-/// Keeps `second` told of `first`, as agents do.
-fn keep_told(first: &Entry, second: &Entry) -> JoinHandle<()> {
-    let (addr, neighbours) = (first.addr, Arc::clone(&second.neighbours));
-    tokio::spawn(async move {
-        loop {
-            neighbours.hear(&[addr], BootTime::now());
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    })
-}
-
-async fn until_known(told: &Told, id: &str) {
-    let mut known = told.known.subscribe();
-    let is_there = |known: &Vec<String>| known.iter().any(|it| it == id);
-    let wait = known.wait_for(is_there);
-    tokio::time::timeout(Duration::from_secs(10), wait)
-        .await
-        .unwrap()
-        .unwrap();
-}
-
 /// Two entries learn of a change by the calls of one.
 #[rstest]
 #[tokio::test]
@@ -80,15 +20,15 @@
     let store = RegistryStandin::default();
     let first = Entry::at("127.0.0.1:0", store.clone()).await;
     let second = Entry::at("127.0.0.2:0", RegistryStandin::default()).await;
-    let keeping = keep_told(&first, &second);
+    let keeping = keep_told(&second, vec![first.addr]);
     let (one, a) = following(&first);
     store.upstream(upstream("a"));
-    until_known(&one, "a").await;
+    one.until_known("a").await;
     let (two, b) = following(&second);
-    until_known(&two, "a").await;
+    two.until_known("a").await;
     store.upstream(upstream("b"));
-    until_known(&one, "b").await;
-    until_known(&two, "b").await;
+    one.until_known("b").await;
+    two.until_known("b").await;
     assert_eq!(second.store.calls(), 0);
     for task in [keeping, a, b] {
         task.abort();
@@ -102,16 +42,16 @@
     let store = RegistryStandin::default();
     let mut first = Entry::at("127.0.0.1:0", store.clone()).await;
     let second = Entry::at("127.0.0.2:0", store.clone()).await;
-    let keeping = keep_told(&first, &second);
+    let keeping = keep_told(&second, vec![first.addr]);
     let (one, a) = following(&first);
     let (two, b) = following(&second);
     store.upstream(upstream("a"));
-    until_known(&one, "a").await;
-    until_known(&two, "a").await;
+    one.until_known("a").await;
+    two.until_known("a").await;
     first.fall_silent().await;
     let fell = std::time::Instant::now();
     store.upstream(upstream("b"));
-    until_known(&two, "b").await;
+    two.until_known("b").await;
     let took = fell.elapsed();
     assert!(took < Duration::from_millis(1500), "{took:?}");
     for task in [keeping, a, b] {
@@ -127,17 +67,17 @@
     let cut = RegistryStandin::default();
     let first = Entry::at("127.0.0.1:0", cut.clone()).await;
     let second = Entry::at("127.0.0.2:0", store.clone()).await;
-    let keeping = keep_told(&first, &second);
+    let keeping = keep_told(&second, vec![first.addr]);
     let (one, a) = following(&first);
     let (two, b) = following(&second);
     cut.upstream(upstream("a"));
     store.upstream(upstream("a"));
-    until_known(&one, "a").await;
-    until_known(&two, "a").await;
+    one.until_known("a").await;
+    two.until_known("a").await;
     cut.set_away(true);
     let fell = std::time::Instant::now();
     store.upstream(upstream("b"));
-    until_known(&two, "b").await;
+    two.until_known("b").await;
     let took = fell.elapsed();
     assert!(took < Duration::from_millis(1800), "{took:?}");
     for task in [keeping, a, b] {
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -16,7 +16,7 @@
 use wagtailreel_adapters::HttpClient;
 use wagtailreel_core::VmEntry;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
-use wagtailreel_nearby::{Nearby, NearbyConfig, Neighbours};
+use wagtailreel_nearby::{CallCounters, Nearby, NearbyConfig, Neighbours};
 use wagtailreel_settings::StagingAgentSettings;
 use wagtailreel_telemetry::{encode_metrics, lines_dropped};
 
@@ -112,6 +112,7 @@
         let vm = settings.vm.clone();
         let prometheus = Prometheus::new();
         let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
+        let calls = CallCounters::register(&prometheus).context(MetricsSnafu)?;
         let (tx, rx) = unbounded_channel();
         let shelf = Arc::new(Shelf::default());
         let neighbours = Arc::new(Neighbours::of_a_guest());
@@ -119,7 +120,8 @@
             registry,
             NearbyConfig::seldom(OLDEST_LIST),
             Arc::clone(&neighbours),
-        );
+        )
+        .with_counters(calls);
         let board = Arc::new(StatusBoard::new(Arc::clone(&shelf), socket, neighbours));
         let beliefs = Arc::new(Beliefs::new(settings.service.clone()));
         let giving = Giving::new(Arc::clone(&shelf), engine.clone(), settings.link);
