Let what engines hold prove that weights were named, and tell only ages that are proved

A write whose answer was lost is done seconds later, after the newer one.

Ruled out: the cause that was supposed (an agent's word that extends a guess): no entry had a guess for version 3 at all. The word itself is mended too, as it would extend the new guess: what an agent hears of an entry carries an age only where that entry can prove it.

What an engine holds was named; an entry takes it from the agent's word, gives it the time of a naming that was missed, and tells the agents. Mirrors keep the highest version of settings. naming-learned and the field told say how an entry knows. The account of namings moved out of the view, as a decision without I/O.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -70,7 +70,16 @@
     id: 6112,
     name: "weights-named",
     level: Level::Info,
-    meaning: "A version of a model's weights is to be served.",
+    meaning: "A version of a model's weights is to be served; `told` says how the entry knows.",
+    remedy: "Nothing; `held` means that the registry names an older version than engines hold.",
+};
+
+/// An agent told since when weights are named.
+pub const NAMING_LEARNED: Event = Event {
+    id: 6115,
+    name: "naming-learned",
+    level: Level::Info,
+    meaning: "An agent knows since when weights are named, and the entry counts their bound from then.",
     remedy: "Nothing.",
 };
 
@@ -138,6 +147,7 @@
     CONFIG_IN_FORCE,
     CONFIG_OLD,
     WEIGHTS_NAMED,
+    NAMING_LEARNED,
     UPSTREAM_CHANGED,
     UPSTREAM_SHUNNED,
     REQUEST_DONE,
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -8,8 +8,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use wagtailreel_core::DataCentre;
-use wagtailreel_fleet::{BootTime, Datagram, LoadStatus, NamedWeights, Query};
+use wagtailreel_fleet::{BootTime, Datagram, LoadStatus, ModelName, Query};
 use wagtailreel_nearby::Neighbours;
+use wagtailreel_route::direct::Naming;
 
 use crate::events;
 use crate::view::{Service, View};
@@ -83,7 +84,7 @@
     let mut round: u32 = 0;
     let mut asked_at = [Instant::now(); ROUNDS];
     // The service of each VM's upstream, so that an answer locks that one alone.
-    let mut services: BTreeMap<IpAddr, Arc<Service>> = BTreeMap::new();
+    let mut services: BTreeMap<IpAddr, (Arc<Service>, Option<ModelName>)> = BTreeMap::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -96,14 +97,9 @@
                     services.clear();
                 }
                 for (ip, asked) in engines(&view, &home, is_far_turn) {
-                    agents.send(ip, Query {
-                        nonce: round,
-                        weights: asked.weights,
-                        is_near: asked.is_near,
-                        ..Query::default()
-                    });
+                    agents.send(ip, asked.query(round));
                     asked.service.upstreams().asked(ip, now);
-                    services.insert(ip, asked.service);
+                    services.insert(ip, (asked.service, asked.model));
                 }
             }
             received = agents.socket.recv_from(&mut buf) => {
@@ -113,13 +109,18 @@
                 };
                 neighbours.hear(&status.entries, BootTime::now());
                 if let Some(naming) = &status.naming {
-                    view.learn_naming(naming);
+                    view.learn_naming(naming, from.ip());
                 }
-                if let (Some(load), Some(service)) = (status.load, services.get(&from.ip())) {
+                if let (Some(load), Some((service, model))) =
+                    (status.load, services.get(&from.ip()))
+                {
                     // What comes without being asked for has no nonce.
                     let since = asked_at[status.nonce as usize % ROUNDS];
                     let round_trip = (status.nonce != 0).then(|| since.elapsed());
                     take(service, from.ip(), &load, round_trip);
+                    if let (Some(model), Some(version)) = (model, load.version) {
+                        view.take_held(model, version);
+                    }
                 }
             }
         }
@@ -127,14 +128,32 @@
 }
 
 /// An agent that is to be asked.
+#[derive(Clone, Debug)]
 struct Asked {
     service: Arc<Service>,
+    /// The model of its engine; none while no configuration says so.
+    model: Option<ModelName>,
     /// What its engine is to serve.
-    weights: Option<NamedWeights>,
+    naming: Option<Naming>,
     /// It stands in the entry's data centre.
     is_near: bool,
 }
 
+impl Asked {
+    /// Returns the question in the round `nonce`.
+    fn query(&self, nonce: u32) -> Query {
+        let naming = self.naming.as_ref();
+        let age = naming.and_then(|naming| naming.age);
+        Query {
+            nonce,
+            weights: naming.map(|naming| naming.weights.clone()),
+            weights_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            is_near: self.is_near,
+            ..Query::default()
+        }
+    }
+}
+
 /// Returns the VMs of the engines whose agents are to be asked now.
 fn engines(view: &View, home: &str, far: bool) -> BTreeMap<IpAddr, Asked> {
     let Some(directory) = view.directory() else {
@@ -143,9 +162,13 @@
     let mut agents = BTreeMap::new();
     for spec in directory.services() {
         if let Some(engine) = &spec.engine {
-            let named = view.newest_weights(&engine.model);
-            let service = view.service(&spec.name);
-            add_agents(&mut agents, &service, named.as_ref(), home, far);
+            let asked = Asked {
+                service: view.service(&spec.name),
+                model: Some(engine.model.clone()),
+                naming: view.newest_weights(&engine.model),
+                is_near: false,
+            };
+            add_agents(&mut agents, &asked, home, far);
         }
     }
     agents
@@ -158,25 +181,24 @@
 fn all_near(view: &View, home: &str) -> BTreeMap<IpAddr, Asked> {
     let mut agents = BTreeMap::new();
     for service in view.services() {
-        add_agents(&mut agents, &service, None, home, false);
+        let asked = Asked {
+            service,
+            model: None,
+            naming: None,
+            is_near: true,
+        };
+        add_agents(&mut agents, &asked, home, false);
     }
     agents
 }
 
-fn add_agents(
-    agents: &mut BTreeMap<IpAddr, Asked>,
-    service: &Arc<Service>,
-    weights: Option<&NamedWeights>,
-    home: &str,
-    far: bool,
-) {
-    for member in service.upstreams().members() {
+fn add_agents(agents: &mut BTreeMap<IpAddr, Asked>, asked: &Asked, home: &str, far: bool) {
+    for member in asked.service.upstreams().members() {
         let is_near = member.upstream.data_centre == home;
         if is_near || far {
             let asked = Asked {
-                service: Arc::clone(service),
-                weights: weights.cloned(),
                 is_near,
+                ..asked.clone()
             };
             agents.insert(member.upstream.addr.ip(), asked);
         }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -15,6 +15,7 @@
 use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours};
+use wagtailreel_route::direct::NamingBounds;
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::dialect::Dialect;
@@ -114,9 +115,11 @@
         let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
         let calls = CallCounters::register(&prometheus).context(MetricsSnafu)?;
         let bounds = Bounds {
-            weights: settings.bounds.weights,
-            weights_last: settings.bounds.weights_last,
-            weights_at_start: settings.bounds.weights_at_start,
+            weights: NamingBounds {
+                begin: settings.bounds.weights,
+                last_begin: settings.bounds.weights_last,
+                unknown: settings.bounds.weights_at_start,
+            },
             retry_ratio: settings.bounds.retry_ratio,
         };
         let regions = settings.regions.clone();
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,7 @@
 //! What the entry believes of its fleet, each belief with its age.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -8,23 +9,19 @@
 use tokio::sync::Notify;
 use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
-    BootTime, Change, Directory, HeardNaming, ModelName, NamedWeights, Sink, Topic, Upstream,
-    UpstreamId, WeightsVersion,
+    BootTime, Change, Directory, HeardNaming, NamedWeights, Sink, Topic, Upstream, UpstreamId,
+    WeightsVersion,
 };
 use wagtailreel_route::{BudgetConfig, RetryBudget};
 
 use crate::events;
 use crate::pool::Pool;
-use wagtailreel_route::direct::{Pressure, Upstreams};
+use wagtailreel_route::direct::{Naming, NamingBounds, Namings, Pressure, Told, Upstreams};
 
 /// Retries that this entry may save up for each service. The budget is one for all entries; with
 /// 8 entries they spend 40 of the 104 that the users allow beyond the share of the requests.
 const RETRY_BURST: f64 = 5.0;
 
-/// How long a request may wait to begin on weights that were named before the start, beyond their
-/// bound: both together stay below the 3 s that a new process is given.
-const LAST_BEGIN_AT_START: Duration = Duration::from_millis(250);
-
 /// One service: its upstreams, its retries and its connections, each under a lock of its own.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -50,28 +47,11 @@
     }
 }
 
-/// Weights that are to be served, and from when on nothing older may begin.
-#[derive(Clone, Copy, Debug)]
-struct Named {
-    version: WeightsVersion,
-    binding_from: BootTime,
-    /// Requests that wait to begin on older weights are taken back at this moment.
-    last_begin: BootTime,
-    /// The process was started after they were named, and guessed since when they are.
-    is_guess: bool,
-    /// An agent told since when they are named.
-    was_learned: bool,
-}
-
 /// Bounds of what the entry believes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Bounds {
-    /// How long requests may begin on older weights after newer ones were named.
-    pub(crate) weights: Duration,
-    /// How long a request that was sent to older weights may still wait to begin.
-    pub(crate) weights_last: Duration,
-    /// How long requests may begin on older weights that were named before the process started.
-    pub(crate) weights_at_start: Duration,
+    /// How long older weights may still be used.
+    pub(crate) weights: NamingBounds,
     /// Retries for each request.
     pub(crate) retry_ratio: f64,
 }
@@ -86,7 +66,7 @@
     confirmed: Mutex<BTreeMap<Topic, BootTime>>,
     services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
     homes: Mutex<BTreeMap<UpstreamId, ServiceName>>,
-    weights: Mutex<BTreeMap<ModelName, Vec<Named>>>,
+    namings: Mutex<Namings>,
     started: BootTime,
     /// The registry was away and came back since the start.
     saw_return: AtomicBool,
@@ -106,7 +86,7 @@
             confirmed: Mutex::default(),
             services: RwLock::default(),
             homes: Mutex::default(),
-            weights: Mutex::default(),
+            namings: Mutex::new(Namings::new(bounds.weights)),
             started: BootTime::now(),
             saw_return: AtomicBool::new(false),
         }
@@ -158,34 +138,18 @@
 
     /// Returns the oldest version of `model` on which a request may begin now.
     pub(crate) fn least_version(&self, model: &str) -> Option<WeightsVersion> {
-        let now = BootTime::now();
-        let weights = lock(&self.weights);
-        let named = weights.get(model)?.iter();
-        let binding = named.filter(|named| named.binding_from <= now);
-        binding.map(|named| named.version).max()
+        lock(&self.namings).least_version(model, BootTime::now())
     }
 
     /// Returns the newest weights of `model` that are named.
-    pub(crate) fn newest_weights(&self, model: &str) -> Option<NamedWeights> {
-        let weights = lock(&self.weights);
-        let newest = weights
-            .get(model)?
-            .iter()
-            .map(|named| named.version)
-            .max()?;
-        Some(NamedWeights {
-            model: model.to_owned(),
-            version: newest,
-        })
+    pub(crate) fn newest_weights(&self, model: &str) -> Option<Naming> {
+        lock(&self.namings).newest(model, BootTime::now())
     }
 
     /// Returns how much longer a request may wait to begin on `version` of `model`; none if nothing
     /// newer is named.
     pub(crate) fn begin_within(&self, model: &str, version: WeightsVersion) -> Option<Duration> {
-        let now = BootTime::now();
-        let weights = lock(&self.weights);
-        let newer = weights.get(model)?.iter().filter(|it| it.version > version);
-        newer.map(|named| named.last_begin.since(now)).min()
+        lock(&self.namings).begin_within(model, version, BootTime::now())
     }
 
     fn take_directory(&self, directory: Directory) {
@@ -208,66 +172,53 @@
         }
     }
 
-    /// Takes when an agent heard of weights that were named before this process started.
-    ///
-    /// The earliest that any agent heard of them counts; the entry's own guess gives way to it.
-    pub(crate) fn learn_naming(&self, naming: &HeardNaming) {
-        let mut all = lock(&self.weights);
-        let Some(named) = all.get_mut(&naming.weights.model) else {
-            return;
-        };
-        let mut named = named.iter_mut();
-        let Some(named) = named.find(|it| it.version == naming.weights.version) else {
-            return;
-        };
-        let heard_at = BootTime::now().minus(Duration::from_millis(naming.age_ms.into()));
-        let binding_from = heard_at.plus(self.bounds.weights);
-        if named.is_guess || (named.was_learned && binding_from < named.binding_from) {
-            named.is_guess = false;
-            named.was_learned = true;
-            named.binding_from = binding_from;
-            named.last_begin = heard_at.plus(self.bounds.weights_last);
+    /// Takes since when the agent at `from` knows weights to be named.
+    pub(crate) fn learn_naming(&self, naming: &HeardNaming, from: IpAddr) {
+        let now = BootTime::now();
+        let binding_from = lock(&self.namings).learn(naming, now);
+        if let Some(binding_from) = binding_from {
+            events::NAMING_LEARNED.emit(&[
+                ("model", &naming.weights.model),
+                ("version", &naming.weights.version.to_string()),
+                ("agent", &from.to_string()),
+                ("age_ms", &naming.age_ms.to_string()),
+                ("binding_in_ms", &millis(binding_from.since(now))),
+            ]);
         }
     }
 
-    fn take_weights(&self, weights: NamedWeights) {
+    /// Takes that an engine of `model` holds `version` whole.
+    pub(crate) fn take_held(&self, model: &str, version: WeightsVersion) {
+        let weights = NamedWeights {
+            model: model.to_owned(),
+            version,
+        };
+        self.name(&weights, Told::Held);
+    }
+
+    fn take_weights(&self, weights: &NamedWeights) {
         let is_first = !lock(&self.confirmed).contains_key(&Topic::Settings);
-        let waits = self.bounds.weights_last.saturating_sub(self.bounds.weights);
-        let now = BootTime::now();
-        // After an outage of the registry the bound counts from its return, also for what was named
-        // before the start.
-        let is_guess = is_first && !self.saw_return.load(Ordering::Relaxed);
-        let (binding_from, last_begin) = if is_guess {
-            // A new process is given a time from its start on, and no more.
-            let binding_from = self.started.plus(self.bounds.weights_at_start);
-            (
-                binding_from,
-                binding_from.plus(waits.min(LAST_BEGIN_AT_START)),
-            )
+        let told = if !is_first {
+            Told::News(self.heard_since(weights))
+        } else if self.saw_return.load(Ordering::Relaxed) {
+            Told::AfterOutage
         } else {
-            let binding_from = self.heard_since(&weights).plus(self.bounds.weights);
-            (binding_from, binding_from.plus(waits))
+            Told::BeforeStart(self.started)
         };
-        let mut all = lock(&self.weights);
-        let named = all.entry(weights.model.clone()).or_default();
-        if named.iter().any(|it| it.version >= weights.version) {
-            return;
+        self.name(weights, told);
+    }
+
+    fn name(&self, weights: &NamedWeights, told: Told) {
+        let now = BootTime::now();
+        let binding_from = lock(&self.namings).take(weights, told, now);
+        if let Some(binding_from) = binding_from {
+            events::WEIGHTS_NAMED.emit(&[
+                ("model", &weights.model),
+                ("version", &weights.version.to_string()),
+                ("told", &told.to_string()),
+                ("binding_in_ms", &millis(binding_from.since(now))),
+            ]);
         }
-        named.push(Named {
-            version: weights.version,
-            binding_from,
-            last_begin,
-            is_guess: is_first,
-            was_learned: false,
-        });
-        events::WEIGHTS_NAMED.emit(&[
-            ("model", &weights.model),
-            ("version", &weights.version.to_string()),
-            (
-                "binding_in_ms",
-                &binding_from.since(now).as_millis().to_string(),
-            ),
-        ]);
     }
 
     /// Returns since when `weights` may be known to be named.
@@ -275,13 +226,10 @@
     /// Of several versions that were named between two reads only the newest may be heard of. Its
     /// bound counts from the read before, so that it also holds for those that were passed over.
     fn heard_since(&self, weights: &NamedWeights) -> BootTime {
-        let now = BootTime::now();
-        let known = lock(&self.weights)
-            .get(&weights.model)
-            .and_then(|named| named.iter().map(|it| it.version).max());
+        let known = lock(&self.namings).newest_version(&weights.model);
         let was_skipped = known.is_some_and(|known| known + 1 < weights.version);
         let before = lock(&self.confirmed).get(&Topic::Settings).copied();
-        before.filter(|_| was_skipped).unwrap_or(now)
+        before.filter(|_| was_skipped).unwrap_or_else(BootTime::now)
     }
 
     fn take_upstream(&self, upstream: Upstream) {
@@ -321,7 +269,7 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Config(directory) => self.take_directory(*directory),
-            Change::Weights(weights) => self.take_weights(weights),
+            Change::Weights(weights) => self.take_weights(&weights),
             Change::Upstream(upstream) => self.take_upstream(*upstream),
             Change::Gone(id) => self.remove_upstream(&id),
             // The follower has told of it. Of the settings the last good belief stays; a record of an
@@ -343,6 +291,10 @@
     }
 }
 
+fn millis(span: Duration) -> String {
+    span.as_millis().to_string()
+}
+
 /// Locks a mutex; what a panicking thread left is still sound, since every change is one step.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -52,7 +52,12 @@
 impl TestUpstream {
     /// Starts an upstream; requests beyond `acts` are answered with 200 and `ok`.
     pub(crate) async fn start(acts: &[Act]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_on("127.0.0.1", acts).await
+    }
+
+    /// Starts the same on the address `ip`.
+    pub(crate) async fn start_on(ip: &str, acts: &[Act]) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
         let inner = Arc::new(Inner {
             acts: Mutex::new(acts.iter().cloned().collect()),
             others: Mutex::default(),
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -27,6 +27,10 @@
     /// hears of them so, and need not ask the registry often.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<NamedWeights>,
+    /// How long ago these weights were named at the least, in milliseconds; none if the asker can't
+    /// prove it.
+    #[serde(rename = "wa", default, skip_serializing_if = "Option::is_none")]
+    pub weights_age_ms: Option<u32>,
     /// Weights whose chunks the asker wants to hear of.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub chunks: Option<(ModelName, WeightsVersion)>,
@@ -39,13 +43,13 @@
     pub sends_us: Option<u32>,
 }
 
-/// Weights that were named lately, as an agent heard of them.
+/// Weights that were named lately, and since when they are known to be.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeardNaming {
     /// The weights.
     #[serde(flatten)]
     pub weights: NamedWeights,
-    /// How long ago the agent heard of them, in milliseconds.
+    /// How long ago they were named at the least, in milliseconds.
     #[serde(rename = "age")]
     pub age_ms: u32,
 }
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -32,10 +32,21 @@
     }
 }
 
+/// Returns the version that a record of settings names.
+fn version_of(change: &Change) -> Option<u64> {
+    match change {
+        Change::Config(directory) => Some(directory.version()),
+        Change::Weights(weights) => Some(weights.version),
+        Change::Upstream(_) | Change::Gone(_) | Change::Unreadable { .. } => None,
+    }
+}
+
 /// One topic.
 ///
-/// Invariant: `newest` holds, of each key, the newest record with a place below `end`; who has read
-/// all before `floor` misses only records that stand here.
+/// Invariant: `newest` holds, of each key, the newest record with a place below `end`, or of settings
+/// the one with the highest version: a write whose answer was lost may be done after a later one, and
+/// a process that starts then would take the older version for the newest. Who has read all before
+/// `floor` misses only records that stand here.
 #[derive(Debug, Default)]
 struct Held {
     floor: Offset,
@@ -49,7 +60,8 @@
         for item in items {
             let known = self.newest.entry(Key::of(&item.change));
             let known = known.or_insert_with(|| item.clone());
-            if known.offset < item.offset {
+            let is_older = version_of(&item.change) < version_of(&known.change);
+            if known.offset < item.offset && !is_older {
                 *known = item.clone();
             }
         }
@@ -103,7 +115,7 @@
         let shelf = self.shelf(topic);
         {
             let mut held = shelf.lock();
-            held.newest.clear();
+            held.newest.retain(|_, it| version_of(&it.change).is_some());
             held.insert(&snapshot.items);
             held.floor = snapshot.end;
             held.end = snapshot.end;
--- a/crates/nearby/tests/mirror.rs
+++ b/crates/nearby/tests/mirror.rs
@@ -8,7 +8,7 @@
 use common::{Entry, upstream};
 use rstest::rstest;
 use wagtailreel_fleet::{
-    BootTime, Change, Keyed, Page, Registry as _, RegistryError, Snapshot, Topic,
+    BootTime, Change, Keyed, NamedWeights, Page, Registry as _, RegistryError, Snapshot, Topic,
 };
 
 const TOPIC: Topic = Topic::Upstreams;
@@ -134,3 +134,29 @@
     let read = read.await;
     assert!(matches!(read, Err(RegistryError::Away { .. })), "{read:?}");
 }
+
+/// A late record of an older version doesn't take the place of a newer one, in pages and snapshots.
+#[rstest]
+#[case::page(false)]
+#[case::snapshot(true)]
+#[tokio::test]
+async fn older_version(#[case] is_snapshot: bool) {
+    let first = Entry::start().await;
+    let second = Entry::beside(&first).await;
+    let named = |version| {
+        let model = "epitaph".to_owned();
+        Change::Weights(NamedWeights { model, version })
+    };
+    let topic = Topic::Settings;
+    let items = vec![keyed(3, named(3))];
+    first.mirror.take_snapshot(topic, &snapshot(items, 5));
+    let late = vec![keyed(5, named(2))];
+    if is_snapshot {
+        first.mirror.take_snapshot(topic, &snapshot(late, 6));
+    } else {
+        first.mirror.take_page(topic, 5, &page(late, 6));
+    }
+    let newest = second.registry.newest(topic, TIMEOUT).await.unwrap();
+    assert_eq!(newest.items, vec![keyed(3, named(3))]);
+    assert_eq!(newest.end, 6);
+}
--- /dev/null
+++ b/crates/route/src/direct/naming.rs
@@ -0,0 +1,185 @@
+//! Which versions of a model's weights a request may begin on.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wagtailreel_fleet::{BootTime, HeardNaming, ModelName, NamedWeights, WeightsVersion};
+
+/// How long a request may wait to begin on weights whose naming was missed, beyond their bound: both
+/// together stay below the 3 s that a new process is given.
+const LAST_BEGIN_AT_START: Duration = Duration::from_millis(250);
+
+/// Words on the time of one naming that differ by less differ only by the time of their way.
+const SAME: Duration = Duration::from_millis(20);
+
+/// How long older weights may still be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamingBounds {
+    /// How long requests may begin on older weights after newer ones were named.
+    pub begin: Duration,
+    /// How long a request that was sent to older weights may still wait to begin.
+    pub last_begin: Duration,
+    /// How long requests may begin on older weights where it is not known since when newer ones are
+    /// named.
+    pub unknown: Duration,
+}
+
+/// How a process comes to know that weights are named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Told {
+    /// The registry names them, and did not at this moment.
+    #[display("news")]
+    News(BootTime),
+    /// The registry already named them when the process, started at this moment, read it first.
+    #[display("before-start")]
+    BeforeStart(BootTime),
+    /// The same, but the registry was away since the start, and the bound counts from its return.
+    #[display("after-outage")]
+    AfterOutage,
+    /// An engine holds them, so that they must have been named.
+    #[display("held")]
+    Held,
+}
+
+/// Weights that are named, and since when they are at the latest, if that is proved.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Naming {
+    /// The weights.
+    pub weights: NamedWeights,
+    /// How long ago the naming is at least; none where it can't be proved.
+    pub age: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: WeightsVersion,
+    binding_from: BootTime,
+    /// Requests that wait to begin on older weights are taken back at this moment.
+    last_begin: BootTime,
+    /// The moment from which the bound counts, where it was not guessed.
+    since: Option<BootTime>,
+    /// Another process told since when they are named.
+    was_learned: bool,
+}
+
+/// The weights of each model that are named, and from when on nothing older may begin.
+///
+/// Invariant: of each model the versions only grow. The newest record of the registry may name an
+/// older version than one before it, since a write whose answer was lost may be done seconds later; a
+/// process that starts after that hears of the newer version from engines that hold it.
+#[derive(Clone, Debug)]
+pub struct Namings {
+    bounds: NamingBounds,
+    named: BTreeMap<ModelName, Vec<Named>>,
+}
+
+impl Namings {
+    /// Makes the account of a process that knows of no weights.
+    pub const fn new(bounds: NamingBounds) -> Self {
+        Self {
+            bounds,
+            named: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the oldest version of `model` on which a request may begin at `now`.
+    pub fn least_version(&self, model: &str, now: BootTime) -> Option<WeightsVersion> {
+        let named = self.named.get(model)?.iter();
+        let binding = named.filter(|named| named.binding_from <= now);
+        binding.map(|named| named.version).max()
+    }
+
+    /// Returns the newest weights of `model` that are named.
+    pub fn newest(&self, model: &str, now: BootTime) -> Option<Naming> {
+        let newest = self.named.get(model)?.iter().max_by_key(|it| it.version)?;
+        Some(Naming {
+            weights: NamedWeights {
+                model: model.to_owned(),
+                version: newest.version,
+            },
+            age: newest.since.map(|since| now.since(since)),
+        })
+    }
+
+    /// Returns how much longer a request may wait to begin on `version` of `model`; none if nothing
+    /// newer is named.
+    pub fn begin_within(
+        &self,
+        model: &str,
+        version: WeightsVersion,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let newer = self
+            .named
+            .get(model)?
+            .iter()
+            .filter(|it| it.version > version);
+        newer.map(|named| named.last_begin.since(now)).min()
+    }
+
+    /// Takes that `weights` are named; returns from when on nothing older may begin, or none if they
+    /// are no news.
+    pub fn take(&mut self, weights: &NamedWeights, told: Told, now: BootTime) -> Option<BootTime> {
+        let newest = self.newest_version(&weights.model);
+        if newest.is_some_and(|newest| newest >= weights.version) {
+            return None;
+        }
+        // What an engine holds is news only beside an older naming: without any, nothing is to be
+        // brought to the engines.
+        if told == Told::Held && newest.is_none() {
+            return None;
+        }
+        let waits = self.bounds.last_begin.saturating_sub(self.bounds.begin);
+        let waits_at_start = waits.min(LAST_BEGIN_AT_START);
+        let (binding_from, waits) = match told {
+            Told::News(since) => (since.plus(self.bounds.begin), waits),
+            Told::AfterOutage => (now.plus(self.bounds.begin), waits),
+            Told::BeforeStart(started) => (started.plus(self.bounds.unknown), waits_at_start),
+            Told::Held => (now.plus(self.bounds.unknown), waits_at_start),
+        };
+        let since = match told {
+            Told::News(since) => Some(since),
+            Told::BeforeStart(_) | Told::AfterOutage | Told::Held => None,
+        };
+        let named = self.named.entry(weights.model.clone()).or_default();
+        named.push(Named {
+            version: weights.version,
+            binding_from,
+            last_begin: binding_from.plus(waits),
+            since,
+            was_learned: false,
+        });
+        Some(binding_from)
+    }
+
+    /// Takes since when another process knows that weights are named; returns from when on nothing
+    /// older may begin, or none if that is no news.
+    ///
+    /// A guess gives way to it, and of what others told the earliest counts.
+    pub fn learn(&mut self, naming: &HeardNaming, now: BootTime) -> Option<BootTime> {
+        let since = now.minus(Duration::from_millis(naming.age_ms.into()));
+        let model = &naming.weights.model;
+        if self.newest_version(model)? < naming.weights.version {
+            return self.take(&naming.weights, Told::News(since), now);
+        }
+        let mut named = self.named.get_mut(model)?.iter_mut();
+        let named = named.find(|it| it.version == naming.weights.version)?;
+        let is_better = named
+            .since
+            .is_none_or(|known| named.was_learned && since.plus(SAME) < known);
+        if !is_better {
+            return None;
+        }
+        named.since = Some(since);
+        named.was_learned = true;
+        named.binding_from = since.plus(self.bounds.begin);
+        named.last_begin = since.plus(self.bounds.last_begin);
+        Some(named.binding_from)
+    }
+
+    /// Returns the newest version of `model` that is named.
+    pub fn newest_version(&self, model: &str) -> Option<WeightsVersion> {
+        let named = self.named.get(model)?.iter();
+        named.map(|named| named.version).max()
+    }
+}
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -20,8 +20,20 @@
     model: Option<ModelName>,
     origin: Option<SocketAddr>,
     draw_time: Option<Duration>,
-    named: BTreeMap<ModelName, (WeightsVersion, Option<Instant>)>,
-    is_confirmed: bool,
+    named: BTreeMap<ModelName, HeardWeights>,
+    /// The moment of which the last read of the settings speaks.
+    confirmed_as_of: Option<BootTime>,
+}
+
+/// Weights that were named, as an agent heard of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeardWeights {
+    pub(crate) version: WeightsVersion,
+    /// When the agent takes them to be named; none if that was before its start, or can't be known.
+    pub(crate) named_at: Option<Instant>,
+    /// The moment after which they were named, where that is proved. Entries count their bound from
+    /// it, so that a guess would let requests begin on older weights for too long.
+    pub(crate) since: Option<BootTime>,
 }
 
 /// What an agent believes of its service.
@@ -36,8 +48,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Wanted {
     pub(crate) model: ModelName,
-    /// The version that was named, and when the agent heard of it; none if none was.
-    pub(crate) version: Option<(WeightsVersion, Option<Instant>)>,
+    /// The weights that were named; none if none were.
+    pub(crate) named: Option<HeardWeights>,
     pub(crate) origin: Option<SocketAddr>,
     /// How long the origin's link takes for one chunk.
     pub(crate) draw_time: Option<Duration>,
@@ -55,19 +67,26 @@
     /// Returns what is to be served, once the settings were read.
     pub(crate) fn wanted(&self) -> Option<Wanted> {
         let inner = self.lock();
-        let model = inner.model.clone().filter(|_| inner.is_confirmed)?;
-        let version = inner.named.get(&model).copied();
+        let model = inner.model.clone();
+        let model = model.filter(|_| inner.confirmed_as_of.is_some())?;
+        let named = inner.named.get(&model).copied();
         Some(Wanted {
             model,
-            version,
+            named,
             origin: inner.origin,
             draw_time: inner.draw_time,
         })
     }
 
-    /// Takes weights that an entry knows to be named.
-    pub(crate) fn hear(&self, weights: &NamedWeights) {
-        if self.take_weights(weights) {
+    /// Takes weights that an entry knows to be named, and since when they are at the least, if it
+    /// can prove that.
+    pub(crate) fn hear(&self, weights: &NamedWeights, age: Option<Duration>) {
+        let heard = HeardWeights {
+            version: weights.version,
+            named_at: age.and_then(|age| Instant::now().checked_sub(age)),
+            since: age.map(|age| BootTime::now().minus(age)),
+        };
+        if self.take(&weights.model, heard) {
             self.changed.notify_one();
         }
     }
@@ -89,20 +108,45 @@
         inner.model = engine.map(|engine| engine.model.clone());
     }
 
+    /// Takes weights that the registry names.
+    fn take_weights(&self, weights: &NamedWeights) {
+        // What the first read brings was named before the start.
+        let before = self.lock().confirmed_as_of;
+        let heard = HeardWeights {
+            version: weights.version,
+            named_at: before.map(|_| Instant::now()),
+            since: before,
+        };
+        self.take(&weights.model, heard);
+    }
+
     /// Takes weights that are named; returns whether they are news.
-    fn take_weights(&self, weights: &NamedWeights) -> bool {
+    fn take(&self, model: &ModelName, heard: HeardWeights) -> bool {
         let mut inner = self.lock();
-        let heard_at = inner.is_confirmed.then(Instant::now);
-        let known = inner.named.get(&weights.model).map(|(version, _)| *version);
-        if known.is_some_and(|known| known >= weights.version) {
+        let known = inner.named.get(model).copied();
+        if let Some(known) = known
+            && known.version >= heard.version
+        {
+            // Who heard of them first knows best since when they are named.
+            let is_better = known.since.is_none() || heard.since < known.since;
+            if known.version == heard.version && heard.since.is_some() && is_better {
+                inner.named.insert(model.clone(), heard);
+            }
             return false;
         }
-        let named = (weights.version, heard_at);
-        inner.named.insert(weights.model.clone(), named);
+        inner.named.insert(model.clone(), heard);
+        let age = heard.since.map(|since| BootTime::now().since(since));
         events::WEIGHTS_NAMED.emit(&[
-            ("model", &weights.model),
-            ("version", &weights.version.to_string()),
-            ("before", &known.unwrap_or_default().to_string()),
+            ("model", model),
+            ("version", &heard.version.to_string()),
+            (
+                "before",
+                &known.map_or(0, |known| known.version).to_string(),
+            ),
+            (
+                "age_ms",
+                &age.map_or_else(|| "unknown".to_owned(), |age| age.as_millis().to_string()),
+            ),
         ]);
         true
     }
@@ -116,19 +160,18 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Config(directory) => self.take_directory(&directory),
-            Change::Weights(weights) => {
-                self.take_weights(&weights);
-            }
+            Change::Weights(weights) => self.take_weights(&weights),
             // Upstreams are read when a fetch begins; what can't be read was told of.
             Change::Upstream(_) | Change::Gone(_) | Change::Unreadable { .. } => return,
         }
         self.changed.notify_one();
     }
 
-    fn confirmed(&self, _topic: Topic, _as_of: BootTime) {
+    fn confirmed(&self, _topic: Topic, as_of: BootTime) {
         let mut inner = self.lock();
-        if !inner.is_confirmed {
-            inner.is_confirmed = true;
+        let before = inner.confirmed_as_of;
+        inner.confirmed_as_of = before.max(Some(as_of));
+        if before.is_none() {
             self.changed.notify_one();
         }
     }
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -10,7 +10,7 @@
 use wagtailreel_core::{ChunkIndex, rank_score};
 use wagtailreel_fleet::{ModelName, NamedWeights, Registry, UpstreamStart, WeightsVersion};
 
-use crate::beliefs::Wanted;
+use crate::beliefs::{HeardWeights, Wanted};
 use crate::manifest::ChunkManifest;
 use crate::origin::ChunkOrigin;
 use crate::process::Surroundings;
@@ -176,11 +176,14 @@
     async fn aim(&mut self, wanted: &Wanted) {
         let known = self.target.as_ref().filter(|it| it.model == wanted.model);
         let known = known.map(|target| target.version);
-        if let Some((version, named_at)) = wanted.version {
-            if let Some(heard_at) = named_at {
+        if let Some(named) = wanted.named {
+            let HeardWeights {
+                version, named_at, ..
+            } = named;
+            if let Some(since) = named.since {
                 let model = wanted.model.clone();
                 let weights = NamedWeights { model, version };
-                self.cx.board.set_naming(weights, heard_at);
+                self.cx.board.set_naming(weights, since);
             }
             if known != Some(version) && self.may_move_on() {
                 // The bound of the weights that are skipped goes on to count.
@@ -345,7 +348,10 @@
 
     /// Fetches newer weights while those before wait for their turn to be loaded.
     async fn fetch_ahead(&mut self, target: &Target, wanted: &Wanted) {
-        let Some((version, named_at)) = wanted.version else {
+        let Some(HeardWeights {
+            version, named_at, ..
+        }) = wanted.named
+        else {
             return;
         };
         let ahead = Target {
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -31,7 +31,7 @@
     report: Option<(EngineReport, Instant)>,
     model: String,
     is_switching: bool,
-    naming: Option<(NamedWeights, Instant)>,
+    naming: Option<(NamedWeights, BootTime)>,
     /// Requests on their way to the engine.
     places: Places,
 }
@@ -93,17 +93,17 @@
         changed
     }
 
-    /// Takes weights that were named, and when the agent heard of them.
-    pub(crate) fn set_naming(&self, weights: NamedWeights, heard_at: Instant) {
+    /// Takes weights that were named, and after which moment.
+    pub(crate) fn set_naming(&self, weights: NamedWeights, since: BootTime) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.naming = Some((weights, heard_at));
+        known.naming = Some((weights, since));
     }
 
     /// Returns the weights that were named lately.
-    fn naming(&self, now: Instant) -> Option<HeardNaming> {
+    fn naming(&self) -> Option<HeardNaming> {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let (weights, heard_at) = known.naming.as_ref()?;
-        let age = now.saturating_duration_since(*heard_at);
+        let (weights, since) = known.naming.as_ref()?;
+        let age = BootTime::now().since(*since);
         (age <= NAMING_TOLD).then(|| HeardNaming {
             weights: weights.clone(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
@@ -145,7 +145,7 @@
         let status = Status {
             nonce: 0,
             load: self.load(now),
-            naming: self.naming(now),
+            naming: self.naming(),
             chunks: None,
             entries: Vec::new(),
         };
@@ -188,7 +188,8 @@
                 Ok(Datagram::Query(query)) => {
                     self.answer(&query, from);
                     if let Some(weights) = &query.weights {
-                        beliefs.hear(weights);
+                        let age = query.weights_age_ms.map(u64::from);
+                        beliefs.hear(weights, age.map(Duration::from_millis));
                     }
                 }
                 Ok(Datagram::Status(status)) => {
@@ -222,7 +223,7 @@
         let status = Status {
             nonce: query.nonce,
             load: self.load(now),
-            naming: self.naming(now),
+            naming: self.naming(),
             chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
             entries,
         };
