Presume an engine that is silent to be as loaded as the others

An engine of which nothing is heard is thought to have the mean load and reading of those that were heard of. members::silent_engine failed before.

--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -284,3 +284,28 @@
     fleet.begun("a", 0, 4000);
     assert_eq!(choose(&mut fleet), "a");
 }
+
+/// An engine whose agent is silent isn't taken for an empty one where all others are full.
+#[rstest]
+#[case::others_full(4, false)]
+#[case::others_idle(1, true)]
+fn silent_engine(#[case] running: u32, #[case] is_chosen: bool) {
+    let now = Instant::now();
+    let mut fleet = fleet(&[
+        upstream("a", 1, "hall"),
+        upstream("b", 2, "hall"),
+        upstream("silent", 3, "hall"),
+    ]);
+    let engine = common::engine_model();
+    let ask = Ask {
+        engine: Some(&engine),
+        objective: Duration::from_millis(200),
+        tried: ["a", "b"].map(ToOwned::to_owned).into(),
+        ..Ask::default()
+    };
+    for host in [1, 2] {
+        fleet.status(ip(host), &status(running), None, now);
+    }
+    let chosen = fleet.choose(&ask, now);
+    assert_eq!(chosen.is_ok(), is_chosen, "{chosen:?}");
+}
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -41,6 +41,43 @@
     /// The agent beside it.
     #[display("agent")]
     Agent,
+    /// What is known of the others, since nothing was heard of it.
+    #[display("others")]
+    Others,
+}
+
+/// What is thought of an engine of which nothing was heard: as much as of the others on the mean.
+///
+/// Load pattern: more is asked than can be served, and one agent's words are lost. An engine that counts
+/// as empty while it is silent then gets the requests of all entries: with 99 entries before 120
+/// engines single engines refused 1,000 requests a second for three seconds each, their links were
+/// full of them, and so their agents stayed silent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Presumed {
+    /// Requests for each slot.
+    load: f64,
+    reading: Duration,
+}
+
+impl Presumed {
+    /// Returns the mean of the members that take requests and were heard of; none if there is none.
+    pub(crate) fn of<'a, I>(members: I, now: Instant) -> Option<Self>
+    where
+        I: Iterator<Item = &'a Member>,
+    {
+        let mut heard = 0_u32;
+        let mut sum = Self::default();
+        for member in members.filter(|it| it.takes_new(now) && it.fresh_status(now).is_some()) {
+            heard += 1;
+            sum.load +=
+                f64::from(member.in_flight(now).0) / f64::from(member.upstream.slots.max(1));
+            sum.reading += member.reading.left(now);
+        }
+        (heard > 0).then(|| Self {
+            load: sum.load / f64::from(heard),
+            reading: sum.reading / heard,
+        })
+    }
 }
 
 /// One upstream as this entry knows it.
@@ -142,6 +179,25 @@
         (self.own.saturating_add(self.others), source)
     }
 
+    /// Returns the same, and where nothing was heard no less than what is `presumed`.
+    pub(crate) fn thought_in_flight(
+        &self,
+        presumed: Option<Presumed>,
+        now: Instant,
+    ) -> (u32, LoadSource) {
+        let (known, source) = self.in_flight(now);
+        match presumed {
+            Some(presumed) if source == LoadSource::Own => {
+                let thought = presumed.load * f64::from(self.upstream.slots.max(1));
+                // A load of a few slots fits into any integer.
+                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+                let thought = thought.round() as u32;
+                (known.max(thought), LoadSource::Others)
+            }
+            _ => (known, source),
+        }
+    }
+
     /// Returns the version of `model` that the upstream holds whole.
     pub(crate) fn version_of(&self, model: &str, now: Instant) -> Option<WeightsVersion> {
         match self.fresh_status(now) {
@@ -169,28 +225,44 @@
     }
 
     /// Returns how long the engine is thought to read the prompts that it has.
-    pub(crate) fn reading_left(&self, engine: &EngineModel, now: Instant) -> Duration {
+    pub(crate) fn reading_left(
+        &self,
+        engine: &EngineModel,
+        presumed: Option<Presumed>,
+        now: Instant,
+    ) -> Duration {
         let own = reading(engine, self.own_unread);
         if self.fresh_status(now).is_none() {
-            return own.mul_f64(ENTRIES_AT_ONCE);
+            let others = presumed.map(|presumed| presumed.reading);
+            return own.mul_f64(ENTRIES_AT_ONCE).max(others.unwrap_or_default());
         }
         own.max(self.reading.left(now))
     }
 
     /// Returns the same in steps of a usual prompt, within which load decides.
-    pub(crate) fn reading_step(&self, engine: &EngineModel, now: Instant) -> u128 {
+    pub(crate) fn reading_step(
+        &self,
+        engine: &EngineModel,
+        presumed: Option<Presumed>,
+        now: Instant,
+    ) -> u128 {
         let step = reading(engine, engine.usual_prompt).max(Duration::from_millis(1));
-        self.reading_left(engine, now).as_nanos() / step.as_nanos()
+        self.reading_left(engine, presumed, now).as_nanos() / step.as_nanos()
     }
 
     /// Returns what is known of the engine for a prediction.
-    pub(crate) fn predict<'a>(&self, engine: &'a EngineModel, now: Instant) -> Prediction<'a> {
+    pub(crate) fn predict<'a>(
+        &self,
+        engine: &'a EngineModel,
+        presumed: Option<Presumed>,
+        now: Instant,
+    ) -> Prediction<'a> {
         let pace = self.fresh_status(now).map_or(1.0, |status| status.pace);
         Prediction {
             model: engine,
             slots: self.upstream.slots.max(1),
-            in_flight: self.in_flight(now).0,
-            reading_left: self.reading_left(engine, now),
+            in_flight: self.thought_in_flight(presumed, now).0,
+            reading_left: self.reading_left(engine, presumed, now),
             pace: f64::from(pace),
         }
     }
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -10,7 +10,7 @@
 };
 
 use super::correction::Correction;
-use super::member::{LoadSource, Member};
+use super::member::{LoadSource, Member, Presumed};
 
 /// First time for which an upstream is passed over after failures in a row, doubled with each.
 const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -326,8 +326,9 @@
         let mut best: Option<(Rank, Pick)> = None;
         self.turn = self.turn.wrapping_add(1);
         let count = self.members.len().max(1) as u64;
+        let presumed = self.presumed(ask, now);
         for (position, member) in self.members.values().enumerate() {
-            let offer = match self.offer(member, ask, now) {
+            let offer = match self.offer(member, ask, presumed, now) {
                 Ok(offer) => offer,
                 Err(lack) => {
                     shortage = shortage.max_with(lack);
@@ -348,8 +349,9 @@
     ///
     /// The draw keeps entries that spill over at the same moment from all asking after the same few.
     pub fn hearsay(&self, ask: &Ask<'_>, most: usize, ticket: u64, now: Instant) -> Vec<IpAddr> {
+        let presumed = self.presumed(ask, now);
         let offers = self.members.values();
-        let offers = offers.filter_map(|member| self.offer(member, ask, now).ok());
+        let offers = offers.filter_map(|member| self.offer(member, ask, presumed, now).ok());
         let mut known: Vec<(bool, u64, IpAddr)> = offers
             .filter(|offer| offer.pick.is_hearsay)
             .map(|offer| {
@@ -373,13 +375,26 @@
     /// Returns when the first place for a request gets free at the engines that are full.
     pub fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
         let engine = ask.engine?;
+        let presumed = self.presumed(ask, now);
         let takes_new = self.members.values().filter(|it| it.takes_new(now));
-        let waits = takes_new.map(|it| it.predict(engine, now).slot_wait());
+        let waits = takes_new.map(|it| it.predict(engine, presumed, now).slot_wait());
         waits.min()
     }
 
+    /// Returns what is thought of engines of which nothing was heard. Plain services have no agents
+    /// that could tell of them.
+    fn presumed(&self, ask: &Ask<'_>, now: Instant) -> Option<Presumed> {
+        ask.engine.and_then(|_| Presumed::of(self.members(), now))
+    }
+
     /// Says what `member` has to offer to a request, or what it lacks.
-    fn offer(&self, member: &Member, ask: &Ask<'_>, now: Instant) -> Result<Offer, Shortage> {
+    fn offer(
+        &self,
+        member: &Member,
+        ask: &Ask<'_>,
+        presumed: Option<Presumed>,
+        now: Instant,
+    ) -> Result<Offer, Shortage> {
         if !member.takes_new(now) || ask.tried.contains(&member.upstream.id) {
             return Err(Shortage::NoUpstream);
         }
@@ -387,11 +402,13 @@
             None => None,
             Some(model) => Some(member.serves(model, ask.least_version, now)?),
         };
-        let (in_flight, source) = member.in_flight(now);
+        let (in_flight, source) = member.thought_in_flight(presumed, now);
         let slots = member.upstream.slots.max(1);
-        let expected = ask
-            .engine
-            .map(|engine| member.predict(engine, now).first_event(ask.prompt));
+        let expected = ask.engine.map(|engine| {
+            member
+                .predict(engine, presumed, now)
+                .first_event(ask.prompt)
+        });
         let waits = in_flight >= slots;
         let likely = expected.map(|expected| self.correction.apply(waits, expected, now));
         let is_late = likely.map_or(waits, |likely| likely > ask.objective);
@@ -418,7 +435,7 @@
             distance,
             reading: ask
                 .engine
-                .map_or(0, |engine| member.reading_step(engine, now)),
+                .map_or(0, |engine| member.reading_step(engine, presumed, now)),
             load: u64::from(in_flight) * 1000 / u64::from(slots),
             turn: 0,
         };
