Leave a stream to a full engine that lives

Cause: a stream that had not begun after a fixed 1.2 s was taken off its engine though it waited in a queue that the entry knew of.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -19,13 +19,9 @@
 use crate::refusal::{LONG_PAUSE, Refusal};
 use crate::shared::Shared;
 use crate::view::Service;
-use wagtailreel_route::direct::{Ask, Pick, Prediction, Shortage};
+use wagtailreel_route::direct::{Ask, Patience, Pick, Prediction, Shortage};
 use wagtailreel_route::direct::{Attempt, Ending, Next, next_step};
 
-/// How long a stream that may go on elsewhere waits for its next event. Callers give up a stream
-/// after a gap of 2.4 s; half of it leaves another upstream the time to start.
-pub(crate) const STALL: Duration = Duration::from_millis(1200);
-
 /// Upstreams abroad that are asked before a request goes there. Of three drawn at random one has
 /// room unless four in five have none.
 const ASKED_ABROAD: usize = 3;
@@ -62,6 +58,7 @@
     /// The upstream that was chosen last, and what was known of it.
     pub(crate) last_pick: Option<Pick>,
     sent_at: Instant,
+    patience: Patience,
     service: Arc<Service>,
     tried: BTreeSet<UpstreamId>,
     unreached: u32,
@@ -75,6 +72,8 @@
     pub(crate) fn new(cx: Arc<Shared<D>>, admitted: Admitted, template: Template) -> Self {
         let service = cx.view.service(&admitted.service);
         service.budget().request();
+        let route = &admitted.route;
+        let patience = Patience::new(route.objective, route.kind.gap());
         Self {
             cx,
             admitted,
@@ -82,6 +81,7 @@
             sent: 0,
             last_pick: None,
             sent_at: Instant::now(),
+            patience,
             service,
             tried: BTreeSet::new(),
             unreached: 0,
@@ -357,24 +357,47 @@
         req: Request<Full<Bytes>>,
     ) -> (Connection, Exchanged) {
         let kind = self.admitted.route.kind;
-        let answer = if kind.is_stream() && kind.repeatable() {
-            let sending = tokio::time::timeout(self.begin_patience(), conn.send(req));
-            sending.await.or(Err(Elapsed))
-        } else {
-            Ok(conn.send(req).await)
+        if !kind.is_stream() || !kind.repeatable() {
+            let answer = conn.send(req).await;
+            return (conn, Ok(answer));
+        }
+        let answer = {
+            let mut sending = std::pin::pin!(conn.send(req));
+            loop {
+                let Some(look) = self.next_look(self.sent_at, false) else {
+                    break Err(Elapsed);
+                };
+                if let Ok(answer) = tokio::time::timeout(look, &mut sending).await {
+                    break Ok(answer);
+                }
+            }
         };
         (conn, answer)
     }
 
-    /// Returns how long a stream that may go on elsewhere is waited for to begin: less than usual
-    /// where its weights are about to be too old to begin on.
-    pub(crate) fn begin_patience(&self) -> Duration {
+    /// Returns how long to wait before the next look at a stream whose next event has been waited for
+    /// since `since`; none if it is to be taken off its upstream.
+    ///
+    /// One that has not begun is taken back where its weights are about to be too old to begin on.
+    pub(crate) fn next_look(&self, since: Instant, has_begun: bool) -> Option<Duration> {
+        let now = Instant::now();
+        let pick = self.last_pick.as_ref()?;
+        let sign = self.service.upstreams().sign(pick, now);
+        let waited = now.saturating_duration_since(since);
+        let look = self.patience.next_look(waited, sign)?;
+        let within = self.begin_within(pick).filter(|_| !has_begun);
+        if within.is_some_and(|within| within.is_zero()) {
+            return None;
+        }
+        Some(within.map_or(look, |within| within.min(look)))
+    }
+
+    /// Returns how much longer the request may wait to begin on the weights of `pick`; none if nothing
+    /// newer is named.
+    fn begin_within(&self, pick: &Pick) -> Option<Duration> {
         let model = self.admitted.model.as_deref();
-        let version = self.last_pick.as_ref().and_then(|pick| pick.version);
-        let within = model
-            .zip(version)
-            .and_then(|(model, version)| self.cx.view.begin_within(model, version));
-        within.map_or(STALL, |within| within.min(STALL))
+        let (model, version) = model.zip(pick.version)?;
+        self.cx.view.begin_within(model, version)
     }
 
     /// Judges the head of an answer.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt as _;
 use snafu::Snafu;
 
-use crate::attempt::{Call, STALL};
+use crate::attempt::Call;
 use crate::cutter::{Cut, Cutter};
 use crate::dialect::Dialect;
 use crate::front::Tally;
@@ -170,35 +170,33 @@
         }
     }
 
-    /// Returns how long the next event of a stream that may go on elsewhere is waited for.
-    fn patience(&self) -> Duration {
-        if self.has_begun {
-            STALL
-        } else {
-            self.call.begin_patience()
-        }
-    }
-
     async fn read(&mut self) -> Read {
-        let usual = self.patience();
+        let since = Instant::now();
         let Some(live) = &mut self.live else {
             return Read::Broken;
         };
-        let now = Instant::now();
-        let left = self.call.admitted.deadline.saturating_duration_since(now);
-        let patience = if self.call.admitted.route.kind.repeatable() {
-            left.min(usual)
-        } else {
-            left
-        };
-        match tokio::time::timeout(patience, live.body.frame()).await {
-            Ok(None) => Read::End,
-            Ok(Some(Ok(frame))) => frame
-                .into_data()
-                .map_or(Read::Data(Bytes::new()), Read::Data),
-            Ok(Some(Err(_))) => Read::Broken,
-            Err(_) if patience == left => Read::Late,
-            Err(_) => Read::Stalled,
+        let is_repeatable = self.call.admitted.route.kind.repeatable();
+        loop {
+            let now = Instant::now();
+            let left = self.call.admitted.deadline.saturating_duration_since(now);
+            let look = if is_repeatable {
+                self.call.next_look(since, self.has_begun)
+            } else {
+                Some(left)
+            };
+            let Some(look) = look.map(|look| look.min(left)) else {
+                return Read::Stalled;
+            };
+            match tokio::time::timeout(look, live.body.frame()).await {
+                Ok(None) => return Read::End,
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    return Read::Data(data);
+                }
+                Ok(Some(Err(_))) => return Read::Broken,
+                Err(_) if look == left => return Read::Late,
+                Err(_) => {}
+            }
         }
     }
 
--- /dev/null
+++ b/crates/direct/tests/common/agent.rs
@@ -0,0 +1,42 @@
+//! The agent of one engine, which says of it what it is told to.
+
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use wagtailreel_fleet::{Datagram, LoadStatus, Status};
+
+/// Answers questions on `ip` and `port` with the status that the sender was last given.
+pub(crate) async fn agent_of(ip: &str, port: u16, load: LoadStatus) -> watch::Sender<LoadStatus> {
+    let socket = UdpSocket::bind((ip, port)).await.unwrap();
+    let (tx, rx) = watch::channel(load);
+    tokio::spawn(async move {
+        let mut buf = [0; 2048];
+        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
+            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
+                continue;
+            };
+            let status = Status {
+                nonce: query.nonce,
+                load: Some(rx.borrow().clone()),
+                ..Status::default()
+            };
+            let answer = Datagram::Status(status).to_bytes();
+            socket.send_to(&answer, from).await.unwrap();
+        }
+    });
+    tx
+}
+
+/// Returns a port that is free for agents.
+pub(crate) async fn free_port() -> u16 {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.local_addr().unwrap().port()
+}
+
+/// Returns the status of an engine that holds `version` and works on `running` requests.
+pub(crate) fn holds(version: u64, running: u32) -> LoadStatus {
+    LoadStatus {
+        version: Some(version),
+        running,
+        ..LoadStatus::default()
+    }
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+pub(crate) mod agent;
 pub(crate) mod caller;
 pub(crate) mod upstream;
 
--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +28,8 @@
     CutEvents(u64, u64),
     /// Sends the events of a range and stays silent until the connection ends.
     Hang(u64, u64),
+    /// Waits for so many milliseconds, then sends the events of a range and ends the stream.
+    Late(u64, u64, u64),
     /// Never answers; waits for the connection to end.
     Silent,
     /// Answers, and sends a second answer behind it.
@@ -145,6 +148,10 @@
         Act::Events(from, to) => {
             write(stream, &(stream_head(id) + &events(from, to) + "0\r\n\r\n")).await
         }
+        Act::Late(ms, from, to) => {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            write(stream, &(stream_head(id) + &events(from, to) + "0\r\n\r\n")).await
+        }
         Act::CutEvents(from, to) => {
             let next = to + 1;
             let half = format!("id: {next}\nda");
--- /dev/null
+++ b/crates/direct/tests/patience.rs
@@ -0,0 +1,51 @@
+//! How long a stream is left to the engine that has it.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::agent::{agent_of, free_port, holds};
+use common::caller::call;
+use common::upstream::{Act, TestUpstream};
+use common::{directory, entry_with_agents, until_status};
+use rstest::rstest;
+use wagtailreel_fleet::{Change, LoadedModel, Upstream};
+use wagtailreel_standins::RegistryStandin;
+
+const WRITTEN: &str = "/written/1";
+
+fn writer(id: &str, upstream: &TestUpstream) -> Change {
+    Change::Upstream(Box::new(Upstream {
+        service: "writers".to_owned(),
+        models: vec![LoadedModel {
+            model: "epitaph".to_owned(),
+            version: 1,
+            whole: true,
+        }],
+        ..common::registered(id, upstream.addr)
+    }))
+}
+
+/// A stream waits in the queue of an engine that lives and is full, and is taken off one that has room
+/// and still sends nothing. Callers of this route leave after 2 s.
+#[rstest]
+#[case::full(4, Act::Late(1500, 1, 2), 200)]
+#[case::has_room(1, Act::Late(1500, 1, 2), 502)]
+#[tokio::test]
+async fn late_begin(#[case] running: u32, #[case] act: Act, #[case] status: u16) {
+    let registry = RegistryStandin::default();
+    let engine = TestUpstream::start(&[Act::Events(1, 1), act]).await;
+    let port = free_port().await;
+    let agent = agent_of("127.0.0.1", port, holds(1, 0)).await;
+    registry.config(directory(1));
+    registry.upstream(writer("engine", &engine));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", WRITTEN).await });
+    engine.until_seen(2).await;
+    agent.send_replace(holds(1, running));
+    let answer = waiting.await.unwrap();
+    assert_eq!(answer.status, status);
+}
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -5,13 +5,14 @@
 
 use std::time::Duration;
 
+use common::agent::{agent_of, free_port, holds};
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
 use common::{directory, entry, entry_with_agents, ready_entry, registered, until_status};
 use rstest::rstest;
 use tokio::net::UdpSocket;
 use wagtailreel_fleet::{
-    Change, Datagram, HeardNaming, LoadStatus, LoadedModel, NamedWeights, Status, Topic, Upstream,
+    Change, Datagram, HeardNaming, LoadedModel, NamedWeights, Status, Topic, Upstream,
 };
 use wagtailreel_standins::RegistryStandin;
 
@@ -182,29 +183,6 @@
     );
 }
 
-/// Answers an entry's questions as the agent of an engine that holds `version`.
-async fn agent_of(ip: &str, port: u16, version: u64) {
-    let socket = UdpSocket::bind((ip, port)).await.unwrap();
-    tokio::spawn(async move {
-        let mut buf = [0; 2048];
-        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
-            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
-                continue;
-            };
-            let status = Status {
-                nonce: query.nonce,
-                load: Some(LoadStatus {
-                    version: Some(version),
-                    ..LoadStatus::default()
-                }),
-                ..Status::default()
-            };
-            let answer = Datagram::Status(status).to_bytes();
-            socket.send_to(&answer, from).await.unwrap();
-        }
-    });
-}
-
 /// A write whose answer was lost may be done after a later one, so that the newest record names older
 /// weights. An entry that starts then hears of the newer ones from the engines that hold them.
 #[tokio::test]
@@ -212,11 +190,9 @@
     let registry = RegistryStandin::default();
     let old = answering().await;
     let new = TestUpstream::start_on("127.0.0.2", &vec![Act::Events(1, 1); 1000]).await;
-    let free = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let port = free.local_addr().unwrap().port();
-    drop(free);
-    agent_of("127.0.0.1", port, 2).await;
-    agent_of("127.0.0.2", port, 3).await;
+    let port = free_port().await;
+    let _old = agent_of("127.0.0.1", port, holds(2, 0)).await;
+    let _new = agent_of("127.0.0.2", port, holds(3, 0)).await;
     registry.config(directory(1));
     registry.upstream(writer("old", &old, 2));
     registry.upstream(writer("new", &new, 3));
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Returns the longest wanted pause between two events of a stream, if one is set.
+    pub const fn gap(self) -> Option<Duration> {
+        match self {
+            Self::Stream { gap, .. } => gap,
+            Self::Idempotent | Self::NonIdempotent => None,
+        }
+    }
+
     /// Says whether the answer is a series of events.
     pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -155,6 +155,11 @@
         heard.is_some_and(|at| now.saturating_duration_since(at) <= age)
     }
 
+    /// Says whether the agent answers: its last word is no older than a question may stay open.
+    pub(crate) fn is_heard(&self, now: Instant) -> bool {
+        self.heard_within(OPEN_QUESTION, now)
+    }
+
     /// Says whether the agent's last word came after `since`.
     pub(crate) fn heard_since(&self, since: Instant) -> bool {
         self.status.as_ref().is_some_and(|(_, at)| *at > since)
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! [`Upstreams`] chooses where a request goes or refuses it, by what [`Prediction`] expects of each
 //! engine; [`Places`] is the agent's account of requests on their way to its engine, which all
-//! entries share; [`Namings`] says on which weights a request may begin; [`Pressure`] says when a refused caller is to come back; [`next_step`] says what
+//! entries share; [`Namings`] says on which weights a request may begin; [`Patience`] says how long a stream is waited
+//! for; [`Pressure`] says when a refused caller is to come back; [`next_step`] says what
 //! follows from the end of an attempt.
 
 mod correction;
 mod ending;
 mod member;
 mod naming;
+mod patience;
 mod places;
 mod prediction;
 mod pressure;
@@ -19,6 +21,7 @@
 pub use ending::{Attempt, Ending, Next, next_step};
 pub use member::{LoadSource, Member};
 pub use naming::{Naming, NamingBounds, Namings, Told};
+pub use patience::{Patience, Sign};
 pub use places::Places;
 pub use prediction::Prediction;
 pub use pressure::Pressure;
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -11,6 +11,7 @@
 
 use super::correction::Correction;
 use super::member::{LoadSource, Member, Presumed};
+use super::patience::Sign;
 
 /// First time for which an upstream is passed over after failures in a row, doubled with each.
 const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -312,6 +313,20 @@
             .is_some_and(|member| !member.is_gone && member.upstream.state == UpstreamState::Ready)
     }
 
+    /// Returns what is known of the upstream that has a request: whether it lives, and has room.
+    pub fn sign(&self, pick: &Pick, now: Instant) -> Sign {
+        let member = self.members.get(&pick.id);
+        let member = member.filter(|it| it.upstream.started == pick.started);
+        let Some(member) = member.filter(|it| it.is_heard(now) && !it.is_doubted(now)) else {
+            return Sign::Silent;
+        };
+        if member.in_flight(now).0 >= member.upstream.slots {
+            Sign::Full
+        } else {
+            Sign::Room
+        }
+    }
+
     /// Chooses an upstream for a request.
     ///
     /// One that is expected to begin in time goes first. Of those the own data centre's go before its
