--- a/crates/direct/tests/members.rs
+++ b/crates/direct/tests/members.rs
@@ -309,3 +309,23 @@
     let chosen = fleet.choose(&ask, now);
     assert_eq!(chosen.is_ok(), is_chosen, "{chosen:?}");
 }
+
+/// At full engines a long prompt is let in where a usual one is: judged by its own length it would be
+/// refused at every one of them.
+#[rstest]
+#[case::usual(100)]
+#[case::long(6000)]
+fn long_prompt(#[case] prompt: u32) {
+    let now = Instant::now();
+    let mut fleet = fleet(&[upstream("a", 1, "hall")]);
+    let engine = common::engine_model();
+    let ask = Ask {
+        engine: Some(&engine),
+        prompt,
+        objective: Duration::from_millis(300),
+        ..Ask::default()
+    };
+    fleet.status(ip(1), &status(4), None, now);
+    let chosen = fleet.choose(&ask, now);
+    assert!(chosen.is_ok(), "{chosen:?}");
+}
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -419,18 +419,21 @@
         };
         let (in_flight, source) = member.thought_in_flight(presumed, now);
         let slots = member.upstream.slots.max(1);
-        let expected = ask.engine.map(|engine| {
-            member
-                .predict(engine, presumed, now)
-                .first_event(ask.prompt)
-        });
         let waits = in_flight >= slots;
-        let likely = expected.map(|expected| self.correction.apply(waits, expected, now));
-        let is_late = likely.map_or(waits, |likely| likely > ask.objective);
+        let engine = ask.engine;
+        let prediction = engine.map(|engine| member.predict(engine, presumed, now));
+        let expected = prediction.map(|it| it.first_event(ask.prompt));
+        let likely = |expected| self.correction.apply(waits, expected, now);
+        let is_late_by = |expected| likely(expected) > ask.objective;
+        let is_late = expected.map_or(waits, is_late_by);
         // A request that has a slot is served, though late; one that also waits for a slot is
-        // better off elsewhere, or told so at once.
-        let is_full = match expected {
-            Some(_) => waits && is_late,
+        // better off elsewhere, or told so at once. A long prompt is judged by a usual one: by its
+        // own length it would be refused at every engine, and its caller never be served.
+        let is_full = match prediction {
+            Some(it) => {
+                let prompt = ask.prompt.min(it.model.usual_prompt);
+                waits && is_late_by(it.first_event(prompt))
+            }
             None => in_flight >= slots.saturating_add(QUEUE),
         };
         let distance = self.distance(&member.upstream.data_centre);
@@ -446,7 +449,7 @@
         let rank = Rank {
             is_doubted,
             is_late,
-            is_unsafe: likely.is_some_and(|it| it > ask.objective.mul_f64(SAFE_SHARE)),
+            is_unsafe: expected.is_some_and(|it| likely(it) > ask.objective.mul_f64(SAFE_SHARE)),
             distance,
             reading: ask
                 .engine
