Send nothing abroad to an engine that doesn't answer

What doesn't answer in time gets no request; only where no agent of a service tells anything, as after a start, the request goes by what is known.

places::no_answer_abroad failed before.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::refusal::{LONG_PAUSE, Refusal};
 use crate::shared::Shared;
 use crate::view::Service;
-use wagtailreel_route::direct::{Ask, Patience, Pick, Prediction, Shortage};
+use wagtailreel_route::direct::{Ask, LoadSource, Patience, Pick, Prediction, Shortage};
 use wagtailreel_route::direct::{Attempt, Ending, Next, next_step};
 
 /// Upstreams abroad that are asked before a request goes there. Of three drawn at random one has
@@ -27,7 +27,7 @@
 const ASKED_ABROAD: usize = 3;
 
 /// Longest wait for the words of upstreams abroad: a way there and back of 6 ms, the longest that is
-/// known, and a turn of either process. It is lost where they are cut off.
+/// known, and a turn of either process.
 const ABROAD_PATIENCE: Duration = Duration::from_millis(15);
 
 /// Time that must be left for another attempt to be worth making.
@@ -196,15 +196,18 @@
     }
 
     /// Chooses an upstream; asks a few abroad how they are before a request goes there.
+    ///
+    /// One that doesn't answer gets no request: its old word says that it has room to every entry of
+    /// every data centre, and what they send keeps its link too full for a new word.
     async fn choose_heard(&self) -> Result<Pick, Refusal> {
         let pick = self.choose(None)?;
         if !pick.is_hearsay {
             return Ok(pick);
         }
         let asked_at = Instant::now();
-        let asked = self.ask_abroad(asked_at).await;
-        if asked == 0 {
-            // Nobody answers in time: what was heard before is all there is.
+        let heard = self.ask_abroad(asked_at).await;
+        if heard == 0 && pick.source == LoadSource::Own {
+            // No agent of the service tells of any engine.
             return Ok(pick);
         }
         self.choose(Some(asked_at))
--- a/crates/direct/tests/places.rs
+++ b/crates/direct/tests/places.rs
@@ -105,3 +105,27 @@
     assert!(answer.header("retry-after").is_some());
     assert!(upstream.seen().len() >= reached);
 }
+
+/// An engine abroad whose agent told of room, and no longer answers, gets no request: its link is cut,
+/// or full of what others send to it.
+#[tokio::test]
+async fn no_answer_abroad() {
+    let registry = RegistryStandin::default();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 4000]).await;
+    registry.config(directory(1));
+    registry.upstream(writer(&upstream, "quay"));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    let agent = tokio::spawn(async move {
+        loop {
+            let from = until_asked(&socket, |query| query.nonce != 0).await;
+            tell(&socket, from, 0).await;
+        }
+    });
+    until_status(entry.callers(), WRITTEN, 200).await;
+    let refused = until_status(entry.callers(), WRITTEN, 503);
+    let refused = tokio::time::timeout(Duration::from_secs(5), refused).await;
+    agent.abort();
+    assert!(refused.unwrap().header("retry-after").is_some());
+}
