--- a/crates/nearby/tests/outage.rs
+++ b/crates/nearby/tests/outage.rs
@@ -4,23 +4,53 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Entry, following, keep_told, upstream};
+use common::{Entry, Told, following, keep_told, upstream};
 use rstest::rstest;
+use tokio::task::JoinHandle;
 use wagtailreel_standins::RegistryStandin;
 
-/// Entries of one data centre, each with a registry of its own or all with one.
-async fn entries(stores: Vec<RegistryStandin>) -> Vec<Entry> {
-    let mut entries = Vec::new();
-    for (store, host) in stores.into_iter().zip(1_u8..) {
-        entries.push(Entry::at(&format!("127.0.0.{host}:0"), store).await);
+/// Entries of one data centre that know of each other, and what they believe.
+struct DataCentre {
+    followed: Vec<Arc<Told>>,
+    tasks: Vec<JoinHandle<()>>,
+    _entries: Vec<Entry>,
+}
+
+impl DataCentre {
+    /// Starts an entry before each of `stores`.
+    async fn start(stores: Vec<RegistryStandin>) -> Self {
+        let mut entries = Vec::new();
+        for (store, host) in stores.into_iter().zip(1_u8..) {
+            entries.push(Entry::at(&format!("127.0.0.{host}:0"), store).await);
+        }
+        let all: Vec<SocketAddr> = entries.iter().map(|entry| entry.addr).collect();
+        let keeping = entries.iter().map(|it| keep_told(it, all.clone()));
+        let mut tasks: Vec<JoinHandle<()>> = keeping.collect();
+        let (followed, following): (Vec<_>, Vec<_>) = entries.iter().map(following).unzip();
+        tasks.extend(following);
+        Self {
+            followed,
+            tasks,
+            _entries: entries,
+        }
+    }
+}
+
+impl Drop for DataCentre {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
     }
-    entries
 }
 
-fn addrs(entries: &[Entry]) -> Vec<SocketAddr> {
-    entries.iter().map(|entry| entry.addr).collect()
+async fn until_known(followed: &[Arc<Told>], id: &str) {
+    for told in followed {
+        told.until_known(id).await;
+    }
 }
 
 /// Of many entries only the first ones go on asking a registry that is away; all hear of its return.
@@ -28,17 +58,9 @@
 #[tokio::test]
 async fn registry_away() {
     let store = RegistryStandin::default();
-    let entries = entries(vec![store.clone(); 12]).await;
-    let all = addrs(&entries);
-    let keeping: Vec<_> = entries
-        .iter()
-        .map(|it| keep_told(it, all.clone()))
-        .collect();
-    let followed: Vec<_> = entries.iter().map(following).collect();
+    let entries = DataCentre::start(vec![store.clone(); 12]).await;
     store.upstream(upstream("a"));
-    for (told, _) in &followed {
-        told.until_known("a").await;
-    }
+    until_known(&entries.followed, "a").await;
     store.set_away(true);
     let before = store.calls();
     tokio::time::sleep(Duration::from_secs(4)).await;
@@ -46,19 +68,11 @@
     store.upstream(upstream("b"));
     store.set_away(false);
     let back = Instant::now();
-    for (told, _) in &followed {
-        told.until_known("b").await;
-    }
+    until_known(&entries.followed, "b").await;
     let took = back.elapsed();
     // Two entries ask each 50 ms, with their questions 70 times; the others once each 2 to 3 s.
     assert!(calls < 12 * 2 + 2 * 80, "{calls} calls");
     assert!(took < Duration::from_millis(1500), "{took:?}");
-    for task in keeping
-        .into_iter()
-        .chain(followed.into_iter().map(|it| it.1))
-    {
-        task.abort();
-    }
 }
 
 /// An entry whose first neighbours are all cut off from the registry still reads it.
@@ -68,30 +82,14 @@
     let (cut, store) = (RegistryStandin::default(), RegistryStandin::default());
     let mut stores = vec![cut.clone(); 6];
     stores.extend(vec![store.clone(); 2]);
-    let entries = entries(stores).await;
-    let all = addrs(&entries);
-    let keeping: Vec<_> = entries
-        .iter()
-        .map(|it| keep_told(it, all.clone()))
-        .collect();
-    let followed: Vec<_> = entries.iter().map(following).collect();
+    let entries = DataCentre::start(stores).await;
     cut.upstream(upstream("a"));
     store.upstream(upstream("a"));
-    for (told, _) in &followed {
-        told.until_known("a").await;
-    }
+    until_known(&entries.followed, "a").await;
     cut.set_away(true);
     store.upstream(upstream("b"));
     let fell = Instant::now();
-    for (told, _) in &followed[6..] {
-        told.until_known("b").await;
-    }
+    until_known(&entries.followed[6..], "b").await;
     let took = fell.elapsed();
     assert!(took < Duration::from_millis(1800), "{took:?}");
-    for task in keeping
-        .into_iter()
-        .chain(followed.into_iter().map(|it| it.1))
-    {
-        task.abort();
-    }
 }
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -11,9 +11,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::net::UdpSocket;
 use wagtailreel_fleet::{
     Change, ClientLimits, Datagram, Directory, EngineModel, LoadedModel, NamedWeights, OriginSpec,
-    Query, ServiceSpec, Upstream, UpstreamState,
+    Query, ServiceSpec, Status, Upstream, UpstreamState,
 };
 use wagtailreel_settings::StagingAgentSettings;
 use wagtailreel_stage::StagingAgent;
@@ -98,7 +99,7 @@
 
     /// Tells all agents of weights, as an entry does that has heard of them.
     pub(crate) async fn tell(&self, version: u64) {
-        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let weights = Some(NamedWeights {
             model: MODEL.to_owned(),
             version,
@@ -155,6 +156,22 @@
     }
 }
 
+/// Asks an agent, and returns its answer.
+pub(crate) async fn ask(socket: &UdpSocket, agent: SocketAddr, query: Query) -> Status {
+    let query = Query { nonce: 1, ..query };
+    let datagram = Datagram::Query(query).to_bytes();
+    socket.send_to(&datagram, agent).await.unwrap();
+    let mut buf = [0; 4096];
+    loop {
+        let (len, _) = socket.recv_from(&mut buf).await.unwrap();
+        if let Datagram::Status(status) = Datagram::from_bytes(&buf[..len]).unwrap()
+            && status.nonce == 1
+        {
+            return status;
+        }
+    }
+}
+
 fn settings(ip: IpAddr) -> StagingAgentSettings {
     StagingAgentSettings {
         vm: format!("vm-{ip}"),
--- a/crates/stage/tests/naming.rs
+++ b/crates/stage/tests/naming.rs
@@ -3,15 +3,14 @@
 
 mod common;
 
-use common::{Fleet, MODEL};
+use common::{Fleet, MODEL, ask};
 use rstest::rstest;
 use tokio::net::UdpSocket;
-use wagtailreel_fleet::{Datagram, NamedWeights, Query, Status};
+use wagtailreel_fleet::{NamedWeights, Query, Status};
 
 /// Tells the fleet's agent of weights as an entry does, and returns what it answers.
 async fn tell(fleet: &Fleet, socket: &UdpSocket, version: u64, age_ms: Option<u32>) -> Status {
     let query = Query {
-        nonce: 1,
         weights: Some(NamedWeights {
             model: MODEL.to_owned(),
             version,
@@ -19,17 +18,7 @@
         weights_age_ms: age_ms,
         ..Query::default()
     };
-    let datagram = Datagram::Query(query).to_bytes();
-    socket.send_to(&datagram, fleet.addr(0)).await.unwrap();
-    let mut buf = [0; 4096];
-    loop {
-        let (len, _) = socket.recv_from(&mut buf).await.unwrap();
-        if let Datagram::Status(status) = Datagram::from_bytes(&buf[..len]).unwrap()
-            && status.nonce == 1
-        {
-            return status;
-        }
-    }
+    ask(socket, fleet.addr(0), query).await
 }
 
 /// An agent that started with an older record hears of newer weights from an entry: only what the
--- a/crates/stage/tests/neighbours.rs
+++ b/crates/stage/tests/neighbours.rs
@@ -12,21 +12,10 @@
 /// Asks the fleet's first agent from a socket of its own.
 async fn ask(fleet: &Fleet, socket: &UdpSocket, is_near: bool) -> Status {
     let query = Query {
-        nonce: 1,
         is_near,
         ..Query::default()
     };
-    let datagram = Datagram::Query(query).to_bytes();
-    socket.send_to(&datagram, fleet.addr(0)).await.unwrap();
-    let mut buf = [0; 4096];
-    loop {
-        let (len, _) = socket.recv_from(&mut buf).await.unwrap();
-        if let Datagram::Status(status) = Datagram::from_bytes(&buf[..len]).unwrap()
-            && status.nonce == 1
-        {
-            return status;
-        }
-    }
+    common::ask(socket, fleet.addr(0), query).await
 }
 
 async fn entry() -> (UdpSocket, SocketAddr) {
