Judge a long prompt at full engines by half of what is beyond a usual one

Whoever waits for a slot is let in only if the first event is expected in time, and a long prompt is expected late at every engine.

--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -427,11 +427,14 @@
         let is_late_by = |expected| likely(expected) > ask.objective;
         let is_late = expected.map_or(waits, is_late_by);
         // A request that has a slot is served, though late; one that also waits for a slot is
-        // better off elsewhere, or told so at once. A long prompt is judged by a usual one: by its
-        // own length it would be refused at every engine, and its caller never be served.
+        // better off elsewhere, or told so at once. Of a long prompt only half of what is beyond a
+        // usual one counts: by its whole length it is refused at every full engine, and with 2.5
+        // times the load of 16 engines 26 in 100 of the longest tenth were served, of all 72. By a
+        // usual length the others lose too much: worth 0.078 in place of 0.094, three seeds.
         let is_full = match prediction {
             Some(it) => {
-                let prompt = ask.prompt.min(it.model.usual_prompt);
+                let beyond = ask.prompt.saturating_sub(it.model.usual_prompt);
+                let prompt = ask.prompt - beyond / 2;
                 waits && is_late_by(it.first_event(prompt))
             }
             None => in_flight >= slots.saturating_add(QUEUE),
