Take what an engine holds for a missed naming only after a later read of the registry

A version that the registry has not named yet to a process is left to it, unless a read that began after an engine was heard to hold it still names an older one, which is the case of the late record.

--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -193,7 +193,10 @@
             model: model.to_owned(),
             version,
         };
-        self.name(&weights, Told::Held);
+        let now = BootTime::now();
+        let read_as_of = lock(&self.confirmed).get(&Topic::Settings).copied();
+        let binding_from = lock(&self.namings).take_held(&weights, read_as_of, now);
+        tell_named(&weights, Told::Held, binding_from, now);
     }
 
     fn take_weights(&self, weights: &NamedWeights) {
@@ -205,20 +208,9 @@
         } else {
             Told::BeforeStart(self.started)
         };
-        self.name(weights, told);
-    }
-
-    fn name(&self, weights: &NamedWeights, told: Told) {
         let now = BootTime::now();
         let binding_from = lock(&self.namings).take(weights, told, now);
-        if let Some(binding_from) = binding_from {
-            events::WEIGHTS_NAMED.emit(&[
-                ("model", &weights.model),
-                ("version", &weights.version.to_string()),
-                ("told", &told.to_string()),
-                ("binding_in_ms", &millis(binding_from.since(now))),
-            ]);
-        }
+        tell_named(weights, told, binding_from, now);
     }
 
     /// Returns since when `weights` may be known to be named.
@@ -291,6 +283,19 @@
     }
 }
 
+/// Tells of weights from which on nothing older may begin; of nothing where they are no news.
+fn tell_named(weights: &NamedWeights, told: Told, binding_from: Option<BootTime>, now: BootTime) {
+    let Some(binding_from) = binding_from else {
+        return;
+    };
+    events::WEIGHTS_NAMED.emit(&[
+        ("model", &weights.model),
+        ("version", &weights.version.to_string()),
+        ("told", &told.to_string()),
+        ("binding_in_ms", &millis(binding_from.since(now))),
+    ]);
+}
+
 fn millis(span: Duration) -> String {
     span.as_millis().to_string()
 }
--- a/crates/route/src/direct/naming.rs
+++ b/crates/route/src/direct/naming.rs
@@ -71,6 +71,8 @@
 pub struct Namings {
     bounds: NamingBounds,
     named: BTreeMap<ModelName, Vec<Named>>,
+    /// Newer weights that an engine was first heard to hold at this moment.
+    seen: BTreeMap<ModelName, (WeightsVersion, BootTime)>,
 }
 
 impl Namings {
@@ -79,6 +81,7 @@
         Self {
             bounds,
             named: BTreeMap::new(),
+            seen: BTreeMap::new(),
         }
     }
 
@@ -124,11 +127,6 @@
         if newest.is_some_and(|newest| newest >= weights.version) {
             return None;
         }
-        // What an engine holds is news only beside an older naming: without any, nothing is to be
-        // brought to the engines.
-        if told == Told::Held && newest.is_none() {
-            return None;
-        }
         let waits = self.bounds.last_begin.saturating_sub(self.bounds.begin);
         let waits_at_start = waits.min(LAST_BEGIN_AT_START);
         let (binding_from, waits) = match told {
@@ -152,17 +150,41 @@
         Some(binding_from)
     }
 
+    /// Takes that an engine holds `weights`, and the moment of which the last read of the registry
+    /// speaks; returns from when on nothing older may begin, or none if that is no news.
+    ///
+    /// Only a read that began after the engine was heard of, and still names an older version, says that
+    /// the naming was missed. An entry that was cut off hears of engines first, and of the naming a moment
+    /// later: taken at once, the streams of a whole data centre were cut when its links came back.
+    /// Without any naming there is nothing that engines are to be brought to.
+    pub fn take_held(
+        &mut self,
+        weights: &NamedWeights,
+        read_as_of: Option<BootTime>,
+        now: BootTime,
+    ) -> Option<BootTime> {
+        if self.newest_version(&weights.model)? >= weights.version {
+            return None;
+        }
+        let seen = self.seen.entry(weights.model.clone());
+        let seen = seen.or_insert((weights.version, now));
+        if seen.0 < weights.version {
+            *seen = (weights.version, now);
+        }
+        if read_as_of? <= seen.1 {
+            return None;
+        }
+        self.take(weights, Told::Held, now)
+    }
+
     /// Takes since when another process knows that weights are named; returns from when on nothing
     /// older may begin, or none if that is no news.
     ///
-    /// A guess gives way to it, and of what others told the earliest counts.
+    /// A guess gives way to it, and of what others told the earliest counts. A version that the registry
+    /// has not named to this process is left to it: the bound counts from its word.
     pub fn learn(&mut self, naming: &HeardNaming, now: BootTime) -> Option<BootTime> {
         let since = now.minus(Duration::from_millis(naming.age_ms.into()));
-        let model = &naming.weights.model;
-        if self.newest_version(model)? < naming.weights.version {
-            return self.take(&naming.weights, Told::News(since), now);
-        }
-        let mut named = self.named.get_mut(model)?.iter_mut();
+        let mut named = self.named.get_mut(&naming.weights.model)?.iter_mut();
         let named = named.find(|it| it.version == naming.weights.version)?;
         let is_better = named
             .since
