--- a/crates/route/src/direct/naming.rs
+++ b/crates/route/src/direct/naming.rs
@@ -60,6 +60,8 @@
     since: Option<BootTime>,
     /// Another process told since when they are named.
     was_learned: bool,
+    /// The registry was away: its bound counts from the return, whenever they were named before.
+    is_after_outage: bool,
 }
 
 /// The weights of each model that are named, and from when on nothing older may begin.
@@ -146,6 +148,7 @@
             last_begin: binding_from.plus(waits),
             since,
             was_learned: false,
+            is_after_outage: told == Told::AfterOutage,
         });
         Some(binding_from)
     }
@@ -181,7 +184,8 @@
     /// older may begin, or none if that is no news.
     ///
     /// A guess gives way to it, and of what others told the earliest counts. A version that the registry
-    /// has not named to this process is left to it: the bound counts from its word.
+    /// has not named to this process is left to it, and so is one that it named on its return from an
+    /// outage: the bound counts from its word, and what waits to begin is not cut by an older one.
     pub fn learn(&mut self, naming: &HeardNaming, now: BootTime) -> Option<BootTime> {
         let since = now.minus(Duration::from_millis(naming.age_ms.into()));
         let mut named = self.named.get_mut(&naming.weights.model)?.iter_mut();
@@ -189,7 +193,7 @@
         let is_better = named
             .since
             .is_none_or(|known| named.was_learned && since.plus(SAME) < known);
-        if !is_better {
+        if !is_better || named.is_after_outage {
             return None;
         }
         named.since = Some(since);
--- a/crates/route/tests/naming.rs
+++ b/crates/route/tests/naming.rs
@@ -117,3 +117,15 @@
     namings.take(&weights(2), Told::News(at(9_000)), at(9_000));
     assert_eq!(namings.learn(&heard(2, 5_000), at(10_000)), None);
 }
+
+/// The registry was away when the process started: how long before its return the weights were named
+/// doesn't count, and what waits to begin is not cut.
+#[rstest]
+fn word_after_outage() {
+    let mut namings = namings();
+    namings.take(&weights(3), Told::AfterOutage, at(26_400));
+    assert_eq!(namings.learn(&heard(3, 278), at(26_440)), None);
+    assert_eq!(namings.learn(&heard(3, 11_609), at(29_143)), None);
+    assert_eq!(namings.least_version(MODEL, at(33_399)), None);
+    assert_eq!(namings.least_version(MODEL, at(33_400)), Some(3));
+}
