--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -6,9 +6,9 @@
     EngineModel, LoadStatus, Upstream, UpstreamStart, UpstreamState, WeightsVersion,
 };
 
+use super::pick::Shortage;
 use super::prediction::{Prediction, reading};
 use super::reading::ReadingQueue;
-use super::upstreams::Shortage;
 
 /// How long an agent's word on its engine is used. Agents are asked several times a second; after
 /// this time only the entry's own count and the registry are left.
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -1,17 +1,16 @@
 //! The upstreams of one service: what is known of each, and which one a request goes to.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::{DataCentre, Region, rank_score};
-use wagtailreel_fleet::{
-    EngineModel, LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState, WeightsVersion,
-};
+use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState};
 
 use super::correction::Correction;
-use super::member::{LoadSource, Member, Presumed};
+use super::member::{Member, Presumed};
 use super::patience::Sign;
+use super::pick::{Ask, Offer, Pick, Rank, Shortage};
 
 /// First time for which an upstream is passed over after failures in a row, doubled with each.
 const FIRST_SHUN: Duration = Duration::from_millis(500);
@@ -38,64 +37,6 @@
 /// Requests that may wait at a full upstream whose answers nobody can predict.
 const QUEUE: u32 = 1;
 
-/// What one request asks of the choice.
-#[derive(Clone, Debug, Default)]
-pub struct Ask<'a> {
-    /// The model that the request needs; none at a plain service.
-    pub model: Option<&'a str>,
-    /// Oldest version of the model's weights that may begin the request.
-    pub least_version: Option<WeightsVersion>,
-    /// Upstreams that the request was sent to or that it did not reach.
-    pub tried: BTreeSet<UpstreamId>,
-    /// What the service's engines take for an answer; none at a plain service.
-    pub engine: Option<&'a EngineModel>,
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Time to the first event within which the answer is wanted.
-    pub objective: Duration,
-    /// Only upstreams of which there is a word since then, or that are nearby, are chosen from.
-    pub heard_since: Option<Instant>,
-}
-
-/// An upstream that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pick {
-    /// Id of the upstream.
-    pub id: UpstreamId,
-    /// Which start of it was chosen.
-    pub started: UpstreamStart,
-    /// Its address.
-    pub addr: std::net::SocketAddr,
-    /// The version of the weights that the request is to run on.
-    pub version: Option<WeightsVersion>,
-    /// Requests that were thought to be there.
-    pub in_flight: u32,
-    /// Whose word that is.
-    pub source: LoadSource,
-    /// 0 in the own data centre, 1 in its region, 2 beyond.
-    pub distance: u8,
-    /// Time to the first event that was expected; none at a plain service.
-    pub expected: Option<Duration>,
-    /// All its slots were thought to be taken.
-    pub waits: bool,
-    /// What is known of it is hearsay: it stands abroad, from where words come seldom.
-    pub is_hearsay: bool,
-}
-
-/// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum Shortage {
-    /// None is registered, or all are leaving or failing.
-    #[display("no-upstream")]
-    NoUpstream,
-    /// None holds the weights.
-    #[display("weights")]
-    Weights,
-    /// All are full.
-    #[display("full")]
-    Full,
-}
-
 /// The upstreams of one service.
 ///
 /// Invariant: an upstream that drains or is gone is never chosen, also by a request that waited.
@@ -488,32 +429,3 @@
             .retain(|_, member| !member.is_gone || member.own > 0);
     }
 }
-
-impl Shortage {
-    /// Keeps the shortage that comes nearer to serving.
-    fn max_with(self, other: Self) -> Self {
-        match (self, other) {
-            (Self::Full, _) | (_, Self::Full) => Self::Full,
-            (Self::Weights, _) | (_, Self::Weights) => Self::Weights,
-            _ => Self::NoUpstream,
-        }
-    }
-}
-
-/// What an upstream has to offer to a request.
-struct Offer {
-    rank: Rank,
-    pick: Pick,
-}
-
-/// Order in which upstreams are preferred, lowest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    is_doubted: bool,
-    is_late: bool,
-    is_unsafe: bool,
-    distance: u8,
-    reading: u128,
-    load: u64,
-    turn: u64,
-}
