Put states of the configuration in force in the order in which they were read

Cause: the log's follower and the pull from peers both read the fold, then put what they read in force; between the two another thread could put a newer state in force, over which the older one went. Invariant of ConfigBook, broken for up to one poll (1 s). A trace for the next failure is written (edit-unread).

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -229,12 +229,31 @@
             tokio::time::timeout_at(until, offset.changed()).await,
             Ok(Ok(()))
         ) {
+            tell_unread(book, service, edit, appended);
             let reason = "the edit was not read back: send it again with the same id";
             return Submitted::Failed(Outcome::Unknown, reason.to_owned());
         }
     }
 }
 
+/// Tells how far the entry has read, for who looks for what held it up.
+fn tell_unread(book: &ConfigBook, service: &str, edit: &EditId, appended: Option<Offset>) {
+    let applied = book.with_fold(|fold| fold.offset());
+    let in_force = *book.offset().borrow();
+    let log_end = (*book.head().borrow()).map(|head| head.next);
+    let reading = *book.reading().borrow();
+    let place = |place: Option<Offset>| place.map_or("unknown".to_owned(), |it| it.to_string());
+    events::EDIT_UNREAD.emit(&[
+        ("service", service),
+        ("edit", edit),
+        ("appended", &place(appended)),
+        ("applied", &applied.to_string()),
+        ("in_force", &in_force.to_string()),
+        ("log_end", &place(log_end)),
+        ("reading", &reading.to_string()),
+    ]);
+}
+
 /// Says whether `result` is of the edit that was appended at `appended`, or of an earlier copy.
 fn is_of(result: &EditResult, appended: Option<Offset>) -> bool {
     appended.is_none_or(|appended| result.offset <= appended)
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -7,7 +7,7 @@
 use wagtailreel_adapters::LogPage;
 use wagtailreel_control::EntryControl;
 use wagtailreel_core::{Offset, StateView};
-use wagtailreel_fold::{Applied, ConfigFold, FoldStop, LogHead};
+use wagtailreel_fold::{Applied, ConfigFold, FoldStop, LogHead, Publication};
 
 use crate::events;
 use crate::follower::StreamSink;
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct ConfigBook {
     fold: Mutex<ConfigFold>,
+    publication: Publication,
     view: RwLock<Arc<StateView>>,
     offset: watch::Sender<Offset>,
     head: watch::Sender<Option<LogHead>>,
@@ -42,6 +43,7 @@
     ) -> Self {
         Self {
             fold: Mutex::default(),
+            publication: Publication::default(),
             view: RwLock::default(),
             offset: watch::Sender::new(0),
             head: watch::Sender::new(None),
@@ -110,7 +112,12 @@
 
     /// Puts the fold's state in force, if it is news; returns whether it was.
     pub(crate) fn publish(&self) -> bool {
-        let state = self.with_fold(|fold| fold.state().clone());
+        let read = || self.with_fold(|fold| fold.state().clone());
+        self.publication
+            .publish(read, |state| self.put_in_force(state))
+    }
+
+    fn put_in_force(&self, state: StateView) -> bool {
         if state == *self.view() {
             return false;
         }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -210,6 +210,17 @@
     remedy: "Nothing.",
 };
 
+/// An edit was appended, and not read back in time.
+pub const EDIT_UNREAD: Event = Event {
+    id: 1061,
+    name: "edit-unread",
+    level: Level::Warn,
+    meaning: "An edit was not read back in time: `appended` is its place if the log said it, `applied` \
+              the last place that the fold took, `in_force` the last one put in force, `log_end` and \
+              `reading` what the last read of the log said.",
+    remedy: "Where `applied` is behind `appended`, look at the entry's link to the log.",
+};
+
 /// A request can't be answered for a reason within the entry.
 pub const LISTENER_FAILED: Event = Event {
     id: 1070,
@@ -244,5 +255,6 @@
     OUTCOME_UNKNOWN,
     ORDER_RELEASED,
     DOCUMENT_SUBMITTED,
+    EDIT_UNREAD,
     LISTENER_FAILED,
 ];
