Read the account of losses from log lines: wagtailreel account

Losses by reason, data centre and second, calls to the registry by topic, cause and outcome with their latency, how much too old ages of namings were told, and one request's way by its id.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -173,7 +173,11 @@
         let page = status_page::router(Arc::clone(&cx));
         tasks.spawn(serve("listen.status", status, page));
         let at = callers_addr.to_string();
-        events::STARTED.emit(&[("vm", &cx.settings.vm), ("callers", &at)]);
+        events::STARTED.emit(&[
+            ("vm", &cx.settings.vm),
+            ("data_centre", &cx.settings.data_centre),
+            ("callers", &at),
+        ]);
         Ok(Self {
             cx,
             callers: callers_addr,
--- a/src/args.rs
+++ b/src/args.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the free words.
+    pub(crate) fn words(&self) -> &[String] {
+        &self.words
+    }
+
     /// Checks that no free word was given.
     pub(crate) fn no_words(&self) -> Result<(), CommandError> {
         match self.words.first() {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one file each.
 
+mod account;
 mod agent;
 mod check;
 mod direct;
@@ -43,6 +44,9 @@
   report --metrics URL... --document FILE... [--samples N] [--every-ms N] [--short-s N] [--long-s N]
          [--format text|json|html] [--out FILE]
                                           service-level burn from the processes' metrics
+  account FILE|FOLDER|-... [--late-ms N] [--format text|json] [--id ID]
+                                          what requests were lost to, from log lines of entries and
+                                          agents; --id follows one request
   events                                  the catalogue of numbered events
   hash-token                              hash of a token or key read from standard input
 
@@ -103,6 +107,7 @@
         Some("show") => service::run(args, service::View::Document),
         Some("history") => service::run(args, service::View::History),
         Some("report") => report::run(args),
+        Some("account") => account::run(args),
         Some("events") => events::run(args),
         Some("hash-token") => hash::run(args),
         _ => UsageSnafu {
