Count the bound on weights from the latest proof, not the earliest

Cause: each process proves a moment at which the registry did not name the weights yet. The naming came after all of them, so the latest says most; entries and agents kept the earliest.

With the latest, a proof that looks too young breaks the bound, so the way counts too: an entry counts an age back from its question, answers to no known question prove nothing, and entries tell agents the moment on the agent's own clock, as the agent told it before. Ages that reach back before the start of a VM are no longer cut to it. Entries tell the read before the one that named the weights, not the moment of hearing.

Tests: naming::latest_proof (replaces learned_age, which held the earliest to count), own_news, told_proof, stage naming::word_of_an_entry.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -79,7 +79,8 @@
     id: 6115,
     name: "naming-learned",
     level: Level::Info,
-    meaning: "An agent knows since when weights are named, and the entry counts their bound from then.",
+    meaning: "An agent proves when weights were not named yet, and the entry counts their bound from \
+              the latest such moment, `age_ms` ago.",
     remedy: "Nothing.",
 };
 
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -22,10 +22,13 @@
 /// How many near questions there are for each one to another data centre, whose links are narrow.
 const FAR_EVERY: u32 = 5;
 
-/// Rounds of questions whose times are kept: 6.4 s. A later answer looks like a quick one, which
-/// the silence before it makes up for.
+/// Rounds of questions whose times are kept: 6.4 s. The time that a later answer took is not known.
 const ROUNDS: usize = 64;
 
+/// How long an agent's clock is known after it told it: shorter than a VM can be replaced in by one
+/// with another clock at the same address.
+const CLOCK_KNOWN: Duration = Duration::from_secs(1);
+
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 2048;
 
@@ -82,7 +85,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; DATAGRAM];
     let mut round: u32 = 0;
-    let mut asked_at = [Instant::now(); ROUNDS];
+    let mut rounds = Rounds::default();
+    let mut clocks = AgentClocks::default();
     // The service of each VM's upstream, so that an answer locks that one alone.
     let mut services: BTreeMap<IpAddr, (Arc<Service>, Option<ModelName>)> = BTreeMap::new();
     loop {
@@ -90,14 +94,14 @@
             _ = ticks.tick() => {
                 round = round.wrapping_add(1).max(1);
                 let now = Instant::now();
-                asked_at[round as usize % ROUNDS] = now;
+                rounds.begin(round, now);
                 let is_far_turn = round.is_multiple_of(FAR_EVERY);
                 if is_far_turn {
                     // All are asked now, and those that are gone are forgotten.
                     services.clear();
                 }
                 for (ip, asked) in engines(&view, &home, is_far_turn) {
-                    agents.send(ip, asked.query(round));
+                    agents.send(ip, asked.query(round, clocks.get(ip, BootTime::now())));
                     asked.service.upstreams().asked(ip, now);
                     services.insert(ip, (asked.service, asked.model));
                 }
@@ -108,15 +112,16 @@
                     continue;
                 };
                 neighbours.hear(&status.entries, BootTime::now());
-                if let Some(naming) = &status.naming {
-                    view.learn_naming(naming, from.ip());
+                clocks.hear(from.ip(), status.clock_ms, BootTime::now());
+                // What comes without being asked for, or much later, answers no round that is known.
+                let asked = rounds.get(status.nonce);
+                if let (Some(naming), Some(asked)) = (&status.naming, asked) {
+                    view.learn_naming(naming, asked.boot_time, from.ip());
                 }
                 if let (Some(load), Some((service, model))) =
                     (status.load, services.get(&from.ip()))
                 {
-                    // What comes without being asked for has no nonce.
-                    let since = asked_at[status.nonce as usize % ROUNDS];
-                    let round_trip = (status.nonce != 0).then(|| since.elapsed());
+                    let round_trip = asked.map(|asked| asked.at.elapsed());
                     take(service, from.ip(), &load, round_trip);
                     if let (Some(model), Some(version)) = (model, load.version) {
                         view.take_held(model, version);
@@ -127,6 +132,75 @@
     }
 }
 
+/// When a round of questions went out.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    at: Instant,
+    boot_time: BootTime,
+}
+
+/// The last rounds of questions, by their nonces.
+#[derive(Debug, Default)]
+struct Rounds(BTreeMap<u32, Round>);
+
+impl Rounds {
+    fn begin(&mut self, nonce: u32, at: Instant) {
+        let round = Round {
+            at,
+            boot_time: BootTime::now(),
+        };
+        self.0.insert(nonce, round);
+        if self.0.len() > ROUNDS {
+            self.0.pop_first();
+        }
+    }
+
+    fn get(&self, nonce: u32) -> Option<Round> {
+        self.0.get(&nonce).copied()
+    }
+}
+
+/// An agent's clock as it told it, and when.
+#[derive(Clone, Copy, Debug)]
+struct AgentClock {
+    /// Milliseconds on the agent's clock.
+    told_ms: u64,
+    at: BootTime,
+}
+
+impl AgentClock {
+    /// Returns `moment` in milliseconds on the agent's clock.
+    ///
+    /// The agent told its clock before this entry heard of it, so that the result is never later than
+    /// the moment: a later one would let requests begin on older weights for too long.
+    fn translate(&self, moment: BootTime) -> u64 {
+        let before = self.at.since(moment).as_millis();
+        let after = moment.since(self.at).as_millis();
+        let span = |millis| u64::try_from(millis).unwrap_or(u64::MAX);
+        self.told_ms
+            .saturating_add(span(after))
+            .saturating_sub(span(before))
+    }
+}
+
+/// The clocks of agents that want to be told when weights were not named yet.
+#[derive(Debug, Default)]
+struct AgentClocks(BTreeMap<IpAddr, AgentClock>);
+
+impl AgentClocks {
+    fn hear(&mut self, ip: IpAddr, told_ms: Option<u64>, at: BootTime) {
+        match told_ms {
+            Some(told_ms) => self.0.insert(ip, AgentClock { told_ms, at }),
+            None => self.0.remove(&ip),
+        };
+    }
+
+    fn get(&self, ip: IpAddr, now: BootTime) -> Option<AgentClock> {
+        let clock = self.0.get(&ip).copied();
+        clock.filter(|clock| now.since(clock.at) <= CLOCK_KNOWN)
+    }
+}
+
 /// An agent that is to be asked.
 #[derive(Clone, Debug)]
 struct Asked {
@@ -140,14 +214,16 @@
 }
 
 impl Asked {
-    /// Returns the question in the round `nonce`.
-    fn query(&self, nonce: u32) -> Query {
+    /// Returns the question in the round `nonce` to an agent with `clock`.
+    fn query(&self, nonce: u32, clock: Option<AgentClock>) -> Query {
         let naming = self.naming.as_ref();
-        let age = naming.and_then(|naming| naming.age);
+        let after = naming.and_then(|naming| naming.after);
         Query {
             nonce,
             weights: naming.map(|naming| naming.weights.clone()),
-            weights_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            weights_after_ms: clock
+                .zip(after)
+                .map(|(clock, after)| clock.translate(after)),
             is_near: self.is_near,
             ..Query::default()
         }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -143,7 +143,7 @@
 
     /// Returns the newest weights of `model` that are named.
     pub(crate) fn newest_weights(&self, model: &str) -> Option<Naming> {
-        lock(&self.namings).newest(model, BootTime::now())
+        lock(&self.namings).newest(model)
     }
 
     /// Returns how much longer a request may wait to begin on `version` of `model`; none if nothing
@@ -172,16 +172,20 @@
         }
     }
 
-    /// Takes since when the agent at `from` knows weights to be named.
-    pub(crate) fn learn_naming(&self, naming: &HeardNaming, from: IpAddr) {
+    /// Takes when weights were not named yet by the agent at `from`, which was asked at `asked_at`.
+    ///
+    /// The age was told after the question, however long the answer took: counted back from the
+    /// question it never makes the naming younger than it is.
+    pub(crate) fn learn_naming(&self, naming: &HeardNaming, asked_at: BootTime, from: IpAddr) {
         let now = BootTime::now();
-        let binding_from = lock(&self.namings).learn(naming, now);
+        let after = asked_at.minus(Duration::from_millis(naming.age_ms.into()));
+        let binding_from = lock(&self.namings).learn(&naming.weights, after);
         if let Some(binding_from) = binding_from {
             events::NAMING_LEARNED.emit(&[
                 ("model", &naming.weights.model),
                 ("version", &naming.weights.version.to_string()),
                 ("agent", &from.to_string()),
-                ("age_ms", &naming.age_ms.to_string()),
+                ("age_ms", &millis(now.since(after))),
                 ("binding_in_ms", &millis(binding_from.since(now))),
             ]);
         }
@@ -202,7 +206,7 @@
     fn take_weights(&self, weights: &NamedWeights) {
         let is_first = !lock(&self.confirmed).contains_key(&Topic::Settings);
         let told = if !is_first {
-            Told::News(self.heard_since(weights))
+            self.news(weights)
         } else if self.saw_return.load(Ordering::Relaxed) {
             Told::AfterOutage
         } else {
@@ -213,15 +217,21 @@
         tell_named(weights, told, binding_from, now);
     }
 
-    /// Returns since when `weights` may be known to be named.
+    /// Returns how `weights` that the registry names now are told.
     ///
     /// Of several versions that were named between two reads only the newest may be heard of. Its
     /// bound counts from the read before, so that it also holds for those that were passed over.
-    fn heard_since(&self, weights: &NamedWeights) -> BootTime {
+    fn news(&self, weights: &NamedWeights) -> Told {
         let known = lock(&self.namings).newest_version(&weights.model);
         let was_skipped = known.is_some_and(|known| known + 1 < weights.version);
+        let now = BootTime::now();
         let before = lock(&self.confirmed).get(&Topic::Settings).copied();
-        before.filter(|_| was_skipped).unwrap_or_else(BootTime::now)
+        // Without a read before there is nothing that the weights could be news to.
+        let after = before.unwrap_or(now);
+        Told::News {
+            heard: if was_skipped { after } else { now },
+            after,
+        }
     }
 
     fn take_upstream(&self, upstream: Upstream) {
--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -4,6 +4,10 @@
 
 use rustix::time::{ClockId, clock_gettime};
 
+/// Time before the start of the VM that can still be told, so that an age which another process tells
+/// to one on a new VM isn't cut to the time since the start.
+const BEFORE_START: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// A moment on the clock that counts the time of a suspended VM.
 ///
 /// `Instant` stands still while a VM is suspended: a belief would look fresh after it woke up, and
@@ -17,12 +21,17 @@
         let now = clock_gettime(ClockId::Boottime);
         let secs = u64::try_from(now.tv_sec).unwrap_or(0);
         let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
-        Self(Duration::new(secs, nanos))
+        Self(BEFORE_START.saturating_add(Duration::new(secs, nanos)))
+    }
+
+    /// Makes the moment `since_origin` after the clock's origin, a day before the start of the VM.
+    pub const fn new(since_origin: Duration) -> Self {
+        Self(since_origin)
     }
 
-    /// Makes the moment `since_boot` after the start of the VM.
-    pub const fn new(since_boot: Duration) -> Self {
-        Self(since_boot)
+    /// Returns the time since the clock's origin.
+    pub const fn since_origin(self) -> Duration {
+        self.0
     }
 
     /// Returns the time from `earlier` to this moment, zero if it lies before.
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -27,10 +27,10 @@
     /// hears of them so, and need not ask the registry often.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<NamedWeights>,
-    /// How long ago these weights were named at the least, in milliseconds; none if the asker can't
-    /// prove it.
-    #[serde(rename = "wa", default, skip_serializing_if = "Option::is_none")]
-    pub weights_age_ms: Option<u32>,
+    /// A moment at which these weights were not named yet, in milliseconds on the agent's clock; none
+    /// if the asker can't prove one, or doesn't know the agent's clock.
+    #[serde(rename = "wm", default, skip_serializing_if = "Option::is_none")]
+    pub weights_after_ms: Option<u64>,
     /// Weights whose chunks the asker wants to hear of.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub chunks: Option<(ModelName, WeightsVersion)>,
@@ -43,13 +43,14 @@
     pub sends_us: Option<u32>,
 }
 
-/// Weights that were named lately, and since when they are known to be.
+/// Weights that were named lately, and when they were not yet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeardNaming {
     /// The weights.
     #[serde(flatten)]
     pub weights: NamedWeights,
-    /// How long ago they were named at the least, in milliseconds.
+    /// They were named in the last so many milliseconds before this was told: before that, a read of the
+    /// registry did not find them.
     #[serde(rename = "age")]
     pub age_ms: u32,
 }
@@ -113,6 +114,9 @@
     /// bound still lasts.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub naming: Option<HeardNaming>,
+    /// The agent's clock in milliseconds, while it wants to be told when weights were not named yet.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<u64>,
     /// The chunks that were asked for.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub chunks: Option<HeldChunks>,
--- a/crates/route/src/direct/naming.rs
+++ b/crates/route/src/direct/naming.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wagtailreel_fleet::{BootTime, HeardNaming, ModelName, NamedWeights, WeightsVersion};
+use wagtailreel_fleet::{BootTime, ModelName, NamedWeights, WeightsVersion};
 
 /// How long a request may wait to begin on weights whose naming was missed, beyond their bound: both
 /// together stay below the 3 s that a new process is given.
 const LAST_BEGIN_AT_START: Duration = Duration::from_millis(250);
 
-/// Words on the time of one naming that differ by less differ only by the time of their way.
+/// Proofs on one naming that differ by less differ only by the time of their way.
 const SAME: Duration = Duration::from_millis(20);
 
 /// How long older weights may still be used.
@@ -27,9 +27,14 @@
 /// How a process comes to know that weights are named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Told {
-    /// The registry names them, and did not at this moment.
+    /// The registry names them now.
     #[display("news")]
-    News(BootTime),
+    News {
+        /// The moment from which their bound counts.
+        heard: BootTime,
+        /// The registry did not name them at this moment.
+        after: BootTime,
+    },
     /// The registry already named them when the process, started at this moment, read it first.
     #[display("before-start")]
     BeforeStart(BootTime),
@@ -41,13 +46,13 @@
     Held,
 }
 
-/// Weights that are named, and since when they are at the latest, if that is proved.
+/// Weights that are named, and when they were not yet, if that is proved.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Naming {
     /// The weights.
     pub weights: NamedWeights,
-    /// How long ago the naming is at least; none where it can't be proved.
-    pub age: Option<Duration>,
+    /// A moment at which they were not named; none where none is proved.
+    pub after: Option<BootTime>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -56,12 +61,10 @@
     binding_from: BootTime,
     /// Requests that wait to begin on older weights are taken back at this moment.
     last_begin: BootTime,
-    /// The moment from which the bound counts, where it was not guessed.
-    since: Option<BootTime>,
-    /// Another process told since when they are named.
-    was_learned: bool,
-    /// The registry was away: its bound counts from the return, whenever they were named before.
-    is_after_outage: bool,
+    /// The latest moment at which the registry is proved not to have named them.
+    after: Option<BootTime>,
+    /// The bound was guessed, and counts from `after` once that is known.
+    is_guess: bool,
 }
 
 /// The weights of each model that are named, and from when on nothing older may begin.
@@ -95,14 +98,14 @@
     }
 
     /// Returns the newest weights of `model` that are named.
-    pub fn newest(&self, model: &str, now: BootTime) -> Option<Naming> {
+    pub fn newest(&self, model: &str) -> Option<Naming> {
         let newest = self.named.get(model)?.iter().max_by_key(|it| it.version)?;
         Some(Naming {
             weights: NamedWeights {
                 model: model.to_owned(),
                 version: newest.version,
             },
-            age: newest.since.map(|since| now.since(since)),
+            after: newest.after,
         })
     }
 
@@ -132,13 +135,13 @@
         let waits = self.bounds.last_begin.saturating_sub(self.bounds.begin);
         let waits_at_start = waits.min(LAST_BEGIN_AT_START);
         let (binding_from, waits) = match told {
-            Told::News(since) => (since.plus(self.bounds.begin), waits),
+            Told::News { heard, .. } => (heard.plus(self.bounds.begin), waits),
             Told::AfterOutage => (now.plus(self.bounds.begin), waits),
             Told::BeforeStart(started) => (started.plus(self.bounds.unknown), waits_at_start),
             Told::Held => (now.plus(self.bounds.unknown), waits_at_start),
         };
-        let since = match told {
-            Told::News(since) => Some(since),
+        let after = match told {
+            Told::News { after, .. } => Some(after),
             Told::BeforeStart(_) | Told::AfterOutage | Told::Held => None,
         };
         let named = self.named.entry(weights.model.clone()).or_default();
@@ -146,9 +149,8 @@
             version: weights.version,
             binding_from,
             last_begin: binding_from.plus(waits),
-            since,
-            was_learned: false,
-            is_after_outage: told == Told::AfterOutage,
+            after,
+            is_guess: matches!(told, Told::BeforeStart(_) | Told::Held),
         });
         Some(binding_from)
     }
@@ -180,26 +182,27 @@
         self.take(weights, Told::Held, now)
     }
 
-    /// Takes since when another process knows that weights are named; returns from when on nothing
-    /// older may begin, or none if that is no news.
+    /// Takes that another process proved `weights` not to be named at `after`; returns from when on
+    /// nothing older may begin, or none if that is no news.
     ///
-    /// A guess gives way to it, and of what others told the earliest counts. A version that the registry
-    /// has not named to this process is left to it, and so is one that it named on its return from an
-    /// outage: the bound counts from its word, and what waits to begin is not cut by an older one.
-    pub fn learn(&mut self, naming: &HeardNaming, now: BootTime) -> Option<BootTime> {
-        let since = now.minus(Duration::from_millis(naming.age_ms.into()));
-        let mut named = self.named.get_mut(&naming.weights.model)?.iter_mut();
-        let named = named.find(|it| it.version == naming.weights.version)?;
-        let is_better = named
-            .since
-            .is_none_or(|known| named.was_learned && since.plus(SAME) < known);
-        if !is_better || named.is_after_outage {
+    /// The naming came after each moment that is proved, so the latest of them counts: by the earliest,
+    /// an entry that had just started refused its callers 9 s before it had to. A guess gives way to
+    /// it. What the registry named to this process stands, and so does its word on its return from an
+    /// outage: the bound counts from it, and what waits to begin is not cut by an older one. A version
+    /// that the registry has not named to this process is left to it.
+    pub fn learn(&mut self, weights: &NamedWeights, after: BootTime) -> Option<BootTime> {
+        let mut named = self.named.get_mut(&weights.model)?.iter_mut();
+        let named = named.find(|it| it.version == weights.version)?;
+        let is_later = |known: BootTime| known.plus(SAME) < after;
+        if !named.after.is_none_or(is_later) {
             return None;
         }
-        named.since = Some(since);
-        named.was_learned = true;
-        named.binding_from = since.plus(self.bounds.begin);
-        named.last_begin = since.plus(self.bounds.last_begin);
+        named.after = Some(after);
+        if !named.is_guess {
+            return None;
+        }
+        named.binding_from = after.plus(self.bounds.begin);
+        named.last_begin = after.plus(self.bounds.last_begin);
         Some(named.binding_from)
     }
 
--- a/crates/route/tests/naming.rs
+++ b/crates/route/tests/naming.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{BootTime, HeardNaming, NamedWeights, WeightsVersion};
+use wagtailreel_fleet::{BootTime, NamedWeights, WeightsVersion};
 use wagtailreel_route::direct::{NamingBounds, Namings, Told};
 
 const MODEL: &str = "epitaph";
@@ -28,15 +28,16 @@
     }
 }
 
-fn heard(version: WeightsVersion, age_ms: u32) -> HeardNaming {
-    HeardNaming {
-        weights: weights(version),
-        age_ms,
+/// Read in the registry at a moment, and not there at the one before.
+fn news(heard_ms: u64, after_ms: u64) -> Told {
+    Told::News {
+        heard: at(heard_ms),
+        after: at(after_ms),
     }
 }
 
 #[rstest]
-#[case::news(Told::News(at(9_000)), 16_000)]
+#[case::news(news(9_000, 8_400), 16_000)]
 #[case::before_start(Told::BeforeStart(at(9_500)), 12_000)]
 #[case::after_outage(Told::AfterOutage, 17_000)]
 fn first_naming(#[case] told: Told, #[case] binding_from: u64) {
@@ -56,9 +57,9 @@
     assert_eq!(namings.take_held(&weights(3), Some(at(100)), at(200)), None);
     let binding = namings.take_held(&weights(3), Some(at(300)), at(400));
     assert_eq!(binding, Some(at(2_900)), "a later read names it no more");
-    assert_eq!(namings.newest(MODEL, at(400)).unwrap().weights.version, 3);
+    assert_eq!(namings.newest(MODEL).unwrap().weights.version, 3);
     assert_eq!(namings.least_version(MODEL, at(2_900)), Some(3));
-    assert_eq!(namings.take(&weights(2), Told::News(at(0)), at(500)), None);
+    assert_eq!(namings.take(&weights(2), news(0, 0), at(500)), None);
 }
 
 /// An entry that was cut off hears of engines before the registry tells it of the naming, whose bound
@@ -66,13 +67,14 @@
 #[rstest]
 fn after_a_cut() {
     let mut namings = namings();
-    namings.take(&weights(2), Told::News(at(1_000)), at(1_000));
+    namings.take(&weights(2), news(1_000, 900), at(1_000));
     let (cut_off_at, back) = (at(2_000), at(20_000));
     assert_eq!(namings.take_held(&weights(3), Some(cut_off_at), back), None);
-    assert_eq!(namings.learn(&heard(3, 11_600), back), None);
-    let binding = namings.take(&weights(3), Told::News(at(20_300)), at(20_300));
+    assert_eq!(namings.learn(&weights(3), at(8_400)), None);
+    let binding = namings.take(&weights(3), news(20_300, 2_000), at(20_300));
     assert_eq!(binding, Some(at(27_300)));
-    assert_eq!(namings.learn(&heard(3, 12_000), at(20_400)), None);
+    assert_eq!(namings.learn(&weights(3), at(8_400)), None);
+    assert_eq!(namings.least_version(MODEL, at(27_299)), Some(2));
 }
 
 /// Without any naming engines are left with what they hold.
@@ -81,41 +83,48 @@
     let mut namings = namings();
     let held = namings.take_held(&weights(1), Some(at(300)), at(200));
     assert_eq!(held, None);
-    assert_eq!(namings.newest(MODEL, at(300)), None);
+    assert_eq!(namings.newest(MODEL), None);
 }
 
 /// Only what is proved is told to others.
 #[rstest]
-#[case::news(Told::News(at(400)), Some(600))]
+#[case::news(news(400, 350), Some(350))]
 #[case::before_start(Told::BeforeStart(at(400)), None)]
 #[case::after_outage(Told::AfterOutage, None)]
-fn told_age(#[case] told: Told, #[case] age: Option<u64>) {
+fn told_proof(#[case] told: Told, #[case] after: Option<u64>) {
     let mut namings = namings();
     namings.take(&weights(2), told, at(500));
-    let naming = namings.newest(MODEL, at(1_000)).unwrap();
-    assert_eq!(naming.age, age.map(Duration::from_millis));
+    let naming = namings.newest(MODEL).unwrap();
+    assert_eq!(naming.after, after.map(at));
 }
 
+/// Each proof says that the naming came after it, so the latest of them counts.
 #[rstest]
-fn learned_age() {
+fn latest_proof() {
     let mut namings = namings();
     namings.take(&weights(2), Told::BeforeStart(at(9_000)), at(9_000));
-    let binding = namings.learn(&heard(2, 1_000), at(10_000));
-    assert_eq!(binding, Some(at(16_000)), "a guess gives way");
-    assert_eq!(namings.learn(&heard(2, 1_010), at(10_000)), None);
-    assert_eq!(namings.learn(&heard(2, 500), at(10_000)), None, "later");
-    let binding = namings.learn(&heard(2, 3_000), at(10_000));
-    assert_eq!(binding, Some(at(14_000)), "the earliest counts");
-    let age = namings.newest(MODEL, at(10_000)).unwrap().age;
-    assert_eq!(age, Some(Duration::from_millis(3_000)));
+    let binding = namings.learn(&weights(2), at(2_400));
+    assert_eq!(binding, Some(at(9_400)), "a guess gives way");
+    let binding = namings.learn(&weights(2), at(9_000));
+    assert_eq!(binding, Some(at(16_000)), "a later one says more");
+    assert_eq!(namings.learn(&weights(2), at(9_010)), None, "the same");
+    assert_eq!(namings.learn(&weights(2), at(8_000)), None, "earlier");
+    assert_eq!(namings.least_version(MODEL, at(15_999)), None);
+    assert_eq!(namings.least_version(MODEL, at(16_000)), Some(2));
+    assert_eq!(namings.newest(MODEL).unwrap().after, Some(at(9_000)));
 }
 
-/// What the process heard of itself stands.
+/// What the process heard of itself stands, whatever others prove; they are told the best proof.
 #[rstest]
 fn own_news() {
     let mut namings = namings();
-    namings.take(&weights(2), Told::News(at(9_000)), at(9_000));
-    assert_eq!(namings.learn(&heard(2, 5_000), at(10_000)), None);
+    namings.take(&weights(2), news(9_000, 8_000), at(9_000));
+    assert_eq!(namings.learn(&weights(2), at(5_000)), None);
+    assert_eq!(namings.newest(MODEL).unwrap().after, Some(at(8_000)));
+    assert_eq!(namings.learn(&weights(2), at(8_600)), None);
+    assert_eq!(namings.newest(MODEL).unwrap().after, Some(at(8_600)));
+    assert_eq!(namings.least_version(MODEL, at(15_999)), None);
+    assert_eq!(namings.least_version(MODEL, at(16_000)), Some(2));
 }
 
 /// The registry was away when the process started: how long before its return the weights were named
@@ -124,8 +133,8 @@
 fn word_after_outage() {
     let mut namings = namings();
     namings.take(&weights(3), Told::AfterOutage, at(26_400));
-    assert_eq!(namings.learn(&heard(3, 278), at(26_440)), None);
-    assert_eq!(namings.learn(&heard(3, 11_609), at(29_143)), None);
+    assert_eq!(namings.learn(&weights(3), at(26_162)), None);
+    assert_eq!(namings.learn(&weights(3), at(17_534)), None);
     assert_eq!(namings.least_version(MODEL, at(33_399)), None);
     assert_eq!(namings.least_version(MODEL, at(33_400)), Some(3));
 }
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -31,9 +31,11 @@
     pub(crate) version: WeightsVersion,
     /// When the agent takes them to be named; none if that was before its start, or can't be known.
     pub(crate) named_at: Option<Instant>,
-    /// The moment after which they were named, where that is proved. Entries count their bound from
-    /// it, so that a guess would let requests begin on older weights for too long.
-    pub(crate) since: Option<BootTime>,
+    /// The latest moment at which they are proved not to have been named. Entries count their bound
+    /// from it, so that a guess would let requests begin on older weights for too long.
+    pub(crate) after: Option<BootTime>,
+    /// When the agent heard of them first.
+    pub(crate) heard_at: BootTime,
 }
 
 /// What an agent believes of its service.
@@ -78,13 +80,17 @@
         })
     }
 
-    /// Takes weights that an entry knows to be named, and since when they are at the least, if it
-    /// can prove that.
-    pub(crate) fn hear(&self, weights: &NamedWeights, age: Option<Duration>) {
+    /// Takes weights that an entry knows to be named, and when they were not yet, if it can prove
+    /// that. A moment that is still to come is of another clock.
+    pub(crate) fn hear(&self, weights: &NamedWeights, after: Option<BootTime>) {
+        let now = BootTime::now();
+        let after = after.filter(|after| *after <= now);
+        let age = after.map(|after| now.since(after));
         let heard = HeardWeights {
             version: weights.version,
             named_at: age.and_then(|age| Instant::now().checked_sub(age)),
-            since: age.map(|age| BootTime::now().minus(age)),
+            after,
+            heard_at: now,
         };
         if self.take(&weights.model, heard) {
             self.changed.notify_one();
@@ -115,27 +121,30 @@
         let heard = HeardWeights {
             version: weights.version,
             named_at: before.map(|_| Instant::now()),
-            since: before,
+            after: before,
+            heard_at: BootTime::now(),
         };
         self.take(&weights.model, heard);
     }
 
-    /// Takes weights that are named; returns whether they are news.
+    /// Takes weights that are named; returns whether that says more than was known.
     fn take(&self, model: &ModelName, heard: HeardWeights) -> bool {
         let mut inner = self.lock();
         let known = inner.named.get(model).copied();
         if let Some(known) = known
             && known.version >= heard.version
         {
-            // Who heard of them first knows best since when they are named.
-            let is_better = known.since.is_none() || heard.since < known.since;
-            if known.version == heard.version && heard.since.is_some() && is_better {
+            // They were named after each moment that is proved, so that the latest says most.
+            let says_more = known.version == heard.version && heard.after > known.after;
+            if says_more {
+                let heard_at = known.heard_at;
+                let heard = HeardWeights { heard_at, ..heard };
                 inner.named.insert(model.clone(), heard);
             }
-            return false;
+            return says_more;
         }
         inner.named.insert(model.clone(), heard);
-        let age = heard.since.map(|since| BootTime::now().since(since));
+        let age = heard.after.map(|after| BootTime::now().since(after));
         events::WEIGHTS_NAMED.emit(&[
             ("model", model),
             ("version", &heard.version.to_string()),
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -180,11 +180,9 @@
             let HeardWeights {
                 version, named_at, ..
             } = named;
-            if let Some(since) = named.since {
-                let model = wanted.model.clone();
-                let weights = NamedWeights { model, version };
-                self.cx.board.set_naming(weights, since);
-            }
+            let model = wanted.model.clone();
+            let weights = NamedWeights { model, version };
+            self.cx.board.set_naming(weights, named);
             if known != Some(version) && self.may_move_on() {
                 // The bound of the weights that are skipped goes on to count.
                 let skipped = self.target.take().filter(|_| !self.is_loaded(known));
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -122,7 +122,12 @@
             Arc::clone(&neighbours),
         )
         .with_counters(calls);
-        let board = Arc::new(StatusBoard::new(Arc::clone(&shelf), socket, neighbours));
+        let board = Arc::new(StatusBoard::new(
+            Arc::clone(&shelf),
+            socket,
+            neighbours,
+            settings.weights,
+        ));
         let beliefs = Arc::new(Beliefs::new(settings.service.clone()));
         let giving = Giving::new(Arc::clone(&shelf), engine.clone(), settings.link);
         let cx = Arc::new(Surroundings {
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -16,7 +16,7 @@
 
 use crate::EngineReport;
 use crate::askers::Askers;
-use crate::beliefs::Beliefs;
+use crate::beliefs::{Beliefs, HeardWeights};
 use crate::shelf::Shelf;
 
 /// Longest datagram in bytes.
@@ -31,13 +31,14 @@
     report: Option<(EngineReport, Instant)>,
     model: String,
     is_switching: bool,
-    naming: Option<(NamedWeights, BootTime)>,
+    naming: Option<(NamedWeights, HeardWeights)>,
     /// Requests on their way to the engine.
     places: Places,
 }
 
-/// How long agents tell of weights that were named. The longest bound is 10 s.
-const NAMING_TOLD: Duration = Duration::from_secs(12);
+/// How much longer than their bound agents tell of weights that were named: an entry that starts then
+/// still learns that the bound is over.
+const TOLD_LONGER: Duration = Duration::from_secs(10);
 
 /// What an agent tells of its engine, and to whom.
 #[derive(Debug)]
@@ -48,6 +49,8 @@
     neighbours: Arc<Neighbours>,
     shelf: Arc<Shelf>,
     socket: UdpSocket,
+    /// How long the agent tells of weights that were named, and asks since when.
+    naming_told: Duration,
 }
 
 /// Chunks that another agent says it has.
@@ -58,13 +61,20 @@
 }
 
 impl StatusBoard {
-    pub(crate) fn new(shelf: Arc<Shelf>, socket: UdpSocket, neighbours: Arc<Neighbours>) -> Self {
+    /// Makes the board of an agent whose weights may be used for `bound` after newer ones were named.
+    pub(crate) fn new(
+        shelf: Arc<Shelf>,
+        socket: UdpSocket,
+        neighbours: Arc<Neighbours>,
+        bound: Duration,
+    ) -> Self {
         Self {
             known: Mutex::default(),
             askers: Askers::default(),
             neighbours,
             shelf,
             socket,
+            naming_told: bound + TOLD_LONGER,
         }
     }
 
@@ -93,18 +103,27 @@
         changed
     }
 
-    /// Takes weights that were named, and after which moment.
-    pub(crate) fn set_naming(&self, weights: NamedWeights, since: BootTime) {
+    /// Takes weights that were named, as the agent heard of them.
+    pub(crate) fn set_naming(&self, weights: NamedWeights, heard: HeardWeights) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.naming = Some((weights, since));
+        known.naming = Some((weights, heard));
+    }
+
+    /// Returns the agent's clock while it wants to hear when the newest weights were not named yet.
+    fn clock(&self) -> Option<u64> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let (_, heard) = known.naming.as_ref()?;
+        let now = BootTime::now();
+        let is_wanted = now.since(heard.heard_at) <= self.naming_told;
+        is_wanted.then(|| u64::try_from(now.since_origin().as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Returns the weights that were named lately.
     fn naming(&self) -> Option<HeardNaming> {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let (weights, since) = known.naming.as_ref()?;
-        let age = BootTime::now().since(*since);
-        (age <= NAMING_TOLD).then(|| HeardNaming {
+        let (weights, heard) = known.naming.as_ref()?;
+        let age = BootTime::now().since(heard.after?);
+        (age <= self.naming_told).then(|| HeardNaming {
             weights: weights.clone(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         })
@@ -146,6 +165,7 @@
             nonce: 0,
             load: self.load(now),
             naming: self.naming(),
+            clock_ms: None,
             chunks: None,
             entries: Vec::new(),
         };
@@ -188,8 +208,8 @@
                 Ok(Datagram::Query(query)) => {
                     self.answer(&query, from);
                     if let Some(weights) = &query.weights {
-                        let age = query.weights_age_ms.map(u64::from);
-                        beliefs.hear(weights, age.map(Duration::from_millis));
+                        let after = query.weights_after_ms.map(Duration::from_millis);
+                        beliefs.hear(weights, after.map(BootTime::new));
                     }
                 }
                 Ok(Datagram::Status(status)) => {
@@ -224,6 +244,7 @@
             nonce: query.nonce,
             load: self.load(now),
             naming: self.naming(),
+            clock_ms: self.clock(),
             chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
             entries,
         };
--- a/crates/stage/tests/naming.rs
+++ b/crates/stage/tests/naming.rs
@@ -3,19 +3,21 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Fleet, MODEL, ask};
 use rstest::rstest;
 use tokio::net::UdpSocket;
 use wagtailreel_fleet::{NamedWeights, Query, Status};
 
 /// Tells the fleet's agent of weights as an entry does, and returns what it answers.
-async fn tell(fleet: &Fleet, socket: &UdpSocket, version: u64, age_ms: Option<u32>) -> Status {
+async fn tell(fleet: &Fleet, socket: &UdpSocket, version: u64, after_ms: Option<u64>) -> Status {
     let query = Query {
         weights: Some(NamedWeights {
             model: MODEL.to_owned(),
             version,
         }),
-        weights_age_ms: age_ms,
+        weights_after_ms: after_ms,
         ..Query::default()
     };
     ask(socket, fleet.addr(0), query).await
@@ -36,12 +38,27 @@
     let status = tell(&fleet, &socket, 3, None).await;
     let told = status.naming.filter(|naming| naming.weights.version == 3);
     assert_eq!(told, None, "nobody knows since when");
-    let naming = loop {
-        let status = tell(&fleet, &socket, 3, Some(3_000)).await;
-        let naming = status.naming.filter(|naming| naming.weights.version == 3);
-        if let Some(naming) = naming {
-            break naming;
+    let clock_ms = status.clock_ms.expect("the agent wants to know");
+    let ahead = clock_ms + 60_000;
+    let status = tell(&fleet, &socket, 3, Some(ahead)).await;
+    let told = status.naming.filter(|naming| naming.weights.version == 3);
+    assert_eq!(told, None, "of another clock");
+    // Each proof says that the naming came after it, so the latest of them counts.
+    for after in [clock_ms - 900, clock_ms - 300, clock_ms - 800] {
+        tell(&fleet, &socket, 3, Some(after)).await;
+    }
+    let told = async {
+        loop {
+            let status = tell(&fleet, &socket, 3, Some(clock_ms - 850)).await;
+            let naming = status.naming.filter(|naming| naming.weights.version == 3);
+            if let (Some(naming), Some(now_ms)) = (naming, status.clock_ms) {
+                let after_ms = now_ms - u64::from(naming.age_ms);
+                if after_ms.abs_diff(clock_ms - 300) <= 5 {
+                    break;
+                }
+            }
         }
     };
-    assert!((3_000..6_000).contains(&naming.age_ms), "{naming:?}");
+    let told = tokio::time::timeout(Duration::from_secs(5), told).await;
+    assert!(told.is_ok(), "the latest proof is told");
 }
