Let chunks come and go while an agent reads who else is there

Cause: a fetch waited for each read of the registry (each 1.5 s, up to 0.6 s and more where a neighbour is asked first), and in that time handled no chunk; a manifest waited for one too. Ruled out: the number of askers at the origin.

Test: spreading::registry_without_answer (a read that never ends) failed first after 20 s, passes in 0.3 s.

--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -75,8 +75,19 @@
     result: Result<Bytes, Failure>,
 }
 
+/// Returns the agents of the own service by the registry, the own one left out; those of before where it
+/// doesn't answer in time.
+pub(crate) async fn current_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Vec<VmEntry>
+where
+    R: Registry,
+{
+    let read = tokio::time::timeout(LIST_TIMEOUT, list_peers(cx)).await;
+    let read = read.ok().flatten();
+    read.unwrap_or_else(|| cx.peers.borrow().clone())
+}
+
 /// Reads the agents of the own service out of the registry, the own one left out.
-pub(crate) async fn list_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Option<Vec<VmEntry>>
+async fn list_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Option<Vec<VmEntry>>
 where
     R: Registry,
 {
@@ -168,6 +179,8 @@
     peers: BTreeMap<VmId, SocketAddr>,
     heard: BTreeMap<VmId, Instant>,
     fetches: JoinSet<Ended>,
+    /// The read of the registry that is under way.
+    lists: JoinSet<Option<Vec<VmEntry>>>,
     running: BTreeMap<FetchId, AbortHandle>,
     client: HttpClient,
     started: Instant,
@@ -218,6 +231,7 @@
             peers: BTreeMap::new(),
             heard: BTreeMap::new(),
             fetches: JoinSet::new(),
+            lists: JoinSet::new(),
             running: BTreeMap::new(),
             client: HttpClient::new(),
             started: now,
@@ -240,7 +254,13 @@
         }
         while !self.planner.is_done() {
             tokio::select! {
-                _ = lists.tick() => self.read_peers().await,
+                _ = lists.tick() => self.read_peers(),
+                Some(read) = self.lists.join_next() => {
+                    // A read that was dropped has nothing to tell.
+                    if let Ok(Some(peers)) = read {
+                        self.take_peers(peers);
+                    }
+                }
                 _ = asks.tick() => self.ask(),
                 _ = ticks.tick() => self.apply(Event::Tick),
                 Some(said) = recv(&mut chunks) => self.take_chunks(&said),
@@ -262,12 +282,19 @@
         ]);
     }
 
-    /// Reads the other agents anew; without an answer those of before stay.
-    async fn read_peers(&mut self) {
-        let Some(peers) = list_peers(&self.cx).await else {
-            self.apply(Event::Tick);
-            return;
-        };
+    /// Begins to read the other agents anew, unless that is under way.
+    ///
+    /// Chunks come and go meanwhile: while a registry was slow to answer, a fetch that waited for each
+    /// read stood still for 0.6 s of each 1.5 s.
+    fn read_peers(&mut self) {
+        if self.lists.is_empty() {
+            let cx = Arc::clone(&self.cx);
+            self.lists.spawn(async move { list_peers(&cx).await });
+        }
+    }
+
+    /// Takes the other agents; without an answer those of before stay.
+    fn take_peers(&mut self, peers: Vec<VmEntry>) {
         self.peers = peers.iter().map(|it| (it.vm.clone(), it.data)).collect();
         self.apply(Event::Peers(peers));
         self.ask();
--- a/crates/stage/src/resolve.rs
+++ b/crates/stage/src/resolve.rs
@@ -34,7 +34,7 @@
     R: Registry,
     O: ChunkOrigin,
 {
-    let peers = fetch::list_peers(&cx).await.unwrap_or_default();
+    let peers = fetch::current_peers(&cx).await;
     let order = Order::new(&cx.settings, &peers, &model, version);
     let mut round = 0;
     loop {
--- a/crates/stage/tests/spreading.rs
+++ b/crates/stage/tests/spreading.rs
@@ -140,3 +140,24 @@
     let given = fleet.origin.manifests() - before;
     assert!(given <= 4, "{given}");
 }
+
+/// A read of the registry that never ends doesn't hold up chunks.
+#[tokio::test]
+async fn registry_without_answer() {
+    let fleet = Fleet::start(17, 3, Some(1)).await;
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+    fleet.registry.set_delay(Duration::from_secs(3600));
+    fleet.origin.publish(3);
+    let told = async {
+        // What an entry tells may be lost, and it tells it again.
+        loop {
+            fleet.tell(3).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::select! {
+        () = told => {}
+        () = until_version(&fleet, 3) => {}
+    }
+}
