--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,4 +25,4 @@
 pub use registry::{Change, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
 pub use status::{Datagram, HeardNaming, HeldChunks, LoadStatus, Query, Status, StatusError};
 pub use upstream::{LoadedModel, Upstream, UpstreamId, UpstreamStart, UpstreamState};
-pub use weights::{ModelName, NamedWeights, WeightsVersion};
+pub use weights::{ModelName, NamedWeights, ReadNamings, WeightsVersion};
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use wagtailreel_core::ServiceName;
 use wagtailreel_fleet::{
-    BootTime, Change, ConfigVersion, Directory, ModelName, NamedWeights, Sink, Topic,
+    BootTime, Change, ConfigVersion, Directory, ModelName, NamedWeights, ReadNamings, Sink, Topic,
     WeightsVersion,
 };
 
@@ -21,6 +21,7 @@
     origin: Option<SocketAddr>,
     draw_time: Option<Duration>,
     named: BTreeMap<ModelName, HeardWeights>,
+    read: ReadNamings,
     /// The moment of which the last read of the settings speaks.
     confirmed_as_of: Option<BootTime>,
 }
@@ -117,7 +118,11 @@
     /// Takes weights that the registry names.
     fn take_weights(&self, weights: &NamedWeights) {
         // What the first read brings was named before the start.
-        let before = self.lock().confirmed_as_of;
+        let before = {
+            let mut inner = self.lock();
+            let confirmed_as_of = inner.confirmed_as_of;
+            inner.read.take(weights, confirmed_as_of)
+        };
         let heard = HeardWeights {
             version: weights.version,
             named_at: before.map(|_| Instant::now()),
