trial: hear of load abroad from one entry there, for all of a data centre

One entry of a data centre (by rendezvous rank of its neighbours and the other data centre's name) asks one entry there for the load of all its engines, and the neighbours ask it; agents abroad are asked directly where requests are, where the link is in doubt, two at random, and all while nobody tells.

Tests: far::asked_for_load, told_load, nobody_tells. stage neighbours::entry_far_away said that a far entry is told of nobody; it is told whom to ask now, and is still nobody's neighbour, which the test holds as before.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -84,6 +84,16 @@
     remedy: "Nothing.",
 };
 
+/// The load of another data centre is heard of in another way.
+pub const FAR_WORDS: Event = Event {
+    id: 6116,
+    name: "far-load-source",
+    level: Level::Info,
+    meaning: "The load of the engines in `data_centre` is heard from the entry `giver` from now on, or from \
+              each agent there where `giver` is `agents`.",
+    remedy: "Where it is `agents` for long, look at the reason: each entry asks each agent then.",
+};
+
 /// The belief about an upstream changed.
 pub const UPSTREAM_CHANGED: Event = Event {
     id: 6113,
@@ -149,6 +159,7 @@
     CONFIG_OLD,
     WEIGHTS_NAMED,
     NAMING_LEARNED,
+    FAR_WORDS,
     UPSTREAM_CHANGED,
     UPSTREAM_SHUNNED,
     REQUEST_DONE,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod cutter;
 mod dialect;
 pub mod events;
+mod far;
 mod front;
 mod live;
 mod load;
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::RngExt as _;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use wagtailreel_core::DataCentre;
 use wagtailreel_fleet::{BootTime, Datagram, LoadStatus, ModelName, Query};
 use wagtailreel_nearby::Neighbours;
-use wagtailreel_route::direct::Naming;
+use wagtailreel_route::direct::{Member, Naming};
 
 use crate::events;
+use crate::far::FarWords;
 use crate::view::{Service, View};
 
 /// Time between two questions to the agents of the own data centre. An engine starts and ends
@@ -22,6 +24,10 @@
 /// How many near questions there are for each one to another data centre, whose links are narrow.
 const FAR_EVERY: u32 = 5;
 
+/// Agents of another data centre, of which its entries tell, that are asked in a turn: they tell which
+/// entries there are, and hear of weights that were named.
+const FAR_ASKED: f64 = 2.0;
+
 /// Rounds of questions whose times are kept: 6.4 s. The time that a later answer took is not known.
 const ROUNDS: usize = 64;
 
@@ -78,6 +84,7 @@
 pub(crate) async fn ask_agents(
     view: Arc<View>,
     neighbours: Arc<Neighbours>,
+    far: Arc<FarWords>,
     agents: Agents,
     home: DataCentre,
 ) {
@@ -87,8 +94,8 @@
     let mut round: u32 = 0;
     let mut rounds = Rounds::default();
     let mut clocks = AgentClocks::default();
-    // The service of each VM's upstream, so that an answer locks that one alone.
-    let mut services: BTreeMap<IpAddr, (Arc<Service>, Option<ModelName>)> = BTreeMap::new();
+    // What was asked of each VM, so that an answer locks one service alone.
+    let mut known: BTreeMap<IpAddr, Asked> = BTreeMap::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -97,13 +104,16 @@
                 rounds.begin(round, now);
                 let is_far_turn = round.is_multiple_of(FAR_EVERY);
                 if is_far_turn {
-                    // All are asked now, and those that are gone are forgotten.
-                    services.clear();
+                    // Those that are gone are forgotten.
+                    known.clear();
                 }
-                for (ip, asked) in engines(&view, &home, is_far_turn) {
-                    agents.send(ip, asked.query(round, clocks.get(ip, BootTime::now())));
-                    asked.service.upstreams().asked(ip, now);
-                    services.insert(ip, (asked.service, asked.model));
+                let abroad = is_far_turn.then_some(far.as_ref());
+                for (ip, asked) in engines(&view, &home, abroad) {
+                    if asked.is_due {
+                        agents.send(ip, asked.query(round, clocks.get(ip, BootTime::now())));
+                        asked.service.upstreams().asked(ip, now);
+                    }
+                    known.insert(ip, asked);
                 }
             }
             received = agents.socket.recv_from(&mut buf) => {
@@ -111,19 +121,23 @@
                 let Ok(Datagram::Status(status)) = Datagram::from_bytes(&buf[..len]) else {
                     continue;
                 };
-                neighbours.hear(&status.entries, BootTime::now());
+                let asked_of = known.get(&from.ip());
+                match asked_of {
+                    // Of another data centre the entries are no neighbours.
+                    Some(of) if of.is_near => neighbours.hear(&status.entries, BootTime::now()),
+                    Some(of) => far.hear_entries(&of.data_centre, &status.entries),
+                    None => {}
+                }
                 clocks.hear(from.ip(), status.clock_ms, BootTime::now());
                 // What comes without being asked for, or much later, answers no round that is known.
                 let asked = rounds.get(status.nonce);
                 if let (Some(naming), Some(asked)) = (&status.naming, asked) {
                     view.learn_naming(naming, asked.boot_time, from.ip());
                 }
-                if let (Some(load), Some((service, model))) =
-                    (status.load, services.get(&from.ip()))
-                {
+                if let (Some(load), Some(of)) = (status.load, asked_of) {
                     let round_trip = asked.map(|asked| asked.at.elapsed());
-                    take(service, from.ip(), &load, round_trip);
-                    if let (Some(model), Some(version)) = (model, load.version) {
+                    take(&of.service, from.ip(), &load, round_trip);
+                    if let (Some(model), Some(version)) = (&of.model, load.version) {
                         view.take_held(model, version);
                     }
                 }
@@ -201,7 +215,7 @@
     }
 }
 
-/// An agent that is to be asked.
+/// An agent that may be asked.
 #[derive(Clone, Debug)]
 struct Asked {
     service: Arc<Service>,
@@ -209,8 +223,11 @@
     model: Option<ModelName>,
     /// What its engine is to serve.
     naming: Option<Naming>,
+    data_centre: DataCentre,
     /// It stands in the entry's data centre.
     is_near: bool,
+    /// It is asked now; what the others say is taken too.
+    is_due: bool,
 }
 
 impl Asked {
@@ -230,8 +247,9 @@
     }
 }
 
-/// Returns the VMs of the engines whose agents are to be asked now.
-fn engines(view: &View, home: &str, far: bool) -> BTreeMap<IpAddr, Asked> {
+/// Returns the VMs of the engines, and whose agents are to be asked now; those of other data centres in
+/// the turns in which `abroad` is given.
+fn engines(view: &View, home: &str, abroad: Option<&FarWords>) -> BTreeMap<IpAddr, Asked> {
     let Some(directory) = view.directory() else {
         return all_near(view, home);
     };
@@ -242,9 +260,14 @@
                 service: view.service(&spec.name),
                 model: Some(engine.model.clone()),
                 naming: view.newest_weights(&engine.model),
-                is_near: false,
+                data_centre: home.to_owned(),
+                is_near: true,
+                is_due: true,
             };
-            add_agents(&mut agents, &asked, home, far);
+            add_near(&mut agents, &asked);
+            if let Some(abroad) = abroad {
+                add_far(&mut agents, &asked, abroad);
+            }
         }
     }
     agents
@@ -261,23 +284,50 @@
             service,
             model: None,
             naming: None,
+            data_centre: home.to_owned(),
             is_near: true,
+            is_due: true,
         };
-        add_agents(&mut agents, &asked, home, false);
+        add_near(&mut agents, &asked);
     }
     agents
 }
 
-fn add_agents(agents: &mut BTreeMap<IpAddr, Asked>, asked: &Asked, home: &str, far: bool) {
-    for member in asked.service.upstreams().members() {
-        let is_near = member.upstream.data_centre == home;
-        if is_near || far {
-            let asked = Asked {
-                is_near,
-                ..asked.clone()
-            };
-            agents.insert(member.upstream.addr.ip(), asked);
-        }
+fn add_near(agents: &mut BTreeMap<IpAddr, Asked>, asked: &Asked) {
+    let upstreams = asked.service.upstreams();
+    let members = upstreams.members();
+    let near = members.filter(|it| it.upstream.data_centre == asked.data_centre);
+    agents.extend(near.map(|it| (it.upstream.addr.ip(), asked.clone())));
+}
+
+/// Adds the agents of other data centres. Due are all of those that nobody tells of, and of the others a
+/// few and those whose engines serve this entry.
+fn add_far(agents: &mut BTreeMap<IpAddr, Asked>, near: &Asked, abroad: &FarWords) {
+    let now = Instant::now();
+    let upstreams = near.service.upstreams();
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    let is_far = |it: &&Member| it.upstream.data_centre != near.data_centre;
+    for member in upstreams.members().filter(is_far) {
+        *counts.entry(&member.upstream.data_centre).or_default() += 1;
+    }
+    let share = |count: u32| (FAR_ASKED / f64::from(count)).min(1.0);
+    let shares: BTreeMap<&str, f64> = counts
+        .into_iter()
+        .map(|(data_centre, count)| match abroad.is_told(data_centre) {
+            true => (data_centre, share(count)),
+            false => (data_centre, 1.0),
+        })
+        .collect();
+    for member in upstreams.members().filter(is_far) {
+        let data_centre = &member.upstream.data_centre;
+        let share = shares.get(data_centre.as_str()).copied().unwrap_or(1.0);
+        let asked = Asked {
+            data_centre: data_centre.clone(),
+            is_near: false,
+            is_due: member.needs_own_word(now) || rand::rng().random_bool(share),
+            ..near.clone()
+        };
+        agents.insert(member.upstream.addr.ip(), asked);
     }
 }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -19,6 +19,7 @@
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::dialect::Dialect;
+use crate::far::{self, FarWords};
 use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -86,6 +87,7 @@
     cx: Arc<Shared<D>>,
     callers: SocketAddr,
     status: SocketAddr,
+    copies: SocketAddr,
     tasks: JoinSet<()>,
     connections: TaskTracker,
 }
@@ -143,6 +145,8 @@
         let mut tasks = JoinSet::new();
         let mirror = Arc::new(Mirror::default());
         let neighbours = Arc::new(Neighbours::new(own));
+        let far = FarWords::new(Arc::clone(&view), Arc::clone(&neighbours), home.clone());
+        let far = Arc::new(far);
         let registry = Nearby::new(
             registry,
             NearbyConfig::new(cx.settings.bounds.denial, pace),
@@ -153,7 +157,7 @@
         tasks.spawn(serve(
             "listen.agents",
             copies,
-            wagtailreel_nearby::router(mirror),
+            wagtailreel_nearby::router(mirror).merge(far::router(Arc::clone(&far))),
         ));
         tasks.spawn(follow(
             registry.clone(),
@@ -165,9 +169,11 @@
         tasks.spawn(load::ask_agents(
             Arc::clone(&view),
             neighbours,
+            Arc::clone(&far),
             agents,
             home,
         ));
+        tasks.spawn(far.follow());
         tasks.spawn(front::accept(Arc::clone(&cx), callers, connections.clone()));
         tasks.spawn(prune(Arc::clone(&view)));
         let page = status_page::router(Arc::clone(&cx));
@@ -182,6 +188,7 @@
             cx,
             callers: callers_addr,
             status: status_addr,
+            copies: own,
             tasks,
             connections,
         })
@@ -192,6 +199,11 @@
         self.callers
     }
 
+    /// Returns where other entries read what this one knows.
+    pub fn neighbours_read_at(&self) -> SocketAddr {
+        self.copies
+    }
+
     /// Returns where readiness and metrics are served.
     pub fn status(&self) -> SocketAddr {
         self.status
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,6 @@
 //! What the entry believes of its fleet, each belief with its age.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -9,14 +9,14 @@
 use tokio::sync::Notify;
 use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
-    BootTime, Change, Directory, HeardNaming, NamedWeights, Sink, Topic, Upstream, UpstreamId,
-    WeightsVersion,
+    BootTime, Change, Directory, HeardNaming, ModelName, NamedWeights, Sink, Topic, Upstream,
+    UpstreamId, WeightsVersion,
 };
 use wagtailreel_route::{BudgetConfig, RetryBudget};
 
 use crate::events;
 use crate::pool::Pool;
-use wagtailreel_route::direct::{Naming, NamingBounds, Namings, Pressure, Told, Upstreams};
+use wagtailreel_route::direct::{Naming, NamingBounds, Namings, Pressure, Told, Upstreams, Words};
 
 /// Retries that this entry may save up for each service. The budget is one for all entries; with
 /// 8 entries they spend 40 of the 104 that the users allow beyond the share of the requests.
@@ -92,6 +92,50 @@
         }
     }
 
+    /// Returns the services whose upstreams are engines, each with its model.
+    pub(crate) fn engine_services(&self) -> Vec<(Arc<Service>, ModelName)> {
+        let Some(directory) = self.directory() else {
+            return Vec::new();
+        };
+        let engines = directory.services().filter_map(|spec| {
+            let engine = spec.engine.as_ref()?;
+            Some((self.service(&spec.name), engine.model.clone()))
+        });
+        engines.collect()
+    }
+
+    /// Returns the data centres in which engines stand.
+    pub(crate) fn engine_data_centres(&self) -> BTreeSet<DataCentre> {
+        let mut data_centres = BTreeSet::new();
+        for (service, _) in self.engine_services() {
+            let upstreams = service.upstreams();
+            let members = upstreams.members();
+            data_centres.extend(members.map(|it| it.upstream.data_centre.clone()));
+        }
+        data_centres
+    }
+
+    /// Returns the words on engines in `data_centre` that are no older than `oldest`.
+    pub(crate) fn words(&self, data_centre: &str, oldest: Duration, now: Instant) -> Words {
+        let mut words = Words::new();
+        for (service, _) in self.engine_services() {
+            words.extend(service.upstreams().words(data_centre, oldest, now));
+        }
+        words
+    }
+
+    /// Takes what another entry heard of engines.
+    pub(crate) fn take_words(&self, words: &Words) {
+        for (service, model) in self.engine_services() {
+            service.upstreams().take_words(words);
+            service.heard.notify_waiters();
+            let newest = words.values().filter_map(|word| word.status.version).max();
+            if let Some(version) = newest {
+                self.take_held(&model, version);
+            }
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn directory(&self) -> Option<Arc<Directory>> {
         let directory = self.directory.read();
--- /dev/null
+++ b/crates/route/src/direct/hearsay.rs
@@ -0,0 +1,81 @@
+//! What others say of upstreams abroad.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use wagtailreel_core::rank_score;
+use wagtailreel_fleet::LoadStatus;
+
+use super::pick::Ask;
+use super::upstreams::Upstreams;
+
+/// A word on an engine's load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Word {
+    /// What its agent said.
+    pub status: LoadStatus,
+    /// When it was heard from the agent.
+    pub heard_at: Instant,
+}
+
+/// Words on engines, by the addresses of their VMs.
+pub type Words = BTreeMap<IpAddr, Word>;
+
+impl Upstreams {
+    /// Returns the words on upstreams of `data_centre` that are no older than `oldest`.
+    pub fn words(&self, data_centre: &str, oldest: Duration, now: Instant) -> Words {
+        let members = self.members();
+        let members = members.filter(|it| it.upstream.data_centre == data_centre);
+        let heard = members.filter(|it| it.heard_within(oldest, now));
+        let word = |member: &super::Member| {
+            let (status, heard_at) = member.status.clone()?;
+            let ip = member.upstream.addr.ip();
+            Some((ip, Word { status, heard_at }))
+        };
+        heard.filter_map(word).collect()
+    }
+
+    /// Takes what another entry heard of upstreams.
+    ///
+    /// What this entry heard later itself stands. A question of its own stays open: another's word says
+    /// nothing of the link to here.
+    pub fn take_words(&mut self, words: &Words) {
+        for member in self.members.values_mut().filter(|it| !it.is_gone) {
+            let Some(word) = words.get(&member.upstream.addr.ip()) else {
+                continue;
+            };
+            if !member.heard_since(word.heard_at) {
+                member.take_status(&word.status, word.heard_at);
+            }
+        }
+    }
+
+    /// Returns up to `most` upstreams that are known by hearsay and may take a request, drawn by
+    /// `ticket`.
+    ///
+    /// The draw keeps entries that spill over at the same moment from all asking after the same few.
+    pub fn hearsay(&self, ask: &Ask<'_>, most: usize, ticket: u64, now: Instant) -> Vec<IpAddr> {
+        let presumed = self.presumed(ask, now);
+        let offers = self.members.values();
+        let offers = offers.filter_map(|member| self.offer(member, ask, presumed, now).ok());
+        let mut known: Vec<(bool, u64, IpAddr)> = offers
+            .filter(|offer| offer.pick.is_hearsay)
+            .map(|offer| {
+                let score = rank_score(&ticket.to_be_bytes(), &offer.pick.id);
+                (offer.rank.is_late, score, offer.pick.addr.ip())
+            })
+            .collect();
+        known.sort_unstable();
+        known.truncate(most);
+        known.into_iter().map(|(_, _, ip)| ip).collect()
+    }
+
+    /// Says of how many of `ips` there is a word since `since`.
+    pub fn heard_of(&self, ips: &[IpAddr], since: Instant) -> usize {
+        let members = self.members.values();
+        let heard = members
+            .filter(|member| ips.contains(&member.upstream.addr.ip()) && member.heard_since(since));
+        heard.count()
+    }
+}
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -285,6 +285,31 @@
             && !self.fresh_status(now).is_some_and(|it| it.is_switching)
     }
 
+    /// Says whether an entry abroad has to hear of the upstream itself, whatever others tell: it has
+    /// requests there, or doubts the link.
+    pub fn needs_own_word(&self, now: Instant) -> bool {
+        self.own > 0 || self.is_doubted(now)
+    }
+
+    /// Takes what was heard of the engine at `heard_at`; returns whether its weights changed.
+    pub(crate) fn take_status(&mut self, status: &LoadStatus, heard_at: Instant) -> bool {
+        if status.started != 0 && self.is_before(status.started) {
+            return false;
+        }
+        if self.is_restart(status.started) {
+            self.restart(status.started);
+        }
+        let before = self.status.as_ref();
+        let changed = before.is_none_or(|(before, _)| {
+            before.version != status.version || before.is_switching != status.is_switching
+        });
+        self.take_load(status.queued.saturating_add(status.running), heard_at);
+        let reading_left = Duration::from_millis(status.reading_ms.into());
+        self.reading.set(reading_left, heard_at);
+        self.status = Some((status.clone(), heard_at));
+        changed
+    }
+
     pub(crate) fn take_load(&mut self, total: u32, at: Instant) {
         self.others = total.saturating_sub(self.own);
         self.others_at = Some(at);
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -8,6 +8,7 @@
 
 mod correction;
 mod ending;
+mod hearsay;
 mod member;
 mod naming;
 mod patience;
@@ -20,6 +21,7 @@
 
 pub use correction::Correction;
 pub use ending::{Attempt, Ending, Next, next_step};
+pub use hearsay::{Word, Words};
 pub use member::{LoadSource, Member};
 pub use naming::{Naming, NamingBounds, Namings, Told};
 pub use patience::{Patience, Sign};
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use wagtailreel_core::{DataCentre, Region, rank_score};
+use wagtailreel_core::{DataCentre, Region};
 use wagtailreel_fleet::{LoadStatus, Upstream, UpstreamId, UpstreamStart, UpstreamState};
 
 use super::correction::Correction;
@@ -45,7 +45,7 @@
     data_centre: DataCentre,
     region: Region,
     regions: BTreeMap<DataCentre, Region>,
-    members: BTreeMap<UpstreamId, Member>,
+    pub(super) members: BTreeMap<UpstreamId, Member>,
     correction: Correction,
     turn: u64,
 }
@@ -135,19 +135,9 @@
         if status.started != 0 && member.is_before(status.started) {
             return false;
         }
-        if member.is_restart(status.started) {
-            member.restart(status.started);
-        }
-        let before = member.status.as_ref();
-        let changed = before.is_none_or(|(before, _)| {
-            before.version != status.version || before.is_switching != status.is_switching
-        });
-        member.take_load(status.queued.saturating_add(status.running), now);
+        let changed = member.take_status(status, now);
         member.asked_since = None;
         member.round_trip = round_trip.unwrap_or(member.round_trip);
-        let reading_left = Duration::from_millis(status.reading_ms.into());
-        member.reading.set(reading_left, now);
-        member.status = Some((status.clone(), now));
         changed
     }
 
@@ -300,34 +290,6 @@
         best.map(|(_, pick)| pick).ok_or(shortage)
     }
 
-    /// Returns up to `most` upstreams that are known by hearsay and may take a request, drawn by
-    /// `ticket`.
-    ///
-    /// The draw keeps entries that spill over at the same moment from all asking after the same few.
-    pub fn hearsay(&self, ask: &Ask<'_>, most: usize, ticket: u64, now: Instant) -> Vec<IpAddr> {
-        let presumed = self.presumed(ask, now);
-        let offers = self.members.values();
-        let offers = offers.filter_map(|member| self.offer(member, ask, presumed, now).ok());
-        let mut known: Vec<(bool, u64, IpAddr)> = offers
-            .filter(|offer| offer.pick.is_hearsay)
-            .map(|offer| {
-                let score = rank_score(&ticket.to_be_bytes(), &offer.pick.id);
-                (offer.rank.is_late, score, offer.pick.addr.ip())
-            })
-            .collect();
-        known.sort_unstable();
-        known.truncate(most);
-        known.into_iter().map(|(_, _, ip)| ip).collect()
-    }
-
-    /// Says of how many of `ips` there is a word since `since`.
-    pub fn heard_of(&self, ips: &[IpAddr], since: Instant) -> usize {
-        let members = self.members.values();
-        let heard = members
-            .filter(|member| ips.contains(&member.upstream.addr.ip()) && member.heard_since(since));
-        heard.count()
-    }
-
     /// Returns when the first place for a request gets free at the engines that are full.
     pub fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
         let engine = ask.engine?;
@@ -339,12 +301,12 @@
 
     /// Returns what is thought of engines of which nothing was heard. Plain services have no agents
     /// that could tell of them.
-    fn presumed(&self, ask: &Ask<'_>, now: Instant) -> Option<Presumed> {
+    pub(super) fn presumed(&self, ask: &Ask<'_>, now: Instant) -> Option<Presumed> {
         ask.engine.and_then(|_| Presumed::of(self.members(), now))
     }
 
     /// Says what `member` has to offer to a request, or what it lacks.
-    fn offer(
+    pub(super) fn offer(
         &self,
         member: &Member,
         ask: &Ask<'_>,
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -231,10 +231,12 @@
             self.askers.note(from, query.is_near, now);
         }
         let chunks = query.chunks.as_ref();
-        // To an entry of another data centre the entries here are no neighbours.
-        let entries = if query.is_near {
+        // Other agents have no use for them.
+        let entries = if query.chunks.is_none() {
             let mut entries = self.askers.near(now);
-            self.hear_one(&entries);
+            if query.is_near {
+                self.hear_one(&entries);
+            }
             entries.truncate(NEAR_TOLD);
             entries
         } else {
