Spread who stands in for slow readers by address, not by a place that nobody knows

Agents name the first two entries only, so that each other entry took itself for the third, and all stood in at the same time. Each waits for a time of its own now.

--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -32,9 +32,13 @@
 /// again at the earliest, since it has to have been in touch for as long.
 const ENTRY_PAUSE: Duration = Duration::from_millis(1600);
 
-/// Time between two entries that begin to read beside a reader which is slow. What a reader knows is too
-/// old 1.1 s before a change has to be in force; two steps and a read fit into it.
-const ENTRY_STEP: Duration = Duration::from_millis(350);
+/// How long an entry waits for readers that are slow, and tell of nothing later: longer than a read of
+/// the upstreams over a link that is half full.
+const ENTRY_STANDS_IN: Duration = Duration::from_millis(350);
+
+/// How far apart entries begin to read beside such readers: 14 of them one each 75 ms, about as long as one
+/// packed configuration of 1,500 routes takes over a link of 26 Mbit/s.
+const ENTRY_SPREAD: Duration = Duration::from_millis(1050);
 
 /// Pause of processes that ask now and then. Entries tell them of what is urgent.
 const GUEST_PAUSE: Duration = Duration::from_secs(4);
@@ -54,9 +58,10 @@
     /// How long the others wait after the registry did not answer them before they ask it again; half
     /// as long again at most.
     pub own_pause: Duration,
-    /// How much longer than the process before it each further one waits before it reads beside neighbours
-    /// that are still reading.
-    pub stand_in_step: Duration,
+    /// How long a process at least waits for neighbours that are still reading before it reads beside them.
+    pub stand_in_after: Duration,
+    /// How much longer it may wait: each process a share of its own.
+    pub stand_in_spread: Duration,
     /// How long the first read of the settings waits to hear of neighbours. Of processes that start
     /// together each would read all of a large configuration over its region's link.
     pub start_wait: Duration,
@@ -72,7 +77,8 @@
             wait: NEIGHBOUR_WAIT,
             readers: READERS,
             own_pause: ENTRY_PAUSE,
-            stand_in_step: ENTRY_STEP,
+            stand_in_after: ENTRY_STANDS_IN,
+            stand_in_spread: ENTRY_SPREAD,
             start_wait: ENTRY_START,
         }
     }
@@ -85,7 +91,8 @@
             wait: Duration::ZERO,
             readers: 0,
             own_pause: GUEST_PAUSE,
-            stand_in_step: GUEST_PAUSE,
+            stand_in_after: GUEST_PAUSE,
+            stand_in_spread: GUEST_PAUSE,
             start_wait: GUEST_START,
         }
     }
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -120,7 +120,9 @@
 {
     /// Makes a view of `registry` for a process that gives nothing to others.
     pub fn new(registry: R, cfg: NearbyConfig, neighbours: Arc<Neighbours>) -> Self {
-        let pause = stretched(cfg.own_pause, neighbours.own());
+        let share = share_of(neighbours.own());
+        let pause = cfg.own_pause + cfg.own_pause.mul_f64(share / 2.0);
+        let stand_in_after = cfg.stand_in_after + cfg.stand_in_spread.mul_f64(share);
         Self {
             registry,
             client: HttpClient::with_connect_timeout(NEIGHBOUR_CONNECT),
@@ -130,7 +132,7 @@
             reader: Arc::default(),
             has_started: Arc::default(),
             own_turn: Arc::new(Mutex::new(OwnTurn::new(pause))),
-            stand_in: Arc::new(Mutex::new(StandIn::new(cfg.stand_in_step))),
+            stand_in: Arc::new(Mutex::new(StandIn::new(stand_in_after))),
             counters: None,
         }
     }
@@ -193,14 +195,12 @@
     /// `old` says.
     fn waits_for_reader(&self, topic: Topic, old: Option<&Heard>) -> bool {
         let now = BootTime::now();
-        let place = self.neighbours.place(now);
+        let is_reader = self.neighbours.place(now) < self.cfg.readers;
         let as_of = match old {
             Some(Heard::Known(_, as_of)) => Some(*as_of),
             Some(Heard::Expired(_)) | None => None,
         };
-        let ahead = place.checked_sub(self.cfg.readers);
-        let mut stand_in = self.lock_stand_in();
-        ahead.is_some_and(|ahead| !stand_in.is_due(topic, ahead, as_of, now))
+        !is_reader && !self.lock_stand_in().is_due(topic, as_of, now)
     }
 
     fn lock_stand_in(&self) -> MutexGuard<'_, StandIn> {
@@ -351,12 +351,12 @@
     }
 }
 
-/// Stretches a pause by up to a half, by the process's address, so that processes which failed
-/// together don't call together.
-fn stretched(pause: Duration, own: SocketAddr) -> Duration {
+/// Returns a share from 0 to 1 that is a process's own, by its address, so that processes which wait for
+/// the same don't call together.
+fn share_of(own: SocketAddr) -> f64 {
     let share = rank_score(&[], &own.to_string()) % 1000;
     // Below 1,000, so that nothing is lost.
-    pause + pause.mul_f64(f64::from(u16::try_from(share).unwrap_or_default()) / 2000.0)
+    f64::from(u16::try_from(share).unwrap_or_default()) / 1000.0
 }
 
 fn is_reading(headers: &HeaderMap) -> bool {
