--- a/crates/nearby/src/lib.rs
+++ b/crates/nearby/src/lib.rs
@@ -5,16 +5,19 @@
 //! goes to the registry itself if that entry is silent, behind, or itself. Which entry is first
 //! follows from what agents say they are asked by ([`Neighbours`]): there is no election, and two
 //! readers at once cost calls, nothing else. While the registry does not answer, only the first ones
-//! go on asking it ([`OwnTurn`]), and the others hear of its return from them. A copy always carries the age of what it says, so that
-//! a bound on a belief's age holds however many hands the belief went through.
+//! go on asking it ([`OwnTurn`]), and the others hear of its return from them. While it answers slowly,
+//! others read beside those one after the other ([`StandIn`]). A copy always carries the age of what
+//! it says, so that a bound on a belief's age holds however many hands the belief went through.
 
 mod calls;
 mod config;
 pub mod events;
 mod mirror;
+mod neighbour;
 mod neighbours;
 mod own_turn;
 pub mod packing;
+mod pauses;
 mod registry;
 mod serve;
 mod stand_in;
--- /dev/null
+++ b/crates/nearby/src/neighbour.rs
@@ -0,0 +1,161 @@
+//! What a neighbour answers to a question for what it last read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderMap, Request, StatusCode};
+use snafu::Snafu;
+use wagtailreel_adapters::{Body, HttpClient, collect_body};
+use wagtailreel_core::Offset;
+use wagtailreel_fleet::{BootTime, Page, Topic};
+
+use crate::packing::{UnpackError, age_of, unpack};
+use crate::wire::{KnownRecords, READING_HEADER};
+
+/// How much longer than its wait a neighbour's answer may take. In one data centre it takes a few
+/// milliseconds; a large configuration to a dozen neighbours takes 0.1 s.
+const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long a connection to a neighbour may take to be made.
+const NEIGHBOUR_CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a copy may take in all, once it has begun. A configuration of 2,000 routes to 14
+/// neighbours takes 1.5 s over a link of 60 Mbit/s.
+const COPY: Duration = Duration::from_millis(2500);
+
+/// Longest copy that is taken, in bytes. A configuration of 270 routes takes about 150 KB.
+const LONGEST: usize = 32 << 20;
+
+/// A neighbour can't be read from.
+#[derive(Debug, Snafu)]
+pub(crate) enum NeighbourError {
+    #[snafu(display("no answer ({reason}): look at the neighbour"))]
+    Silent { reason: String },
+    #[snafu(display("refused with {status}: look at the neighbour"))]
+    Refused { status: u16, is_reading: bool },
+    #[snafu(display("what it knows is {age:?} old: look at its link to the registry"))]
+    Old {
+        age: Duration,
+        is_reading: bool,
+        /// What it knows all the same.
+        heard: Box<Heard>,
+    },
+    #[snafu(transparent)]
+    Unreadable { source: UnpackError },
+}
+
+impl NeighbourError {
+    /// Says whether the neighbour is about to know more.
+    pub(crate) const fn is_reading(&self) -> bool {
+        match self {
+            Self::Refused { is_reading, .. } | Self::Old { is_reading, .. } => *is_reading,
+            Self::Silent { .. } | Self::Unreadable { .. } => false,
+        }
+    }
+}
+
+/// Returns of two old answers the one that speaks of a later moment.
+pub(crate) fn newer_of(known: Option<Heard>, other: Heard) -> Heard {
+    match (known, other) {
+        (Some(Heard::Known(copy, as_of)), Heard::Known(_, other)) if as_of >= other => {
+            Heard::Known(copy, as_of)
+        }
+        (_, other) => other,
+    }
+}
+
+/// What a neighbour is asked.
+#[derive(Debug)]
+pub(crate) struct Question {
+    pub(crate) topic: Topic,
+    pub(crate) path: String,
+    pub(crate) wait: Duration,
+    /// An empty answer comes at the end of the wait.
+    pub(crate) is_for_news: bool,
+}
+
+/// What a neighbour answers.
+#[derive(Debug)]
+pub(crate) enum Heard {
+    /// What it knows, and the moment of which it speaks.
+    Known(KnownRecords, BootTime),
+    /// It knows only the newest of what stood before this place.
+    Expired(Offset),
+}
+
+/// Asks neighbours.
+#[derive(Clone, Debug)]
+pub(crate) struct NeighbourClient(HttpClient);
+
+impl NeighbourClient {
+    pub(crate) fn new() -> Self {
+        Self(HttpClient::with_connect_timeout(NEIGHBOUR_CONNECT))
+    }
+
+    /// Asks one neighbour.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NeighbourError`] if it is no use, or what it knows is older than `oldest`.
+    pub(crate) async fn ask(
+        &self,
+        neighbour: SocketAddr,
+        question: &Question,
+        oldest: Duration,
+    ) -> Result<Heard, NeighbourError> {
+        let Question { topic, wait, .. } = *question;
+        let url = format!(
+            "http://{neighbour}/v1/registry/{topic}{}&oldest_ms={}",
+            question.path,
+            oldest.as_millis()
+        );
+        let req = Request::get(&url).body(Body::default());
+        let req = req.map_err(|e| silent(&e))?;
+        let sent = BootTime::now();
+        let answer = self.0.request_within(req, wait + NEIGHBOUR_TIMEOUT);
+        let answer = answer.await.map_err(|e| silent(&e))?;
+        let status = answer.status();
+        if !matches!(status, StatusCode::OK | StatusCode::GONE) {
+            let status = status.as_u16();
+            let is_reading = is_reading(answer.headers());
+            return RefusedSnafu { status, is_reading }.fail();
+        }
+        let (head, body) = answer.into_parts();
+        let body = collect_body(&url, body, LONGEST, NEIGHBOUR_TIMEOUT);
+        let body = tokio::time::timeout(COPY, body).await;
+        let body = body.map_err(|e| silent(&e))?.map_err(|e| silent(&e))?;
+        if status == StatusCode::GONE {
+            return Ok(Heard::Expired(unpack(&head.headers, &body)?));
+        }
+        let age = age_of(&head.headers)?;
+        if age > oldest {
+            // Who is behind answers at once.
+            let copy = unpack(&head.headers, &body)?;
+            let heard = Box::new(Heard::Known(copy, sent.minus(age)));
+            let is_reading = is_reading(&head.headers);
+            return OldSnafu {
+                age,
+                is_reading,
+                heard,
+            }
+            .fail();
+        }
+        let copy: KnownRecords = unpack(&head.headers, &body)?;
+        let has_waited = question.is_for_news && copy.items.is_empty();
+        let told = Page::answer_as_of(has_waited, sent, wait, BootTime::now());
+        let as_of = told.minus(age);
+        Ok(Heard::Known(copy, as_of))
+    }
+}
+
+fn is_reading(headers: &HeaderMap) -> bool {
+    headers.contains_key(READING_HEADER)
+}
+
+fn silent<E>(err: &E) -> NeighbourError
+where
+    E: std::fmt::Display,
+{
+    let reason = err.to_string();
+    NeighbourError::Silent { reason }
+}
--- /dev/null
+++ b/crates/nearby/src/pauses.rs
@@ -0,0 +1,46 @@
+//! How long a process waits before it reads the registry itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wagtailreel_core::rank_score;
+
+use crate::NearbyConfig;
+
+/// How much shorter the pauses of a process are that has read nothing yet: it can't do anything before.
+const START_SHARE: u32 = 4;
+
+/// How long a process waits before it reads the registry itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pauses {
+    /// After the registry did not answer.
+    pub(crate) own: Duration,
+    /// For neighbours that are reading.
+    pub(crate) stand_in: Duration,
+}
+
+impl Pauses {
+    pub(crate) fn new(cfg: &NearbyConfig, own: SocketAddr) -> Self {
+        let share = share_of(own);
+        Self {
+            own: cfg.own_pause + cfg.own_pause.mul_f64(share / 2.0),
+            stand_in: cfg.stand_in_after + cfg.stand_in_spread.mul_f64(share),
+        }
+    }
+
+    /// Returns the pauses of a process that has read nothing yet.
+    pub(crate) fn at_start(self) -> Self {
+        Self {
+            own: self.own / START_SHARE,
+            stand_in: self.stand_in / START_SHARE,
+        }
+    }
+}
+
+/// Returns a share from 0 to 1 that is a process's own, by its address, so that processes which wait for
+/// the same don't call together.
+fn share_of(own: SocketAddr) -> f64 {
+    let share = rank_score(&[], &own.to_string()) % 1000;
+    // Below 1,000, so that nothing is lost.
+    f64::from(u16::try_from(share).unwrap_or_default()) / 1000.0
+}
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -5,103 +5,29 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http::{HeaderMap, Request, StatusCode};
-use snafu::Snafu;
-use wagtailreel_adapters::{Body, HttpClient, collect_body};
-use wagtailreel_core::{Offset, rank_score};
+use wagtailreel_core::Offset;
 use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
 
 use crate::calls::Cause;
 use crate::config::READER_WAIT;
-use crate::packing::{UnpackError, age_of, unpack};
-use crate::wire::{KnownRecords, READING_HEADER};
+use crate::neighbour::{Heard, NeighbourClient, NeighbourError, Question, newer_of};
+use crate::pauses::Pauses;
 use crate::{CallCounters, Mirror, NearbyConfig, Neighbours, OwnTurn, StandIn, events};
 
-/// How much longer than its wait a neighbour's answer may take. In one data centre it takes a few
-/// milliseconds; a large configuration to a dozen neighbours takes 0.1 s.
-const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// How long a connection to a neighbour may take to be made.
-const NEIGHBOUR_CONNECT: Duration = Duration::from_millis(250);
-
 /// How long after a neighbour's question this entry reads for it.
 const READS_FOR: Duration = Duration::from_secs(2);
 
 /// How long a neighbour that starts may take to read the registry.
 const FIRST_READ: Duration = Duration::from_millis(1500);
 
-/// How long a copy may take in all, once it has begun. A configuration of 2,000 routes to 14
-/// neighbours takes 1.5 s over a link of 60 Mbit/s.
-const COPY: Duration = Duration::from_millis(2500);
-
 /// Pause after an answer that is old from a neighbour that is reading.
 const READING_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest copy that is taken, in bytes. A configuration of 270 routes takes about 150 KB.
-const LONGEST: usize = 32 << 20;
-
-/// A neighbour can't be read from.
-#[derive(Debug, Snafu)]
-enum NeighbourError {
-    #[snafu(display("no answer ({reason}): look at the neighbour"))]
-    Silent { reason: String },
-    #[snafu(display("refused with {status}: look at the neighbour"))]
-    Refused { status: u16, is_reading: bool },
-    #[snafu(display("what it knows is {age:?} old: look at its link to the registry"))]
-    Old {
-        age: Duration,
-        is_reading: bool,
-        /// What it knows all the same.
-        heard: Box<Heard>,
-    },
-    #[snafu(transparent)]
-    Unreadable { source: UnpackError },
-}
-
-impl NeighbourError {
-    /// Says whether the neighbour is about to know more.
-    const fn is_reading(&self) -> bool {
-        match self {
-            Self::Refused { is_reading, .. } | Self::Old { is_reading, .. } => *is_reading,
-            Self::Silent { .. } | Self::Unreadable { .. } => false,
-        }
-    }
-}
-
-/// Returns of two old answers the one that speaks of a later moment.
-fn newer_of(known: Option<Heard>, other: Heard) -> Heard {
-    match (known, other) {
-        (Some(Heard::Known(copy, as_of)), Heard::Known(_, other)) if as_of >= other => {
-            Heard::Known(copy, as_of)
-        }
-        (_, other) => other,
-    }
-}
-
-/// What a neighbour is asked.
-#[derive(Debug)]
-struct Question {
-    topic: Topic,
-    path: String,
-    wait: Duration,
-    /// An empty answer comes at the end of the wait.
-    is_for_news: bool,
-}
-
-/// What a neighbour answers.
-#[derive(Debug)]
-enum Heard {
-    /// What it knows, and the moment of which it speaks.
-    Known(KnownRecords, BootTime),
-    /// It knows only the newest of what stood before this place.
-    Expired(Offset),
-}
-
 /// The registry, read through a neighbour where there is one.
 #[derive(Clone, Debug)]
 pub struct Nearby<R> {
     registry: R,
-    client: HttpClient,
+    client: NeighbourClient,
     cfg: NearbyConfig,
     /// Where what was read is kept for others.
     mirror: Option<Arc<Mirror>>,
@@ -109,6 +35,9 @@
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
     has_started: Arc<AtomicBool>,
+    pauses: Pauses,
+    /// A read of the settings has brought something.
+    has_read: Arc<AtomicBool>,
     own_turn: Arc<Mutex<OwnTurn>>,
     stand_in: Arc<Mutex<StandIn>>,
     counters: Option<CallCounters>,
@@ -120,19 +49,20 @@
 {
     /// Makes a view of `registry` for a process that gives nothing to others.
     pub fn new(registry: R, cfg: NearbyConfig, neighbours: Arc<Neighbours>) -> Self {
-        let share = share_of(neighbours.own());
-        let pause = cfg.own_pause + cfg.own_pause.mul_f64(share / 2.0);
-        let stand_in_after = cfg.stand_in_after + cfg.stand_in_spread.mul_f64(share);
+        let pauses = Pauses::new(&cfg, neighbours.own());
+        let first = pauses.at_start();
         Self {
             registry,
-            client: HttpClient::with_connect_timeout(NEIGHBOUR_CONNECT),
+            client: NeighbourClient::new(),
             cfg,
             mirror: None,
             neighbours,
             reader: Arc::default(),
             has_started: Arc::default(),
-            own_turn: Arc::new(Mutex::new(OwnTurn::new(pause))),
-            stand_in: Arc::new(Mutex::new(StandIn::new(stand_in_after))),
+            pauses,
+            has_read: Arc::default(),
+            own_turn: Arc::new(Mutex::new(OwnTurn::new(first.own))),
+            stand_in: Arc::new(Mutex::new(StandIn::new(first.stand_in))),
             counters: None,
         }
     }
@@ -166,7 +96,8 @@
         let mut is_reading = false;
         let mut old: Option<Heard> = None;
         for candidate in &candidates {
-            match self.copy_from(*candidate, question).await {
+            let oldest = self.cfg.longest_age(topic);
+            match self.client.ask(*candidate, question, oldest).await {
                 Ok(heard) => {
                     self.note_reader(topic, Some(*candidate));
                     self.lock_stand_in().heard(topic);
@@ -272,59 +203,16 @@
         answer
     }
 
-    fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
-        self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Takes that a read of `topic` brought what there is; from then on the pauses are the usual ones.
+    fn note_read(&self, topic: Topic) {
+        if topic == Topic::Settings && !self.has_read.swap(true, Ordering::Relaxed) {
+            *self.lock_turn() = OwnTurn::new(self.pauses.own);
+            *self.lock_stand_in() = StandIn::new(self.pauses.stand_in);
+        }
     }
 
-    /// Asks one neighbour.
-    async fn copy_from(
-        &self,
-        neighbour: SocketAddr,
-        question: &Question,
-    ) -> Result<Heard, NeighbourError> {
-        let Question { topic, wait, .. } = *question;
-        let oldest = self.cfg.longest_age(topic);
-        let url = format!(
-            "http://{neighbour}/v1/registry/{topic}{}&oldest_ms={}",
-            question.path,
-            oldest.as_millis()
-        );
-        let req = Request::get(&url).body(Body::default());
-        let req = req.map_err(|e| silent(&e))?;
-        let sent = BootTime::now();
-        let answer = self.client.request_within(req, wait + NEIGHBOUR_TIMEOUT);
-        let answer = answer.await.map_err(|e| silent(&e))?;
-        let status = answer.status();
-        if !matches!(status, StatusCode::OK | StatusCode::GONE) {
-            let status = status.as_u16();
-            let is_reading = is_reading(answer.headers());
-            return RefusedSnafu { status, is_reading }.fail();
-        }
-        let (head, body) = answer.into_parts();
-        let body = collect_body(&url, body, LONGEST, NEIGHBOUR_TIMEOUT);
-        let body = tokio::time::timeout(COPY, body).await;
-        let body = body.map_err(|e| silent(&e))?.map_err(|e| silent(&e))?;
-        if status == StatusCode::GONE {
-            return Ok(Heard::Expired(unpack(&head.headers, &body)?));
-        }
-        let age = age_of(&head.headers)?;
-        if age > oldest {
-            // Who is behind answers at once.
-            let copy = unpack(&head.headers, &body)?;
-            let heard = Box::new(Heard::Known(copy, sent.minus(age)));
-            let is_reading = is_reading(&head.headers);
-            return OldSnafu {
-                age,
-                is_reading,
-                heard,
-            }
-            .fail();
-        }
-        let copy: KnownRecords = unpack(&head.headers, &body)?;
-        let has_waited = question.is_for_news && copy.items.is_empty();
-        let told = Page::answer_as_of(has_waited, sent, wait, BootTime::now());
-        let as_of = told.minus(age);
-        Ok(Heard::Known(copy, as_of))
+    fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
+        self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Tells once that a topic comes from somewhere else than before.
@@ -351,26 +239,6 @@
     }
 }
 
-/// Returns a share from 0 to 1 that is a process's own, by its address, so that processes which wait for
-/// the same don't call together.
-fn share_of(own: SocketAddr) -> f64 {
-    let share = rank_score(&[], &own.to_string()) % 1000;
-    // Below 1,000, so that nothing is lost.
-    f64::from(u16::try_from(share).unwrap_or_default()) / 1000.0
-}
-
-fn is_reading(headers: &HeaderMap) -> bool {
-    headers.contains_key(READING_HEADER)
-}
-
-fn silent<E>(err: &E) -> NeighbourError
-where
-    E: std::fmt::Display,
-{
-    let reason = err.to_string();
-    NeighbourError::Silent { reason }
-}
-
 impl<R> Registry for Nearby<R>
 where
     R: Registry,
@@ -399,6 +267,7 @@
                 self.call(topic, cause, call).await?
             }
         };
+        self.note_read(topic);
         if let Some(mirror) = &self.mirror {
             mirror.take_snapshot(topic, &snapshot);
         }
