Tell agents the age of a naming with the first question, for the time that they have to load

The wait at the start is 0.6 s: with 0.7 s weights::named_before_start fell at its lower bound (1,298 ms for 1,300).

Test: weights::age_told_at_once.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -235,9 +235,12 @@
     fn query(&self, nonce: u32, clock: Option<AgentClock>) -> Query {
         let naming = self.naming.as_ref();
         let after = naming.and_then(|naming| naming.after);
+        let since = naming.and_then(|naming| naming.since);
+        let age = since.map(|since| BootTime::now().since(since).as_millis());
         Query {
             nonce,
             weights: naming.map(|naming| naming.weights.clone()),
+            weights_age_ms: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
             weights_after_ms: clock
                 .zip(after)
                 .map(|(clock, after)| clock.translate(after)),
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -183,6 +183,32 @@
     );
 }
 
+/// The first question after a naming tells its age, before the agent told its clock: engines count the
+/// time that they have to load from it.
+#[tokio::test]
+async fn age_told_at_once() {
+    let registry = RegistryStandin::default();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let old = answering().await;
+    registry.config(directory(1));
+    registry.upstream(writer("old", &old, 1));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
+    name(&registry, 2);
+    let mut buf = [0; 2048];
+    let query = loop {
+        let (len, _) = socket.recv_from(&mut buf).await.unwrap();
+        if let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len])
+            && query.weights.as_ref().is_some_and(|it| it.version == 2)
+        {
+            break query;
+        }
+    };
+    assert!(query.weights_age_ms.is_some(), "{query:?}");
+    assert_eq!(query.weights_after_ms, None, "its clock is not known");
+}
+
 /// A write whose answer was lost may be done after a later one, so that the newest record names older
 /// weights. An entry that starts then hears of the newer ones from the engines that hold them.
 #[tokio::test]
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -27,6 +27,10 @@
     /// hears of them so, and need not ask the registry often.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<NamedWeights>,
+    /// How long ago the asker takes these weights to be named, in milliseconds; none if it was told of them
+    /// when it started. Agents count the time that they have to load them from it.
+    #[serde(rename = "wa", default, skip_serializing_if = "Option::is_none")]
+    pub weights_age_ms: Option<u32>,
     /// A moment at which these weights were not named yet, in milliseconds on the agent's clock; none
     /// if the asker can't prove one, or doesn't know the agent's clock.
     #[serde(rename = "wm", default, skip_serializing_if = "Option::is_none")]
--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -21,7 +21,7 @@
 /// is half full (0.35 s), and two questions to their agents. With 0.3 s, ten entries that lost power together
 /// read 1,500 routes each for themselves and had them after 1.3 to 2.2 s, where the others of their data
 /// centre had them from a neighbour after 0.2 s.
-const ENTRY_START: Duration = Duration::from_millis(700);
+const ENTRY_START: Duration = Duration::from_millis(600);
 
 /// How long another process that starts waits to be asked by an entry that has started too.
 const GUEST_START: Duration = Duration::from_secs(2);
--- a/crates/route/src/direct/naming.rs
+++ b/crates/route/src/direct/naming.rs
@@ -51,6 +51,8 @@
 pub struct Naming {
     /// The weights.
     pub weights: NamedWeights,
+    /// Since when they are taken to be named; none where that is a guess.
+    pub since: Option<BootTime>,
     /// A moment at which they were not named; none where none is proved.
     pub after: Option<BootTime>,
 }
@@ -61,6 +63,8 @@
     binding_from: BootTime,
     /// Requests that wait to begin on older weights are taken back at this moment.
     last_begin: BootTime,
+    /// Since when they are taken to be named, where that is no guess.
+    since: Option<BootTime>,
     /// The latest moment at which the registry is proved not to have named them.
     after: Option<BootTime>,
     /// The bound was guessed, and counts from `after` once that is known.
@@ -105,6 +109,7 @@
                 model: model.to_owned(),
                 version: newest.version,
             },
+            since: newest.since,
             after: newest.after,
         })
     }
@@ -140,15 +145,16 @@
             Told::BeforeStart(started) => (started.plus(self.bounds.unknown), waits_at_start),
             Told::Held => (now.plus(self.bounds.unknown), waits_at_start),
         };
-        let after = match told {
-            Told::News { after, .. } => Some(after),
-            Told::BeforeStart(_) | Told::AfterOutage | Told::Held => None,
+        let (since, after) = match told {
+            Told::News { heard, after } => (Some(heard), Some(after)),
+            Told::BeforeStart(_) | Told::AfterOutage | Told::Held => (None, None),
         };
         let named = self.named.entry(weights.model.clone()).or_default();
         named.push(Named {
             version: weights.version,
             binding_from,
             last_begin: binding_from.plus(waits),
+            since,
             after,
             is_guess: matches!(told, Told::BeforeStart(_) | Told::Held),
         });
@@ -201,6 +207,7 @@
         if !named.is_guess {
             return None;
         }
+        named.since = Some(after);
         named.binding_from = after.plus(self.bounds.begin);
         named.last_begin = after.plus(self.bounds.last_begin);
         Some(named.binding_from)
--- a/crates/stage/src/beliefs.rs
+++ b/crates/stage/src/beliefs.rs
@@ -81,12 +81,20 @@
         })
     }
 
-    /// Takes weights that an entry knows to be named, and when they were not yet, if it can prove
-    /// that. A moment that is still to come is of another clock.
-    pub(crate) fn hear(&self, weights: &NamedWeights, after: Option<BootTime>) {
+    /// Takes weights that an entry knows to be named, how long ago it takes that to be, and when they were
+    /// not yet, if it can prove that. A moment that is still to come is of another clock.
+    ///
+    /// The time that the engine has to load is counted from the age, which any entry knows that heard of the
+    /// naming: without one all engines load at once, and callers find all of them closed.
+    pub(crate) fn hear(
+        &self,
+        weights: &NamedWeights,
+        age: Option<Duration>,
+        after: Option<BootTime>,
+    ) {
         let now = BootTime::now();
         let after = after.filter(|after| *after <= now);
-        let age = after.map(|after| now.since(after));
+        let age = age.or_else(|| after.map(|after| now.since(after)));
         let heard = HeardWeights {
             version: weights.version,
             named_at: age.and_then(|age| Instant::now().checked_sub(age)),
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -209,7 +209,9 @@
                     self.answer(&query, from);
                     if let Some(weights) = &query.weights {
                         let after = query.weights_after_ms.map(Duration::from_millis);
-                        beliefs.hear(weights, after.map(BootTime::new));
+                        let age = query.weights_age_ms.map(u64::from);
+                        let age = age.map(Duration::from_millis);
+                        beliefs.hear(weights, age, after.map(BootTime::new));
                     }
                 }
                 Ok(Datagram::Status(status)) => {
