Wait at the start for as long as agents take to answer; leave the pauses of a start as they were

Shorter pauses of a process that has read nothing broke a bound on calls while the registry is away (outage::registry_away, 195 calls): reverted. weights::named_before_start (a new entry without neighbours serves 1.5 s and more) fell with a fixed wait of 0.7 s: the wait ends 0.25 s after agents were asked first, and at 0.7 s only where the list of upstreams takes long.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -109,6 +109,9 @@
                 }
                 let abroad = is_far_turn.then_some(far.as_ref());
                 for (ip, asked) in engines(&view, &home, abroad) {
+                    if asked.is_due && asked.is_near {
+                        neighbours.agents_asked();
+                    }
                     if asked.is_due {
                         agents.send(ip, asked.query(round, clocks.get(ip, BootTime::now())));
                         asked.service.upstreams().asked(ip, now);
--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -17,11 +17,11 @@
 /// Time for the neighbour's answer that is too old, and for the own call in its place.
 const LAST_CALLS: Duration = Duration::from_millis(1100);
 
-/// How long an entry that starts waits to hear of its neighbours: a read of the upstreams over a link that
-/// is half full (0.35 s), and two questions to their agents. With 0.3 s, ten entries that lost power together
+/// How long an entry that starts waits at most to hear of its neighbours: a read of the upstreams over a link
+/// that is half full (0.35 s), and two questions to their agents. With 0.3 s, ten entries that lost power together
 /// read 1,500 routes each for themselves and had them after 1.3 to 2.2 s, where the others of their data
 /// centre had them from a neighbour after 0.2 s.
-const ENTRY_START: Duration = Duration::from_millis(600);
+const ENTRY_START: Duration = Duration::from_millis(700);
 
 /// How long another process that starts waits to be asked by an entry that has started too.
 const GUEST_START: Duration = Duration::from_secs(2);
--- a/crates/nearby/src/neighbours.rs
+++ b/crates/nearby/src/neighbours.rs
@@ -18,6 +18,10 @@
 /// How long an entry whose knowledge was too old counts as behind. Until then others are asked too.
 const BEHIND_FOR: Duration = Duration::from_secs(3);
 
+/// How long agents take to name entries after they were asked first: two questions, of which each entry
+/// asks one each 100 ms.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(250);
+
 /// Neighbours that are asked, one after the other, before the registry is. Those that are behind say
 /// so at once; one in three reads the registry unless most are cut off from it.
 const MOST_ASKED: usize = 3;
@@ -50,6 +54,8 @@
     own: SocketAddr,
     seen: Mutex<Seen>,
     was_named: watch::Sender<bool>,
+    /// Agents were asked, which may name neighbours.
+    has_asked: watch::Sender<bool>,
 }
 
 impl Neighbours {
@@ -59,6 +65,7 @@
             own,
             seen: Mutex::default(),
             was_named: watch::Sender::new(false),
+            has_asked: watch::Sender::new(false),
         }
     }
 
@@ -80,11 +87,30 @@
         self.was_named.send_replace(true);
     }
 
-    /// Waits until an agent has named entries, and for `limit` at most.
+    /// Takes that agents of the data centre are asked from now on.
+    pub fn agents_asked(&self) {
+        self.has_asked
+            .send_if_modified(|has_asked| !std::mem::replace(has_asked, true));
+    }
+
+    /// Waits until an agent has named entries: for as long as agents take to answer, once they are asked,
+    /// and for `limit` at most.
     pub(crate) async fn until_named(&self, limit: Duration) {
         let mut was_named = self.was_named.subscribe();
-        // The sender lives as long as the neighbours; without a word there may be none.
-        let _ = tokio::time::timeout(limit, was_named.wait_for(|was_named| *was_named)).await;
+        let mut has_asked = self.has_asked.subscribe();
+        let asked_in_vain = async {
+            // The sender lives as long as the neighbours.
+            let _ = has_asked.wait_for(|has_asked| *has_asked).await;
+            tokio::time::sleep(ANSWERED_WITHIN).await;
+        };
+        let named = async {
+            tokio::select! {
+                _ = was_named.wait_for(|was_named| *was_named) => {}
+                () = asked_in_vain => {}
+            }
+        };
+        // Without a word there may be no neighbours.
+        let _ = tokio::time::timeout(limit, named).await;
     }
 
     /// Passes over a neighbour for a while; returns whether it was not passed over before.
--- a/crates/nearby/src/pauses.rs
+++ b/crates/nearby/src/pauses.rs
@@ -7,9 +7,6 @@
 
 use crate::NearbyConfig;
 
-/// How much shorter the pauses of a process are that has read nothing yet: it can't do anything before.
-const START_SHARE: u32 = 4;
-
 /// How long a process waits before it reads the registry itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pauses {
@@ -27,14 +24,6 @@
             stand_in: cfg.stand_in_after + cfg.stand_in_spread.mul_f64(share),
         }
     }
-
-    /// Returns the pauses of a process that has read nothing yet.
-    pub(crate) fn at_start(self) -> Self {
-        Self {
-            own: self.own / START_SHARE,
-            stand_in: self.stand_in / START_SHARE,
-        }
-    }
 }
 
 /// Returns a share from 0 to 1 that is a process's own, by its address, so that processes which wait for
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -35,9 +35,6 @@
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
     has_started: Arc<AtomicBool>,
-    pauses: Pauses,
-    /// A read of the settings has brought something.
-    has_read: Arc<AtomicBool>,
     own_turn: Arc<Mutex<OwnTurn>>,
     stand_in: Arc<Mutex<StandIn>>,
     counters: Option<CallCounters>,
@@ -50,7 +47,6 @@
     /// Makes a view of `registry` for a process that gives nothing to others.
     pub fn new(registry: R, cfg: NearbyConfig, neighbours: Arc<Neighbours>) -> Self {
         let pauses = Pauses::new(&cfg, neighbours.own());
-        let first = pauses.at_start();
         Self {
             registry,
             client: NeighbourClient::new(),
@@ -59,10 +55,8 @@
             neighbours,
             reader: Arc::default(),
             has_started: Arc::default(),
-            pauses,
-            has_read: Arc::default(),
-            own_turn: Arc::new(Mutex::new(OwnTurn::new(first.own))),
-            stand_in: Arc::new(Mutex::new(StandIn::new(first.stand_in))),
+            own_turn: Arc::new(Mutex::new(OwnTurn::new(pauses.own))),
+            stand_in: Arc::new(Mutex::new(StandIn::new(pauses.stand_in))),
             counters: None,
         }
     }
@@ -203,14 +197,6 @@
         answer
     }
 
-    /// Takes that a read of `topic` brought what there is; from then on the pauses are the usual ones.
-    fn note_read(&self, topic: Topic) {
-        if topic == Topic::Settings && !self.has_read.swap(true, Ordering::Relaxed) {
-            *self.lock_turn() = OwnTurn::new(self.pauses.own);
-            *self.lock_stand_in() = StandIn::new(self.pauses.stand_in);
-        }
-    }
-
     fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
         self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -267,7 +253,6 @@
                 self.call(topic, cause, call).await?
             }
         };
-        self.note_read(topic);
         if let Some(mirror) = &self.mirror {
             mirror.take_snapshot(topic, &snapshot);
         }
