--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -1,7 +1,7 @@
 //! Brings the chunks of one version into the shelf.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,12 +10,13 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
 use wagtailreel_adapters::HttpClient;
-use wagtailreel_core::{SpreadSettings, VmEntry, VmId, VmRole, VmState, Weigh, rank_score};
-use wagtailreel_fleet::{Change, Registry, Topic, Upstream};
+use wagtailreel_core::{SpreadSettings, VmEntry, VmId, Weigh, rank_score};
+use wagtailreel_fleet::Registry;
 use wagtailreel_spread::{
     Action, ChunkSet, Event, Failure, Fetch, FetchId, Planner, PlannerConfig, Site, Source, Tuning,
 };
 
+use crate::listing::list_peers;
 use crate::manifest::ChunkManifest;
 use crate::origin::{ChunkOrigin, OriginTrouble};
 use crate::process::Surroundings;
@@ -39,9 +40,6 @@
 /// Time between two reads of the registry for agents that came or went.
 const PEERS_EVERY: Duration = Duration::from_millis(1500);
 
-/// How long the registry may take to list the upstreams.
-const LIST_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Where chunks are drawn from, and how fast.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FromOrigin {
@@ -75,58 +73,6 @@
     result: Result<Bytes, Failure>,
 }
 
-/// Returns the agents of the own service by the registry, the own one left out; those of before where it
-/// doesn't answer in time.
-pub(crate) async fn current_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Vec<VmEntry>
-where
-    R: Registry,
-{
-    let read = tokio::time::timeout(LIST_TIMEOUT, list_peers(cx)).await;
-    let read = read.ok().flatten();
-    read.unwrap_or_else(|| cx.peers.borrow().clone())
-}
-
-/// Reads the agents of the own service out of the registry, the own one left out.
-async fn list_peers<R, E, O>(cx: &Surroundings<R, E, O>) -> Option<Vec<VmEntry>>
-where
-    R: Registry,
-{
-    let snapshot = cx.registry.newest(Topic::Upstreams, LIST_TIMEOUT).await;
-    let snapshot = snapshot.ok()?;
-    let upstreams = snapshot.items.into_iter().filter_map(|it| match it.change {
-        Change::Upstream(upstream) => Some(upstream),
-        _ => None,
-    });
-    let own = cx.settings.listen.ip();
-    let peers = upstreams
-        .filter(|it| it.service == cx.settings.service && it.addr.ip() != own)
-        .map(|it| (it.addr.ip(), entry(&it, cx)));
-    // Two starts of one engine are one agent.
-    let peers: BTreeMap<IpAddr, VmEntry> = peers.collect();
-    let peers: Vec<VmEntry> = peers.into_values().collect();
-    cx.peers.send_replace(peers.clone());
-    Some(peers)
-}
-
-fn entry<R, E, O>(upstream: &Upstream, cx: &Surroundings<R, E, O>) -> VmEntry {
-    let agent = SocketAddr::new(upstream.addr.ip(), cx.settings.listen.port());
-    let regions = &cx.settings.regions;
-    VmEntry {
-        vm: upstream.addr.ip().to_string(),
-        data_centre: upstream.data_centre.clone(),
-        region: regions
-            .get(&upstream.data_centre)
-            .cloned()
-            .unwrap_or_default(),
-        role: VmRole::Upstream,
-        // An engine that leaves goes on for a while, and so does its agent.
-        state: VmState::Live,
-        service: Some(upstream.service.clone()),
-        control: agent,
-        data: agent,
-    }
-}
-
 /// Brings all chunks of `manifest` into the shelf; ends only once they are there.
 pub(crate) async fn bring<R, E, O>(
     cx: Arc<Surroundings<R, E, O>>,
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine;
 pub mod events;
 mod fetch;
+mod listing;
 mod loading;
 mod manifest;
 mod metrics;
--- a/crates/stage/src/resolve.rs
+++ b/crates/stage/src/resolve.rs
@@ -8,10 +8,11 @@
 use wagtailreel_fleet::{ModelName, Registry, WeightsVersion};
 use wagtailreel_settings::StagingAgentSettings;
 
+use crate::listing::current_peers;
 use crate::manifest::ChunkManifest;
 use crate::origin::ChunkOrigin;
 use crate::process::Surroundings;
-use crate::{events, fetch, peers};
+use crate::{events, peers};
 
 /// Pause before a manifest is asked for again.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(100);
@@ -34,7 +35,7 @@
     R: Registry,
     O: ChunkOrigin,
 {
-    let peers = fetch::current_peers(&cx).await;
+    let peers = current_peers(&cx).await;
     let order = Order::new(&cx.settings, &peers, &model, version);
     let mut round = 0;
     loop {
