nearby: encode the newest records once too, and say each thing in one place

Found on reading the change again: - All processes that start together ask for the newest of each key, and only reads from a place were encoded once: each start was packed anew, work at the moment when all start. What was given is kept by question until something new is read. - Whether a read is under way went through Copy, two handlers and a refusal; the handler asks the mirror once. - What is known and of when is a type, in place of a tuple and a hand-made maximum. - That a neighbour's read is waited for is said where calls are made, not in each reader. - The first in rank of a set of addresses was worked out in three places (core::first_ranked).

Tests: copies::newest_after_change; the others as they were.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,6 @@
 };
 pub use manifest::{Bundle, ChunkMeta, Manifest, ManifestError};
 pub use outcome::{NotRunReason, Outcome};
-pub use rank::{rank, rank_score};
+pub use rank::{first_ranked, rank, rank_score};
 pub use record::{ClaimRecord, ConfigRecord, OrderRecord, RECORD_FORMAT};
 pub use vm::{VmEntry, VmRole, VmState};
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -14,6 +14,16 @@
     u64::from_be_bytes(first)
 }
 
+/// Returns the candidate that ranks first for `key`; equal scores fall back to the order.
+pub fn first_ranked<T, I>(key: &[u8], candidates: I) -> Option<T>
+where
+    T: Copy + Ord + ToString,
+    I: IntoIterator<Item = T>,
+{
+    let candidates = candidates.into_iter();
+    candidates.max_by_key(|it| (rank_score(key, &it.to_string()), *it))
+}
+
 /// Orders `candidates` for `key`, first in rank first; equal scores fall back to the name.
 pub fn rank<'a, I>(key: &[u8], candidates: I) -> Vec<&'a str>
 where
--- a/crates/nearby/src/calls.rs
+++ b/crates/nearby/src/calls.rs
@@ -9,7 +9,8 @@
     /// It comes first among its neighbours, or knows of none.
     #[display("first")]
     First,
-    /// The neighbours that it asked know only old things, and one of them is reading: it makes no call.
+    /// The neighbours that it asked know only old things, and one of them is reading: the call is left to
+    /// it.
     #[display("neighbour-reads")]
     NeighbourReads,
     /// The neighbours that it asked know only old things.
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -55,16 +55,17 @@
     end: Offset,
     as_of: Option<BootTime>,
     newest: BTreeMap<Key, Keyed>,
-    /// What was given last, for the next neighbour that asks for the same.
-    given: Option<Given>,
+    /// What was given since the last read that brought anything, for neighbours that ask for the same.
+    given: BTreeMap<Wanted, Packed>,
 }
 
-/// Records that were encoded for a neighbour.
-#[derive(Debug)]
-struct Given {
-    from: Offset,
-    next: Offset,
-    records: Packed,
+/// Which records a neighbour asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Wanted {
+    /// All that still hold.
+    Newest,
+    /// Those that stand at this place and after it.
+    Since(Offset),
 }
 
 /// A copy of what is known, as it is sent to a neighbour.
@@ -73,15 +74,10 @@
     pub(crate) records: Packed,
     /// How old the knowledge was when it was given.
     pub(crate) age: Duration,
-    /// A read that will make it younger is under way.
-    pub(crate) is_reading: bool,
 }
 
 impl Held {
     fn insert(&mut self, items: &[Keyed]) {
-        if !items.is_empty() {
-            self.given = None;
-        }
         for item in items {
             let known = self.newest.entry(Key::of(&item.change));
             let known = known.or_insert_with(|| item.clone());
@@ -96,54 +92,50 @@
         self.as_of = Some(self.as_of.map_or(as_of, |known| known.max(as_of)));
     }
 
-    /// Returns what stands at `from` and after it, in the order of the log.
-    fn since(&self, from: Offset) -> KnownRecords {
-        let items = self.newest.values().filter(|item| item.offset >= from);
-        let mut items: Vec<Keyed> = items.cloned().collect();
+    /// Takes that all before `end` was read.
+    fn advance(&mut self, end: Offset) {
+        self.end = end;
+        self.given.clear();
+    }
+
+    /// Returns what a neighbour asks for, in the order of the log.
+    fn records(&self, wanted: Wanted) -> KnownRecords {
+        let is_wanted = |item: &&Keyed| match wanted {
+            Wanted::Newest => !matches!(item.change, Change::Gone(_)),
+            Wanted::Since(from) => item.offset >= from,
+        };
+        let mut items: Vec<Keyed> = self.newest.values().filter(is_wanted).cloned().collect();
         items.sort_by_key(|item| item.offset);
-        KnownRecords {
-            items,
-            next: self.end.max(from),
-        }
+        let next = match wanted {
+            Wanted::Newest => self.end,
+            Wanted::Since(from) => self.end.max(from),
+        };
+        KnownRecords { items, next }
     }
 
-    /// Returns a copy of what stands at `from` and after it; of all that still holds where `from` is none.
+    /// Returns a copy of what a neighbour asks for.
     ///
-    /// Neighbours that wait for the same change get the same bytes, packed to a tenth.
+    /// Neighbours that ask for the same get the same bytes, packed to a tenth.
     ///
-    /// Load pattern: a configuration of 1,500 routes that changes several times a second, and 14 entries
-    /// and 30 agents that take each over the link of the one that reads it.
-    fn copy(&mut self, from: Option<Offset>, age: Duration, is_reading: bool) -> Copy {
-        let place = from.unwrap_or_default();
-        let next = self.end.max(place);
-        let is_same = |given: &&Given| from.is_some() && given.from == place && given.next == next;
-        if let Some(given) = self.given.as_ref().filter(is_same) {
-            let records = given.records.clone();
-            return Copy {
-                records,
-                age,
-                is_reading,
-            };
-        }
-        let mut known = self.since(place);
-        if from.is_none() {
-            known
-                .items
-                .retain(|item| !matches!(item.change, Change::Gone(_)));
-        }
-        let records = Packed::new(&known);
-        if from.is_some() {
-            self.given = Some(Given {
-                from: place,
-                next,
-                records: records.clone(),
-            });
-        }
-        Copy {
-            records,
-            age,
-            is_reading,
-        }
+    /// Load pattern: a configuration of 1,500 routes that changes several times a second, or all processes
+    /// that start together, and 14 entries and 30 agents that take each over the link of the one that
+    /// reads it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Lack::Unread`] if nothing was read yet.
+    fn copy(&mut self, wanted: Wanted) -> Result<Copy, Lack> {
+        let as_of = self.as_of.ok_or(Lack::Unread)?;
+        let records = match self.given.get(&wanted) {
+            Some(given) => given.clone(),
+            None => {
+                let packed = Packed::new(&self.records(wanted));
+                self.given.insert(wanted, packed.clone());
+                packed
+            }
+        };
+        let age = BootTime::now().since(as_of);
+        Ok(Copy { records, age })
     }
 }
 
@@ -183,11 +175,10 @@
         let shelf = self.shelf(topic);
         {
             let mut held = shelf.lock();
-            held.given = None;
             held.newest.retain(|_, it| version_of(&it.change).is_some());
             held.insert(&snapshot.items);
             held.floor = snapshot.end;
-            held.end = snapshot.end;
+            held.advance(snapshot.end);
             held.confirm(snapshot.as_of);
         }
         shelf.end.send_replace(snapshot.end);
@@ -202,8 +193,10 @@
                 // There would be a gap, or the page says nothing new.
                 return;
             }
-            held.insert(&page.items);
-            held.end = page.next;
+            if !page.items.is_empty() || page.next > held.end {
+                held.insert(&page.items);
+                held.advance(page.next);
+            }
             if page.end <= page.next {
                 held.confirm(page.as_of);
             }
@@ -221,10 +214,7 @@
     pub(crate) async fn newest(&self, topic: Topic, wait: Duration) -> Result<Copy, Lack> {
         self.note_asked();
         self.until_read(topic, wait).await;
-        let mut held = self.shelf(topic).lock();
-        let as_of = held.as_of.ok_or(Lack::Unread)?;
-        let is_reading = self.is_reading(topic);
-        Ok(held.copy(None, BootTime::now().since(as_of), is_reading))
+        self.shelf(topic).lock().copy(Wanted::Newest)
     }
 
     /// Returns what stands at `from` and after it; waits up to `wait` for the first of it, unless what
@@ -246,12 +236,10 @@
         // The sender lives as long as the mirror; without news the answer is empty.
         let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
         let mut held = shelf.lock();
-        let as_of = held.as_of.ok_or(Lack::Unread)?;
-        if from < held.floor {
+        if held.as_of.is_some() && from < held.floor {
             return Err(Lack::Before(held.floor));
         }
-        let is_reading = self.is_reading(topic);
-        Ok(held.copy(Some(from), BootTime::now().since(as_of), is_reading))
+        held.copy(Wanted::Since(from))
     }
 
     /// Processes that start together ask before there is anything to give.
--- a/crates/nearby/src/neighbour.rs
+++ b/crates/nearby/src/neighbour.rs
@@ -38,7 +38,7 @@
         age: Duration,
         is_reading: bool,
         /// What it knows all the same.
-        heard: Box<Heard>,
+        known: Box<Known>,
     },
     #[snafu(transparent)]
     Unreadable { source: UnpackError },
@@ -54,16 +54,6 @@
     }
 }
 
-/// Returns of two old answers the one that speaks of a later moment.
-pub(crate) fn newer_of(known: Option<Heard>, other: Heard) -> Heard {
-    match (known, other) {
-        (Some(Heard::Known(copy, as_of)), Heard::Known(_, other)) if as_of >= other => {
-            Heard::Known(copy, as_of)
-        }
-        (_, other) => other,
-    }
-}
-
 /// What a neighbour is asked.
 #[derive(Debug)]
 pub(crate) struct Question {
@@ -74,11 +64,19 @@
     pub(crate) is_for_news: bool,
 }
 
+/// What a neighbour knows.
+#[derive(Debug)]
+pub(crate) struct Known {
+    pub(crate) records: KnownRecords,
+    /// The moment of which it speaks.
+    pub(crate) as_of: BootTime,
+}
+
 /// What a neighbour answers.
 #[derive(Debug)]
 pub(crate) enum Heard {
-    /// What it knows, and the moment of which it speaks.
-    Known(KnownRecords, BootTime),
+    /// What it knows.
+    Known(Known),
     /// It knows only the newest of what stood before this place.
     Expired(Offset),
 }
@@ -128,23 +126,22 @@
             return Ok(Heard::Expired(unpack(&head.headers, &body)?));
         }
         let age = age_of(&head.headers)?;
-        if age > oldest {
-            // Who is behind answers at once.
-            let copy = unpack(&head.headers, &body)?;
-            let heard = Box::new(Heard::Known(copy, sent.minus(age)));
-            let is_reading = is_reading(&head.headers);
-            return OldSnafu {
-                age,
-                is_reading,
-                heard,
-            }
-            .fail();
-        }
-        let copy: KnownRecords = unpack(&head.headers, &body)?;
-        let has_waited = question.is_for_news && copy.items.is_empty();
+        let records: KnownRecords = unpack(&head.headers, &body)?;
+        let is_old = age > oldest;
+        // Who is behind answers at once.
+        let has_waited = question.is_for_news && records.items.is_empty() && !is_old;
         let told = Page::answer_as_of(has_waited, sent, wait, BootTime::now());
         let as_of = told.minus(age);
-        Ok(Heard::Known(copy, as_of))
+        let known = Known { records, as_of };
+        if !is_old {
+            return Ok(Heard::Known(known));
+        }
+        OldSnafu {
+            age,
+            is_reading: is_reading(&head.headers),
+            known,
+        }
+        .fail()
     }
 }
 
--- a/crates/nearby/src/neighbours.rs
+++ b/crates/nearby/src/neighbours.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use wagtailreel_core::rank_score;
+use wagtailreel_core::first_ranked;
 use wagtailreel_fleet::BootTime;
 
 /// How long an entry counts as there after an agent named it. Agents are asked each 100 ms.
@@ -18,8 +18,8 @@
 /// How long an entry whose knowledge was too old counts as behind. Until then others are asked too.
 const BEHIND_FOR: Duration = Duration::from_secs(3);
 
-/// How long agents take to name entries after they were asked first: two questions, of which each entry
-/// asks one each 100 ms.
+/// How long agents take to name entries after they were asked first. Entries that start together ask 100 ms
+/// apart at most, and the answer to the second question names all of them.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(250);
 
 /// Neighbours that are asked, one after the other, before the registry is. Those that are behind say
@@ -148,8 +148,7 @@
             .keys()
             .filter(|it| !seen.avoided.contains_key(it));
         let all = named.copied().chain([self.own]);
-        let first = all.max_by_key(|it| (rank_score(matter.as_bytes(), &it.to_string()), *it));
-        first.unwrap_or(self.own)
+        first_ranked(matter.as_bytes(), all).unwrap_or(self.own)
     }
 
     /// Returns how many neighbours come before this entry.
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::calls::Cause;
 use crate::config::READER_WAIT;
-use crate::neighbour::{Heard, NeighbourClient, NeighbourError, Question, newer_of};
+use crate::neighbour::{Heard, Known, NeighbourClient, NeighbourError, Question};
 use crate::pauses::Pauses;
 use crate::{CallCounters, Mirror, NearbyConfig, Neighbours, OwnTurn, StandIn, events};
 
@@ -88,9 +88,9 @@
         let candidates = self.neighbours.candidates(BootTime::now());
         let mut cause = Cause::First;
         let mut is_reading = false;
-        let mut old: Option<Heard> = None;
+        let mut old: Option<Known> = None;
+        let oldest = self.cfg.longest_age(topic);
         for candidate in &candidates {
-            let oldest = self.cfg.longest_age(topic);
             match self.client.ask(*candidate, question, oldest).await {
                 Ok(heard) => {
                     self.note_reader(topic, Some(*candidate));
@@ -101,30 +101,27 @@
                     is_reading |= err.is_reading();
                     cause = self.pass_over(*candidate, topic, &err);
                     // Another wait would take the rest of the time that a change has.
-                    let NeighbourError::Old { heard, .. } = err else {
+                    let NeighbourError::Old { known, .. } = err else {
                         break;
                     };
-                    old = Some(newer_of(old, *heard));
+                    old = old.into_iter().chain([*known]).max_by_key(|it| it.as_of);
                 }
             }
         }
-        if !is_reading || !self.waits_for_reader(topic, old.as_ref()) {
+        let as_of = old.as_ref().map(|known| known.as_of);
+        if !is_reading || !self.waits_for_reader(topic, as_of) {
             return Err(cause);
         }
         // The answer to the next question is old too for a while.
         tokio::time::sleep(READING_PAUSE).await;
-        old.ok_or(Cause::NeighbourReads)
+        old.map(Heard::Known).ok_or(Cause::NeighbourReads)
     }
 
-    /// Says whether to leave the read to a neighbour that is reading, though what it knows is as old as
-    /// `old` says.
-    fn waits_for_reader(&self, topic: Topic, old: Option<&Heard>) -> bool {
+    /// Says whether to leave the read to neighbours that are reading, though what they know is as old as
+    /// `as_of`.
+    fn waits_for_reader(&self, topic: Topic, as_of: Option<BootTime>) -> bool {
         let now = BootTime::now();
         let is_reader = self.neighbours.place(now) < self.cfg.readers;
-        let as_of = match old {
-            Some(Heard::Known(_, as_of)) => Some(*as_of),
-            Some(Heard::Expired(_)) | None => None,
-        };
         !is_reader && !self.lock_stand_in().is_due(topic, as_of, now)
     }
 
@@ -155,11 +152,14 @@
         cause
     }
 
-    /// Makes a call to the registry itself, if one is due.
+    /// Makes a call to the registry itself, if one is due and no neighbour makes it.
     async fn call<F, T>(&self, topic: Topic, cause: Cause, call: F) -> Result<T, RegistryError>
     where
         F: Future<Output = Result<T, RegistryError>>,
     {
+        if cause == Cause::NeighbourReads {
+            return Err(RegistryError::Pending);
+        }
         let sent = BootTime::now();
         let is_reader = self.neighbours.place(sent) < self.cfg.readers;
         if !self.lock_turn().is_due(is_reader, sent) {
@@ -237,9 +237,9 @@
             is_for_news: false,
         };
         let snapshot = match self.ask(&question).await {
-            Ok(Heard::Known(copy, as_of)) => Snapshot {
-                items: copy.items,
-                end: copy.next,
+            Ok(Heard::Known(Known { records, as_of })) => Snapshot {
+                items: records.items,
+                end: records.next,
                 as_of,
                 is_second_hand: true,
             },
@@ -247,7 +247,6 @@
                 let call = self.registry.newest(topic, timeout);
                 self.call(topic, Cause::NeighbourOld, call).await?
             }
-            Err(Cause::NeighbourReads) => return Err(RegistryError::Pending),
             Err(cause) => {
                 let call = self.registry.newest(topic, timeout);
                 self.call(topic, cause, call).await?
@@ -273,17 +272,16 @@
             is_for_news: true,
         };
         let page = match self.ask(&question).await {
-            Ok(Heard::Known(copy, as_of)) => Page {
-                items: copy.items,
-                next: copy.next,
-                end: copy.next,
+            Ok(Heard::Known(Known { records, as_of })) => Page {
+                items: records.items,
+                next: records.next,
+                end: records.next,
                 as_of,
                 is_second_hand: true,
             },
             // In a burst the neighbour reads the newest of each key, time and again; all that follow
             // it would read the registry themselves.
             Ok(Heard::Expired(first)) => return Err(RegistryError::Expired { first }),
-            Err(Cause::NeighbourReads) => return Err(RegistryError::Pending),
             Err(cause) => {
                 let wait = self.held_for(wait);
                 let call = self.registry.read(topic, from, wait, timeout);
--- a/crates/nearby/src/serve.rs
+++ b/crates/nearby/src/serve.rs
@@ -55,10 +55,8 @@
     Path(topic): Path<Topic>,
     Query(wanted): Query<Wanted>,
 ) -> Response {
-    match mirror.newest(topic, wanted.wait()).await {
-        Ok(copy) => give(copy),
-        Err(lack) => refuse(lack, mirror.is_reading(topic)),
-    }
+    let copy = mirror.newest(topic, wanted.wait()).await;
+    answer(copy, mirror.is_reading(topic))
 }
 
 async fn read(
@@ -67,26 +65,17 @@
     Query(wanted): Query<Wanted>,
 ) -> Response {
     let read = mirror.read(topic, wanted.from, wanted.wait(), wanted.oldest());
-    match read.await {
-        Ok(copy) => give(copy),
-        Err(lack) => refuse(lack, mirror.is_reading(topic)),
-    }
-}
-
-fn give(copy: Copy) -> Response {
-    let is_reading = copy.is_reading;
-    note_reading(copy.records.answer(copy.age), is_reading)
-}
-
-fn refuse(lack: Lack, is_reading: bool) -> Response {
-    match lack {
-        Lack::Unread => note_reading(StatusCode::SERVICE_UNAVAILABLE.into_response(), is_reading),
-        Lack::Before(first) => (StatusCode::GONE, Json(first)).into_response(),
-    }
+    let copy = read.await;
+    answer(copy, mirror.is_reading(topic))
 }
 
-/// Says whether a read that will make what is known younger is under way.
-fn note_reading(mut response: Response, is_reading: bool) -> Response {
+/// Makes the answer, which says whether a read that will make what is known younger is under way.
+fn answer(copy: Result<Copy, Lack>, is_reading: bool) -> Response {
+    let mut response = match copy {
+        Ok(copy) => copy.records.answer(copy.age),
+        Err(Lack::Unread) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Err(Lack::Before(first)) => (StatusCode::GONE, Json(first)).into_response(),
+    };
     if is_reading {
         let yes = HeaderValue::from_static("yes");
         response.headers_mut().insert(READING_HEADER, yes);
--- a/crates/nearby/tests/copies.rs
+++ b/crates/nearby/tests/copies.rs
@@ -73,6 +73,25 @@
     assert!(packed * 10 < plain, "{packed} of {plain} bytes");
 }
 
+/// The newest of each key is given as it is by now, however often it was given before.
+#[rstest]
+#[tokio::test]
+async fn newest_after_change() {
+    let first = Entry::start().await;
+    let second = Entry::beside(&first).await;
+    for version in [7, 8] {
+        let directory = long_directory(version);
+        first.store.config(directory.clone());
+        let expected = Change::Config(Box::new(directory));
+        assert_eq!(config_at(&first).await, expected);
+        for _ in 0..2 {
+            second.hear(&first);
+            assert_eq!(config_at(&second).await, expected);
+        }
+    }
+    assert_eq!(second.store.calls(), 0, "by the neighbour");
+}
+
 /// What was given before a change is not given after it.
 #[rstest]
 #[tokio::test]
