--- a/crates/direct/src/far.rs
+++ b/crates/direct/src/far.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -23,14 +23,14 @@
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
 use tokio::time::MissedTickBehavior;
 use wagtailreel_adapters::{Body, HttpClient, PlatformError, collect_body};
-use wagtailreel_core::{DataCentre, rank_score};
+use wagtailreel_core::{DataCentre, first_ranked};
 use wagtailreel_fleet::{BootTime, LoadStatus};
 use wagtailreel_nearby::Neighbours;
 use wagtailreel_nearby::packing::{Packed, UnpackError, age_of, unpack};
 use wagtailreel_route::direct::{Word, Words};
 
 use crate::events;
-use crate::view::View;
+use crate::view::{View, lock};
 
 /// Time between two questions for the load of a data centre.
 const PACE: Duration = Duration::from_millis(500);
@@ -173,12 +173,12 @@
                 self.note_giver(data_centre, giver, "");
             }
             Err(err) => {
-                let is_silent = matches!(err, FarError::Silent { .. });
-                if let (true, true, Some(entry)) = (is_reader, is_silent, giver) {
-                    self.forget(data_centre, entry);
-                }
-                if let (false, true) = (is_reader, is_silent) {
-                    self.neighbours.avoid(reader, BootTime::now());
+                match giver.filter(|_| matches!(err, FarError::Silent { .. })) {
+                    Some(entry) if is_reader => self.forget(data_centre, entry),
+                    Some(neighbour) => {
+                        self.neighbours.avoid(neighbour, BootTime::now());
+                    }
+                    None => {}
                 }
                 self.note_giver(data_centre, None, &err.to_string());
             }
@@ -225,8 +225,7 @@
         let mut abroad = lock(&self.abroad);
         let known = abroad.get_mut(data_centre)?;
         known.entries.retain(|_, at| at.elapsed() <= NAMED_FOR);
-        let entries = known.entries.keys().copied();
-        entries.max_by_key(|it| rank_score(own.as_bytes(), &it.to_string()))
+        first_ranked(own.as_bytes(), known.entries.keys().copied())
     }
 
     fn forget(&self, data_centre: &str, entry: SocketAddr) {
@@ -294,8 +293,3 @@
     let (packed, age) = words.give(&data_centre);
     packed.answer(age)
 }
-
-/// Locks a mutex; what a panicking thread left is still sound, since every change is one step.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -108,10 +108,11 @@
                     known.clear();
                 }
                 let abroad = is_far_turn.then_some(far.as_ref());
-                for (ip, asked) in engines(&view, &home, abroad) {
-                    if asked.is_due && asked.is_near {
-                        neighbours.agents_asked();
-                    }
+                let engines = engines(&view, &home, abroad);
+                if engines.values().any(|asked| asked.is_near) {
+                    neighbours.agents_asked();
+                }
+                for (ip, asked) in engines {
                     if asked.is_due {
                         agents.send(ip, asked.query(round, clocks.get(ip, BootTime::now())));
                         asked.service.upstreams().asked(ip, now);
@@ -131,7 +132,10 @@
                     Some(of) => far.hear_entries(&of.data_centre, &status.entries),
                     None => {}
                 }
-                clocks.hear(from.ip(), status.clock_ms, BootTime::now());
+                if let Some(clock_ms) = status.clock_ms {
+                    let told = BootTime::from_millis(clock_ms);
+                    clocks.hear(from.ip(), told, BootTime::now());
+                }
                 // What comes without being asked for, or much later, answers no round that is known.
                 let asked = rounds.get(status.nonce);
                 if let (Some(naming), Some(asked)) = (&status.naming, asked) {
@@ -180,23 +184,20 @@
 /// An agent's clock as it told it, and when.
 #[derive(Clone, Copy, Debug)]
 struct AgentClock {
-    /// Milliseconds on the agent's clock.
-    told_ms: u64,
+    /// What it told.
+    told: BootTime,
+    /// When this entry heard it, by its own clock.
     at: BootTime,
 }
 
 impl AgentClock {
-    /// Returns `moment` in milliseconds on the agent's clock.
+    /// Returns `moment` on the agent's clock.
     ///
     /// The agent told its clock before this entry heard of it, so that the result is never later than
     /// the moment: a later one would let requests begin on older weights for too long.
-    fn translate(&self, moment: BootTime) -> u64 {
-        let before = self.at.since(moment).as_millis();
-        let after = moment.since(self.at).as_millis();
-        let span = |millis| u64::try_from(millis).unwrap_or(u64::MAX);
-        self.told_ms
-            .saturating_add(span(after))
-            .saturating_sub(span(before))
+    fn translate(&self, moment: BootTime) -> BootTime {
+        let (before, after) = (self.at.since(moment), moment.since(self.at));
+        self.told.plus(after).minus(before)
     }
 }
 
@@ -205,11 +206,8 @@
 struct AgentClocks(BTreeMap<IpAddr, AgentClock>);
 
 impl AgentClocks {
-    fn hear(&mut self, ip: IpAddr, told_ms: Option<u64>, at: BootTime) {
-        match told_ms {
-            Some(told_ms) => self.0.insert(ip, AgentClock { told_ms, at }),
-            None => self.0.remove(&ip),
-        };
+    fn hear(&mut self, ip: IpAddr, told: BootTime, at: BootTime) {
+        self.0.insert(ip, AgentClock { told, at });
     }
 
     fn get(&self, ip: IpAddr, now: BootTime) -> Option<AgentClock> {
@@ -246,7 +244,7 @@
             weights_age_ms: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
             weights_after_ms: clock
                 .zip(after)
-                .map(|(clock, after)| clock.translate(after)),
+                .map(|(clock, after)| clock.translate(after).as_millis()),
             is_near: self.is_near,
             ..Query::default()
         }
@@ -256,24 +254,22 @@
 /// Returns the VMs of the engines, and whose agents are to be asked now; those of other data centres in
 /// the turns in which `abroad` is given.
 fn engines(view: &View, home: &str, abroad: Option<&FarWords>) -> BTreeMap<IpAddr, Asked> {
-    let Some(directory) = view.directory() else {
+    if view.directory().is_none() {
         return all_near(view, home);
-    };
+    }
     let mut agents = BTreeMap::new();
-    for spec in directory.services() {
-        if let Some(engine) = &spec.engine {
-            let asked = Asked {
-                service: view.service(&spec.name),
-                model: Some(engine.model.clone()),
-                naming: view.newest_weights(&engine.model),
-                data_centre: home.to_owned(),
-                is_near: true,
-                is_due: true,
-            };
-            add_near(&mut agents, &asked);
-            if let Some(abroad) = abroad {
-                add_far(&mut agents, &asked, abroad);
-            }
+    for (service, model) in view.engine_services() {
+        let asked = Asked {
+            service,
+            naming: view.newest_weights(&model),
+            model: Some(model),
+            data_centre: home.to_owned(),
+            is_near: true,
+            is_due: true,
+        };
+        add_near(&mut agents, &asked);
+        if let Some(abroad) = abroad {
+            add_far(&mut agents, &asked, abroad);
         }
     }
     agents
@@ -311,29 +307,31 @@
 fn add_far(agents: &mut BTreeMap<IpAddr, Asked>, near: &Asked, abroad: &FarWords) {
     let now = Instant::now();
     let upstreams = near.service.upstreams();
-    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
-    let is_far = |it: &&Member| it.upstream.data_centre != near.data_centre;
-    for member in upstreams.members().filter(is_far) {
-        *counts.entry(&member.upstream.data_centre).or_default() += 1;
-    }
-    let share = |count: u32| (FAR_ASKED / f64::from(count)).min(1.0);
-    let shares: BTreeMap<&str, f64> = counts
-        .into_iter()
-        .map(|(data_centre, count)| match abroad.is_told(data_centre) {
-            true => (data_centre, share(count)),
-            false => (data_centre, 1.0),
-        })
-        .collect();
-    for member in upstreams.members().filter(is_far) {
+    let mut abroad_by_place: BTreeMap<&DataCentre, Vec<&Member>> = BTreeMap::new();
+    for member in upstreams.members() {
         let data_centre = &member.upstream.data_centre;
-        let share = shares.get(data_centre.as_str()).copied().unwrap_or(1.0);
-        let asked = Asked {
-            data_centre: data_centre.clone(),
-            is_near: false,
-            is_due: member.needs_own_word(now) || rand::rng().random_bool(share),
-            ..near.clone()
+        if *data_centre != near.data_centre {
+            abroad_by_place.entry(data_centre).or_default().push(member);
+        }
+    }
+    for (data_centre, members) in abroad_by_place {
+        // A data centre has at least the one member that brought it here.
+        #[allow(clippy::cast_precision_loss)]
+        let few = (FAR_ASKED / members.len() as f64).min(1.0);
+        let share = if abroad.is_told(data_centre) {
+            few
+        } else {
+            1.0
         };
-        agents.insert(member.upstream.addr.ip(), asked);
+        for member in members {
+            let asked = Asked {
+                data_centre: data_centre.clone(),
+                is_near: false,
+                is_due: member.needs_own_word(now) || rand::rng().random_bool(share),
+                ..near.clone()
+            };
+            agents.insert(member.upstream.addr.ip(), asked);
+        }
     }
 }
 
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -355,6 +355,6 @@
 }
 
 /// Locks a mutex; what a panicking thread left is still sound, since every change is one step.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/direct/tests/common/agent.rs
+++ b/crates/direct/tests/common/agent.rs
@@ -1,5 +1,7 @@
 //! The agent of one engine, which says of it what it is told to.
 
+use std::net::SocketAddr;
+
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use wagtailreel_fleet::{Datagram, LoadStatus, Status};
@@ -8,6 +10,18 @@
 pub(crate) async fn agent_of(ip: &str, port: u16, load: LoadStatus) -> watch::Sender<LoadStatus> {
     let socket = UdpSocket::bind((ip, port)).await.unwrap();
     let (tx, rx) = watch::channel(load);
+    answer_questions(socket, move |_| Status {
+        load: Some(rx.borrow().clone()),
+        ..Status::default()
+    });
+    tx
+}
+
+/// Answers each question on `socket` with what `status` says to who asks.
+pub(crate) fn answer_questions<F>(socket: UdpSocket, status: F)
+where
+    F: Fn(SocketAddr) -> Status + Send + 'static,
+{
     tokio::spawn(async move {
         let mut buf = [0; 2048];
         while let Ok((len, from)) = socket.recv_from(&mut buf).await {
@@ -16,14 +30,12 @@
             };
             let status = Status {
                 nonce: query.nonce,
-                load: Some(rx.borrow().clone()),
-                ..Status::default()
+                ..status(from)
             };
             let answer = Datagram::Status(status).to_bytes();
             socket.send_to(&answer, from).await.unwrap();
         }
     });
-    tx
 }
 
 /// Returns a port that is free for agents.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -13,13 +13,15 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use wagtailreel_direct::{AnswerHead, Dialect, DirectEntry, Dispatch, RequestHead};
 use wagtailreel_fleet::{
-    Change, ClientLimits, Customer, Directory, EngineModel, Route, RouteKind, ServiceSpec,
-    Upstream, UpstreamState,
+    Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route, RouteKind,
+    ServiceSpec, Upstream, UpstreamState,
 };
 use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
 
 use wagtailreel_standins::RegistryStandin;
 
+use self::upstream::TestUpstream;
+
 /// Marks of requests and answers as these tests write them.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TestDialect;
@@ -153,6 +155,31 @@
     }
 }
 
+/// Returns the record of an engine in the entry's data centre that holds `version`.
+pub(crate) fn writer(id: &str, upstream: &TestUpstream, version: u64) -> Change {
+    Change::Upstream(Box::new(written_by(id, upstream, version)))
+}
+
+/// Returns the record of an engine in `data_centre` that holds the first version.
+pub(crate) fn writer_in(data_centre: &str, upstream: &TestUpstream) -> Change {
+    Change::Upstream(Box::new(Upstream {
+        data_centre: data_centre.to_owned(),
+        ..written_by("a", upstream, 1)
+    }))
+}
+
+fn written_by(id: &str, upstream: &TestUpstream, version: u64) -> Upstream {
+    Upstream {
+        service: "writers".to_owned(),
+        models: vec![LoadedModel {
+            model: "epitaph".to_owned(),
+            version,
+            whole: true,
+        }],
+        ..registered(id, upstream.addr)
+    }
+}
+
 /// Returns the record of an upstream of the service `desk`.
 pub(crate) fn registered(id: &str, addr: SocketAddr) -> Upstream {
     Upstream {
--- a/crates/direct/tests/far.rs
+++ b/crates/direct/tests/far.rs
@@ -9,12 +9,13 @@
 
 use axum::Router;
 use axum::http::Uri;
+use common::agent::{answer_questions, holds};
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, entry_with_agents, registered, until_status};
+use common::{directory, entry, entry_with_agents, until_status, writer_in};
 use tokio::net::{TcpListener, UdpSocket};
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
-use wagtailreel_fleet::{Change, Datagram, LoadStatus, LoadedModel, Status, Upstream};
+use wagtailreel_fleet::{LoadStatus, Status};
 use wagtailreel_nearby::packing::{Packed, unpack};
 use wagtailreel_standins::RegistryStandin;
 
@@ -23,19 +24,6 @@
 /// How long a test waits at most for what it waits for.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-fn writer(upstream: &TestUpstream, data_centre: &str) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        service: "writers".to_owned(),
-        data_centre: data_centre.to_owned(),
-        models: vec![LoadedModel {
-            model: "epitaph".to_owned(),
-            version: 1,
-            whole: true,
-        }],
-        ..registered("a", upstream.addr)
-    }))
-}
-
 /// An entry of another data centre that notes what it is asked, and tells nothing.
 async fn entry_abroad() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -55,26 +43,13 @@
 async fn agent_asked_by(entry: SocketAddr) -> u16 {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let port = socket.local_addr().unwrap().port();
-    tokio::spawn(async move {
-        let mut buf = [0; 2048];
-        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
-            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
-                continue;
-            };
-            let status = Status {
-                nonce: query.nonce,
-                load: Some(LoadStatus {
-                    version: Some(1),
-                    running: 3,
-                    pace: 1.0,
-                    ..LoadStatus::default()
-                }),
-                entries: vec![entry],
-                ..Status::default()
-            };
-            let answer = Datagram::Status(status).to_bytes();
-            socket.send_to(&answer, from).await.unwrap();
-        }
+    answer_questions(socket, move |_| Status {
+        load: Some(LoadStatus {
+            pace: 1.0,
+            ..holds(1, 3)
+        }),
+        entries: vec![entry],
+        ..Status::default()
     });
     port
 }
@@ -88,7 +63,7 @@
     let port = agent_asked_by(abroad).await;
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "quay"));
+    registry.upstream(writer_in("quay", &upstream));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     until_status(entry.callers(), WRITTEN, 200).await;
     let twice = async {
@@ -114,7 +89,7 @@
     let port = agent_asked_by(own).await;
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "hall"));
+    registry.upstream(writer_in("hall", &upstream));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     until_status(entry.callers(), WRITTEN, 200).await;
     let client = HttpClient::new();
@@ -142,7 +117,7 @@
     let registry = RegistryStandin::default();
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "quay"));
+    registry.upstream(writer_in("quay", &upstream));
     let entry = entry(&registry, Duration::from_secs(4)).await;
     until_status(entry.callers(), WRITTEN, 200).await;
 }
--- a/crates/direct/tests/patience.rs
+++ b/crates/direct/tests/patience.rs
@@ -8,25 +8,12 @@
 use common::agent::{agent_of, free_port, holds};
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry_with_agents, until_status};
+use common::{directory, entry_with_agents, until_status, writer};
 use rstest::rstest;
-use wagtailreel_fleet::{Change, LoadedModel, Upstream};
 use wagtailreel_standins::RegistryStandin;
 
 const WRITTEN: &str = "/written/1";
 
-fn writer(id: &str, upstream: &TestUpstream) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        service: "writers".to_owned(),
-        models: vec![LoadedModel {
-            model: "epitaph".to_owned(),
-            version: 1,
-            whole: true,
-        }],
-        ..common::registered(id, upstream.addr)
-    }))
-}
-
 /// A stream waits in the queue of an engine that lives and is full, and is taken off one that has room
 /// and still sends nothing. Callers of this route leave after 2 s.
 #[rstest]
@@ -39,7 +26,7 @@
     let port = free_port().await;
     let agent = agent_of("127.0.0.1", port, holds(1, 0)).await;
     registry.config(directory(1));
-    registry.upstream(writer("engine", &engine));
+    registry.upstream(writer("engine", &engine, 1));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     until_status(entry.callers(), WRITTEN, 200).await;
     let callers = entry.callers();
--- a/crates/direct/tests/places.rs
+++ b/crates/direct/tests/places.rs
@@ -8,26 +8,13 @@
 
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry_with_agents, registered, until_status};
+use common::{directory, entry_with_agents, until_status, writer_in};
 use tokio::net::UdpSocket;
-use wagtailreel_fleet::{Change, Datagram, LoadStatus, LoadedModel, Query, Status, Upstream};
+use wagtailreel_fleet::{Datagram, LoadStatus, Query, Status};
 use wagtailreel_standins::RegistryStandin;
 
 const WRITTEN: &str = "/written/1";
 
-fn writer(upstream: &TestUpstream, data_centre: &str) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        service: "writers".to_owned(),
-        data_centre: data_centre.to_owned(),
-        models: vec![LoadedModel {
-            model: "epitaph".to_owned(),
-            version: 1,
-            whole: true,
-        }],
-        ..registered("a", upstream.addr)
-    }))
-}
-
 /// Waits for the next question that `is_it` looks for.
 async fn until_asked<F>(socket: &UdpSocket, is_it: F) -> SocketAddr
 where
@@ -67,7 +54,7 @@
     let port = socket.local_addr().unwrap().port();
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "hall"));
+    registry.upstream(writer_in("hall", &upstream));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     until_status(entry.callers(), WRITTEN, 200).await;
     until_asked(&socket, |query| query.sends_us.is_some()).await;
@@ -81,7 +68,7 @@
     let port = socket.local_addr().unwrap().port();
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 1000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "quay"));
+    registry.upstream(writer_in("quay", &upstream));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     // Without an answer the request goes by what is known.
     until_status(entry.callers(), WRITTEN, 200).await;
@@ -115,7 +102,7 @@
     let port = socket.local_addr().unwrap().port();
     let upstream = TestUpstream::start(&vec![Act::Events(1, 1); 4000]).await;
     registry.config(directory(1));
-    registry.upstream(writer(&upstream, "quay"));
+    registry.upstream(writer_in("quay", &upstream));
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     let agent = tokio::spawn(async move {
         loop {
--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -5,15 +5,13 @@
 
 use std::time::Duration;
 
-use common::agent::{agent_of, free_port, holds};
+use common::agent::{agent_of, answer_questions, free_port, holds};
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, entry_with_agents, ready_entry, registered, until_status};
+use common::{directory, entry, entry_with_agents, ready_entry, until_status, writer};
 use rstest::rstest;
 use tokio::net::UdpSocket;
-use wagtailreel_fleet::{
-    Change, Datagram, HeardNaming, LoadedModel, NamedWeights, Status, Topic, Upstream,
-};
+use wagtailreel_fleet::{Datagram, HeardNaming, NamedWeights, Status, Topic};
 use wagtailreel_standins::RegistryStandin;
 
 const MODEL: &str = "epitaph";
@@ -21,18 +19,6 @@
 /// A path of the service that needs the model.
 const WRITTEN: &str = "/written/1";
 
-fn writer(id: &str, upstream: &TestUpstream, version: u64) -> Change {
-    Change::Upstream(Box::new(Upstream {
-        service: "writers".to_owned(),
-        models: vec![LoadedModel {
-            model: MODEL.to_owned(),
-            version,
-            whole: true,
-        }],
-        ..registered(id, upstream.addr)
-    }))
-}
-
 fn name(registry: &RegistryStandin, version: u64) {
     registry.weights(NamedWeights {
         model: MODEL.to_owned(),
@@ -140,25 +126,16 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let port = socket.local_addr().unwrap().port();
     let heard = std::time::Instant::now();
-    tokio::spawn(async move {
-        let mut buf = [0; 2048];
-        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
-            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
-                continue;
-            };
-            let weights = NamedWeights {
-                model: MODEL.to_owned(),
-                version: 2,
-            };
-            let age_ms = u32::try_from(heard.elapsed().as_millis()).unwrap();
-            let status = Status {
-                nonce: query.nonce,
-                naming: Some(HeardNaming { weights, age_ms }),
-                entries: vec![from],
-                ..Status::default()
-            };
-            let answer = Datagram::Status(status).to_bytes();
-            socket.send_to(&answer, from).await.unwrap();
+    answer_questions(socket, move |from| {
+        let weights = NamedWeights {
+            model: MODEL.to_owned(),
+            version: 2,
+        };
+        let age_ms = u32::try_from(heard.elapsed().as_millis()).unwrap();
+        Status {
+            naming: Some(HeardNaming { weights, age_ms }),
+            entries: vec![from],
+            ..Status::default()
         }
     });
     port
@@ -209,6 +186,45 @@
     assert_eq!(query.weights_after_ms, None, "its clock is not known");
 }
 
+/// What an agent tells without being asked has no clock, and doesn't take away the one that it told
+/// before.
+#[tokio::test]
+async fn clock_kept() {
+    let registry = RegistryStandin::default();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let old = answering().await;
+    registry.config(directory(1));
+    registry.upstream(writer("old", &old, 1));
+    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
+    until_status(entry.callers(), WRITTEN, 200).await;
+    name(&registry, 2);
+    let mut buf = [0; 2048];
+    let told = async {
+        loop {
+            let (len, from) = socket.recv_from(&mut buf).await.unwrap();
+            let Ok(Datagram::Query(query)) = Datagram::from_bytes(&buf[..len]) else {
+                continue;
+            };
+            if query.weights_after_ms.is_some() {
+                return;
+            }
+            let unasked = Status::default();
+            let answer = Status {
+                nonce: query.nonce,
+                clock_ms: Some(3_600_000),
+                ..Status::default()
+            };
+            for status in [answer, unasked] {
+                let datagram = Datagram::Status(status).to_bytes();
+                socket.send_to(&datagram, from).await.unwrap();
+            }
+        }
+    };
+    let told = tokio::time::timeout(Duration::from_secs(5), told).await;
+    assert!(told.is_ok(), "the agent is told when they were not named");
+}
+
 /// A write whose answer was lost may be done after a later one, so that the newest record names older
 /// weights. An entry that starts then hears of the newer ones from the engines that hold them.
 #[tokio::test]
--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -29,9 +29,14 @@
         Self(since_origin)
     }
 
-    /// Returns the time since the clock's origin.
-    pub const fn since_origin(self) -> Duration {
-        self.0
+    /// Makes the moment `millis` after the clock's origin, as another process was told it.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Returns the milliseconds since the clock's origin, to be told to another process.
+    pub fn as_millis(self) -> u64 {
+        u64::try_from(self.0.as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Returns the time from `earlier` to this moment, zero if it lies before.
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -291,10 +291,11 @@
         self.own > 0 || self.is_doubted(now)
     }
 
-    /// Takes what was heard of the engine at `heard_at`; returns whether its weights changed.
-    pub(crate) fn take_status(&mut self, status: &LoadStatus, heard_at: Instant) -> bool {
+    /// Takes what was heard of the engine at `heard_at`; returns whether its weights changed, or none if it
+    /// is of an earlier start and nothing was taken.
+    pub(crate) fn take_status(&mut self, status: &LoadStatus, heard_at: Instant) -> Option<bool> {
         if status.started != 0 && self.is_before(status.started) {
-            return false;
+            return None;
         }
         if self.is_restart(status.started) {
             self.restart(status.started);
@@ -307,7 +308,7 @@
         let reading_left = Duration::from_millis(status.reading_ms.into());
         self.reading.set(reading_left, heard_at);
         self.status = Some((status.clone(), heard_at));
-        changed
+        Some(changed)
     }
 
     pub(crate) fn take_load(&mut self, total: u32, at: Instant) {
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -132,10 +132,9 @@
         else {
             return false;
         };
-        if status.started != 0 && member.is_before(status.started) {
+        let Some(changed) = member.take_status(status, now) else {
             return false;
-        }
-        let changed = member.take_status(status, now);
+        };
         member.asked_since = None;
         member.round_trip = round_trip.unwrap_or(member.round_trip);
         changed
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
-use wagtailreel_core::rank_score;
+use wagtailreel_core::first_ranked;
 use wagtailreel_fleet::{
     BootTime, Datagram, HeardNaming, HeldChunks, LoadStatus, NamedWeights, Query, Status,
     WeightsVersion,
@@ -115,7 +115,7 @@
         let (_, heard) = known.naming.as_ref()?;
         let now = BootTime::now();
         let is_wanted = now.since(heard.heard_at) <= self.naming_told;
-        is_wanted.then(|| u64::try_from(now.since_origin().as_millis()).unwrap_or(u64::MAX))
+        is_wanted.then(|| now.as_millis())
     }
 
     /// Returns the weights that were named lately.
@@ -208,10 +208,10 @@
                 Ok(Datagram::Query(query)) => {
                     self.answer(&query, from);
                     if let Some(weights) = &query.weights {
-                        let after = query.weights_after_ms.map(Duration::from_millis);
+                        let after = query.weights_after_ms.map(BootTime::from_millis);
                         let age = query.weights_age_ms.map(u64::from);
                         let age = age.map(Duration::from_millis);
-                        beliefs.hear(weights, age, after.map(BootTime::new));
+                        beliefs.hear(weights, age, after);
                     }
                 }
                 Ok(Datagram::Status(status)) => {
@@ -264,11 +264,9 @@
             return;
         };
         let own = own.to_string();
-        let first = entries
-            .iter()
-            .max_by_key(|entry| rank_score(own.as_bytes(), &entry.to_string()));
+        let first = first_ranked(own.as_bytes(), entries.iter().copied());
         if let Some(first) = first {
-            self.neighbours.hear(&[*first], BootTime::now());
+            self.neighbours.hear(&[first], BootTime::now());
         }
     }
 
