Match the versions that are told from abroad with the service of their engine

Found on reading the change again: what an entry abroad tells is of the engines of all services there, and the newest version of all of them was taken for each service's model. With two models at versions 1 and 5 the first would have been taken to be named 5, and all its requests refused for weights.

Tests: hearsay::other_service, told_on, own_word (the first can't be built against the code before). A whole number on the command line is read by Options for both commands that take one.

--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -127,9 +127,8 @@
     /// Takes what another entry heard of engines.
     pub(crate) fn take_words(&self, words: &Words) {
         for (service, model) in self.engine_services() {
-            service.upstreams().take_words(words);
+            let newest = service.upstreams().take_words(words);
             service.heard.notify_waiters();
-            let newest = words.values().filter_map(|word| word.status.version).max();
             if let Some(version) = newest {
                 self.take_held(&model, version);
             }
--- a/crates/route/src/direct/hearsay.rs
+++ b/crates/route/src/direct/hearsay.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::rank_score;
-use wagtailreel_fleet::LoadStatus;
+use wagtailreel_fleet::{LoadStatus, WeightsVersion};
 
 use super::pick::Ask;
 use super::upstreams::Upstreams;
@@ -36,19 +36,23 @@
         heard.filter_map(word).collect()
     }
 
-    /// Takes what another entry heard of upstreams.
+    /// Takes what another entry heard of upstreams; returns the newest version of the weights that one of
+    /// this service is told to hold.
     ///
-    /// What this entry heard later itself stands. A question of its own stays open: another's word says
-    /// nothing of the link to here.
-    pub fn take_words(&mut self, words: &Words) {
+    /// The words are of the engines of all services, which serve other models. What this entry heard later
+    /// itself stands. A question of its own stays open: another's word says nothing of the link to here.
+    pub fn take_words(&mut self, words: &Words) -> Option<WeightsVersion> {
+        let mut newest = None;
         for member in self.members.values_mut().filter(|it| !it.is_gone) {
             let Some(word) = words.get(&member.upstream.addr.ip()) else {
                 continue;
             };
+            newest = newest.max(word.status.version);
             if !member.heard_since(word.heard_at) {
                 member.take_status(&word.status, word.heard_at);
             }
         }
+        newest
     }
 
     /// Returns up to `most` upstreams that are known by hearsay and may take a request, drawn by
--- /dev/null
+++ b/crates/route/tests/hearsay.rs
@@ -0,0 +1,88 @@
+//! What others say of upstreams abroad.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_fleet::{LoadStatus, LoadedModel, Upstream, UpstreamState};
+use wagtailreel_route::direct::{Upstreams, Word, Words};
+
+const OLDEST: Duration = Duration::from_millis(700);
+
+fn ip(host: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, host).into()
+}
+
+/// Returns the upstreams of a service with one engine abroad.
+fn service(host: u8) -> Upstreams {
+    let mut upstreams = Upstreams::new("hall".to_owned(), BTreeMap::new());
+    upstreams.update(Upstream {
+        id: format!("e{host}"),
+        started: 0,
+        service: "scribes".to_owned(),
+        addr: SocketAddr::new(ip(host), 80),
+        data_centre: "quay".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: vec![LoadedModel {
+            model: "epitaph".to_owned(),
+            version: 1,
+            whole: true,
+        }],
+    });
+    upstreams
+}
+
+fn status(version: u64, running: u32) -> LoadStatus {
+    LoadStatus {
+        version: Some(version),
+        running,
+        ..LoadStatus::default()
+    }
+}
+
+fn words(all: &[(u8, u64, Instant)]) -> Words {
+    let word = |(host, version, heard_at): &(u8, u64, Instant)| {
+        let status = status(*version, 3);
+        let heard_at = *heard_at;
+        (ip(*host), Word { status, heard_at })
+    };
+    all.iter().map(word).collect()
+}
+
+/// The engines of another service hold another model, whose versions say nothing of this one's.
+#[rstest]
+fn other_service() {
+    let now = Instant::now();
+    let all = words(&[(1, 2, now), (2, 9, now)]);
+    assert_eq!(service(1).take_words(&all), Some(2));
+    assert_eq!(service(2).take_words(&all), Some(9));
+    assert_eq!(service(3).take_words(&all), None);
+}
+
+#[rstest]
+fn told_on() {
+    let now = Instant::now();
+    let all = words(&[(1, 2, now)]);
+    let mut upstreams = service(1);
+    upstreams.take_words(&all);
+    assert_eq!(upstreams.words("quay", OLDEST, now + OLDEST), all);
+    let later = now + OLDEST + Duration::from_millis(1);
+    assert_eq!(upstreams.words("quay", OLDEST, later), Words::new(), "old");
+    assert_eq!(upstreams.words("hall", OLDEST, now), Words::new(), "near");
+}
+
+/// What was heard later from the agent itself stands.
+#[rstest]
+fn own_word() {
+    let now = Instant::now();
+    let mut upstreams = service(1);
+    let heard = now + Duration::from_millis(20);
+    upstreams.status(ip(1), &status(2, 1), Some(Duration::ZERO), heard);
+    upstreams.take_words(&words(&[(1, 2, now)]));
+    let known = upstreams.words("quay", OLDEST, heard);
+    assert_eq!(known.get(&ip(1)).unwrap().status.running, 1);
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -50,6 +50,24 @@
         self.all(name).last().map(String::as_str)
     }
 
+    /// Returns the whole number that an option gives, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is something else.
+    pub(crate) fn number(&self, name: &str) -> Result<Option<u64>, CommandError> {
+        let Some(text) = self.get(name) else {
+            return Ok(None);
+        };
+        match text.parse() {
+            Ok(number) => Ok(Some(number)),
+            Err(_) => UsageSnafu {
+                what: format!("--{name} {text} is not a whole number"),
+            }
+            .fail(),
+        }
+    }
+
     /// Returns every value of an option that may be repeated.
     pub(crate) fn all(&self, name: &str) -> &[String] {
         self.values.get(name).map_or(&[], Vec::as_slice)
--- a/src/commands/account.rs
+++ b/src/commands/account.rs
@@ -26,7 +26,7 @@
     let options = Options::parse(args, &["late-ms", "id", "format"])?;
     let format = format_of(options.get("format").unwrap_or("text"))?;
     let cfg = AccountConfig {
-        late_after: late_after(&options)?,
+        late_after: options.number("late-ms")?.map(Duration::from_millis),
     };
     let paths = log_files(options.words())?;
     if let Some(id) = options.get("id") {
@@ -56,19 +56,6 @@
     }
 }
 
-fn late_after(options: &Options) -> Result<Option<Duration>, CommandError> {
-    let Some(text) = options.get("late-ms") else {
-        return Ok(None);
-    };
-    match text.parse() {
-        Ok(ms) => Ok(Some(Duration::from_millis(ms))),
-        Err(_) => UsageSnafu {
-            what: format!("--late-ms {text} is not a whole number"),
-        }
-        .fail(),
-    }
-}
-
 /// Returns the files that are named, and those of the folders that are named, in the order of names.
 fn log_files(words: &[String]) -> Result<Vec<PathBuf>, CommandError> {
     if words.is_empty() {
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -122,16 +122,7 @@
 }
 
 fn number(options: &Options, name: &str, standard: u64) -> Result<u64, CommandError> {
-    let Some(text) = options.get(name) else {
-        return Ok(standard);
-    };
-    match text.parse() {
-        Ok(number) => Ok(number),
-        Err(_) => UsageSnafu {
-            what: format!("--{name} {text} is not a whole number"),
-        }
-        .fail(),
-    }
+    Ok(options.number(name)?.unwrap_or(standard))
 }
 
 /// Scrapes every process as often as planned; a scrape that fails is a gap, not an error.
