Look for an edit after its change is marked as seen, not before

Cause: the wait read the fold, and marked the offset in force as seen after that. A record that was applied and put in force between the two was marked as seen unread, and nothing follows the first edit of a fleet for 5 s. The check of a base uses the same wait.

--- a/crates/entry/src/admin/submit.rs
+++ b/crates/entry/src/admin/submit.rs
@@ -20,6 +20,7 @@
 use crate::events;
 use crate::follower::StreamSink as _;
 use crate::front::OUTCOME;
+use crate::in_force::wait_in_force;
 
 /// How long an accepted append is waited for to be read back.
 const READ_BACK: Duration = Duration::from_secs(5);
@@ -126,20 +127,12 @@
     team: &str,
     base: Offset,
 ) -> Result<(), Refusal> {
-    let mut offset = book.offset();
+    let check = || book.with_fold(|fold| fold.check_edit(service, team, base));
+    let is_ahead = |refusal: &Refusal| refusal.reason == RefusalReason::BaseAhead;
+    let look = |_| Some(check()).filter(|fits| !fits.as_ref().is_err_and(is_ahead));
     let until = Instant::now() + CATCH_UP;
-    loop {
-        let fits = book.with_fold(|fold| fold.check_edit(service, team, base));
-        match fits {
-            Err(refusal) if refusal.reason == RefusalReason::BaseAhead => {
-                let changed = tokio::time::timeout_at(until, offset.changed()).await;
-                if !matches!(changed, Ok(Ok(()))) {
-                    return Err(refusal);
-                }
-            }
-            fits => return fits,
-        }
-    }
+    let fits = wait_in_force(book.offset(), until, look).await;
+    fits.unwrap_or_else(check)
 }
 
 /// Answers an edit that was sent again from what the fold remembers.
@@ -202,40 +195,49 @@
     edit: &EditId,
     appended: Option<Offset>,
 ) -> Submitted {
-    let mut offset = book.offset();
     let until = Instant::now() + READ_BACK;
-    loop {
-        // Under one lock: between two the fold may take the record, and the edit would be there by
-        // the second look only.
-        let (found, applied, state) = book.with_fold(|fold| {
-            let found = fold.edit_result(service, edit).cloned();
-            let state = fold.state().services.get(service).cloned();
-            (found, fold.offset(), state)
-        });
-        // What the operator hears is in force here already: the fold is ahead for a moment.
-        let in_force = *offset.borrow_and_update() >= applied;
-        if let Some(result) = found.filter(|result| in_force && is_of(result, appended)) {
-            return Submitted::Decided(result);
-        }
-        // A state from a peer leaves out how its edits were decided, but not what is in force.
-        if in_force && appended.is_some_and(|appended| appended <= applied) {
-            if let Some(state) = state.filter(|state| Some(state.revision) == appended) {
-                return accepted(state.revision, state.epoch, edit, &state.team);
-            }
-            let reason = "the edit was read by a peer: send it again with the same id";
-            return Submitted::Failed(Outcome::Unknown, reason.to_owned());
-        }
-        if !matches!(
-            tokio::time::timeout_at(until, offset.changed()).await,
-            Ok(Ok(()))
-        ) {
+    let look = |in_force| look_for(book, service, edit, appended, in_force);
+    match wait_in_force(book.offset(), until, look).await {
+        Some(submitted) => submitted,
+        None => {
             tell_unread(book, service, edit, appended);
             let reason = "the edit was not read back: send it again with the same id";
-            return Submitted::Failed(Outcome::Unknown, reason.to_owned());
+            Submitted::Failed(Outcome::Unknown, reason.to_owned())
         }
     }
 }
 
+/// Looks for what the fold decided about the edit, once what it has read is in force.
+fn look_for(
+    book: &ConfigBook,
+    service: &str,
+    edit: &EditId,
+    appended: Option<Offset>,
+    in_force: Offset,
+) -> Option<Submitted> {
+    // Under one lock: between two the fold may take the record, and the edit would be there by
+    // the second look only.
+    let (found, applied, state) = book.with_fold(|fold| {
+        let found = fold.edit_result(service, edit).cloned();
+        let state = fold.state().services.get(service).cloned();
+        (found, fold.offset(), state)
+    });
+    // What the operator hears is in force here already: the fold is ahead for a moment.
+    if in_force < applied {
+        return None;
+    }
+    if let Some(result) = found.filter(|result| is_of(result, appended)) {
+        return Some(Submitted::Decided(result));
+    }
+    // A state from a peer leaves out how its edits were decided, but not what is in force.
+    let appended = appended.filter(|appended| *appended <= applied)?;
+    if let Some(state) = state.filter(|state| state.revision == appended) {
+        return Some(accepted(state.revision, state.epoch, edit, &state.team));
+    }
+    let reason = "the edit was read by a peer: send it again with the same id";
+    Some(Submitted::Failed(Outcome::Unknown, reason.to_owned()))
+}
+
 /// Tells how far the entry has read, for who looks for what held it up.
 fn tell_unread(book: &ConfigBook, service: &str, edit: &EditId, appended: Option<Offset>) {
     let applied = book.with_fold(|fold| fold.offset());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 mod follower;
 mod front;
+mod in_force;
 mod leftover;
 mod live;
 mod metrics;
@@ -23,4 +24,5 @@
 mod vms;
 
 pub use error::EntryError;
+pub use in_force::wait_in_force;
 pub use process::{EntryAddrs, EntryProcess};
