Let an agent that starts read from the entries that its settings name

It connects to them, reads from the quickest that knows the settings, and the list of upstreams too, until entries ask it.

--- a/crates/nearby/src/lib.rs
+++ b/crates/nearby/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`Registry`](wagtailreel_fleet::Registry) that reads from the first entry of the data centre and
 //! goes to the registry itself if that entry is silent, behind, or itself. Which entry is first
 //! follows from what agents say they are asked by ([`Neighbours`]): there is no election, and two
-//! readers at once cost calls, nothing else. While the registry does not answer, only the first ones
+//! readers at once cost calls, nothing else. A process that starts reads from the nearest of its [`Seeds`]
+//! until it is told of its neighbours. While the registry does not answer, only the first ones
 //! go on asking it ([`OwnTurn`]), and the others hear of its return from them. While it answers slowly,
 //! others read beside those one after the other ([`StandIn`]). A copy always carries the age of what
 //! it says, so that a bound on a belief's age holds however many hands the belief went through.
@@ -19,6 +20,7 @@
 pub mod packing;
 mod pauses;
 mod registry;
+mod seeds;
 mod serve;
 mod stand_in;
 mod wire;
@@ -29,5 +31,6 @@
 pub use neighbours::Neighbours;
 pub use own_turn::OwnTurn;
 pub use registry::Nearby;
+pub use seeds::Seeds;
 pub use serve::router;
 pub use stand_in::StandIn;
--- a/crates/nearby/src/neighbours.rs
+++ b/crates/nearby/src/neighbours.rs
@@ -31,6 +31,8 @@
     named: BTreeMap<SocketAddr, BootTime>,
     avoided: BTreeMap<SocketAddr, BootTime>,
     behind: BTreeMap<SocketAddr, BootTime>,
+    /// The seed that is read from until agents name the entries of the data centre.
+    seed: Option<SocketAddr>,
 }
 
 impl Seen {
@@ -81,12 +83,21 @@
             return;
         }
         let mut seen = self.lock();
+        seen.seed = None;
         for entry in entries.iter().filter(|entry| **entry != self.own) {
             seen.named.insert(*entry, now);
         }
         self.was_named.send_replace(true);
     }
 
+    /// Takes a seed that has answered: it is read from until agents name the entries of the data centre.
+    pub fn introduce(&self, seed: SocketAddr) {
+        let mut seen = self.lock();
+        if !*self.was_named.borrow() {
+            seen.seed = Some(seed);
+        }
+    }
+
     /// Takes that agents of the data centre are asked from now on.
     pub fn agents_asked(&self) {
         self.has_asked
@@ -135,7 +146,9 @@
         let mut before = seen.before(self.own);
         let first = before.next();
         let others = before.filter(|it| !seen.behind.contains_key(it));
-        first.into_iter().chain(others).take(MOST_ASKED).collect()
+        let seed = seen.seed.filter(|it| !seen.avoided.contains_key(it));
+        let named = first.into_iter().chain(others);
+        named.chain(seed).take(MOST_ASKED).collect()
     }
 
     /// Returns the entry that reads `matter` for its data centre, which may be this one: the first by
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -12,7 +12,7 @@
 use crate::config::READER_WAIT;
 use crate::neighbour::{Heard, Known, NeighbourClient, NeighbourError, Question};
 use crate::pauses::Pauses;
-use crate::{CallCounters, Mirror, NearbyConfig, Neighbours, OwnTurn, StandIn, events};
+use crate::{CallCounters, Mirror, NearbyConfig, Neighbours, OwnTurn, Seeds, StandIn, events};
 
 /// How long after a neighbour's question this entry reads for it.
 const READS_FOR: Duration = Duration::from_secs(2);
@@ -32,6 +32,7 @@
     /// Where what was read is kept for others.
     mirror: Option<Arc<Mirror>>,
     neighbours: Arc<Neighbours>,
+    seeds: Seeds,
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
     has_started: Arc<AtomicBool>,
@@ -53,6 +54,7 @@
             cfg,
             mirror: None,
             neighbours,
+            seeds: Seeds::default(),
             reader: Arc::default(),
             has_started: Arc::default(),
             own_turn: Arc::new(Mutex::new(OwnTurn::new(pauses.own))),
@@ -68,6 +70,13 @@
         self
     }
 
+    /// Reads the settings first from the nearest of `seeds` that knows them.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: Seeds) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
     /// Counts calls to the registry in `counters`.
     #[must_use]
     pub fn with_counters(mut self, counters: CallCounters) -> Self {
@@ -82,8 +91,11 @@
     /// Returns the [`Cause`] for asking the registry itself.
     async fn ask(&self, question: &Question) -> Result<Heard, Cause> {
         let topic = question.topic;
-        if topic == Topic::Settings && !self.has_started.swap(true, Ordering::Relaxed) {
-            self.neighbours.until_named(self.cfg.start_wait).await;
+        if topic == Topic::Settings
+            && !self.has_started.swap(true, Ordering::Relaxed)
+            && let Some(heard) = self.ask_seeds().await
+        {
+            return Ok(heard);
         }
         let candidates = self.neighbours.candidates(BootTime::now());
         let mut cause = Cause::First;
@@ -117,6 +129,27 @@
         old.map(Heard::Known).ok_or(Cause::NeighbourReads)
     }
 
+    /// Asks the seeds for the settings, until agents have named neighbours or it is no use to wait for them;
+    /// returns what a seed knows.
+    async fn ask_seeds(&self) -> Option<Heard> {
+        let question = Question {
+            topic: Topic::Settings,
+            path: "/newest?wait_ms=0".to_owned(),
+            wait: Duration::ZERO,
+            is_for_news: false,
+        };
+        let oldest = self.cfg.longest_age(Topic::Settings);
+        let first_known = self.seeds.first_known(&self.client, &question, oldest);
+        tokio::select! {
+            () = self.neighbours.until_named(self.cfg.start_wait) => None,
+            (seed, heard) = first_known => {
+                self.neighbours.introduce(seed);
+                self.note_reader(Topic::Settings, Some(seed));
+                Some(heard)
+            }
+        }
+    }
+
     /// Says whether to leave the read to neighbours that are reading, though what they know is as old as
     /// `as_of`.
     fn waits_for_reader(&self, topic: Topic, as_of: Option<BootTime>) -> bool {
--- /dev/null
+++ b/crates/nearby/tests/seeds.rs
@@ -0,0 +1,125 @@
+//! Processes that start read from entries that their settings name.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::Entry;
+use rstest::rstest;
+use wagtailreel_fleet::{BootTime, Change, ClientLimits, Directory, Registry as _, Topic};
+use wagtailreel_nearby::{Nearby, NearbyConfig, Neighbours, Seeds};
+use wagtailreel_standins::RegistryStandin;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+fn directory() -> Directory {
+    let limits = ClientLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(2),
+        idle_timeout: Duration::from_secs(9),
+    };
+    Directory::new(7, limits)
+}
+
+/// A process that nobody has asked yet.
+struct Newcomer {
+    store: RegistryStandin,
+    registry: Nearby<RegistryStandin>,
+}
+
+impl Newcomer {
+    /// Makes one whose settings name `seeds`, on the port of `entry`.
+    fn new(entry: &Entry, seeds: &[IpAddr]) -> Self {
+        let own = SocketAddr::from(([127, 0, 0, 9], entry.addr.port()));
+        let store = RegistryStandin::default();
+        store.config(directory());
+        let cfg = NearbyConfig::seldom(Duration::from_secs(4));
+        let registry = Nearby::new(store.clone(), cfg, Arc::new(Neighbours::of_a_guest()))
+            .with_seeds(Seeds::new(own, seeds));
+        Self { store, registry }
+    }
+
+    async fn config(&self) -> Change {
+        config_at(&self.registry).await
+    }
+}
+
+async fn config_at(registry: &Nearby<RegistryStandin>) -> Change {
+    let newest = registry.newest(Topic::Settings, TIMEOUT).await;
+    newest.unwrap().items.into_iter().next().unwrap().change
+}
+
+fn expected() -> Change {
+    Change::Config(Box::new(directory()))
+}
+
+/// A seed that knows the settings is read from at once, though nobody named it, and so are the upstreams.
+#[rstest]
+#[tokio::test]
+async fn known_seed() {
+    let entry = Entry::start().await;
+    entry.store.config(directory());
+    config_at(&entry.registry).await;
+    let upstreams = entry.registry.newest(Topic::Upstreams, TIMEOUT).await;
+    let gone = IpAddr::from([127, 0, 0, 8]);
+    let newcomer = Newcomer::new(&entry, &[gone, entry.addr.ip()]);
+    assert_eq!(newcomer.config().await, expected());
+    let read = newcomer.registry.newest(Topic::Upstreams, TIMEOUT).await;
+    assert_eq!(read.unwrap().items.len(), upstreams.unwrap().items.len());
+    assert_eq!(newcomer.store.calls(), 0, "by the seed");
+}
+
+/// A seed that starts too is asked until it knows the settings.
+#[rstest]
+#[tokio::test]
+async fn late_seed() {
+    let entry = Entry::start().await;
+    entry.store.config(directory());
+    let newcomer = Newcomer::new(&entry, &[entry.addr.ip()]);
+    let read = async {
+        while !entry.mirror.was_asked_within(TIMEOUT) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        config_at(&entry.registry).await
+    };
+    let (config, _) = tokio::join!(newcomer.config(), read);
+    assert_eq!(config, expected());
+    assert_eq!(newcomer.store.calls(), 0, "by the seed");
+}
+
+/// Without a seed that lives the newcomer reads for itself.
+#[rstest]
+#[tokio::test]
+async fn gone_seeds() {
+    let entry = Entry::start().await;
+    let newcomer = Newcomer::new(&entry, &[IpAddr::from([127, 0, 0, 8])]);
+    assert_eq!(newcomer.config().await, expected());
+    assert_eq!(newcomer.store.calls(), 1);
+}
+
+/// Entries that agents name take the place of the seed.
+#[rstest]
+fn seed_until_named() {
+    let now = BootTime::now();
+    let addr = |host| SocketAddr::from(([10, 0, 0, host], 7700));
+    let neighbours = Neighbours::of_a_guest();
+    neighbours.introduce(addr(1));
+    assert_eq!(neighbours.candidates(now), [addr(1)]);
+    neighbours.hear(&[addr(2)], now);
+    assert_eq!(neighbours.candidates(now), [addr(2)]);
+    neighbours.introduce(addr(1));
+    assert_eq!(neighbours.candidates(now), [addr(2)], "it comes too late");
+}
+
+/// A process that is a seed asks none: two that start together would wait for each other.
+#[rstest]
+fn own_seed() {
+    let own = SocketAddr::from(([10, 0, 0, 1], 7700));
+    let others = [IpAddr::from([10, 0, 0, 1]), IpAddr::from([10, 0, 0, 2])];
+    assert_eq!(Seeds::new(own, &others), Seeds::default());
+    assert_ne!(Seeds::new(own, &others[1..]), Seeds::default());
+}
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -1,7 +1,7 @@
 //! Settings of processes in a fleet whose upstreams name themselves.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use wagtailreel_core::{DataCentre, Region, ServiceName, VmId};
@@ -141,6 +141,9 @@
     pub listen: SocketAddr,
     /// Address of the registry.
     pub registry: SocketAddr,
+    /// VMs of some entries, which may be gone. An agent that starts reads from the nearest one, on the port
+    /// of `listen`, until the entries of its data centre ask it.
+    pub seeds: Vec<IpAddr>,
     /// How long engines may take to serve weights that were named.
     pub weights: Duration,
     /// What the VM's link carries, in bits a second.
@@ -233,6 +236,7 @@
     let engine = f.required("engine", problems, values::address);
     let listen = f.required("listen", problems, values::address);
     let registry = f.required("registry", problems, values::address);
+    let seeds = f.optional("seeds", problems, Vec::new(), seeds);
     let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
     let link = f.required("link_mbps", problems, |at, problems| {
         let remedy = "write the link's rate in Mbit/s, above 0";
@@ -248,6 +252,7 @@
         engine: engine?,
         listen: listen?,
         registry: registry?,
+        seeds: seeds?,
         weights: bounds?.weights.saturating_sub(WEIGHTS_MARGIN),
         link: link? * MEGABIT,
     })
@@ -350,6 +355,11 @@
     Some(places.into_iter().collect())
 }
 
+fn seeds(at: &At<'_>, problems: &mut Problems) -> Option<Vec<IpAddr>> {
+    let seeds = values::list(at, problems, values::address)?;
+    Some(seeds.iter().map(SocketAddr::ip).collect())
+}
+
 fn port(at: &At<'_>, problems: &mut Problems) -> Option<u16> {
     let port = values::count(at, problems, "port", 1..=65535)?;
     u16::try_from(port).ok()
--- a/crates/settings/tests/direct_settings.rs
+++ b/crates/settings/tests/direct_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of fleets whose upstreams name themselves.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -64,6 +65,23 @@
     assert_eq!(settings.service, "writers");
 }
 
+#[rstest]
+#[case::none("", &[])]
+#[case::empty("seeds:\n", &[])]
+#[case::two("seeds: [\"10.1.0.9:8000\", \"10.2.0.9:8000\"]\n", &["10.1.0.9", "10.2.0.9"])]
+fn agent_seeds(#[case] line: &str, #[case] seeds: &[&str]) {
+    let settings = StagingAgentSettings::from_yaml(&format!("{AGENT}{line}")).unwrap();
+    let expected: Vec<IpAddr> = seeds.iter().map(|it| it.parse().unwrap()).collect();
+    assert_eq!(settings.seeds, expected);
+}
+
+#[rstest]
+fn bad_seed() {
+    let text = format!("{AGENT}seeds: [\"10.1.0.9\"]\n");
+    let err = StagingAgentSettings::from_yaml(&text).unwrap_err();
+    assert!(err.to_string().contains("seeds"), "{err}");
+}
+
 #[rstest]
 #[case::direct(ENTRY, true)]
 #[case::in_quotes("upstreams: \"direct\"\n", true)]
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -16,7 +16,7 @@
 use wagtailreel_adapters::HttpClient;
 use wagtailreel_core::VmEntry;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
-use wagtailreel_nearby::{CallCounters, Nearby, NearbyConfig, Neighbours};
+use wagtailreel_nearby::{CallCounters, Nearby, NearbyConfig, Neighbours, Seeds};
 use wagtailreel_settings::StagingAgentSettings;
 use wagtailreel_telemetry::{encode_metrics, lines_dropped};
 
@@ -121,6 +121,7 @@
             NearbyConfig::seldom(OLDEST_LIST),
             Arc::clone(&neighbours),
         )
+        .with_seeds(Seeds::new(addr, &settings.seeds))
         .with_counters(calls);
         let board = Arc::new(StatusBoard::new(
             Arc::clone(&shelf),
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -184,6 +184,7 @@
         engine: SocketAddr::new(ip, 1),
         listen: SocketAddr::new(ip, PORT),
         registry: SocketAddr::new(ip, 2),
+        seeds: Vec::new(),
         weights: Duration::from_millis(500),
         link: 100e6,
     }
