--- /dev/null
+++ b/crates/stage/src/draws.rs
@@ -0,0 +1,46 @@
+//! Draws of chunks from the origin, as the planner and the log are told of them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wagtailreel_spread::{Failure, Fetch, Source};
+
+use crate::manifest::ChunkManifest;
+use crate::{OriginTrouble, events};
+
+/// Tells of a draw that ended: there is one for each chunk and region, or little more. Fetches from other agents
+/// are many, and only counted.
+pub(crate) fn note(
+    manifest: &ChunkManifest,
+    fetch: &Fetch,
+    result: &Result<Bytes, Failure>,
+    took: Duration,
+) {
+    if fetch.from != Source::Origin {
+        return;
+    }
+    let outcome = match result {
+        Ok(_) => "arrived".to_owned(),
+        Err(failure) => failure.to_string(),
+    };
+    events::CHUNK_DRAWN.emit(&[
+        ("model", &manifest.model),
+        ("version", &manifest.version.to_string()),
+        ("chunk", &fetch.chunk.to_string()),
+        ("reason", &fetch.reason.to_string()),
+        ("ms", &took.as_millis().to_string()),
+        ("outcome", &outcome),
+    ]);
+}
+
+/// Returns what an origin's trouble means for the plan.
+pub(crate) fn failure(trouble: &OriginTrouble) -> Failure {
+    match trouble {
+        OriginTrouble::Refused { retry_after, .. } => Failure::Busy {
+            retry_after: *retry_after,
+        },
+        OriginTrouble::Gone => Failure::Absent,
+        OriginTrouble::Silent { .. } => Failure::Broken,
+        OriginTrouble::Unreadable { .. } => Failure::Corrupt,
+    }
+}
--- a/crates/stage/src/events.rs
+++ b/crates/stage/src/events.rs
@@ -65,6 +65,16 @@
     remedy: "Look at the origin.",
 };
 
+/// A draw from the origin ended.
+pub const CHUNK_DRAWN: Event = Event {
+    id: 6215,
+    name: "chunk-drawn",
+    level: Level::Info,
+    meaning: "A chunk was drawn from the origin, or was to be: the fields tell why by this agent, how long it \
+              took and how it ended.",
+    remedy: "If draws fail or take long, look at the origin and its link.",
+};
+
 /// The engine loads.
 pub const LOAD_ORDERED: Event = Event {
     id: 6220,
@@ -110,6 +120,7 @@
     FETCH_DONE,
     CHUNK_CORRUPT,
     MANIFEST_MISSING,
+    CHUNK_DRAWN,
     LOAD_ORDERED,
     STAGING_FAILED,
     ENGINE_CHANGED,
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -18,10 +18,10 @@
 
 use crate::listing::list_peers;
 use crate::manifest::ChunkManifest;
-use crate::origin::{ChunkOrigin, OriginTrouble};
+use crate::origin::ChunkOrigin;
 use crate::process::Surroundings;
 use crate::status::{ALL_CHUNKS, PeerChunks};
-use crate::{StagedEngine, events, peers};
+use crate::{StagedEngine, draws, events, peers};
 
 /// Time between two questions to neighbours about their chunks. A chunk takes 42 ms over a link of
 /// 9.4 Mbit/s.
@@ -71,6 +71,7 @@
 struct Ended {
     fetch: Fetch,
     result: Result<Bytes, Failure>,
+    took: Duration,
 }
 
 /// Brings all chunks of `manifest` into the shelf; ends only once they are there.
@@ -292,7 +293,12 @@
     }
 
     fn take_end(&mut self, ended: Ended) {
-        let Ended { fetch, result } = ended;
+        let Ended {
+            fetch,
+            result,
+            took,
+        } = ended;
+        draws::note(&self.manifest, &fetch, &result, took);
         self.running.remove(&fetch.id);
         let event = match result {
             Ok(data) => self.take_bytes(&fetch, data),
@@ -364,6 +370,7 @@
             Source::Origin => self.origin,
             Source::Peer(vm) => self.peers.get(vm).copied(),
         };
+        let started = Instant::now();
         let running = self.fetches.spawn(async move {
             let result = match (&fetch.from, peer) {
                 (_, None) => Err(Failure::Absent),
@@ -372,10 +379,15 @@
                 }
                 (Source::Origin, Some(origin)) => {
                     let chunk = source.chunk(origin, &model, version, fetch.chunk).await;
-                    chunk.map_err(|trouble| failure(&trouble))
+                    chunk.map_err(|trouble| draws::failure(&trouble))
                 }
             };
-            Ended { fetch, result }
+            let took = started.elapsed();
+            Ended {
+                fetch,
+                result,
+                took,
+            }
         });
         self.running.insert(id, running);
     }
@@ -384,14 +396,3 @@
 async fn recv(chunks: &mut UnboundedReceiver<PeerChunks>) -> Option<PeerChunks> {
     chunks.recv().await
 }
-
-fn failure(trouble: &OriginTrouble) -> Failure {
-    match trouble {
-        OriginTrouble::Refused { retry_after, .. } => Failure::Busy {
-            retry_after: *retry_after,
-        },
-        OriginTrouble::Gone => Failure::Absent,
-        OriginTrouble::Silent { .. } => Failure::Broken,
-        OriginTrouble::Unreadable { .. } => Failure::Corrupt,
-    }
-}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod askers;
 mod beliefs;
+mod draws;
 mod engine;
 pub mod events;
 mod fetch;
