Fetch what an added engine will lack before it answers

Cause: an added engine answers 1.0 s after its agent started, and only then did the agent look for chunks (shorter connects to the engine were tried first: no difference, it isn't there before). While the engine has not answered since the agent's start, chunks are fetched if other agents know a manifest; never by the origin's word, since where all start together the engines hold what it would send. What is fetched in vain ends as the engine answers.

--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -200,10 +200,17 @@
                 .await;
             return;
         }
-        if known.is_some() || self.report.is_none() {
+        if known.is_some() {
             return;
         }
-        if let Some(manifest) = self.resolve(&wanted.model, None, wanted.origin).await {
+        let origin = match self.report {
+            Some(_) => wanted.origin,
+            // Other agents know what an engine that starts beside them will lack. Where all start together none
+            // does, and what their engines hold must not be drawn from the origin.
+            None if self.engine_start.is_none() => None,
+            None => return,
+        };
+        if let Some(manifest) = self.resolve(&wanted.model, None, origin).await {
             self.target = Some(Target {
                 model: manifest.model.clone(),
                 version: manifest.version,
@@ -305,6 +312,7 @@
         let has_all = whole_since.is_some();
         let situation = Situation {
             report: self.report.as_ref(),
+            is_new: self.engine_start.is_none(),
             target: self.target.as_ref(),
             whole_since,
             place: self
@@ -318,6 +326,8 @@
         };
         match todo {
             Todo::Wait if has_all => self.fetch_ahead(&target, wanted).await,
+            // An engine that started meanwhile holds what was fetched for it.
+            Todo::Wait if self.is_loaded(Some(target.version)) => self.fetching = None,
             Todo::Wait => {}
             Todo::Fetch => self.fetch(&target, wanted).await,
             Todo::Load if self.ordered_at.is_none() => self.load(&target).await,
--- a/crates/stage/src/rollout.rs
+++ b/crates/stage/src/rollout.rs
@@ -37,6 +37,8 @@
 pub struct Situation<'a> {
     /// The engine's state; none while it does not answer.
     pub report: Option<&'a EngineReport>,
+    /// The engine has not answered since the agent started: it is about to start too.
+    pub is_new: bool,
     /// Weights that are to be served; none while nothing is known of them.
     pub target: Option<&'a Target>,
     /// Since when all chunks of the target are there; none while some are missing.
@@ -83,9 +85,15 @@
 
     /// Returns what to do at `now`.
     pub fn next(&self, situation: Situation<'_>, now: Instant) -> Todo {
-        let (Some(report), Some(target)) = (situation.report, situation.target) else {
+        let Some(target) = situation.target else {
             return Todo::Wait;
         };
+        let Some(report) = situation.report else {
+            // What an engine that starts will lack can be on its way by then: an added engine answers 1 s
+            // after its agent started, and so long it served later.
+            let is_ahead = situation.is_new && situation.whole_since.is_none();
+            return if is_ahead { Todo::Fetch } else { Todo::Wait };
+        };
         let held = report.version_of(&target.model);
         if held.is_some_and(|held| held >= target.version) {
             return Todo::Wait;
--- a/crates/stage/tests/common/engine.rs
+++ b/crates/stage/tests/common/engine.rs
@@ -28,6 +28,7 @@
     orders: u64,
     restarts: u64,
     fault: Option<OrderFault>,
+    is_silent: bool,
     is_spoilt: bool,
 }
 
@@ -68,6 +69,11 @@
         self.lock().fault = Some(fault);
     }
 
+    /// Leaves questions for its state without an answer, or answers again.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        self.lock().is_silent = is_silent;
+    }
+
     /// Loses what was loaded, and keeps what was staged.
     pub(crate) fn restart(&self) {
         let mut state = self.lock();
@@ -99,6 +105,10 @@
 impl StagedEngine for TestEngine {
     async fn report(&self) -> Result<EngineReport, EngineTrouble> {
         let state = self.lock();
+        if state.is_silent {
+            let reason = "it has not started".to_owned();
+            return Err(EngineTrouble::Silent { reason });
+        }
         let models = state.version.map(|version| LoadedModel {
             model: MODEL.to_owned(),
             version,
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -68,10 +68,16 @@
 
     /// Adds an agent in `data_centre` whose engine holds `version`.
     pub(crate) async fn add_in(&self, data_centre: &str, version: Option<u64>) -> TestEngine {
+        let engine = TestEngine::new(version);
+        self.add_beside(engine, data_centre).await
+    }
+
+    /// Adds an agent in `data_centre` beside `engine`.
+    pub(crate) async fn add_beside(&self, engine: TestEngine, data_centre: &str) -> TestEngine {
+        let version = engine.version();
         let count = self.members.lock().unwrap().len();
         let host = u8::try_from(count).unwrap() + 1;
         let ip = IpAddr::V4(Ipv4Addr::new(127, 77, self.net, host));
-        let engine = TestEngine::new(version);
         let mut upstream = upstream(ip, version);
         data_centre.clone_into(&mut upstream.data_centre);
         let mut settings = settings(ip);
--- a/crates/stage/tests/rollout.rs
+++ b/crates/stage/tests/rollout.rs
@@ -40,6 +40,7 @@
 ) -> Todo {
     let situation = Situation {
         report: Some(report),
+        is_new: false,
         target: Some(target),
         whole_since: has_all.then_some(now),
         place: 0.5,
@@ -81,6 +82,7 @@
     let target = target(2, None);
     let situation = Situation {
         report: None,
+        is_new: false,
         target: Some(&target),
         whole_since: Some(now),
         place: 0.0,
@@ -88,6 +90,24 @@
     assert_eq!(Rollout::new(BOUND, now).next(situation, now), Todo::Wait);
 }
 
+/// What an engine will lack that is about to start is fetched meanwhile; one that fell silent has it.
+#[rstest]
+#[case::about_to_start(true, false, Todo::Fetch)]
+#[case::chunks_are_there(true, true, Todo::Wait)]
+#[case::fell_silent(false, false, Todo::Wait)]
+fn silent_engine(#[case] is_new: bool, #[case] has_all: bool, #[case] expected: Todo) {
+    let now = Instant::now();
+    let target = target(2, None);
+    let situation = Situation {
+        report: None,
+        is_new,
+        target: Some(&target),
+        whole_since: has_all.then_some(now),
+        place: 0.0,
+    };
+    assert_eq!(Rollout::new(BOUND, now).next(situation, now), expected);
+}
+
 #[rstest]
 fn unknown_naming() {
     let now = Instant::now();
@@ -150,6 +170,7 @@
         let turns = places.map(|place| {
             let situation = Situation {
                 report: Some(&report),
+                is_new: false,
                 target: Some(&target),
                 whole_since: Some(whole_at),
                 place,
@@ -177,6 +198,7 @@
         let target = target(2, Some(now));
         let situation = Situation {
             report: Some(&report),
+                is_new: false,
             target: Some(&target),
             whole_since: Some(now + BOUND.mul_f64(late)),
             place,
--- a/crates/stage/tests/spreading.rs
+++ b/crates/stage/tests/spreading.rs
@@ -5,8 +5,11 @@
 
 use std::time::Duration;
 
-use common::{CHUNKS, Fleet, OrderFault};
+use common::{CHUNKS, Fleet, MODEL, OrderFault, TestEngine, ask};
 use rstest::rstest;
+use tokio::net::UdpSocket;
+use wagtailreel_fleet::Query;
+use wagtailreel_spread::ChunkSet;
 
 /// How long a test waits at most for what it waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -64,6 +67,39 @@
     assert!(fleet.all_whole());
 }
 
+/// Chunks are fetched from others before the added engine answers, and none from the origin.
+#[tokio::test]
+async fn fetched_ahead() {
+    let fleet = Fleet::start(44, 2, Some(1)).await;
+    fleet.until_heard(1).await;
+    let before = fleet.origin.given();
+    let engine = TestEngine::new(None);
+    engine.set_silent(true);
+    let engine = fleet.add_beside(engine, "hall").await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let all_there = async {
+        loop {
+            let chunks = Some((MODEL.to_owned(), 1));
+            let query = Query {
+                chunks,
+                ..Query::default()
+            };
+            let held = ask(&socket, fleet.addr(2), query).await.chunks;
+            let held = held.and_then(|held| ChunkSet::from_hex(&held.chunks, CHUNKS));
+            if held.is_some_and(|held| held.is_full()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, all_there)
+        .await
+        .expect("all chunks beside the silent engine");
+    assert_eq!(fleet.origin.given(), before, "from the others");
+    engine.set_silent(false);
+    until_version(&fleet, 1).await;
+}
+
 #[tokio::test]
 async fn restarted_engine() {
     let fleet = Fleet::start(5, 2, Some(1)).await;
