--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -14,7 +14,7 @@
 use tokio_util::task::TaskTracker;
 use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
-use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours};
+use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours, Seeds};
 use wagtailreel_route::direct::NamingBounds;
 use wagtailreel_settings::DirectEntrySettings;
 
@@ -153,6 +153,7 @@
             Arc::clone(&neighbours),
         )
         .with_mirror(Arc::clone(&mirror))
+        .with_seeds(Seeds::new(own, &cx.settings.seeds))
         .with_counters(calls);
         tasks.spawn(serve(
             "listen.agents",
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -223,6 +223,7 @@
         },
         registry: any,
         agent_port,
+        seeds: Vec::new(),
         threads: 1,
         bounds: DirectBounds {
             keys,
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -83,6 +83,9 @@
     pub registry: SocketAddr,
     /// Port of the agents, the same on all VMs.
     pub agent_port: u16,
+    /// VMs of some entries, which may be gone. An entry that starts reads from the nearest one, on the port of
+    /// `listen.agents`, until agents name the entries of its data centre.
+    pub seeds: Vec<IpAddr>,
     /// Threads for requests.
     pub threads: usize,
     /// What the operators were promised, less the margins.
@@ -198,6 +201,7 @@
     let listen = f.required("listen", problems, listen);
     let registry = f.required("registry", problems, values::address);
     let agent_port = f.required("agent_port", problems, port);
+    let seeds = f.optional("seeds", problems, Vec::new(), seeds);
     let threads = f.optional("threads", problems, 1, |at, problems| {
         values::count(at, problems, "threads", 1..=64)
     });
@@ -212,6 +216,7 @@
         listen: listen?,
         registry: registry?,
         agent_port: agent_port?,
+        seeds: seeds?,
         threads: threads? as usize,
         bounds: DirectBounds {
             keys: bounds.keys.saturating_sub(KEYS_MARGIN),
--- a/crates/settings/tests/direct_settings.rs
+++ b/crates/settings/tests/direct_settings.rs
@@ -69,10 +69,12 @@
 #[case::none("", &[])]
 #[case::empty("seeds:\n", &[])]
 #[case::two("seeds: [\"10.1.0.9:8000\", \"10.2.0.9:8000\"]\n", &["10.1.0.9", "10.2.0.9"])]
-fn agent_seeds(#[case] line: &str, #[case] seeds: &[&str]) {
-    let settings = StagingAgentSettings::from_yaml(&format!("{AGENT}{line}")).unwrap();
+fn named_seeds(#[case] line: &str, #[case] seeds: &[&str]) {
     let expected: Vec<IpAddr> = seeds.iter().map(|it| it.parse().unwrap()).collect();
-    assert_eq!(settings.seeds, expected);
+    let agent = StagingAgentSettings::from_yaml(&format!("{AGENT}{line}")).unwrap();
+    assert_eq!(agent.seeds, expected);
+    let entry = DirectEntrySettings::from_yaml(&format!("{ENTRY}{line}")).unwrap();
+    assert_eq!(entry.seeds, expected);
 }
 
 #[rstest]
