--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -8,7 +8,6 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use rand::RngExt as _;
 use wagtailreel_fleet::UpstreamId;
 
 use crate::admit::Admitted;
@@ -16,26 +15,15 @@
 use crate::events;
 use crate::live::{Lease, Live};
 use crate::pool::{Connection, SendError};
-use crate::refusal::{LONG_PAUSE, Refusal};
+use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::view::Service;
-use wagtailreel_route::direct::{Ask, LoadSource, Patience, Pick, Prediction, Shortage};
 use wagtailreel_route::direct::{Attempt, Ending, Next, next_step};
-
-/// Upstreams abroad that are asked before a request goes there. Of three drawn at random one has
-/// room unless four in five have none.
-const ASKED_ABROAD: usize = 3;
-
-/// Longest wait for the words of upstreams abroad: a way there and back of 6 ms, the longest that is
-/// known, and a turn of either process.
-const ABROAD_PATIENCE: Duration = Duration::from_millis(15);
+use wagtailreel_route::direct::{Patience, Pick, Prediction};
 
 /// Time that must be left for another attempt to be worth making.
 const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
 
-/// When a place is expected to be free at a full plain service, whose answers nobody can predict.
-const FREE_IN: Duration = Duration::from_millis(200);
-
 /// A request as it is sent to every upstream.
 #[derive(Debug)]
 pub(crate) struct Template {
@@ -59,10 +47,10 @@
     pub(crate) last_pick: Option<Pick>,
     sent_at: Instant,
     patience: Patience,
-    service: Arc<Service>,
-    tried: BTreeSet<UpstreamId>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) tried: BTreeSet<UpstreamId>,
     unreached: u32,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
 }
 
 impl<D> Call<D>
@@ -186,103 +174,6 @@
         }
     }
 
-    /// Chooses an upstream, and counts whether there was one.
-    async fn choose_counted(&self) -> Result<Pick, Refusal> {
-        let chosen = self.choose_heard().await;
-        let mut pressure = self.service.pressure();
-        pressure.count(chosen.is_err(), Instant::now());
-        drop(pressure);
-        chosen
-    }
-
-    /// Chooses an upstream; asks a few abroad how they are before a request goes there.
-    ///
-    /// One that doesn't answer gets no request: its old word says that it has room to every entry of
-    /// every data centre, and what they send keeps its link too full for a new word.
-    async fn choose_heard(&self) -> Result<Pick, Refusal> {
-        let pick = self.choose(None)?;
-        if !pick.is_hearsay {
-            return Ok(pick);
-        }
-        let asked_at = Instant::now();
-        let heard = self.ask_abroad(asked_at).await;
-        if heard == 0 && pick.source == LoadSource::Own {
-            // No agent of the service tells of any engine.
-            return Ok(pick);
-        }
-        self.choose(Some(asked_at))
-    }
-
-    /// Asks a few upstreams abroad and waits for their words; returns how many came.
-    async fn ask_abroad(&self, asked_at: Instant) -> usize {
-        let ips = {
-            let ticket = rand::rng().random();
-            let upstreams = self.service.upstreams();
-            upstreams.hearsay(&self.ask(None), ASKED_ABROAD, ticket, asked_at)
-        };
-        for ip in &ips {
-            self.cx.agents.ask(*ip);
-        }
-        let count = || self.service.upstreams().answers_of(&ips, asked_at);
-        let all_heard = async {
-            loop {
-                let heard = self.service.heard.notified();
-                if count() == ips.len() {
-                    return;
-                }
-                heard.await;
-            }
-        };
-        // Those that are late count as not asked.
-        let _ = tokio::time::timeout(ABROAD_PATIENCE, all_heard).await;
-        count()
-    }
-
-    fn ask(&self, heard_since: Option<Instant>) -> Ask<'_> {
-        let model = self.admitted.model.as_deref();
-        Ask {
-            model,
-            least_version: model.and_then(|model| self.cx.view.least_version(model)),
-            tried: self.tried.clone(),
-            engine: self.admitted.engine.as_ref(),
-            prompt: self.admitted.head.prompt_tokens,
-            objective: self.admitted.route.objective,
-            heard_since,
-        }
-    }
-
-    fn choose(&self, heard_since: Option<Instant>) -> Result<Pick, Refusal> {
-        if self.admitted.customer.is_some() && !self.cx.trusts_keys() {
-            return Err(self.not_sent(Refusal::StaleConfiguration));
-        }
-        let ask = self.ask(heard_since);
-        let now = Instant::now();
-        let chosen = self.service.upstreams().choose(&ask, now);
-        chosen.map_err(|shortage| {
-            let free_in = match shortage {
-                Shortage::Full => self.service.upstreams().free_in(&ask, now),
-                Shortage::NoUpstream | Shortage::Weights => Some(LONG_PAUSE),
-            };
-            let left = self.admitted.deadline.saturating_duration_since(now);
-            let pressure = self.service.pressure();
-            let back_in = pressure.pause(free_in.unwrap_or(FREE_IN), left);
-            self.not_sent(match shortage {
-                Shortage::NoUpstream => Refusal::NoUpstream { back_in },
-                Shortage::Weights => Refusal::Weights { back_in },
-                Shortage::Full => Refusal::Full { back_in },
-            })
-        })
-    }
-
-    /// Makes sure that a request which may have run is not refused as not run.
-    const fn not_sent(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
-            Refusal::Unknown
-        } else {
-            refusal
-        }
-    }
-
     async fn connect(&mut self, pick: &Pick) -> Result<Connection, Ending> {
         self.tried.insert(pick.id.clone());
         let repeatable = self.admitted.route.kind.repeatable();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admit;
 mod attempt;
+mod choosing;
 mod cutter;
 mod dialect;
 pub mod events;
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -16,6 +16,7 @@
 mod loading;
 mod manifest;
 mod metrics;
+mod ordering;
 mod origin;
 mod peers;
 mod process;
--- a/crates/stage/src/loading.rs
+++ b/crates/stage/src/loading.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::AbortOnDropHandle;
-use wagtailreel_core::{ChunkIndex, rank_score};
+use wagtailreel_core::rank_score;
 use wagtailreel_fleet::{ModelName, NamedWeights, Registry, UpstreamStart, WeightsVersion};
 
 use crate::beliefs::{HeardWeights, Wanted};
@@ -15,17 +14,11 @@
 use crate::origin::ChunkOrigin;
 use crate::process::Surroundings;
 use crate::resolve::ask_manifest;
-use crate::{
-    EngineReport, OrderEnd, Rollout, Situation, StagedEngine, Target, Todo, events, fetch,
-};
+use crate::{EngineReport, Rollout, Situation, StagedEngine, Target, Todo, events, fetch};
 
 /// Time between two looks at the engine. Its figures are some hundred milliseconds old as it is.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// Longest time between staging the first chunk and the order to load. Staged chunks may be spoilt
-/// at any time, and the engine doesn't compare them.
-const STAGING: Duration = Duration::from_millis(2200);
-
 /// Longest time between the order to load and the engine's word that it is loading.
 const ORDER_SETTLES: Duration = Duration::from_millis(600);
 
@@ -41,9 +34,9 @@
 
 /// Looks after one engine.
 pub(crate) struct Keeper<R, E, O> {
-    cx: Arc<Surroundings<R, E, O>>,
-    rollout: Rollout,
-    report: Option<EngineReport>,
+    pub(crate) cx: Arc<Surroundings<R, E, O>>,
+    pub(crate) rollout: Rollout,
+    pub(crate) report: Option<EngineReport>,
     /// The start of the engine that its last state was from.
     engine_start: Option<UpstreamStart>,
     target: Option<Target>,
@@ -51,7 +44,7 @@
     whole: Option<(WeightsVersion, Instant)>,
     fetching: Option<Fetching>,
     resolving: Option<AbortOnDropHandle<Option<Arc<ChunkManifest>>>>,
-    ordered_at: Option<Instant>,
+    pub(crate) ordered_at: Option<Instant>,
     started: Instant,
 }
 
@@ -393,78 +386,4 @@
             task: AbortOnDropHandle::new(task),
         });
     }
-
-    /// Stages all chunks and has the engine load them.
-    async fn load(&mut self, target: &Target) {
-        let started = Instant::now();
-        let Some(chunks) = self.chunks(target) else {
-            return;
-        };
-        if let Err(reason) = self.stage(target, chunks).await {
-            events::STAGING_FAILED.emit(&[("reason", &reason)]);
-            self.rollout.order_failed(Instant::now());
-            return;
-        }
-        self.cx.board.set_switching(true);
-        let held = self.report.as_ref();
-        let held = held.and_then(|it| it.version_of(&target.model));
-        tokio::time::sleep(Rollout::notice(held)).await;
-        let took = started.elapsed();
-        let orders = self.report.as_ref().map_or(0, |report| report.orders);
-        let (outcome, reason) = if took > STAGING {
-            ("staged-too-slowly", String::new())
-        } else {
-            self.order(target, orders).await
-        };
-        if self.ordered_at.is_none() {
-            self.cx.board.set_switching(false);
-            self.rollout.order_failed(Instant::now());
-        }
-        let loads = &self.cx.metrics.loads;
-        loads.with_label_values(&[outcome]).inc();
-        events::LOAD_ORDERED.emit(&[
-            ("model", &target.model),
-            ("version", &target.version.to_string()),
-            ("orders", &orders.to_string()),
-            ("outcome", outcome),
-            ("reason", &reason),
-            ("staging_ms", &took.as_millis().to_string()),
-        ]);
-    }
-
-    /// Tells the engine to load; returns what became of the order, and why.
-    async fn order(&mut self, target: &Target, orders: u64) -> (&'static str, String) {
-        let engine = &self.cx.engine;
-        let ended = engine.load(&target.model, target.version, orders).await;
-        match ended {
-            Ok(OrderEnd::Begun | OrderEnd::InEffect) => {
-                self.ordered_at = Some(Instant::now());
-                ("begun", String::new())
-            }
-            Ok(OrderEnd::Unfit) => ("unfit", String::new()),
-            Ok(OrderEnd::Fenced) => ("fenced", String::new()),
-            // It may have been taken: the engine's state will tell.
-            Err(trouble) => {
-                self.ordered_at = Some(Instant::now());
-                ("unknown", trouble.to_string())
-            }
-        }
-    }
-
-    fn chunks(&self, target: &Target) -> Option<Vec<Bytes>> {
-        let shelf = &self.cx.shelf;
-        let manifest = shelf.manifest(&target.model, Some(target.version))?;
-        let count = manifest.count();
-        let chunks = (0..count).map(|chunk| shelf.get(&target.model, target.version, chunk));
-        chunks.collect()
-    }
-
-    async fn stage(&self, target: &Target, chunks: Vec<Bytes>) -> Result<(), String> {
-        let indexes: std::ops::RangeFrom<ChunkIndex> = 0..;
-        for (chunk, data) in indexes.zip(chunks) {
-            let staged = self.cx.engine.stage(&target.model, chunk, data).await;
-            staged.map_err(|trouble| trouble.to_string())?;
-        }
-        Ok(())
-    }
 }
--- /dev/null
+++ b/crates/stage/src/ordering.rs
@@ -0,0 +1,96 @@
+//! Stages whole weights at the engine and has it load them.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use wagtailreel_core::ChunkIndex;
+use wagtailreel_fleet::Registry;
+
+use crate::loading::Keeper;
+use crate::origin::ChunkOrigin;
+use crate::{OrderEnd, Rollout, StagedEngine, Target, events};
+
+/// Longest time between staging the first chunk and the order to load. Staged chunks may be spoilt
+/// at any time, and the engine doesn't compare them.
+const STAGING: Duration = Duration::from_millis(2200);
+
+impl<R, E, O> Keeper<R, E, O>
+where
+    R: Registry,
+    E: StagedEngine,
+    O: ChunkOrigin,
+{
+    /// Stages all chunks and has the engine load them.
+    pub(crate) async fn load(&mut self, target: &Target) {
+        let started = Instant::now();
+        let Some(chunks) = self.chunks(target) else {
+            return;
+        };
+        if let Err(reason) = self.stage(target, chunks).await {
+            events::STAGING_FAILED.emit(&[("reason", &reason)]);
+            self.rollout.order_failed(Instant::now());
+            return;
+        }
+        self.cx.board.set_switching(true);
+        let held = self.report.as_ref();
+        let held = held.and_then(|it| it.version_of(&target.model));
+        tokio::time::sleep(Rollout::notice(held)).await;
+        let took = started.elapsed();
+        let orders = self.report.as_ref().map_or(0, |report| report.orders);
+        let (outcome, reason) = if took > STAGING {
+            ("staged-too-slowly", String::new())
+        } else {
+            self.order(target, orders).await
+        };
+        if self.ordered_at.is_none() {
+            self.cx.board.set_switching(false);
+            self.rollout.order_failed(Instant::now());
+        }
+        let loads = &self.cx.metrics.loads;
+        loads.with_label_values(&[outcome]).inc();
+        events::LOAD_ORDERED.emit(&[
+            ("model", &target.model),
+            ("version", &target.version.to_string()),
+            ("orders", &orders.to_string()),
+            ("outcome", outcome),
+            ("reason", &reason),
+            ("staging_ms", &took.as_millis().to_string()),
+        ]);
+    }
+
+    /// Tells the engine to load; returns what became of the order, and why.
+    async fn order(&mut self, target: &Target, orders: u64) -> (&'static str, String) {
+        let engine = &self.cx.engine;
+        let ended = engine.load(&target.model, target.version, orders).await;
+        match ended {
+            Ok(OrderEnd::Begun | OrderEnd::InEffect) => {
+                self.ordered_at = Some(Instant::now());
+                ("begun", String::new())
+            }
+            Ok(OrderEnd::Unfit) => ("unfit", String::new()),
+            Ok(OrderEnd::Fenced) => ("fenced", String::new()),
+            // It may have been taken: the engine's state will tell.
+            Err(trouble) => {
+                self.ordered_at = Some(Instant::now());
+                ("unknown", trouble.to_string())
+            }
+        }
+    }
+
+    fn chunks(&self, target: &Target) -> Option<Vec<Bytes>> {
+        let shelf = &self.cx.shelf;
+        let manifest = shelf.manifest(&target.model, Some(target.version))?;
+        let count = manifest.count();
+        let chunks = (0..count).map(|chunk| shelf.get(&target.model, target.version, chunk));
+        chunks.collect()
+    }
+
+    async fn stage(&self, target: &Target, chunks: Vec<Bytes>) -> Result<(), String> {
+        let indexes: std::ops::RangeFrom<ChunkIndex> = 0..;
+        for (chunk, data) in indexes.zip(chunks) {
+            let staged = self.cx.engine.stage(&target.model, chunk, data).await;
+            staged.map_err(|trouble| trouble.to_string())?;
+        }
+        Ok(())
+    }
+}
