--- a/crates/stage/tests/rollout.rs
+++ b/crates/stage/tests/rollout.rs
@@ -95,7 +95,7 @@
 #[case::about_to_start(true, false, Todo::Fetch)]
 #[case::chunks_are_there(true, true, Todo::Wait)]
 #[case::fell_silent(false, false, Todo::Wait)]
-fn silent_engine(#[case] is_new: bool, #[case] has_all: bool, #[case] expected: Todo) {
+fn starting_engine(#[case] is_new: bool, #[case] has_all: bool, #[case] expected: Todo) {
     let now = Instant::now();
     let target = target(2, None);
     let situation = Situation {
