--- a/crates/spread/src/draw.rs
+++ b/crates/spread/src/draw.rs
@@ -15,10 +15,14 @@
 /// Up to this many other VMs, one draw each would not fill the origin's link.
 const FEW_VMS: usize = 3;
 
-/// Most windows of chunks that nobody is seen to have and that are drawn at once. A window is under way, and another
-/// takes as long until its chunks are seen everywhere; the third is for VMs that are gone.
+/// Most windows of chunks that nobody is seen to have and that are drawn at once: one is under way, and another
+/// takes as long until its chunks are seen everywhere.
 const MOST_WINDOWS: u32 = 2;
 
+/// Windows that open with time for each one more of unseen chunks, at a VM that has not drawn since the origin
+/// failed: an origin that is away for four copies' time opens one.
+const QUIET_WINDOWS: u32 = 16;
+
 /// Fetches from peers in a row until a chunk is seen among the neighbours.
 const HOPS: u32 = 8;
 
@@ -96,19 +100,36 @@
             return count;
         }
         let from = self.last_seen.map_or(0, |chunk| chunk + 1);
-        let since = self.moved_at.max(self.origin_failed_at);
+        let windows = 1 + self.stalls_since(self.moved_at, now);
+        let by_last = from.saturating_add(self.tuning.window.saturating_mul(windows));
+        // A VM that has not drawn yet can't tell an origin that is away from others that draw nothing.
+        let has_drawn = self.drew_at.is_some_and(|at| at > self.origin_failed_at);
+        let more = if has_drawn {
+            self.stalls_since(self.arrived_at, now)
+        } else {
+            windows / QUIET_WINDOWS
+        };
+        by_last.min(self.unseen_frontier(more))
+    }
+
+    /// Returns how many waits for another VM's draw have passed since `moment` without a failure of the origin.
+    fn stalls_since(&self, moment: Instant, now: Instant) -> u32 {
+        let since = moment.max(self.origin_failed_at);
         let quiet = now.saturating_duration_since(since);
         let stalls = quiet.as_secs_f64() / self.stall().as_secs_f64();
         // The value is small and not negative.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let windows = 1 + stalls as u32;
-        let by_last = from.saturating_add(self.tuning.window.saturating_mul(windows));
-        by_last.min(self.unseen_frontier())
+        let stalls = stalls as u32;
+        stalls
     }
 
-    /// Returns up to where [`MOST_WINDOWS`] hold the chunks that are missing and at no neighbour.
-    fn unseen_frontier(&self) -> ChunkIndex {
-        let most = self.tuning.window.saturating_mul(MOST_WINDOWS) as usize;
+    /// Returns up to where [`MOST_WINDOWS`] and `more` hold the chunks that are missing and at no neighbour.
+    ///
+    /// A VM that is there and draws nothing, for want of memory, leaves its chunks unseen for good: without more
+    /// windows the others would never get as far as to draw them in its place.
+    fn unseen_frontier(&self, more: u32) -> ChunkIndex {
+        let windows = MOST_WINDOWS.saturating_add(more);
+        let most = self.tuning.window.saturating_mul(windows) as usize;
         let unseen = self.have.missing();
         let mut unseen = unseen.filter(|chunk| self.peers.holders(*chunk) == 0);
         unseen.nth(most).unwrap_or(self.have.capacity())
--- a/crates/spread/src/planner.rs
+++ b/crates/spread/src/planner.rs
@@ -68,6 +68,8 @@
     pub(crate) origin_pace: Pace,
     pub(crate) peer_pace: Pace,
     pub(crate) started: Instant,
+    /// When the last draw arrived.
+    pub(crate) drew_at: Option<Instant>,
     /// When the last of the draws that the VM is first for was done.
     pub(crate) drawn_at: Option<Instant>,
     /// The last chunk that the VM or a neighbour has had, and since when.
@@ -111,6 +113,7 @@
             peer_pace: Pace::new(tuning.first_guess),
             tuning,
             started: now,
+            drew_at: None,
             drawn_at: None,
             last_seen: None,
             moved_at: now,
@@ -219,6 +222,7 @@
                 Source::Origin => {
                     self.origin_pace.observe(taken);
                     self.origin_pause.clear();
+                    self.drew_at = Some(now);
                 }
                 Source::Peer(vm) => {
                     self.peer_pace.observe(taken);
--- /dev/null
+++ b/crates/spread/tests/idle_peer.rs
@@ -0,0 +1,64 @@
+//! A VM that is there, and draws nothing.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use wagtailreel_core::{Digest, SpreadSettings, VmEntry, VmRole, VmState};
+use wagtailreel_spread::{Action, ChunkSet, Event, Planner, PlannerConfig, Site, Source};
+
+const CHUNKS: u32 = 64;
+const STEP: Duration = Duration::from_millis(5);
+
+/// Time within which everything has to be drawn: with the other VM it would take a third of a second.
+const BOUND: Duration = Duration::from_secs(20);
+
+fn entry(vm: &str) -> VmEntry {
+    let addr = ([127, 0, 0, 1], 7700).into();
+    VmEntry {
+        vm: vm.to_owned(),
+        data_centre: "hall".to_owned(),
+        region: "sierra".to_owned(),
+        role: VmRole::Upstream,
+        state: VmState::Live,
+        service: Some("scribes".to_owned()),
+        control: addr,
+        data: addr,
+    }
+}
+
+/// It has no memory for the weights, and answers that it has no chunk. What it is first for is drawn in its place.
+#[rstest]
+fn drawn_for_idle_peer() {
+    let start = Instant::now();
+    let digest = |chunk: u32| Digest::new([u8::try_from(chunk).unwrap(); 32]);
+    let cfg = PlannerConfig {
+        own: Site::of(&entry("vm-2")),
+        chunks: (0..CHUNKS).map(digest).collect(),
+        have: ChunkSet::new(CHUNKS),
+        settings: SpreadSettings::default(),
+        seed: 1,
+    };
+    let mut planner = Planner::new(cfg, start);
+    let mut now = start;
+    let mut actions = planner.apply(Event::Peers(vec![entry("vm-1"), entry("vm-2")]), now);
+    while !planner.is_done() {
+        assert!(
+            now - start < BOUND,
+            "{} of {CHUNKS}",
+            planner.have().count()
+        );
+        now += STEP;
+        let drawn = std::mem::take(&mut actions);
+        let have = ChunkSet::new(CHUNKS);
+        let vm = "vm-1".to_owned();
+        actions.extend(planner.apply(Event::Have { vm, have }, now));
+        for action in drawn {
+            if let Action::Fetch(fetch) = action {
+                assert_eq!(fetch.from, Source::Origin);
+                let (id, chunk) = (fetch.id, fetch.chunk);
+                actions.extend(planner.apply(Event::Fetched { id, chunk }, now));
+            }
+        }
+    }
+}
