Write a line for each connection that a server ends, and one for its listener

The logs could not tell the hypotheses apart. connection-ended now has the requests that a connection had, how long it was quiet, what lay unread when it was ended and what came after that; listener-closed what the backlog held; request-done and request-refused name their connection.

crates/serve is a crate of its own: both fronts and the agents have the same listeners to end.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod shared;
 mod status_page;
+mod tally;
 mod view;
 
 pub use cutter::{Cut, Cutter};
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -10,21 +10,21 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours, Seeds};
 use wagtailreel_route::direct::NamingBounds;
+use wagtailreel_serve::{ConnectionCounters, Phase, Server};
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::dialect::Dialect;
 use crate::far::{self, FarWords};
+use crate::front::Callers;
 use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::view::{Bounds, View};
-use crate::{events, front, load, status_page};
+use crate::{events, load, status_page};
 
 /// How long the registry may hold a read of the settings. Each read is priced; a read that returns
 /// empty confirms the configuration, which has to be done well within the bound on keys.
@@ -89,7 +89,7 @@
     status: SocketAddr,
     copies: SocketAddr,
     tasks: JoinSet<()>,
-    connections: TaskTracker,
+    server: Server,
 }
 
 impl<D> DirectEntry<D>
@@ -116,6 +116,7 @@
         let prometheus = Prometheus::new();
         let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
         let calls = CallCounters::register(&prometheus).context(MetricsSnafu)?;
+        let counters = ConnectionCounters::register(&prometheus).context(MetricsSnafu)?;
         let bounds = Bounds {
             weights: NamingBounds {
                 begin: settings.bounds.weights,
@@ -138,10 +139,8 @@
             metrics,
             registry: prometheus,
             leaving: AtomicBool::new(false),
-            closing: CancellationToken::new(),
             settings,
         });
-        let connections = TaskTracker::new();
         let mut tasks = JoinSet::new();
         let mirror = Arc::new(Mirror::default());
         let neighbours = Arc::new(Neighbours::new(own));
@@ -175,7 +174,7 @@
             home,
         ));
         tasks.spawn(far.follow());
-        tasks.spawn(front::accept(Arc::clone(&cx), callers, connections.clone()));
+        let server = Server::start("callers", callers, Callers::new(Arc::clone(&cx)), counters);
         tasks.spawn(prune(Arc::clone(&view)));
         let page = status_page::router(Arc::clone(&cx));
         tasks.spawn(serve("listen.status", status, page));
@@ -191,7 +190,7 @@
             status: status_addr,
             copies: own,
             tasks,
-            connections,
+            server,
         })
     }
 
@@ -215,13 +214,13 @@
         let grace = self.cx.settings.bounds.grace;
         let until = tokio::time::Instant::now() + grace;
         self.cx.leaving.store(true, Ordering::Relaxed);
+        self.server.enter(Phase::Leaving);
         let open = self.cx.metrics.open.get().to_string();
         events::LEAVING.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
         tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
-        self.cx.closing.cancel();
-        self.connections.close();
+        self.server.enter(Phase::Closing);
         // What is still open then is cut off; the event says how much.
-        let _ = tokio::time::timeout_at(until, self.connections.wait()).await;
+        let _ = tokio::time::timeout_at(until, self.server.ended()).await;
         self.tasks.abort_all();
         let open = self.cx.metrics.open.get().to_string();
         events::STOPPED.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -12,9 +12,9 @@
 use crate::attempt::Call;
 use crate::cutter::{Cut, Cutter};
 use crate::dialect::Dialect;
-use crate::front::Tally;
 use crate::live::Live;
 use crate::refusal::Refusal;
+use crate::tally::Tally;
 use wagtailreel_route::direct::{Ending, Next};
 
 /// Longest body of an answer that is no stream which is read whole before it is passed on, so that
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use prometheus::Registry;
-use tokio_util::sync::CancellationToken;
 use wagtailreel_fleet::Topic;
 use wagtailreel_settings::DirectEntrySettings;
 
@@ -21,10 +20,8 @@
     pub(crate) agents: Agents,
     pub(crate) metrics: Metrics,
     pub(crate) registry: Registry,
-    /// The entry leaves; answers say that their connection ends.
+    /// The entry leaves.
     pub(crate) leaving: AtomicBool,
-    /// Connections end after the answers that are under way.
-    pub(crate) closing: CancellationToken,
 }
 
 impl<D> Shared<D> {
--- /dev/null
+++ b/crates/serve/src/front.rs
@@ -0,0 +1,89 @@
+//! What answers the requests of a server.
+
+use std::error::Error;
+use std::time::Duration;
+
+use axum::Router;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::service::Service as _;
+use hyper_util::service::TowerToHyperService;
+
+/// Time for which a connection may be idle, or take for a head, if nothing else is configured.
+const USUAL_IDLE: Duration = Duration::from_secs(60);
+
+/// Longest head if nothing else is configured, in bytes.
+const USUAL_HEAD: usize = 64 * 1024;
+
+/// Bounds of one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest time for which the connection may be idle, or take for a head.
+    pub idle: Duration,
+    /// Longest head, in bytes.
+    pub head: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            idle: USUAL_IDLE,
+            head: USUAL_HEAD,
+        }
+    }
+}
+
+/// The body of an answer.
+pub trait Answered:
+    Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static
+{
+}
+
+impl<B> Answered for B where
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static
+{
+}
+
+/// What answers the requests of a server.
+pub trait Front: Send + Sync + 'static {
+    /// Returns the bounds of a connection that has just been accepted.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
+    /// Answers a request.
+    fn answer(
+        &self,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Response<impl Answered + use<Self>>> + Send + use<Self>;
+}
+
+/// Answers requests by a router.
+#[derive(Clone, Debug)]
+pub struct Routes {
+    router: TowerToHyperService<Router>,
+}
+
+impl Routes {
+    /// Makes the front of `router`.
+    pub fn new(router: Router) -> Self {
+        Self {
+            router: TowerToHyperService::new(router),
+        }
+    }
+}
+
+impl Front for Routes {
+    fn answer(
+        &self,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Response<impl Answered + use<>>> + Send + use<> {
+        let answering = self.router.call(req);
+        async move {
+            let Ok(response) = answering.await;
+            response
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/lib.rs
@@ -0,0 +1,21 @@
+//! Serves HTTP/1.1 connections, and ends them without losing a request.
+//!
+//! A [`Server`] accepts connections on one listener and serves each with a [`Front`]. When its process
+//! is to end, it goes through the phases of a [`Phase`]; each connection, and the listener, writes one
+//! line that says how many requests it had, what was unread, and why it ended.
+
+mod activity;
+mod connection;
+pub mod events;
+mod front;
+mod listener;
+mod metrics;
+mod phase;
+mod server;
+mod socket;
+
+pub use connection::ConnectionNumber;
+pub use front::{Answered, Front, Limits, Routes};
+pub use metrics::ConnectionCounters;
+pub use phase::Phase;
+pub use server::Server;
--- a/src/commands/events.rs
+++ b/src/commands/events.rs
@@ -26,6 +26,7 @@
         wagtailreel_nearby::events::ALL,
         wagtailreel_direct::events::ALL,
         wagtailreel_stage::events::ALL,
+        wagtailreel_serve::events::ALL,
     ]
     .concat()
 }
