--- /dev/null
+++ b/crates/serve/tests/drain.rs
@@ -0,0 +1,121 @@
+//! No request is lost when a server ends.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Caller, GET, Sleepy, server};
+use rstest::rstest;
+use wagtailreel_serve::Phase;
+
+/// A request that lies in the socket of a kept connection when the connections are closed.
+#[tokio::test]
+async fn unread_request() {
+    let mut server = server(Sleepy::default()).await;
+    let mut caller = Caller::connect(server.addr).await;
+    caller.send(GET);
+    assert_eq!(caller.answer().await.status, 200);
+    caller.send(GET);
+    server.server.enter(Phase::Closing);
+    let answer = caller.answer().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.closes, "{answer:?}");
+    server.server.ended().await;
+}
+
+/// A connection on which nothing was read yet, with its request in the socket or just behind it.
+#[rstest]
+#[case::sent(true)]
+#[case::under_way(false)]
+#[tokio::test]
+async fn new_connection(#[case] is_sent: bool) {
+    let mut server = server(Sleepy::default()).await;
+    let mut caller = Caller::connect(server.addr).await;
+    server.accepted(1).await;
+    if is_sent {
+        caller.send(GET);
+        server.server.enter(Phase::Closing);
+    } else {
+        server.server.enter(Phase::Closing);
+        server.settle().await;
+        caller.send(GET);
+    }
+    let answer = caller.answer().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    server.server.ended().await;
+}
+
+/// Connections that the kernel has accepted and the server has not.
+#[tokio::test]
+async fn backlog() {
+    let mut server = server(Sleepy::default()).await;
+    server.settle().await;
+    let mut callers = Vec::new();
+    for _ in 0..5 {
+        // Without a pause in which the server could accept it.
+        let mut caller = Caller::connect_at_once(server.addr);
+        caller.send(GET);
+        callers.push(caller);
+    }
+    server.server.enter(Phase::Closing);
+    for mut caller in callers {
+        let answer = caller.answer().await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    server.server.ended().await;
+}
+
+/// An answer that began before its caller could be told that the connection ends.
+#[tokio::test]
+async fn answer_without_notice() {
+    let mut server = server(Sleepy::new(Duration::from_millis(300))).await;
+    let mut caller = Caller::connect(server.addr).await;
+    caller.send(GET);
+    let head = caller.head().await;
+    assert!(!head.closes, "{head:?}");
+    server.server.enter(Phase::Leaving);
+    server.server.enter(Phase::Closing);
+    caller.body(&head).await;
+    caller.send(GET);
+    let answer = caller.answer().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.closes, "{answer:?}");
+    server.server.ended().await;
+}
+
+/// A connection is closed only once it was idle for longer than callers were told that it is kept.
+#[tokio::test]
+async fn idle_connection() {
+    let mut server = server(Sleepy::default()).await;
+    let mut caller = Caller::connect(server.addr).await;
+    caller.send(GET);
+    let answer = caller.answer().await;
+    let kept = answer
+        .keep_alive
+        .expect("callers are told how long a connection is kept");
+    let since = Instant::now();
+    server.server.enter(Phase::Leaving);
+    server.server.enter(Phase::Closing);
+    caller.ended().await;
+    let after = since.elapsed();
+    assert!(after > kept, "closed after {after:?}, kept for {kept:?}");
+    server.server.ended().await;
+}
+
+/// Bytes that nobody reads don't reset the connection before the last answer is read.
+#[tokio::test]
+async fn last_answer() {
+    let mut server = server(Sleepy::default()).await;
+    let mut caller = Caller::connect(server.addr).await;
+    server.server.enter(Phase::Leaving);
+    caller.send(GET);
+    caller.send(GET);
+    server.settle().await;
+    let answer = caller.answer().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.closes, "{answer:?}");
+    caller.ended().await;
+    server.server.enter(Phase::Closing);
+    server.server.ended().await;
+}
