Drain connections by what callers were told, not by the entry's own state

What callers saw: when an entry was told to end, requests on connections that it closed 2.6 s later got neither an answer nor a refusal, and for some seconds more new callers met a closed port though the process still ran.

Cause: at the end of the lame duck every connection without a request under way was closed and the listener was dropped. What the kernel held by then, in kept connections, in new ones and in the backlog, was lost, and so was what callers sent in the next round trip, since most had not been told that their connection would end. Class: a connection or listener is closed by its own side's state, without regard to what its peer has sent.

Why it works: answers tell callers for how long a connection is kept (2 s), and while the entry leaves that it ends with the answer; an idle connection is closed only once it was idle for longer than that, after a look at what lies unread. The listener stays open until the requests from before the signal have ended; a request that could outlast the grace is refused at once, with a short Retry-After. Then the backlog is taken and served. Connections are half-closed and read to their end.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -70,6 +70,11 @@
     if patience < LEAST_TIME {
         return Err(Refusal::Deadline);
     }
+    let now = Instant::now();
+    let deadline = now + patience;
+    if !cx.has_time(now, deadline) {
+        return Err(Refusal::Leaving);
+    }
     let service = share(&route).ok_or(Refusal::NoUpstream {
         back_in: LONG_PAUSE,
     })?;
@@ -88,7 +93,7 @@
         rank,
         route,
         directory,
-        deadline: Instant::now() + patience,
+        deadline,
     })
 }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -2,20 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use prometheus::Registry as Prometheus;
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
+use tokio::time::timeout_at;
 use wagtailreel_adapters::bind;
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours, Seeds};
 use wagtailreel_route::direct::NamingBounds;
 use wagtailreel_serve::{ConnectionCounters, Phase, Server};
 use wagtailreel_settings::DirectEntrySettings;
+use wagtailreel_telemetry::Event;
 
 use crate::dialect::Dialect;
 use crate::far::{self, FarWords};
@@ -54,6 +56,13 @@
 /// second apart, to notice.
 const LAME_DUCK: Duration = Duration::from_millis(2600);
 
+/// Time before the end of the grace at which the listener is closed: what was accepted last is still
+/// answered, or refused.
+const LAST_ANSWERS: Duration = Duration::from_millis(1000);
+
+/// Time before the end of the grace at which idle connections are closed, whatever callers were told.
+const LAST_CLOSES: Duration = Duration::from_millis(300);
+
 /// How often unused connections are looked through.
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
@@ -138,7 +147,7 @@
             view: Arc::clone(&view),
             metrics,
             registry: prometheus,
-            leaving: AtomicBool::new(false),
+            leaving: OnceLock::new(),
             settings,
         });
         let mut tasks = JoinSet::new();
@@ -210,20 +219,38 @@
     }
 
     /// Tells the balancer to send no callers, finishes what is open, and ends.
+    ///
+    /// Callers are taken until the requests from before the signal have ended: where most entries of a
+    /// data centre leave at once, the balancer goes on sending callers to all of them.
     pub async fn shutdown(mut self) {
         let grace = self.cx.settings.bounds.grace;
-        let until = tokio::time::Instant::now() + grace;
-        self.cx.leaving.store(true, Ordering::Relaxed);
+        let now = Instant::now();
+        let until = now + grace;
+        // A request that could outlast this is refused once the balancer has had the time to notice.
+        self.cx.leave(
+            now + LAME_DUCK.min(grace / 2),
+            until - LAST_CLOSES.min(grace / 8),
+        );
         self.server.enter(Phase::Leaving);
-        let open = self.cx.metrics.open.get().to_string();
-        events::LEAVING.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
+        self.tell(events::LEAVING);
         tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
+        self.server.enter(Phase::Finishing);
+        let closing = until - LAST_ANSWERS.min(grace / 4);
+        let _ = timeout_at(closing.into(), self.server.finished()).await;
         self.server.enter(Phase::Closing);
+        let ending = until - LAST_CLOSES.min(grace / 8);
+        let _ = timeout_at(ending.into(), self.server.ended()).await;
+        self.server.enter(Phase::Ending);
         // What is still open then is cut off; the event says how much.
-        let _ = tokio::time::timeout_at(until, self.server.ended()).await;
+        let _ = timeout_at(until.into(), self.server.ended()).await;
         self.tasks.abort_all();
+        self.tell(events::STOPPED);
+    }
+
+    /// Writes a line with the number of open requests.
+    fn tell(&self, event: Event) {
         let open = self.cx.metrics.open.get().to_string();
-        events::STOPPED.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
+        event.emit(&[("vm", &self.cx.settings.vm), ("open", &open)]);
     }
 }
 
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -10,6 +10,9 @@
 /// How long a caller stays away from an entry that has no configuration or no upstream yet.
 pub(crate) const LONG_PAUSE: Duration = Duration::from_millis(700);
 
+/// How long a caller stays away that another entry can serve at once.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Share by which a time to come back is stretched at random, so that callers that were refused
 /// together don't return together.
 const JITTER: f64 = 0.3;
@@ -62,6 +65,9 @@
     /// Too little time is left to start the request.
     #[display("deadline")]
     Deadline,
+    /// The entry ends before the request may have to.
+    #[display("leaving")]
+    Leaving,
     /// The request was sent and may have run; no whole answer came.
     #[display("unknown")]
     Unknown,
@@ -80,6 +86,7 @@
             | Self::Weights { .. }
             | Self::Full { .. }
             | Self::UpstreamsRefused
+            | Self::Leaving
             | Self::Deadline => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -97,6 +104,7 @@
             Self::NoUpstream { back_in } | Self::Weights { back_in } | Self::Full { back_in } => {
                 Some(back_in)
             }
+            Self::Leaving => Some(SHORT_PAUSE),
             Self::UpstreamsRefused | Self::Deadline => Some(Duration::from_millis(250)),
             _ => None,
         }
@@ -117,6 +125,7 @@
             Self::Full { .. } => "all upstreams are busy: send the request again later",
             Self::UpstreamsRefused => "the upstreams refused: send the request again later",
             Self::Deadline => "too little time was left: send the request again with more",
+            Self::Leaving => "the entry ends: send the request again, another entry takes it",
             Self::Unknown => "the request may have run: find out before sending it again",
             Self::Timeout => "no answer came in time, and the request may run: find out first",
         }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all requests of an entry share.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
 
 use prometheus::Registry;
 use wagtailreel_fleet::Topic;
@@ -20,11 +20,35 @@
     pub(crate) agents: Agents,
     pub(crate) metrics: Metrics,
     pub(crate) registry: Registry,
-    /// The entry leaves.
-    pub(crate) leaving: AtomicBool,
+    /// Set once the entry leaves.
+    pub(crate) leaving: OnceLock<Leaving>,
+}
+
+/// Which requests an entry that leaves still takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leaving {
+    /// Until then every request is taken.
+    takes_all_until: Instant,
+    /// Later ones are taken if they end before this.
+    ends_at: Instant,
 }
 
 impl<D> Shared<D> {
+    /// Says that the entry leaves.
+    pub(crate) fn leave(&self, takes_all_until: Instant, ends_at: Instant) {
+        // A second call would be for the same end of the process.
+        let _ = self.leaving.set(Leaving {
+            takes_all_until,
+            ends_at,
+        });
+    }
+
+    /// Says whether a request can be answered that is given up at `deadline`.
+    pub(crate) fn has_time(&self, now: Instant, deadline: Instant) -> bool {
+        let leaving = self.leaving.get();
+        leaving.is_none_or(|it| now < it.takes_all_until || deadline < it.ends_at)
+    }
+
     /// Says whether what is believed of keys is young enough to act on.
     ///
     /// A key that was taken away must not work for longer than the operators were promised, also
@@ -42,7 +66,7 @@
 
     /// Says whether the entry leaves.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving.get().is_some()
     }
 
     /// Returns why the balancer should send no callers, or none if it should.
--- /dev/null
+++ b/crates/direct/tests/leaving.rs
@@ -0,0 +1,67 @@
+//! An entry that leaves takes what it can answer, and refuses the rest at once.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::caller::{Answer, get};
+use common::ready_entry;
+use common::upstream::{Act, TestUpstream};
+use wagtailreel_standins::RegistryStandin;
+
+/// Sends a request that is given up after `deadline_ms`.
+async fn within(addr: SocketAddr, path: &str, deadline_ms: &str) -> Answer {
+    let headers = [("x-id", "r1"), ("x-key", "k1"), ("x-deadline", deadline_ms)];
+    get(addr, path, &headers).await
+}
+
+/// Repeats a long request until it is refused because the entry leaves; all before are answered.
+async fn until_leaving(addr: SocketAddr) -> Answer {
+    loop {
+        let answer = within(addr, "/read/1", "5000").await;
+        if answer.body.contains("leaving") {
+            return answer;
+        }
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// The balancer goes on sending callers where most entries leave at once.
+#[tokio::test]
+async fn short_request() {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[Act::Events(1, 1), Act::Hang(1, 1)]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let callers = entry.callers();
+    // Kept by a stream from before the signal, so that the entry doesn't end sooner.
+    assert_eq!(within(callers, "/stream/1", "5000").await.status, 200);
+    let stream = tokio::spawn(async move { within(callers, "/stream/2", "1800").await });
+    upstream.until_seen(2).await;
+    let shutdown = tokio::spawn(entry.shutdown());
+    let refused = until_leaving(callers).await;
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("connection"), Some("close"));
+    let pause: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!(pause < 0.1, "another entry serves it at once: {pause}");
+    assert_eq!(within(callers, "/read/1", "100").await.status, 200);
+    shutdown.await.unwrap();
+    let _ = stream.await.unwrap();
+}
+
+/// The grace is kept, whatever callers do with their connections.
+#[tokio::test]
+async fn grace() {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[Act::Silent]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let callers = entry.callers();
+    let order = tokio::spawn(async move { within(callers, "/order/1", "5000").await });
+    upstream.until_seen(1).await;
+    let since = Instant::now();
+    entry.shutdown().await;
+    // The tests' entries have a grace of 2 s.
+    assert!(since.elapsed() < Duration::from_secs(4));
+    order.abort();
+}
--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -3,10 +3,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
 /// What a connection has done so far, shared by its socket, its requests and whoever ends it.
 #[derive(Debug)]
 pub(crate) struct Activity {
     state: Mutex<State>,
+    /// Told when the last open request has ended.
+    answered: Notify,
 }
 
 #[derive(Debug)]
@@ -15,8 +19,12 @@
     last: Instant,
     requests: u64,
     open: u32,
+    /// Bytes were read since the last request began or the last answer was written.
+    has_begun_head: bool,
     /// The peer doesn't take what is written.
     is_blocked: bool,
+    /// The peer has ended its side.
+    has_ended: bool,
 }
 
 impl Activity {
@@ -26,14 +34,29 @@
                 last: Instant::now(),
                 requests: 0,
                 open: 0,
+                has_begun_head: false,
                 is_blocked: false,
+                has_ended: false,
             }),
+            answered: Notify::new(),
         }
     }
 
     /// Takes that bytes were read.
     pub(crate) fn read(&self) {
-        self.lock().last = Instant::now();
+        let mut state = self.lock();
+        state.last = Instant::now();
+        state.has_begun_head = state.open == 0;
+    }
+
+    /// Takes that the peer has ended its side, or reset the connection.
+    pub(crate) fn ended(&self) {
+        self.lock().has_ended = true;
+    }
+
+    /// Says whether the peer has ended its side.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.lock().has_ended
     }
 
     /// Takes that bytes were written.
@@ -48,11 +71,12 @@
         self.lock().is_blocked = true;
     }
 
-    /// Takes that a request has been read.
+    /// Takes that the head of a request has been read.
     pub(crate) fn begin(self: &Arc<Self>) -> OpenRequest {
         let mut state = self.lock();
         state.requests += 1;
         state.open += 1;
+        state.has_begun_head = false;
         drop(state);
         OpenRequest {
             activity: Arc::clone(self),
@@ -74,6 +98,18 @@
         now.saturating_duration_since(self.lock().last)
     }
 
+    /// Returns for how long the connection has been idle; none while a request is read or answered.
+    pub(crate) fn idle(&self, now: Instant) -> Option<Duration> {
+        let state = self.lock();
+        let is_busy = state.open > 0 || state.is_blocked || state.has_begun_head;
+        (!is_busy).then(|| now.saturating_duration_since(state.last))
+    }
+
+    /// Waits until a request has been answered.
+    pub(crate) async fn answered(&self) {
+        self.answered.notified().await;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -88,5 +124,6 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.activity.lock().open -= 1;
+        self.activity.answered.notify_one();
     }
 }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderName, HeaderValue, Request, Response, header};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::activity::{Activity, OpenRequest};
+use crate::closing::closable;
 use crate::events;
 use crate::front::{Answered, Front};
 use crate::phase::Phase;
@@ -26,6 +27,9 @@
 /// The smallest buffer that the HTTP library takes, in bytes.
 const LEAST_BUF: usize = 8 * 1024;
 
+/// Name of the header that tells how long a connection is kept.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Number of a connection, in the order in which its server accepted them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
 pub struct ConnectionNumber(pub u64);
@@ -48,16 +52,26 @@
         .max_buf_size(limits.head.max(LEAST_BUF))
         .serve_connection(TokioIo::new(socket), service);
     let mut conn = std::pin::pin!(conn);
-    let mut why = "peer";
-    let ended = tokio::select! {
-        ended = conn.as_mut() => ended,
-        () = cx.phase.reached(Phase::Closing) => {
-            why = "closing";
-            conn.as_mut().graceful_shutdown();
-            conn.await
+    let (closing, ended) = loop {
+        tokio::select! {
+            biased;
+            ended = conn.as_mut() => break (None, ended),
+            why = closable(&cx.phase, &activity) => {
+                if unread(&stream).unwrap_or(0) == 0 {
+                    break (Some(why), Ok(()));
+                }
+                // A request has come that the runtime has not heard of yet.
+                tokio::task::yield_now().await;
+            }
         }
     };
     let failure = ended.err().map(|e| e.to_string());
+    let why = match closing {
+        Some(why) => why,
+        None if failure.is_some() => "failed",
+        None if activity.has_ended() => "peer",
+        None => "answered",
+    };
     let mut end = End {
         number,
         peer: stream
@@ -68,15 +82,13 @@
         quiet_ms: activity.quiet(Instant::now()).as_millis(),
         unread: unread(&stream),
         crossed: 0,
-        why: failure.as_deref().unwrap_or(why),
+        why,
+        reason: failure.unwrap_or_default(),
         phase: cx.phase.now(),
     };
-    let label = if failure.is_some() { "failed" } else { why };
-    let ended = &cx.counters.ended;
-    ended
-        .with_label_values(&[cx.listener.as_str(), label])
-        .inc();
-    if why != "peer" || failure.is_some() {
+    let label = [cx.listener.as_str(), why];
+    cx.counters.ended.with_label_values(&label).inc();
+    if !activity.has_ended() {
         end.crossed = linger(&stream).await;
     }
     end.tell(&cx.listener);
@@ -95,9 +107,11 @@
     let open = activity.begin();
     req.extensions_mut().insert(number);
     let mut response = cx.front.answer(req).await;
+    let headers = response.headers_mut();
     if cx.phase.now() >= Phase::Leaving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    } else {
+        headers.insert(KEEP_ALIVE, cx.kept.clone());
     }
     Ok(response.map(|body| Tracked { body, _open: open }))
 }
@@ -114,14 +128,16 @@
     /// Bytes that came after that.
     crossed: u64,
     why: &'a str,
+    /// What failed.
+    reason: String,
     phase: Phase,
 }
 
 impl End<'_> {
-    /// Writes a line, but for a connection that its peer ended in good order.
+    /// Writes a line, but for a connection that ended in good order.
     fn tell(&self, listener: &str) {
-        let is_usual = self.why == "peer" && self.phase == Phase::Serving;
-        if is_usual && self.unread.unwrap_or(0) == 0 {
+        let is_usual = self.why == "peer" || self.why == "answered";
+        if is_usual && self.unread.unwrap_or(0) == 0 && self.crossed == 0 {
             return;
         }
         let unread = self
@@ -137,6 +153,7 @@
             ("unread", &unread),
             ("crossed", &self.crossed.to_string()),
             ("why", self.why),
+            ("reason", &self.reason),
             ("phase", &self.phase.to_string()),
         ]);
     }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -7,9 +7,9 @@
     id: 6301,
     name: "connection-ended",
     level: Level::Info,
-    meaning: "A connection was ended by this process, or failed. `why` says at which step; `open` requests had no \
-              whole answer, and `unread` bytes lay in the socket.",
-    remedy: "If `open` or `unread` is not 0, a request was cut off: see docs/OPERATIONS.md.",
+    meaning: "A connection failed, or was closed by this process. `why` says at which step; `open` requests had no \
+              whole answer, and `unread` bytes lay in the socket, and `crossed` came after it was closed.",
+    remedy: "If `open`, `unread` or `crossed` is not 0, a request was cut off: see docs/OPERATIONS.md.",
 };
 
 /// A listener accepts no more connections.
@@ -17,7 +17,7 @@
     id: 6302,
     name: "listener-closed",
     level: Level::Info,
-    meaning: "The listener accepts no more connections; `waiting` of them were accepted by the kernel alone.",
+    meaning: "The listener accepts no more connections; `waiting` of them were accepted by the kernel alone until then, and are served.",
     remedy: "Nothing.",
 };
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! line that says how many requests it had, what was unread, and why it ended.
 
 mod activity;
+mod closing;
 mod connection;
 pub mod events;
 mod front;
--- a/crates/serve/src/phase.rs
+++ b/crates/serve/src/phase.rs
@@ -9,12 +9,19 @@
     #[default]
     #[display("serving")]
     Serving,
-    /// Connections are accepted; each answer says that its connection ends with it.
+    /// Connections are accepted; each answer says that its connection ends with it. A connection that
+    /// was idle for longer than its caller may reuse it is closed.
     #[display("leaving")]
     Leaving,
-    /// The listener is closed; connections end with the answers that are under way.
+    /// Connections are still accepted, apart from those of the earlier phases, whose end is waited for.
+    #[display("finishing")]
+    Finishing,
+    /// The listener is closed; the connections that it had accepted get their answers.
     #[display("closing")]
     Closing,
+    /// Connections are closed as soon as no request is under way on them.
+    #[display("ending")]
+    Ending,
 }
 
 /// The phase of a server, as its connections see it.
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -64,11 +64,18 @@
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) => {
+                    self.activity.ended();
+                    return Poll::Ready(Ok(()));
+                }
                 Ok(_) => {
                     self.activity.read();
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => {
+                    self.activity.ended();
+                    return Poll::Ready(Err(e));
+                }
             }
         }
     }
--- a/crates/serve/tests/drain.rs
+++ b/crates/serve/tests/drain.rs
@@ -10,14 +10,17 @@
 use wagtailreel_serve::Phase;
 
 /// A request that lies in the socket of a kept connection when the connections are closed.
+#[rstest]
+#[case::closing(Phase::Closing)]
+#[case::ending(Phase::Ending)]
 #[tokio::test]
-async fn unread_request() {
+async fn unread_request(#[case] phase: Phase) {
     let mut server = server(Sleepy::default()).await;
     let mut caller = Caller::connect(server.addr).await;
     caller.send(GET);
     assert_eq!(caller.answer().await.status, 200);
     caller.send(GET);
-    server.server.enter(Phase::Closing);
+    server.server.enter(phase);
     let answer = caller.answer().await;
     assert_eq!(answer.status, 200, "{answer:?}");
     assert!(answer.closes, "{answer:?}");
@@ -119,3 +122,41 @@
     server.server.enter(Phase::Closing);
     server.server.ended().await;
 }
+
+/// The process is about to end: connections are closed whatever callers were told, but no request is.
+#[tokio::test]
+async fn last_moment() {
+    let mut server = server(Sleepy::new(Duration::from_millis(200))).await;
+    let mut idle = Caller::connect(server.addr).await;
+    let mut busy = Caller::connect(server.addr).await;
+    server.accepted(2).await;
+    busy.send(GET);
+    let head = busy.head().await;
+    server.server.enter(Phase::Ending);
+    idle.ended().await;
+    busy.body(&head).await;
+    busy.ended().await;
+    server.server.ended().await;
+}
+
+/// Connections that come while the earlier ones are waited for are served, and not waited for.
+#[tokio::test]
+async fn finishing() {
+    let mut server = server(Sleepy::new(Duration::from_millis(200))).await;
+    let mut early = Caller::connect(server.addr).await;
+    server.accepted(1).await;
+    early.send(GET);
+    early.head().await;
+    server.server.enter(Phase::Leaving);
+    server.server.enter(Phase::Finishing);
+    let mut late = Caller::connect(server.addr).await;
+    server.accepted(2).await;
+    drop(early);
+    server.server.finished().await;
+    late.send(GET);
+    let answer = late.answer().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.closes, "{answer:?}");
+    server.server.enter(Phase::Closing);
+    server.server.ended().await;
+}
