End an entry's connections by what its callers were told

The same cause in the other front: 0.3 s after SIGTERM, and without a word to callers before, the entry closed each idle connection and dropped its listener with what the kernel held. It works by the same server as the other front: answers say how long a connection is kept and that it ends, an idle one is closed once it was unused for longer, the backlog is taken. The administration's listener ends so too, last.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,12 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use axum::Router;
-use axum::serve::ListenerExt as _;
 use prometheus::Registry;
 use snafu::ResultExt as _;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wagtailreel_adapters::{BaseUrl, HttpClient, HttpLog, HttpVmList, bind};
@@ -18,6 +15,7 @@
 use wagtailreel_core::Incarnation;
 use wagtailreel_fold::SnapshotRule;
 use wagtailreel_route::{Shares, SharesConfig};
+use wagtailreel_serve::{ConnectionCounters, Phase, Routes, Server};
 use wagtailreel_settings::{EntrySettings, Keyring};
 
 use crate::admin::{self, Admin};
@@ -55,11 +53,9 @@
 pub struct EntryProcess {
     cx: Arc<Shared>,
     addrs: EntryAddrs,
-    servers: Vec<JoinHandle<()>>,
-    /// Closes the callers' listener.
-    close: CancellationToken,
-    /// Closes the administration listener; last, so that a shutdown can be watched.
-    close_admin: CancellationToken,
+    callers: Server,
+    /// Ends last, so that a shutdown can be watched.
+    admin: Server,
     tasks: TaskTracker,
 }
 
@@ -85,24 +81,21 @@
         };
         let tasks = TaskTracker::new();
         spawn_tasks(&cx, &log, &list, &tasks);
-        let close = CancellationToken::new();
-        let close_admin = CancellationToken::new();
         let admin_router = admin::router(Admin {
             cx: Arc::clone(&cx),
             log,
         });
-        let servers = vec![
-            serve(callers, front::router(Arc::clone(&cx)), close.clone()),
-            serve(admin, admin_router, close_admin.clone()),
-        ];
+        let counters = ConnectionCounters::register(&cx.registry).context(MetricsSnafu)?;
+        let front = Routes::new(front::router(Arc::clone(&cx)));
+        let callers = Server::start("callers", callers, front, counters.clone());
+        let admin = Server::start("admin", admin, Routes::new(admin_router), counters);
         let at = addrs.callers.to_string();
         events::STARTED.emit(&[("vm", &cx.settings.vm), ("callers", &at)]);
         Ok(Self {
             cx,
             addrs,
-            servers,
-            close,
-            close_admin,
+            callers,
+            admin,
             tasks,
         })
     }
@@ -116,23 +109,20 @@
     pub async fn shutdown(mut self) {
         self.cx.leaving.store(true, Ordering::Relaxed);
         events::LEAVING.emit(&[("vm", &self.cx.settings.vm)]);
+        self.callers.enter(Phase::Leaving);
         tokio::time::sleep(LAME_DUCK).await;
-        self.close.cancel();
-        if !self.servers.is_empty() {
-            // Ends once every connection has its last answer.
-            let _ = self.servers.remove(0).await;
-        }
+        self.callers.enter(Phase::Closing);
+        // Ends once every connection has its last answer, or was idle for as long as callers were told.
+        self.callers.ended().await;
         self.cx.requests.close();
         self.cx.requests.wait().await;
         self.cx.cleanups.close();
         let _ = tokio::time::timeout(SETTLE, self.settle()).await;
         self.cx.cancel.cancel();
-        self.close_admin.cancel();
         self.tasks.close();
         self.tasks.wait().await;
-        for server in self.servers.drain(..) {
-            let _ = server.await;
-        }
+        self.admin.enter(Phase::Closing);
+        let _ = tokio::time::timeout(SETTLE, self.admin.ended()).await;
         self.cx.control.stop();
         events::STOPPED.emit(&[("vm", &self.cx.settings.vm)]);
     }
@@ -285,18 +275,3 @@
     let sink = OrderSink(Arc::clone(&cx.claims));
     follow(log, &sink, &cx.metrics, cx.cancel.clone()).await;
 }
-
-fn serve(listener: TcpListener, router: Router, close: CancellationToken) -> JoinHandle<()> {
-    let listener = listener.tap_io(|stream| {
-        // Without it tokens would wait for each other; a connection that can't is served anyway.
-        let _ = stream.set_nodelay(true);
-    });
-    tokio::spawn(async move {
-        let server = axum::serve(listener, router);
-        let server = server.with_graceful_shutdown(close.cancelled_owned());
-        if let Err(err) = server.await {
-            let reason = err.to_string();
-            events::LISTENER_FAILED.emit(&[("reason", &reason)]);
-        }
-    })
-}
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -14,8 +14,8 @@
 /// Time for which a connection may be idle, or take for a head, if nothing else is configured.
 const USUAL_IDLE: Duration = Duration::from_secs(60);
 
-/// Longest head if nothing else is configured, in bytes.
-const USUAL_HEAD: usize = 64 * 1024;
+/// Longest head if nothing else is configured, in bytes; what the HTTP library takes by itself.
+const USUAL_HEAD: usize = 408 * 1024;
 
 /// Bounds of one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// A listener with its connections. Dropping it leaves them to the runtime.
+/// A listener with its connections. Dropping it closes the listener and leaves the connections to the runtime.
 #[derive(Debug)]
 pub struct Server {
     phase: PhaseWatch,
@@ -102,3 +102,9 @@
         self.connections.later.wait().await;
     }
 }
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
