End an agent's connections by what its entries were told

The same cause beside an engine: the data listener and idle connections were closed as soon as no request ran. Evidence: agent: leaving::kept_connection failed on (no keep-alive is told) and passes.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,16 +5,14 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use axum::Router;
-use axum::serve::ListenerExt as _;
 use prometheus::Registry;
 use snafu::{OptionExt as _, ResultExt as _};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 use wagtailreel_adapters::{BaseUrl, HttpEngine, HttpOrigin, HttpPlainService, HttpVmList, bind};
 use wagtailreel_control::{AgentControl, AgentControlConfig};
 use wagtailreel_core::{Incarnation, ServiceKind, VmEntry};
+use wagtailreel_serve::{ConnectionCounters, Phase, Routes, Server};
 use wagtailreel_settings::AgentSettings;
 use wagtailreel_transfer::{Transfer, TransferConfig};
 
@@ -46,8 +44,7 @@
     hub: Arc<Hub>,
     control: AgentControl,
     heard: watch::Receiver<Option<Instant>>,
-    stop: CancellationToken,
-    server: JoinHandle<()>,
+    server: Server,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -66,6 +63,7 @@
     pub async fn start(settings: AgentSettings) -> Result<Self, AgentError> {
         let registry = Registry::new();
         let metrics = Metrics::new(&registry).context(MetricsSnafu)?;
+        let counters = ConnectionCounters::register(&registry).context(MetricsSnafu)?;
         let (listener, data) = bind(settings.listen.data).await.context(ListenSnafu {
             addr: settings.listen.data,
         })?;
@@ -90,18 +88,16 @@
             hub: Arc::clone(&hub),
             registry,
         };
-        let stop = CancellationToken::new();
         let router = upstream
             .router
             .merge(ops::router(ops))
             .fallback(answers::no_such_route);
-        let server = tokio::spawn(serve(listener, router, stop.clone()));
+        let server = Server::start("data", listener, Routes::new(router), counters);
         events::AGENT_STARTED.emit(&[("vm", &settings.vm), ("data", &data.to_string())]);
         Ok(Self {
             hub,
             control,
             heard,
-            stop,
             server,
             tasks,
         })
@@ -122,13 +118,15 @@
     pub async fn shutdown(mut self) {
         events::AGENT_LEAVING.emit(&[]);
         self.hub.leave();
+        self.server.enter(Phase::Leaving);
         self.control.set_report(self.hub.report());
         let left_at = Instant::now();
         self.leaving_reported(left_at).await;
         self.hub.admitter.drained().await;
-        self.stop.cancel();
-        // Every request has ended; what is left are answers that their readers have yet to take.
-        let _ = tokio::time::timeout(LAST_ANSWERS, &mut self.server).await;
+        self.server.enter(Phase::Closing);
+        // Every request has ended; what is left are answers that their readers have yet to take, and
+        // connections that a peer may still use.
+        let _ = tokio::time::timeout(LAST_ANSWERS, self.server.ended()).await;
         events::AGENT_STOPPED.emit(&[]);
     }
 
@@ -142,8 +140,7 @@
 
 impl Drop for AgentProcess {
     fn drop(&mut self) {
-        self.stop.cancel();
-        self.server.abort();
+        self.server.enter(Phase::Ending);
         for task in &self.tasks {
             task.abort();
         }
@@ -271,16 +268,3 @@
 fn address(setting: &'static str, text: &str) -> Result<BaseUrl, AgentError> {
     BaseUrl::new(text).context(AddressSnafu { setting })
 }
-
-async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
-    let listener = listener.tap_io(|stream| {
-        // Without it a token waits for the next one.
-        let _ = stream.set_nodelay(true);
-    });
-    let served = axum::serve(listener, router)
-        .with_graceful_shutdown(stop.cancelled_owned())
-        .await;
-    if let Err(err) = served {
-        log::error!("the data listener failed: {err}");
-    }
-}
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{Answer, World, eventually};
 use http_body_util::BodyExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 use wagtailreel_standins::EngineConfig;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -67,3 +69,27 @@
     let shutdown = world.agent.shutdown();
     tokio::time::timeout(common::BOUND, shutdown).await.unwrap();
 }
+
+/// An entry that has heard nothing of the end uses its connection for as long as it was told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn kept_connection() {
+    let world = World::serving(EngineConfig::default()).await;
+    let mut stream = TcpStream::connect(world.agent.data_addr()).await.unwrap();
+    let req = "HEAD /no/such/route HTTP/1.1\r\nhost: agent\r\n\r\n";
+    stream.write_all(req.as_bytes()).await.unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    let head = String::from_utf8(head).unwrap();
+    assert!(head.contains("keep-alive: timeout=2"), "{head}");
+    let since = Instant::now();
+    let shutdown = tokio::spawn(world.agent.shutdown());
+    assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
+    let after = since.elapsed();
+    assert!(after > Duration::from_secs(2), "closed after {after:?}");
+    tokio::time::timeout(common::BOUND, shutdown)
+        .await
+        .unwrap()
+        .unwrap();
+}
