Use our own connections only for as long as our servers keep them

The other half of the cause: the client between processes reused connections that were idle for up to 20 s, and a server that ends closes what was idle for longer than 2 s; a request that crosses the close gets no answer. Evidence: adapters: reuse::idle_connection (after 2 s) failed before. Unused connections are now dropped after 1.5 s.

--- a/crates/adapters/src/http/client.rs
+++ b/crates/adapters/src/http/client.rs
@@ -22,8 +22,9 @@
 /// How long a connection may take to be made, unless told otherwise.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long an unused connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long an unused connection is kept. Servers of this system may close one that was idle for longer
+/// than 2 s while they end, and a request that crosses the close gets no answer.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Unused connections kept per peer.
 const MAX_IDLE_PER_PEER: usize = 256;
