--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -1,5 +1,6 @@
 //! What a connection has done so far.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -72,15 +73,16 @@
     }
 
     /// Takes that the head of a request has been read.
-    pub(crate) fn begin(self: &Arc<Self>) -> OpenRequest {
+    pub(crate) fn begin(self: &Arc<Self>) -> Arc<OpenRequest> {
         let mut state = self.lock();
         state.requests += 1;
         state.open += 1;
         state.has_begun_head = false;
         drop(state);
-        OpenRequest {
+        Arc::new(OpenRequest {
             activity: Arc::clone(self),
-        }
+            is_read: AtomicBool::new(false),
+        })
     }
 
     /// Returns how many requests came.
@@ -99,10 +101,14 @@
     }
 
     /// Returns for how long the connection has been idle; none while a request is read or answered.
-    pub(crate) fn idle(&self, now: Instant) -> Option<Duration> {
+    ///
+    /// A head of which nothing came for `patience` counts as none: it may be no more than an empty line.
+    pub(crate) fn idle(&self, now: Instant, patience: Duration) -> Option<Duration> {
         let state = self.lock();
-        let is_busy = state.open > 0 || state.is_blocked || state.has_begun_head;
-        (!is_busy).then(|| now.saturating_duration_since(state.last))
+        let quiet = now.saturating_duration_since(state.last);
+        let is_reading = state.has_begun_head && quiet < patience;
+        let is_busy = state.open > 0 || state.is_blocked || is_reading;
+        (!is_busy).then_some(quiet)
     }
 
     /// Waits until a request has been answered.
@@ -115,10 +121,24 @@
     }
 }
 
-/// A request without a whole answer. Dropping it says that the answer is whole, or given up.
+/// A request without a whole answer, or whose body is still read. Dropping it says that both are over.
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
     activity: Arc<Activity>,
+    /// The request's body was read to its end.
+    is_read: AtomicBool,
+}
+
+impl OpenRequest {
+    /// Takes that the request's body was read to its end.
+    pub(crate) fn read(&self) {
+        self.is_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the request's body was read to its end.
+    pub(crate) fn is_read(&self) -> bool {
+        self.is_read.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for OpenRequest {
--- /dev/null
+++ b/crates/serve/src/body.rs
@@ -0,0 +1,90 @@
+//! Bodies of requests and answers, for as long as which a connection is busy.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use pin_project_lite::pin_project;
+
+use crate::activity::OpenRequest;
+
+/// The body of a request; its connection is busy for as long as it exists.
+#[derive(Debug)]
+pub struct RequestBody {
+    body: Incoming,
+    open: Arc<OpenRequest>,
+}
+
+impl RequestBody {
+    pub(crate) fn new(body: Incoming, open: Arc<OpenRequest>) -> Self {
+        if body.is_end_stream() {
+            open.read();
+        }
+        Self { body, open }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.open.read();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+pin_project! {
+    /// The body of an answer; its request is open for as long as it exists.
+    pub(crate) struct AnswerBody<B> {
+        #[pin]
+        body: B,
+        _open: Arc<OpenRequest>,
+    }
+}
+
+impl<B> AnswerBody<B> {
+    pub(crate) fn new(body: B, open: Arc<OpenRequest>) -> Self {
+        Self { body, _open: open }
+    }
+}
+
+impl<B> Body for AnswerBody<B>
+where
+    B: Body<Data = Bytes>,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        self.project().body.poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/serve/src/closing.rs
+++ b/crates/serve/src/closing.rs
@@ -13,21 +13,34 @@
 /// still under way then, and the caller began to count when it had read the answer.
 const MARGIN: Duration = Duration::from_millis(500);
 
-/// Longest wait for a connection that is busy to be looked at again.
-const LOOK: Duration = Duration::from_millis(100);
+/// How long a connection is idle before it is closed in the last moment: what follows an answer at once, or
+/// is on its way, is read.
+const LAST_IDLE: Duration = Duration::from_millis(100);
 
-/// Waits until the connection may be closed, and says why it may.
-pub(crate) async fn closable(phase: &PhaseWatch, activity: &Activity) -> &'static str {
+/// Time after which a connection that is busy is looked at again.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Waits until the connection may be closed, and says why it may. `unread` tells what lies in its socket.
+pub(crate) async fn closable<F>(phase: &PhaseWatch, activity: &Activity, unread: F) -> &'static str
+where
+    F: Fn() -> u64,
+{
+    const PATIENCE: Duration = KEPT.saturating_add(MARGIN);
     phase.reached(Phase::Leaving).await;
     loop {
-        let idle = activity.idle(Instant::now());
         let is_ending = phase.now() >= Phase::Ending;
-        let look = match idle {
-            Some(_) if is_ending => return "ending",
-            Some(idle) if idle >= KEPT + MARGIN => return "idle",
-            Some(idle) => KEPT + MARGIN - idle,
+        let (why, least) = if is_ending {
+            ("ending", LAST_IDLE)
+        } else {
+            ("idle", PATIENCE)
+        };
+        let look = match activity.idle(Instant::now(), PATIENCE) {
+            Some(idle) if idle < least => least - idle,
+            Some(_) if unread() == 0 => return why,
+            // A request has come that the runtime has not heard of yet.
+            Some(_) => LOOK,
             None if is_ending => LOOK,
-            None => KEPT + MARGIN,
+            None => PATIENCE,
         };
         tokio::select! {
             () = tokio::time::sleep(look) => {}
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -1,23 +1,19 @@
 //! One connection, from its first request to its end.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response, header};
-use http_body::{Body, Frame, SizeHint};
+use http::{HeaderName, HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use pin_project_lite::pin_project;
 use tokio::net::TcpStream;
 
-use crate::activity::{Activity, OpenRequest};
-use crate::closing::closable;
+use crate::activity::Activity;
+use crate::body::{AnswerBody, RequestBody};
+use crate::closing::{KEPT, closable};
 use crate::events;
 use crate::front::{Answered, Front};
 use crate::phase::Phase;
@@ -42,9 +38,15 @@
     // A connection that can't be set up so is still served, only later.
     let _ = stream.set_nodelay(true);
     let stream = Arc::new(stream);
+    let open = cx.counters.open.with_label_values(&[&cx.listener]);
+    open.inc();
     let activity = Arc::new(Activity::new());
     let limits = cx.front.limits();
-    let service = service_fn(|req| answer(Arc::clone(&cx), Arc::clone(&activity), number, req));
+    let kept = kept(limits.idle);
+    let service = service_fn(|req| {
+        let kept = kept.clone();
+        answer(Arc::clone(&cx), Arc::clone(&activity), number, kept, req)
+    });
     let socket = Socket::new(Arc::clone(&stream), Arc::clone(&activity));
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -52,18 +54,11 @@
         .max_buf_size(limits.head.max(LEAST_BUF))
         .serve_connection(TokioIo::new(socket), service);
     let mut conn = std::pin::pin!(conn);
-    let (closing, ended) = loop {
-        tokio::select! {
-            biased;
-            ended = conn.as_mut() => break (None, ended),
-            why = closable(&cx.phase, &activity) => {
-                if unread(&stream).unwrap_or(0) == 0 {
-                    break (Some(why), Ok(()));
-                }
-                // A request has come that the runtime has not heard of yet.
-                tokio::task::yield_now().await;
-            }
-        }
+    let look = || unread(&stream).unwrap_or(0);
+    let (closing, ended) = tokio::select! {
+        biased;
+        ended = conn.as_mut() => (None, ended),
+        why = closable(&cx.phase, &activity, look) => (Some(why), Ok(())),
     };
     let failure = ended.err().map(|e| e.to_string());
     let why = match closing {
@@ -92,6 +87,7 @@
         end.crossed = linger(&stream).await;
     }
     end.tell(&cx.listener);
+    open.dec();
 }
 
 /// Answers one request of a connection.
@@ -99,21 +95,47 @@
     cx: Arc<Shared<F>>,
     activity: Arc<Activity>,
     number: ConnectionNumber,
-    mut req: Request<Incoming>,
-) -> Result<Response<Tracked<impl Answered>>, Infallible>
+    kept: Option<HeaderValue>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody<impl Answered>>, Infallible>
 where
     F: Front,
 {
     let open = activity.begin();
-    req.extensions_mut().insert(number);
-    let mut response = cx.front.answer(req).await;
+    let is_kept = keeps(&req);
+    let (mut parts, body) = req.into_parts();
+    parts.extensions.insert(number);
+    let body = RequestBody::new(body, Arc::clone(&open));
+    let mut response = cx.front.answer(Request::from_parts(parts, body)).await;
     let headers = response.headers_mut();
-    if cx.phase.now() >= Phase::Leaving {
+    headers.remove(KEEP_ALIVE);
+    // The library closes a connection on which a body was not read to its end.
+    if cx.phase.now() >= Phase::Leaving || !open.is_read() {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    } else {
-        headers.insert(KEEP_ALIVE, cx.kept.clone());
+    } else if let Some(kept) = kept.filter(|_| is_kept) {
+        headers.insert(KEEP_ALIVE, kept);
+    }
+    Ok(response.map(|body| AnswerBody::new(body, open)))
+}
+
+/// Returns how long callers are told that an idle connection is kept; none where that is under a second.
+fn kept(idle: Duration) -> Option<HeaderValue> {
+    let seconds = KEPT.min(idle).as_secs();
+    let text = (seconds > 0).then(|| format!("timeout={seconds}"))?;
+    HeaderValue::try_from(text).ok()
+}
+
+/// Says whether the caller lets its connection be kept after `req`.
+fn keeps(req: &Request<Incoming>) -> bool {
+    let connection = req.headers().get_all(header::CONNECTION);
+    let mut words = connection
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(',').map(str::trim));
+    if req.version() < Version::HTTP_11 {
+        return words.any(|word| word.eq_ignore_ascii_case("keep-alive"));
     }
-    Ok(response.map(|body| Tracked { body, _open: open }))
+    !words.any(|word| word.eq_ignore_ascii_case("close"))
 }
 
 /// How a connection ended.
@@ -158,35 +180,3 @@
         ]);
     }
 }
-
-pin_project! {
-    /// The body of an answer; its request is open for as long as it exists.
-    pub(crate) struct Tracked<B> {
-        #[pin]
-        body: B,
-        _open: OpenRequest,
-    }
-}
-
-impl<B> Body for Tracked<B>
-where
-    B: Body<Data = Bytes>,
-{
-    type Data = Bytes;
-    type Error = B::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        self.project().body.poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -7,10 +7,11 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body::Body;
-use hyper::body::Incoming;
 use hyper::service::Service as _;
 use hyper_util::service::TowerToHyperService;
 
+use crate::body::RequestBody;
+
 /// Time for which a connection may be idle, or take for a head, if nothing else is configured.
 const USUAL_IDLE: Duration = Duration::from_secs(60);
 
@@ -56,7 +57,7 @@
     /// Answers a request.
     fn answer(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> impl Future<Output = Response<impl Answered + use<Self>>> + Send + use<Self>;
 }
 
@@ -78,7 +79,7 @@
 impl Front for Routes {
     fn answer(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> impl Future<Output = Response<impl Answered + use<>>> + Send + use<> {
         let answering = self.router.call(req);
         async move {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! line that says how many requests it had, what was unread, and why it ended.
 
 mod activity;
+mod body;
 mod closing;
 mod connection;
 pub mod events;
@@ -15,6 +16,7 @@
 mod server;
 mod socket;
 
+pub use body::RequestBody;
 pub use connection::ConnectionNumber;
 pub use front::{Answered, Front, Limits, Routes};
 pub use metrics::ConnectionCounters;
--- a/crates/serve/src/phase.rs
+++ b/crates/serve/src/phase.rs
@@ -13,9 +13,6 @@
     /// was idle for longer than its caller may reuse it is closed.
     #[display("leaving")]
     Leaving,
-    /// Connections are still accepted, apart from those of the earlier phases, whose end is waited for.
-    #[display("finishing")]
-    Finishing,
     /// The listener is closed; the connections that it had accepted get their answers.
     #[display("closing")]
     Closing,
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -1,18 +1,22 @@
 //! A listener with its connections.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-use http::HeaderValue;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
 
-use crate::closing::KEPT;
 use crate::front::Front;
 use crate::listener::accept;
 use crate::metrics::ConnectionCounters;
 use crate::phase::{Phase, PhaseWatch};
 
+/// How long a server has no connection before it counts as quiet. A balancer that still sends callers
+/// sends several in this time.
+const QUIET: Duration = Duration::from_millis(100);
+
 /// What a server's connections share.
 #[derive(Debug)]
 pub(crate) struct Shared<F> {
@@ -20,26 +24,8 @@
     pub(crate) front: F,
     pub(crate) phase: PhaseWatch,
     pub(crate) counters: ConnectionCounters,
-    /// How long an idle connection is kept, as callers are told.
-    pub(crate) kept: HeaderValue,
-}
-
-/// The connections of a server, by when they were accepted.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Connections {
-    before_finishing: TaskTracker,
-    later: TaskTracker,
-}
-
-impl Connections {
-    /// Returns those that are accepted in `phase`.
-    pub(crate) fn of(&self, phase: Phase) -> &TaskTracker {
-        if phase < Phase::Finishing {
-            &self.before_finishing
-        } else {
-            &self.later
-        }
-    }
+    /// Connections that were accepted.
+    pub(crate) accepted: Arc<AtomicU64>,
 }
 
 /// A listener with its connections. Dropping it closes the listener and leaves the connections to the runtime.
@@ -47,7 +33,8 @@
 pub struct Server {
     phase: PhaseWatch,
     accepting: JoinHandle<()>,
-    connections: Connections,
+    accepted: Arc<AtomicU64>,
+    connections: TaskTracker,
 }
 
 impl Server {
@@ -62,21 +49,21 @@
         F: Front,
     {
         let phase = PhaseWatch::default();
-        let connections = Connections::default();
-        let kept = format!("timeout={}", KEPT.as_secs());
+        let accepted = Arc::new(AtomicU64::new(0));
+        let connections = TaskTracker::new();
         let cx = Arc::new(Shared {
             listener: name.to_owned(),
             front,
             phase: phase.clone(),
             counters,
-            // Digits and letters make a header.
-            kept: HeaderValue::try_from(kept).unwrap_or(HeaderValue::from_static("timeout=1")),
+            accepted: Arc::clone(&accepted),
         });
         let accepting = tokio::spawn(accept(cx, listener, connections.clone()));
         Self {
             phase,
             accepting,
             connections,
+            accepted,
         }
     }
 
@@ -85,10 +72,17 @@
         self.phase.enter(phase);
     }
 
-    /// Waits until every connection has ended that was accepted before [`Phase::Finishing`].
-    pub async fn finished(&self) {
-        self.connections.before_finishing.close();
-        self.connections.before_finishing.wait().await;
+    /// Waits until there has been no connection for a while.
+    pub async fn quiet(&self) {
+        self.connections.close();
+        loop {
+            self.connections.wait().await;
+            let before = self.accepted.load(Ordering::Relaxed);
+            tokio::time::sleep(QUIET).await;
+            if self.accepted.load(Ordering::Relaxed) == before {
+                return;
+            }
+        }
     }
 
     /// Waits until the listener is closed and every connection has ended.
@@ -97,9 +91,8 @@
             // It ends by itself once the phase is reached; a panic in it ends it as well.
             let _ = (&mut self.accepting).await;
         }
-        self.finished().await;
-        self.connections.later.close();
-        self.connections.later.wait().await;
+        self.connections.close();
+        self.connections.wait().await;
     }
 }
 
