--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -35,6 +35,9 @@
 /// How long the report that the agent is leaving may take to reach an entry.
 const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long connections are kept that a peer may still use.
+const LAST_USES: Duration = Duration::from_secs(3);
+
 /// How long answers that are already written may take to be read at the end.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
 
@@ -126,6 +129,8 @@
         self.server.enter(Phase::Closing);
         // Every request has ended; what is left are answers that their readers have yet to take, and
         // connections that a peer may still use.
+        let _ = tokio::time::timeout(LAST_USES, self.server.ended()).await;
+        self.server.enter(Phase::Ending);
         let _ = tokio::time::timeout(LAST_ANSWERS, self.server.ended()).await;
         events::AGENT_STOPPED.emit(&[]);
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -34,6 +34,10 @@
 /// that race the shutdown on a kept connection hear that they were not run.
 const LAME_DUCK: Duration = Duration::from_millis(300);
 
+/// How much longer the listener stays open while callers come; connections that callers keep unused are closed
+/// by then.
+const LAST_CALLERS: Duration = Duration::from_millis(2500);
+
 /// How long claims and releases may take to reach the log at the end.
 const SETTLE: Duration = Duration::from_secs(2);
 
@@ -111,11 +115,13 @@
         events::LEAVING.emit(&[("vm", &self.cx.settings.vm)]);
         self.callers.enter(Phase::Leaving);
         tokio::time::sleep(LAME_DUCK).await;
+        // Callers that come meanwhile hear that they were not run, and who keeps a connection hears of the end.
+        let _ = tokio::time::timeout(LAST_CALLERS, self.callers.quiet()).await;
         self.callers.enter(Phase::Closing);
-        // Ends once every connection has its last answer, or was idle for as long as callers were told.
-        self.callers.ended().await;
         self.cx.requests.close();
         self.cx.requests.wait().await;
+        self.callers.enter(Phase::Ending);
+        let _ = tokio::time::timeout(SETTLE, self.callers.ended()).await;
         self.cx.cleanups.close();
         let _ = tokio::time::timeout(SETTLE, self.settle()).await;
         self.cx.cancel.cancel();
