Refuse streams that an entry's end would cut in the middle

What callers saw: a stream that was taken 1.2 s after SIGTERM was cut 1.3 s later, as the grace ended. Cause: until the balancer has noticed, every request was taken, also a stream whose deadline lies behind the grace. Why it works: what isn't a stream gets a final answer at any time and is taken as before; a stream is taken only if its longest answer, or its deadline where that isn't known, ends within the grace. Others hear at once that they were not run.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -78,7 +78,7 @@
     let engine = spec.and_then(|spec| spec.engine.clone());
     let now = Instant::now();
     let longest = longest(&route, engine.as_ref(), &head).min(patience);
-    if !cx.has_time(now, now + longest) {
+    if !cx.has_time(now, now + longest, route.kind.is_stream()) {
         return Err(Refusal::Leaving);
     }
     let model = engine.as_ref().map(|engine| engine.model.clone());
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -30,9 +30,10 @@
 /// Which requests an entry that leaves still takes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Leaving {
-    /// Until then every request is taken.
+    /// Until then every request is taken that can be given a final answer at any time; the balancer has
+    /// not noticed yet.
     takes_all_until: Instant,
-    /// Later ones are taken if they end before this.
+    /// Others are taken if their answers are whole before this.
     ends_at: Instant,
 }
 
@@ -46,10 +47,14 @@
         });
     }
 
-    /// Says whether a request can be answered that ends at `end` at the latest.
-    pub(crate) fn has_time(&self, now: Instant, end: Instant) -> bool {
-        let leaving = self.leaving.get();
-        leaving.is_none_or(|it| now < it.takes_all_until || end < it.ends_at)
+    /// Says whether a request can be answered whose answer is whole at `end` at the latest.
+    ///
+    /// What is cut off in the middle of a stream can't be told of it.
+    pub(crate) fn has_time(&self, now: Instant, end: Instant, is_stream: bool) -> bool {
+        let Some(leaving) = self.leaving.get() else {
+            return true;
+        };
+        end < leaving.ends_at || (!is_stream && now < leaving.takes_all_until)
     }
 
     /// Says whether what is believed of keys is young enough to act on.
--- a/crates/direct/tests/leaving.rs
+++ b/crates/direct/tests/leaving.rs
@@ -65,3 +65,29 @@
     assert!(since.elapsed() < Duration::from_secs(4));
     order.abort();
 }
+
+/// A stream that could be cut off in its middle is refused at once, also while the balancer sends callers.
+#[tokio::test]
+async fn long_stream() {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[Act::Silent]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let callers = entry.callers();
+    let order = tokio::spawn(async move { within(callers, "/order/1", "5000").await });
+    upstream.until_seen(1).await;
+    let shutdown = tokio::spawn(entry.shutdown());
+    let refused = loop {
+        let answer = within(callers, "/stream/1", "5000").await;
+        if answer.status == 503 {
+            break answer;
+        }
+    };
+    assert!(refused.body.contains("leaving"), "{refused:?}");
+    let taken = within(callers, "/read/1", "5000").await;
+    assert_eq!(
+        taken.status, 200,
+        "the balancer has not noticed yet: {taken:?}"
+    );
+    shutdown.await.unwrap();
+    let _ = order.await.unwrap();
+}
