Take out two events that nothing emits any more

connection-failed (6130) and listener-failed (1070) went with the listeners that emitted them; connection-ended and accept-failed say the same and more.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -139,15 +139,6 @@
     remedy: "See docs/OPERATIONS.md.",
 };
 
-/// An exchange with a connection's peer failed.
-pub const CONNECTION_FAILED: Event = Event {
-    id: 6130,
-    name: "connection-failed",
-    level: Level::Debug,
-    meaning: "A caller's connection ended with an error.",
-    remedy: "Nothing, unless there are many.",
-};
-
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -165,5 +156,4 @@
     REQUEST_DONE,
     REQUEST_REFUSED,
     ATTEMPT_ENDED,
-    CONNECTION_FAILED,
 ];
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -221,15 +221,6 @@
     remedy: "Where `applied` is behind `appended`, look at the entry's link to the log.",
 };
 
-/// A request can't be answered for a reason within the entry.
-pub const LISTENER_FAILED: Event = Event {
-    id: 1070,
-    name: "listener-failed",
-    level: Level::Error,
-    meaning: "A listener of the entry has ended.",
-    remedy: "Start the process again; report it if it recurs.",
-};
-
 /// All events of the entry.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -256,5 +247,4 @@
     ORDER_RELEASED,
     DOCUMENT_SUBMITTED,
     EDIT_UNREAD,
-    LISTENER_FAILED,
 ];
