--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -9,6 +9,7 @@
 use wagtailreel_core::{CustomerId, RequestId, ServiceName};
 use wagtailreel_fleet::{Directory, EngineModel, ModelName, Route};
 use wagtailreel_route::direct::Prediction;
+use wagtailreel_serve::connection_options;
 
 use crate::dialect::{Dialect, RequestHead};
 use crate::refusal::{LONG_PAUSE, Refusal};
@@ -172,12 +173,8 @@
 
 /// Takes away the headers that concern one connection only.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
+    let named: Vec<String> = connection_options(headers)
+        .map(str::to_ascii_lowercase)
         .collect();
     for name in named {
         headers.remove(name.as_str());
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -238,16 +238,14 @@
         let closing = until - LAST_ANSWERS.min(grace / 4);
         let ending = until - LAST_CLOSES.min(grace / 8);
         self.cx.leave(lame_duck, ending);
-        let servers = || std::iter::once(&self.server).chain(&self.others);
-        servers().for_each(|server| server.enter(Phase::Leaving));
+        self.enter(Phase::Leaving);
         self.tell(events::LEAVING);
         tokio::time::sleep_until(lame_duck.into()).await;
         let _ = timeout_at(closing.into(), self.server.quiet()).await;
         self.server.enter(Phase::Closing);
         let _ = timeout_at(ending.into(), self.server.ended()).await;
         self.cx.ending.cancel();
-        let servers = || std::iter::once(&self.server).chain(&self.others);
-        servers().for_each(|server| server.enter(Phase::Ending));
+        self.enter(Phase::Ending);
         let all_ended = async {
             self.server.ended().await;
             for other in &mut self.others {
@@ -260,6 +258,12 @@
         self.tell(events::STOPPED);
     }
 
+    /// Advances all listeners to `phase`.
+    fn enter(&self, phase: Phase) {
+        self.server.enter(phase);
+        self.others.iter().for_each(|other| other.enter(phase));
+    }
+
     /// Writes a line with the number of open requests.
     fn tell(&self, event: Event) {
         let open = self.cx.metrics.open.get().to_string();
--- a/crates/direct/tests/leaving.rs
+++ b/crates/direct/tests/leaving.rs
@@ -7,8 +7,10 @@
 use std::time::{Duration, Instant};
 
 use common::caller::{Answer, get};
-use common::ready_entry;
 use common::upstream::{Act, TestUpstream};
+use common::{TestDialect, ready_entry};
+use tokio::task::JoinHandle;
+use wagtailreel_direct::DirectEntry;
 use wagtailreel_standins::RegistryStandin;
 
 /// Sends a request that is given up after `deadline_ms`.
@@ -17,6 +19,17 @@
     get(addr, path, &headers).await
 }
 
+/// Starts an entry, and an order at it to which no answer comes.
+async fn entry_with_order() -> (DirectEntry<TestDialect>, JoinHandle<Answer>) {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[Act::Silent]).await;
+    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let callers = entry.callers();
+    let order = tokio::spawn(async move { within(callers, "/order/1", "5000").await });
+    upstream.until_seen(1).await;
+    (entry, order)
+}
+
 /// Repeats a long request until it is refused because the entry leaves; all before are answered.
 async fn until_leaving(addr: SocketAddr) -> Answer {
     loop {
@@ -53,12 +66,7 @@
 /// The grace is kept, whatever callers do with their connections.
 #[tokio::test]
 async fn grace() {
-    let registry = RegistryStandin::default();
-    let upstream = TestUpstream::start(&[Act::Silent]).await;
-    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
-    let callers = entry.callers();
-    let order = tokio::spawn(async move { within(callers, "/order/1", "5000").await });
-    upstream.until_seen(1).await;
+    let (entry, order) = entry_with_order().await;
     let since = Instant::now();
     entry.shutdown().await;
     // The tests' entries have a grace of 2 s.
@@ -69,12 +77,8 @@
 /// A stream that could be cut off in its middle is refused at once, also while the balancer sends callers.
 #[tokio::test]
 async fn long_stream() {
-    let registry = RegistryStandin::default();
-    let upstream = TestUpstream::start(&[Act::Silent]).await;
-    let entry = ready_entry(&registry, &[("a", upstream.addr)]).await;
+    let (entry, order) = entry_with_order().await;
     let callers = entry.callers();
-    let order = tokio::spawn(async move { within(callers, "/order/1", "5000").await });
-    upstream.until_seen(1).await;
     let shutdown = tokio::spawn(entry.shutdown());
     let refused = loop {
         let answer = within(callers, "/stream/1", "5000").await;
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use wagtailreel_core::headers::OWN_PREFIX;
 use wagtailreel_core::{Outcome, ServiceKind};
+use wagtailreel_serve::connection_options;
 
 use crate::front::answer::{Denial, OUTCOME};
 use crate::front::attempt::Attempt;
@@ -258,13 +259,9 @@
 /// Returns the headers that are passed on: all but those of the connection, the system's own and
 /// the customer's key.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let named = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect::<Vec<_>>();
+    let named: Vec<String> = connection_options(headers)
+        .map(str::to_ascii_lowercase)
+        .collect();
     let dropped = |name: &HeaderName| {
         HOP_BY_HOP.contains(&name.as_str())
             || name == header::HOST
--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -4,14 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::Notify;
-
 /// What a connection has done so far, shared by its socket, its requests and whoever ends it.
 #[derive(Debug)]
 pub(crate) struct Activity {
     state: Mutex<State>,
-    /// Told when the last open request has ended.
-    answered: Notify,
 }
 
 #[derive(Debug)]
@@ -39,7 +35,6 @@
                 is_blocked: false,
                 has_ended: false,
             }),
-            answered: Notify::new(),
         }
     }
 
@@ -111,11 +106,6 @@
         (!is_busy).then_some(quiet)
     }
 
-    /// Waits until a request has been answered.
-    pub(crate) async fn answered(&self) {
-        self.answered.notified().await;
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -144,6 +134,5 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.activity.lock().open -= 1;
-        self.activity.answered.notify_one();
     }
 }
--- a/crates/serve/src/closing.rs
+++ b/crates/serve/src/closing.rs
@@ -45,7 +45,6 @@
         tokio::select! {
             () = tokio::time::sleep(look) => {}
             () = phase.reached(Phase::Ending), if !is_ending => {}
-            () = activity.answered(), if is_ending => {}
         }
     }
 }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -16,6 +16,7 @@
 use crate::closing::{KEPT, closable};
 use crate::events;
 use crate::front::{Answered, Front};
+use crate::options::connection_options;
 use crate::phase::Phase;
 use crate::server::Shared;
 use crate::socket::{Socket, linger, unread};
@@ -69,9 +70,6 @@
     };
     let mut end = End {
         number,
-        peer: stream
-            .peer_addr()
-            .map_or_else(|_| String::new(), |it| it.to_string()),
         requests: activity.requests(),
         open: activity.open(),
         quiet_ms: activity.quiet(Instant::now()).as_millis(),
@@ -86,7 +84,7 @@
     if !activity.has_ended() {
         end.crossed = linger(&stream).await;
     }
-    end.tell(&cx.listener);
+    end.tell(&cx.listener, &stream);
     open.dec();
 }
 
@@ -127,21 +125,18 @@
 
 /// Says whether the caller lets its connection be kept after `req`.
 fn keeps(req: &Request<Incoming>) -> bool {
-    let connection = req.headers().get_all(header::CONNECTION);
-    let mut words = connection
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(',').map(str::trim));
+    let has =
+        |option| connection_options(req.headers()).any(|named| named.eq_ignore_ascii_case(option));
     if req.version() < Version::HTTP_11 {
-        return words.any(|word| word.eq_ignore_ascii_case("keep-alive"));
+        has("keep-alive")
+    } else {
+        !has("close")
     }
-    !words.any(|word| word.eq_ignore_ascii_case("close"))
 }
 
 /// How a connection ended.
 struct End<'a> {
     number: ConnectionNumber,
-    peer: String,
     requests: u64,
     open: u32,
     quiet_ms: u128,
@@ -157,18 +152,21 @@
 
 impl End<'_> {
     /// Writes a line, but for a connection that ended in good order.
-    fn tell(&self, listener: &str) {
+    fn tell(&self, listener: &str, stream: &TcpStream) {
         let is_usual = self.why == "peer" || self.why == "answered";
         if is_usual && self.unread.unwrap_or(0) == 0 && self.crossed == 0 {
             return;
         }
+        let peer = stream.peer_addr().map(|peer| peer.to_string());
+        // A connection that was reset has no peer any more.
+        let peer = peer.unwrap_or_default();
         let unread = self
             .unread
             .map_or_else(|| "unknown".to_owned(), |it| it.to_string());
         events::CONNECTION_ENDED.emit(&[
             ("listener", listener),
             ("conn", &self.number.to_string()),
-            ("peer", &self.peer),
+            ("peer", &peer),
             ("requests", &self.requests.to_string()),
             ("open", &self.open.to_string()),
             ("quiet_ms", &self.quiet_ms.to_string()),
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -51,6 +51,8 @@
         let phase = PhaseWatch::default();
         let accepted = Arc::new(AtomicU64::new(0));
         let connections = TaskTracker::new();
+        // It still takes connections, and may be waited for from now on.
+        connections.close();
         let cx = Arc::new(Shared {
             listener: name.to_owned(),
             front,
@@ -74,7 +76,6 @@
 
     /// Waits until there has been no connection for a while.
     pub async fn quiet(&self) {
-        self.connections.close();
         loop {
             self.connections.wait().await;
             let before = self.accepted.load(Ordering::Relaxed);
@@ -91,7 +92,6 @@
             // It ends by itself once the phase is reached; a panic in it ends it as well.
             let _ = (&mut self.accepting).await;
         }
-        self.connections.close();
         self.connections.wait().await;
     }
 }
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -164,8 +164,6 @@
     /// Ends the agent once the chunks are given that other agents have asked for.
     pub async fn shutdown(mut self) {
         self.tasks.abort_all();
-        self.server.enter(Phase::Leaving);
-        self.server.enter(Phase::Closing);
         self.server.enter(Phase::Ending);
         // Whoever has not got a chunk by then asks another agent.
         let _ = tokio::time::timeout(LAST_CHUNKS, self.server.ended()).await;
