--- a/crates/direct/tests/weights.rs
+++ b/crates/direct/tests/weights.rs
@@ -8,9 +8,10 @@
 use common::agent::{agent_of, answer_questions, free_port, holds};
 use common::caller::call;
 use common::upstream::{Act, TestUpstream};
-use common::{directory, entry, entry_with_agents, ready_entry, until_status, writer};
+use common::{TestDialect, directory, entry, entry_with_agents, ready_entry, until_status, writer};
 use rstest::rstest;
 use tokio::net::UdpSocket;
+use wagtailreel_direct::DirectEntry;
 use wagtailreel_fleet::{Datagram, HeardNaming, NamedWeights, Status, Topic};
 use wagtailreel_standins::RegistryStandin;
 
@@ -160,10 +161,9 @@
     );
 }
 
-/// The first question after a naming tells its age, before the agent told its clock: engines count the
-/// time that they have to load from it.
-#[tokio::test]
-async fn age_told_at_once() {
+/// Starts an entry that serves version 1, of which version 2 is named; returns the socket of the agent
+/// that it asks with it.
+async fn asking_entry() -> (UdpSocket, DirectEntry<TestDialect>) {
     let registry = RegistryStandin::default();
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let port = socket.local_addr().unwrap().port();
@@ -173,6 +173,14 @@
     let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
     until_status(entry.callers(), WRITTEN, 200).await;
     name(&registry, 2);
+    (socket, entry)
+}
+
+/// The first question after a naming tells its age, before the agent told its clock: engines count the
+/// time that they have to load from it.
+#[tokio::test]
+async fn age_told_at_once() {
+    let (socket, _entry) = asking_entry().await;
     let mut buf = [0; 2048];
     let query = loop {
         let (len, _) = socket.recv_from(&mut buf).await.unwrap();
@@ -190,15 +198,7 @@
 /// before.
 #[tokio::test]
 async fn clock_kept() {
-    let registry = RegistryStandin::default();
-    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let port = socket.local_addr().unwrap().port();
-    let old = answering().await;
-    registry.config(directory(1));
-    registry.upstream(writer("old", &old, 1));
-    let entry = entry_with_agents(&registry, Duration::from_secs(4), port).await;
-    until_status(entry.callers(), WRITTEN, 200).await;
-    name(&registry, 2);
+    let (socket, _entry) = asking_entry().await;
     let mut buf = [0; 2048];
     let told = async {
         loop {
