Log what is the same when a lost request is sent again, and whether its upstream ended

attempt-ended named the caller's id alone, which is new each time a request is sent, and could not tell an upstream that ended from a connection that was reset. Its lines now carry a fingerprint of host, path, customer and body, and what a new connection to the upstream met; where it is made it goes into the pool.

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -30,6 +30,20 @@
         Self(*blake3::hash(data).as_bytes())
     }
 
+    /// Computes the digest of several parts, each with its length, so that a different division of
+    /// the same bytes has another digest.
+    pub fn of_parts<'a, I>(parts: I) -> Self
+    where
+        I: IntoIterator<Item = &'a [u8]>,
+    {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+
     /// Returns the bytes of the digest.
     pub const fn as_bytes(&self) -> &[u8; 32] {
         &self.0
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,19 +1,20 @@
 //! The attempts of one request at upstreams.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use wagtailreel_fleet::UpstreamId;
+use wagtailreel_fleet::{Fingerprint, UpstreamId};
 
 use crate::admit::Admitted;
 use crate::dialect::{Dialect, Dispatch};
 use crate::events;
 use crate::live::{Lease, Live};
+use crate::lost::Seen;
 use crate::pool::{Connection, SendError};
 use crate::refusal::Refusal;
 use crate::shared::Shared;
@@ -24,6 +25,9 @@
 /// Time that must be left for another attempt to be worth making.
 const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
 
+/// What the log says of an attempt that was given up since its answer did not go on.
+pub(crate) const STALLED: &str = "stalled";
+
 /// A request as it is sent to every upstream.
 #[derive(Debug)]
 pub(crate) struct Template {
@@ -51,6 +55,7 @@
     pub(crate) tried: BTreeSet<UpstreamId>,
     unreached: u32,
     pub(crate) may_have_run: bool,
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl<D> Call<D>
@@ -74,6 +79,7 @@
             tried: BTreeSet::new(),
             unreached: 0,
             may_have_run: false,
+            fingerprint: OnceLock::new(),
         }
     }
 
@@ -93,7 +99,7 @@
                 },
                 Err(ending) => (ending, "no-connection"),
             };
-            match self.ended(&pick.id, ending, why) {
+            match self.ended(&pick.id, ending, why).await {
                 Next::Again => {}
                 Next::Refuse => return Err(Refusal::UpstreamsRefused),
                 Next::PassOn | Next::Unknown => return Err(Refusal::Unknown),
@@ -112,10 +118,19 @@
 
     /// Takes that an attempt ended without an answer, and decides what follows; `why` is what the
     /// log says of it.
-    pub(crate) fn ended(&mut self, upstream: &str, ending: Ending, why: &'static str) -> Next {
+    pub(crate) async fn ended(
+        &mut self,
+        upstream: &str,
+        ending: Ending,
+        why: &'static str,
+    ) -> Next {
         if ending == Ending::NotSent {
             self.unreached += 1;
         }
+        let seen = match ending {
+            Ending::Lost if why != STALLED => self.look_at_upstream().await,
+            _ => Seen::Unknown,
+        };
         let now = Instant::now();
         let left = self.admitted.deadline.saturating_duration_since(now);
         let mut next = next_step(Attempt {
@@ -145,6 +160,8 @@
             ("budget", &format!("{budget:.1}")),
             ("sent", &self.sent.to_string()),
             ("left_ms", &left.as_millis().to_string()),
+            ("seen", &seen.to_string()),
+            ("fingerprint", &self.told_fingerprint(ending)),
         ]);
         next
     }
@@ -207,7 +224,7 @@
                 return Sent::Ended(Ending::NotSent, "connection-closed");
             }
             Ok(Err(SendError::Lost)) => return Sent::Ended(Ending::Lost, "connection-broke"),
-            Err(Elapsed) => return Sent::Ended(Ending::Lost, "stalled"),
+            Err(Elapsed) => return Sent::Ended(Ending::Lost, STALLED),
         };
         let (head, body) = response.into_parts();
         let marks = self.cx.dialect.answer(head.status, &head.headers);
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -147,7 +147,8 @@
                 return Ok(Answer::Relayed(head, Box::new(relay)));
             }
             Collected::Broken(upstream) => {
-                if call.ended(&upstream, Ending::Lost, "body-broke") != Next::Again {
+                let next = call.ended(&upstream, Ending::Lost, "body-broke").await;
+                if next != Next::Again {
                     return Err(Refusal::Unknown);
                 }
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod front;
 mod live;
 mod load;
+mod lost;
 mod metrics;
 mod pool;
 mod process;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -70,6 +70,15 @@
         let Ok(Ok(stream)) = stream else {
             return Err(SendError::NotSent);
         };
+        Self::over(stream, addr, start).await
+    }
+
+    /// Makes a connection over a stream that is open.
+    pub(crate) async fn over(
+        stream: TcpStream,
+        addr: SocketAddr,
+        start: UpstreamStart,
+    ) -> Result<Self, SendError> {
         guard(&stream);
         let shaking = http1::Builder::new().handshake(TokioIo::new(stream));
         let Ok((sender, conn)) = shaking.await else {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt as _;
 use snafu::Snafu;
 
-use crate::attempt::Call;
+use crate::attempt::{Call, STALLED};
 use crate::cutter::{Cut, Cutter};
 use crate::dialect::Dialect;
 use crate::live::Live;
@@ -150,7 +150,7 @@
                 }
                 Read::End => "cut",
                 Read::Broken => "broken",
-                Read::Stalled => "stalled",
+                Read::Stalled => STALLED,
                 Read::Late => {
                     self.tally.done("timeout");
                     return Err(BrokenOff);
@@ -229,7 +229,7 @@
         let upstream = live.upstream().to_owned();
         // Ends the work at the upstream before another begins with it.
         drop(live);
-        let next = self.call.ended(&upstream, Ending::Lost, why);
+        let next = self.call.ended(&upstream, Ending::Lost, why).await;
         let Mode::Events(cutter) = &mut self.mode else {
             self.tally.done(why);
             return Err(BrokenOff);
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -7,9 +7,13 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
+use wagtailreel_core::Digest;
 
 use crate::{ModelName, NamedWeights, UpstreamStart, WeightsVersion};
 
+/// Digest of what is the same whenever a caller sends a request again, as against its id.
+pub type Fingerprint = Digest;
+
 /// A datagram can't be read.
 #[derive(Debug, Snafu)]
 #[snafu(display("a status datagram can't be read ({source}): run the same version everywhere"))]
