Quarantine requests under which upstreams end, at all entries together

Other callers were refused for want of engines.

Cause: an end of an upstream was judged against the upstream alone, and by each entry for itself. Class: what one entry learns and the others don't.

Now a request that was on an upstream when it ended (a new connection is refused, and the upstream was not leaving) is suspected by its fingerprint. What entries see meets at two agents in each data centre, the same for the same fingerprint by rendezvous rank, without a store or an election, and these tell all entries that ask them: at once, again for 5 s, and when an entry is new to them. After two upstreams the entry sends it on to no third by itself; after three it is refused everywhere as not run (503), with the time at which it may run again; what waits for an engine is given up. A request that runs to its end is cleared: whoever was beside it is not condemned. 4,096 requests are remembered, those with the fewest ends forgotten first.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::shared::Shared;
 use crate::view::Service;
 use wagtailreel_route::direct::{Attempt, Ending, Next, next_step};
-use wagtailreel_route::direct::{Patience, Pick, Prediction};
+use wagtailreel_route::direct::{Patience, Pick, Prediction, Suspicion};
 
 /// Time that must be left for another attempt to be worth making.
 const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
@@ -28,6 +28,9 @@
 /// What the log says of an attempt that was given up since its answer did not go on.
 pub(crate) const STALLED: &str = "stalled";
 
+/// The same of one that was given up since upstreams ended under the request elsewhere.
+const QUARANTINED: &str = "quarantined";
+
 /// A request as it is sent to every upstream.
 #[derive(Debug)]
 pub(crate) struct Template {
@@ -90,6 +93,7 @@
     /// Returns the refusal that the caller gets.
     pub(crate) async fn obtain(&mut self, last_event: Option<u64>) -> Result<Live, Refusal> {
         loop {
+            self.check_quarantine()?;
             let pick = self.choose_counted().await?;
             self.last_pick = Some(pick.clone());
             let (ending, why) = match self.connect(&pick).await {
@@ -128,7 +132,7 @@
             self.unreached += 1;
         }
         let seen = match ending {
-            Ending::Lost if why != STALLED => self.look_at_upstream().await,
+            Ending::Lost if why != STALLED && why != QUARANTINED => self.look_at_upstream().await,
             _ => Seen::Unknown,
         };
         let now = Instant::now();
@@ -142,6 +146,10 @@
             may_have_run: self.may_have_run,
             has_time: left > LEAST_FOR_RETRY,
         });
+        let suspicion = self.suspect(seen);
+        if next == Next::Again && ending == Ending::Lost && suspicion != Suspicion::None {
+            next = Next::Unknown;
+        }
         // An attempt that reached nobody costs nobody anything; the next one is the first.
         let is_repeat = self.sent > 0;
         let budget = self.service.budget().left();
@@ -224,7 +232,8 @@
                 return Sent::Ended(Ending::NotSent, "connection-closed");
             }
             Ok(Err(SendError::Lost)) => return Sent::Ended(Ending::Lost, "connection-broke"),
-            Err(Elapsed) => return Sent::Ended(Ending::Lost, STALLED),
+            Err(GivenUp::Stalled) => return Sent::Ended(Ending::Lost, STALLED),
+            Err(GivenUp::Quarantined) => return Sent::Ended(Ending::Lost, QUARANTINED),
         };
         let (head, body) = response.into_parts();
         let marks = self.cx.dialect.answer(head.status, &head.headers);
@@ -261,29 +270,40 @@
         lease
     }
 
-    /// Waits for the head of an answer; a stream that may go on elsewhere not for ever.
+    /// Waits for the head of an answer, until the request is quarantined; a stream that may go on
+    /// elsewhere not for ever.
     async fn exchange(
         &self,
         mut conn: Connection,
         req: Request<Full<Bytes>>,
     ) -> (Connection, Exchanged) {
+        let answer = tokio::select! {
+            answer = self.exchange_in_time(&mut conn, req) => answer,
+            () = self.cx.suspects.until_quarantined(|| self.fingerprint()) => {
+                Err(GivenUp::Quarantined)
+            }
+        };
+        (conn, answer)
+    }
+
+    async fn exchange_in_time(
+        &self,
+        conn: &mut Connection,
+        req: Request<Full<Bytes>>,
+    ) -> Exchanged {
         let kind = self.admitted.route.kind;
         if !kind.is_stream() || !kind.repeatable() {
-            let answer = conn.send(req).await;
-            return (conn, Ok(answer));
+            return Ok(conn.send(req).await);
         }
-        let answer = {
-            let mut sending = std::pin::pin!(conn.send(req));
-            loop {
-                let Some(look) = self.next_look(self.sent_at, false) else {
-                    break Err(Elapsed);
-                };
-                if let Ok(answer) = tokio::time::timeout(look, &mut sending).await {
-                    break Ok(answer);
-                }
+        let mut sending = std::pin::pin!(conn.send(req));
+        loop {
+            let Some(look) = self.next_look(self.sent_at, false) else {
+                return Err(GivenUp::Stalled);
+            };
+            if let Ok(answer) = tokio::time::timeout(look, &mut sending).await {
+                return Ok(answer);
             }
-        };
-        (conn, answer)
+        }
     }
 
     /// Returns how long to wait before the next look at a stream whose next event has been waited for
@@ -394,8 +414,13 @@
     Ended(Ending, &'static str),
 }
 
-/// The patience for an answer's head is over.
-struct Elapsed;
+/// Why the head of an answer is not waited for any longer.
+enum GivenUp {
+    /// The patience for it is over.
+    Stalled,
+    /// Upstreams ended under the request elsewhere.
+    Quarantined,
+}
 
 /// What came of sending a request.
-type Exchanged = Result<Result<http::Response<Incoming>, SendError>, Elapsed>;
+type Exchanged = Result<Result<http::Response<Incoming>, SendError>, GivenUp>;
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -113,7 +113,7 @@
     }
 
     /// Makes sure that a request which may have run is not refused as not run.
-    const fn not_sent(&self, refusal: Refusal) -> Refusal {
+    pub(crate) const fn not_sent(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
             Refusal::Unknown
         } else {
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -112,6 +112,16 @@
     remedy: "Look at the upstream and the link to it.",
 };
 
+/// A request is quarantined.
+pub const REQUEST_QUARANTINED: Event = Event {
+    id: 6117,
+    name: "request-quarantined",
+    level: Level::Warn,
+    meaning: "Each of `upstreams` ended while it had the request with this fingerprint; it is sent to none \
+              for `for_s`. `source` says whether this entry saw the last one end or was told.",
+    remedy: "Find the request by its fingerprint in the lines `attempt-ended`, and mend the upstream.",
+};
+
 /// A request is over.
 pub const REQUEST_DONE: Event = Event {
     id: 6120,
@@ -153,6 +163,7 @@
     FAR_WORDS,
     UPSTREAM_CHANGED,
     UPSTREAM_SHUNNED,
+    REQUEST_QUARANTINED,
     REQUEST_DONE,
     REQUEST_REFUSED,
     ATTEMPT_ENDED,
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -130,6 +130,7 @@
         let live = obtained?;
         tally.sent_to(&call, live.head.status.as_u16());
         let head = answer_head(&live);
+        let is_framed = live.is_framed();
         if call.admitted.route.kind.is_stream() && live.head.status.is_success() {
             let relay = Relay::events(call, live, tally.hand_over());
             return Ok(Answer::Relayed(head, Box::new(relay)));
@@ -140,6 +141,9 @@
         match collected {
             Collected::Whole(body) => {
                 tally.first_byte();
+                if is_framed {
+                    call.finished();
+                }
                 return Ok(Answer::Whole(Response::from_parts(head, Full::new(body))));
             }
             Collected::Long(first, live) => {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod shared;
 mod status_page;
+mod suspects;
 mod tally;
 mod view;
 
--- a/crates/direct/src/live.rs
+++ b/crates/direct/src/live.rs
@@ -67,14 +67,18 @@
             .headers
             .get(header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        let is_framed = self.head.headers.contains_key(header::CONTENT_LENGTH)
-            || self.head.headers.contains_key(header::TRANSFER_ENCODING);
-        if !closes && is_framed {
+        if !closes && self.is_framed() {
             let keep = self.marks.keep_alive;
             self.lease.service.pool.give_back(self.conn, keep);
         }
     }
 
+    /// Says whether the answer tells where it ends, other than by the end of its connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.head.headers.contains_key(header::CONTENT_LENGTH)
+            || self.head.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the id of the upstream.
     pub(crate) fn upstream(&self) -> &str {
         &self.lease.id
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -9,12 +9,15 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use wagtailreel_core::DataCentre;
-use wagtailreel_fleet::{BootTime, Datagram, LoadStatus, ModelName, Query};
+use wagtailreel_fleet::{
+    BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, LoadStatus, ModelName, Query,
+};
 use wagtailreel_nearby::Neighbours;
 use wagtailreel_route::direct::{Member, Naming};
 
 use crate::events;
 use crate::far::FarWords;
+use crate::suspects::Suspects;
 use crate::view::{Service, View};
 
 /// Time between two questions to the agents of the own data centre. An engine starts and ends
@@ -40,7 +43,7 @@
 const OUT_OF_TURN: u32 = u32::MAX;
 
 /// Longest datagram in bytes.
-const DATAGRAM: usize = 2048;
+const DATAGRAM: usize = 4096;
 
 /// The way to the agents beside engines.
 #[derive(Clone, Debug)]
@@ -81,12 +84,24 @@
         );
     }
 
+    /// Tells the agents on the VMs `ips` of requests that upstreams ended under.
+    pub(crate) fn tell(&self, ips: &[IpAddr], ended: &[EndedUnder]) {
+        for ended in ended.chunks(ENDED_A_DATAGRAM) {
+            for ip in ips {
+                self.send_datagram(*ip, &Datagram::Ended(ended.to_vec()));
+            }
+        }
+    }
+
     fn send(&self, ip: IpAddr, query: Query) {
-        let datagram = Datagram::Query(query).to_bytes();
-        // What is lost is made up for by the next question.
+        self.send_datagram(ip, &Datagram::Query(query));
+    }
+
+    fn send_datagram(&self, ip: IpAddr, datagram: &Datagram) {
+        // What is lost is made up for by the next question, or told again.
         let _ = self
             .socket
-            .try_send_to(&datagram, SocketAddr::new(ip, self.port));
+            .try_send_to(&datagram.to_bytes(), SocketAddr::new(ip, self.port));
     }
 }
 
@@ -96,6 +111,7 @@
     neighbours: Arc<Neighbours>,
     far: Arc<FarWords>,
     agents: Agents,
+    suspects: Arc<Suspects>,
     home: DataCentre,
 ) {
     let mut ticks = tokio::time::interval(NEAR);
@@ -132,8 +148,13 @@
             }
             received = agents.socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
-                let Ok(Datagram::Status(status)) = Datagram::from_bytes(&buf[..len]) else {
-                    continue;
+                let status = match Datagram::from_bytes(&buf[..len]) {
+                    Ok(Datagram::Status(status)) => status,
+                    Ok(Datagram::Ended(told)) => {
+                        suspects.hear(&told);
+                        continue;
+                    }
+                    Ok(Datagram::Query(_)) | Err(_) => continue,
                 };
                 let asked_of = known.get(&from.ip());
                 match asked_of {
--- a/crates/direct/src/lost.rs
+++ b/crates/direct/src/lost.rs
@@ -6,11 +6,12 @@
 use tokio::net::TcpStream;
 use wagtailreel_core::Digest;
 use wagtailreel_fleet::Fingerprint;
-use wagtailreel_route::direct::Ending;
+use wagtailreel_route::direct::{Ending, Suspicion};
 
 use crate::attempt::Call;
 use crate::dialect::Dialect;
 use crate::pool::Connection;
+use crate::refusal::Refusal;
 
 /// Longest wait for a new connection to an upstream that lost a request: the longest way there and
 /// back takes 6 ms, and an upstream that takes longer has not ended.
@@ -57,6 +58,44 @@
         }
     }
 
+    /// Refuses a request that is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller gets.
+    pub(crate) fn check_quarantine(&self) -> Result<(), Refusal> {
+        let suspects = &self.cx.suspects;
+        if suspects.is_empty() {
+            return Ok(());
+        }
+        let fingerprint = self.fingerprint();
+        match suspects.suspicion(fingerprint) {
+            Suspicion::Quarantined(back_in) => {
+                suspects.came_again(fingerprint);
+                Err(self.not_sent(Refusal::Quarantined { back_in }))
+            }
+            Suspicion::None | Suspicion::Suspected => Ok(()),
+        }
+    }
+
+    /// Takes how the upstream was seen that lost the request; returns what is thought of the request.
+    ///
+    /// One that was leaving had its own reason to end.
+    pub(crate) fn suspect(&self, seen: Seen) -> Suspicion {
+        let pick = self.last_pick.as_ref().filter(|_| seen == Seen::Ended);
+        match pick.filter(|pick| self.service.upstreams().may_send(&pick.id)) {
+            Some(pick) => self.cx.suspects.ended(self.fingerprint(), pick),
+            None => Suspicion::None,
+        }
+    }
+
+    /// Takes that an upstream ran the request to its end.
+    pub(crate) fn finished(&self) {
+        if !self.cx.suspects.is_empty() {
+            self.cx.suspects.finished(self.fingerprint());
+        }
+    }
+
     /// Looks whether the upstream that was chosen last still takes connections.
     pub(crate) async fn look_at_upstream(&self) -> Seen {
         let Some(pick) = &self.last_pick else {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -25,6 +25,7 @@
 use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
+use crate::suspects::Suspects;
 use crate::view::{Bounds, View};
 use crate::{events, load, status_page};
 
@@ -63,7 +64,7 @@
 /// Time before the end of the grace at which idle connections are closed, whatever callers were told.
 const LAST_CLOSES: Duration = Duration::from_millis(300);
 
-/// How often unused connections are looked through.
+/// How often unused connections and remembered requests are looked through.
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
 /// Ports of the system's choice that are tried.
@@ -143,9 +144,11 @@
         let pace = settings.bounds.upstreams_pace;
         let lapse_after = settings.bounds.lapse_after;
         let agents = Agents::new(socket, agent_port);
+        let suspects = Arc::new(Suspects::new(Arc::clone(&view), agents.clone()));
         let cx = Arc::new(Shared {
             dialect,
             agents: agents.clone(),
+            suspects: Arc::clone(&suspects),
             view: Arc::clone(&view),
             metrics,
             registry: prometheus,
@@ -181,6 +184,7 @@
             neighbours,
             Arc::clone(&far),
             agents,
+            Arc::clone(&suspects),
             home,
         ));
         tasks.spawn(far.follow());
@@ -190,7 +194,7 @@
             Callers::new(Arc::clone(&cx)),
             counters.clone(),
         );
-        tasks.spawn(prune(Arc::clone(&view)));
+        tasks.spawn(prune(Arc::clone(&view), suspects));
         let page = Routes::new(status_page::router(Arc::clone(&cx)));
         let status_server = Server::start("status", status, page, counters);
         let at = callers_addr.to_string();
@@ -299,10 +303,11 @@
     }
 }
 
-/// Closes connections that are no longer of use.
-async fn prune(view: Arc<View>) {
+/// Closes connections that are no longer of use, and forgets requests that are.
+async fn prune(view: Arc<View>, suspects: Arc<Suspects>) {
     loop {
         tokio::time::sleep(PRUNE_EVERY).await;
+        suspects.forget();
         for service in view.services() {
             let known: Vec<SocketAddr> = {
                 let upstreams = service.upstreams();
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -62,6 +62,12 @@
     /// The upstreams that were asked did not run it.
     #[display("upstreams-refused")]
     UpstreamsRefused,
+    /// Upstreams ended each time that the request was run.
+    #[display("quarantined")]
+    Quarantined {
+        /// When it may be run again.
+        back_in: Duration,
+    },
     /// Too little time is left to start the request.
     #[display("deadline")]
     Deadline,
@@ -86,6 +92,7 @@
             | Self::Weights { .. }
             | Self::Full { .. }
             | Self::UpstreamsRefused
+            | Self::Quarantined { .. }
             | Self::Leaving
             | Self::Deadline => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -101,9 +108,10 @@
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoConfiguration | Self::StaleConfiguration => Some(LONG_PAUSE),
-            Self::NoUpstream { back_in } | Self::Weights { back_in } | Self::Full { back_in } => {
-                Some(back_in)
-            }
+            Self::NoUpstream { back_in }
+            | Self::Weights { back_in }
+            | Self::Full { back_in }
+            | Self::Quarantined { back_in } => Some(back_in),
             Self::Leaving => Some(SHORT_PAUSE),
             Self::UpstreamsRefused | Self::Deadline => Some(Duration::from_millis(250)),
             _ => None,
@@ -124,6 +132,9 @@
             Self::Weights { .. } => "the weights are on their way: send the request again later",
             Self::Full { .. } => "all upstreams are busy: send the request again later",
             Self::UpstreamsRefused => "the upstreams refused: send the request again later",
+            Self::Quarantined { .. } => {
+                "upstreams ended each time that this request ran: change it, or wait until they are mended"
+            }
             Self::Deadline => "too little time was left: send the request again with more",
             Self::Leaving => "the entry ends: send the request again, another entry takes it",
             Self::Unknown => "the request may have run: find out before sending it again",
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -144,6 +144,9 @@
                 },
                 Read::End if self.is_whole() => {
                     if let Some(live) = self.live.take() {
+                        if live.is_framed() {
+                            self.call.finished();
+                        }
                         live.finish();
                     }
                     return Ok(None);
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -3,13 +3,14 @@
 //! A question and its answer are one datagram each, in JSON. Losing one costs nothing but the age
 //! of what the asker knows.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
 use wagtailreel_core::Digest;
 
-use crate::{ModelName, NamedWeights, UpstreamStart, WeightsVersion};
+use crate::{ModelName, NamedWeights, UpstreamId, UpstreamStart, WeightsVersion};
 
 /// Digest of what is the same whenever a caller sends a request again, as against its id.
 pub type Fingerprint = Digest;
@@ -133,6 +134,24 @@
     pub entries: Vec<SocketAddr>,
 }
 
+/// Accounts of requests in one datagram: with ids of 60 bytes it takes 2 KB.
+pub const ENDED_A_DATAGRAM: usize = 4;
+
+/// Upstreams that ended while they had one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedUnder {
+    /// The request.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// How long ago each upstream ended, in milliseconds.
+    #[serde(rename = "u")]
+    pub upstreams: BTreeMap<UpstreamId, u32>,
+    /// How long ago an upstream last ran the request to its end, in milliseconds; what ended before that
+    /// did not end because of it.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub finished_ms: Option<u32>,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -142,6 +161,9 @@
     /// An agent's answer.
     #[serde(rename = "S")]
     Status(Status),
+    /// What an entry tells agents, and these tell entries, of requests that end upstreams.
+    #[serde(rename = "E")]
+    Ended(Vec<EndedUnder>),
 }
 
 impl Datagram {
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -3,8 +3,8 @@
 //! [`Upstreams`] chooses where a request goes or refuses it, by what [`Prediction`] expects of each
 //! engine; [`Places`] is the agent's account of requests on their way to its engine, which all
 //! entries share; [`Namings`] says on which weights a request may begin; [`Patience`] says how long a stream is waited
-//! for; [`Pressure`] says when a refused caller is to come back; [`next_step`] says what
-//! follows from the end of an attempt.
+//! for; [`Pressure`] says when a refused caller is to come back; [`Quarantine`] knows requests under
+//! which upstreams end; [`next_step`] says what follows from the end of an attempt.
 
 mod correction;
 mod ending;
@@ -16,6 +16,7 @@
 mod places;
 mod prediction;
 mod pressure;
+mod quarantine;
 mod reading;
 mod room;
 mod upstreams;
@@ -30,5 +31,6 @@
 pub use places::Places;
 pub use prediction::Prediction;
 pub use pressure::Pressure;
+pub use quarantine::{Quarantine, Suspicion};
 pub use reading::ReadingQueue;
 pub use upstreams::Upstreams;
--- a/crates/stage/src/askers.rs
+++ b/crates/stage/src/askers.rs
@@ -25,9 +25,12 @@
 }
 
 impl Askers {
-    /// Takes that `from` asked at `now`, and whether it is an entry of the own data centre.
-    pub(crate) fn note(&self, from: SocketAddr, is_near: bool, now: Instant) {
-        self.lock().insert(from, Asker { at: now, is_near });
+    /// Takes that `from` asked at `now`, and whether it is an entry of the own data centre; returns whether
+    /// it is one of those and may have missed what was told.
+    pub(crate) fn note(&self, from: SocketAddr, is_near: bool, now: Instant) -> bool {
+        let before = self.lock().insert(from, Asker { at: now, is_near });
+        let is_recent = |asker: Asker| now.saturating_duration_since(asker.at) <= NEAR_FOR;
+        is_near && !before.is_some_and(is_recent)
     }
 
     /// Returns who asked lately, and forgets the others.
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod shelf;
 mod status;
+mod suspects;
 
 pub use engine::{EngineReport, EngineTrouble, OrderEnd, StagedEngine};
 pub use manifest::{ChunkManifest, DigestKind};
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -6,10 +6,11 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::MissedTickBehavior;
 use wagtailreel_core::first_ranked;
 use wagtailreel_fleet::{
-    BootTime, Datagram, HeardNaming, HeldChunks, LoadStatus, NamedWeights, Query, Status,
-    WeightsVersion,
+    BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, HeardNaming, HeldChunks, LoadStatus,
+    NamedWeights, Query, Status, WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
 use wagtailreel_route::direct::Places;
@@ -18,6 +19,7 @@
 use crate::askers::Askers;
 use crate::beliefs::{Beliefs, HeardWeights};
 use crate::shelf::Shelf;
+use crate::suspects::Suspects;
 
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 4096;
@@ -25,6 +27,9 @@
 /// Entries of the own data centre that are told of: the first, and who stands in if it is silent.
 const NEAR_TOLD: usize = 2;
 
+/// How often entries are told again of requests under which upstreams ended lately.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
+
 /// What an agent tells of its engine.
 #[derive(Debug, Default)]
 struct Known {
@@ -48,6 +53,7 @@
     /// The entries of the data centre, to read the registry through.
     neighbours: Arc<Neighbours>,
     shelf: Arc<Shelf>,
+    suspects: Suspects,
     socket: UdpSocket,
     /// How long the agent tells of weights that were named, and asks since when.
     naming_told: Duration,
@@ -73,6 +79,7 @@
             askers: Askers::default(),
             neighbours,
             shelf,
+            suspects: Suspects::default(),
             socket,
             naming_told: bound + TOLD_LONGER,
         }
@@ -176,6 +183,17 @@
         }
     }
 
+    /// Tells entries of requests under which upstreams end.
+    fn tell_of(&self, told: &[EndedUnder], entries: &[SocketAddr]) {
+        for told in told.chunks(ENDED_A_DATAGRAM) {
+            let datagram = Datagram::Ended(told.to_vec()).to_bytes();
+            for entry in entries {
+                // What is lost is told again.
+                let _ = self.socket.try_send_to(&datagram, *entry);
+            }
+        }
+    }
+
     /// Asks another agent which chunks it has.
     pub(crate) fn ask(&self, peer: SocketAddr, model: &str, version: WeightsVersion) {
         let query = Query {
@@ -196,8 +214,18 @@
         beliefs: Arc<Beliefs>,
     ) {
         let mut buf = vec![0; DATAGRAM];
+        let mut tell_again = tokio::time::interval(TELL_AGAIN);
+        tell_again.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let Ok((len, from)) = self.socket.recv_from(&mut buf).await else {
+            let received = tokio::select! {
+                received = self.socket.recv_from(&mut buf) => received,
+                _ = tell_again.tick() => {
+                    let askers = self.askers.recent(Instant::now());
+                    self.tell_of(&self.suspects.again(), &askers);
+                    continue;
+                }
+            };
+            let Ok((len, from)) = received else {
                 continue;
             };
             match Datagram::from_bytes(&buf[..len]) {
@@ -221,6 +249,10 @@
                         let _ = chunks.send(PeerChunks { ip, held });
                     }
                 }
+                Ok(Datagram::Ended(told)) => {
+                    let askers = self.askers.recent(Instant::now());
+                    self.tell_of(&self.suspects.hear(&told), &askers);
+                }
                 // Whoever speaks otherwise is no part of the system.
                 Err(_) => {}
             }
@@ -229,8 +261,8 @@
 
     fn answer(&self, query: &Query, from: SocketAddr) {
         let now = Instant::now();
-        if query.chunks.is_none() {
-            self.askers.note(from, query.is_near, now);
+        if query.chunks.is_none() && self.askers.note(from, query.is_near, now) {
+            self.tell_of(&self.suspects.all(), &[from]);
         }
         let chunks = query.chunks.as_ref();
         // Other agents have no use for them.
--- /dev/null
+++ b/crates/stage/tests/suspects.rs
@@ -0,0 +1,78 @@
+//! What entries saw of a request that ends upstreams meets at an agent.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use common::{Fleet, ask};
+use tokio::net::UdpSocket;
+use wagtailreel_core::Digest;
+use wagtailreel_fleet::{Datagram, EndedUnder, Query};
+
+fn ended(upstreams: &[&str]) -> EndedUnder {
+    let upstreams = upstreams.iter().map(|id| ((*id).to_owned(), 5));
+    EndedUnder {
+        fingerprint: Digest::of(b"request"),
+        upstreams: upstreams.collect::<BTreeMap<_, _>>(),
+        finished_ms: None,
+    }
+}
+
+/// Starts an entry that has asked the agent.
+async fn entry(agent: SocketAddr) -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let query = Query {
+        nonce: 1,
+        is_near: true,
+        ..Query::default()
+    };
+    ask(&socket, agent, query).await;
+    socket
+}
+
+async fn tell(entry: &UdpSocket, agent: SocketAddr, upstreams: &[&str]) {
+    let datagram = Datagram::Ended(vec![ended(upstreams)]).to_bytes();
+    entry.send_to(&datagram, agent).await.unwrap();
+}
+
+/// Waits until an entry is told of a request, and returns the upstreams that ended under it.
+async fn until_told(entry: &UdpSocket) -> Vec<String> {
+    let mut buf = [0; 4096];
+    loop {
+        let (len, _) = entry.recv_from(&mut buf).await.unwrap();
+        if let Ok(Datagram::Ended(told)) = Datagram::from_bytes(&buf[..len]) {
+            assert_eq!(told.len(), 1);
+            return told[0].upstreams.keys().cloned().collect();
+        }
+    }
+}
+
+#[tokio::test]
+async fn accounts_meet() {
+    let fleet = Fleet::start(53, 1, Some(1)).await;
+    let agent = fleet.addr(0);
+    let (one, other) = (entry(agent).await, entry(agent).await);
+    tell(&one, agent, &["a"]).await;
+    tell(&other, agent, &["b", "c"]).await;
+    assert_eq!(until_told(&one).await, ["a", "b", "c"]);
+    assert_eq!(until_told(&other).await, ["a", "b", "c"]);
+}
+
+#[tokio::test]
+async fn told_when_it_starts() {
+    let fleet = Fleet::start(54, 1, Some(1)).await;
+    let agent = fleet.addr(0);
+    let one = entry(agent).await;
+    tell(&one, agent, &["a", "b", "c"]).await;
+    until_told(&one).await;
+    let started = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let query = Datagram::Query(Query {
+        nonce: 1,
+        is_near: true,
+        ..Query::default()
+    });
+    started.send_to(&query.to_bytes(), agent).await.unwrap();
+    assert_eq!(until_told(&started).await, ["a", "b", "c"]);
+}
