Don't quarantine requests of which others ran to their ends; the soak's upstreams end under requests

The soak has three callers now whose request (a stream, an order, a read) ends each upstream that runs it, again at any entry; upstreams that end are gone with their links, and others take their places 1 s later. A check counts from what upstreams saw: at most three runs later than 3 s after the third end, at entries that were left alone.

Cause: the ends were counted, and the runs to the end beside them were not. Now an end doesn't count for 10 s after the same request ran to its end at the same entry, what is heard of earlier ends neither, and whoever sees it run tells the others. Because no evidence is certain, a quarantined request is tried again from a minute after its last end, later with each further one, by each entry at a time of its own within ten minutes, one at a time: the first one finds out for all.

--- a/crates/direct/src/lost.rs
+++ b/crates/direct/src/lost.rs
@@ -69,7 +69,7 @@
             return Ok(());
         }
         let fingerprint = self.fingerprint();
-        match suspects.suspicion(fingerprint) {
+        match suspects.admit(fingerprint) {
             Suspicion::Quarantined(back_in) => {
                 suspects.came_again(fingerprint);
                 Err(self.not_sent(Refusal::Quarantined { back_in }))
@@ -91,9 +91,7 @@
 
     /// Takes that an upstream ran the request to its end.
     pub(crate) fn finished(&self) {
-        if !self.cx.suspects.is_empty() {
-            self.cx.suspects.finished(self.fingerprint());
-        }
+        self.cx.suspects.finished(self.fingerprint());
     }
 
     /// Looks whether the upstream that was chosen last still takes connections.
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use rand::RngExt as _;
 use tokio::sync::watch;
 use wagtailreel_fleet::{BootTime, EndedUnder, Fingerprint};
 use wagtailreel_route::direct::{Pick, Quarantine, Suspicion};
@@ -23,7 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct Suspects {
     known: Mutex<Quarantine>,
-    changed: watch::Sender<()>,
+    /// The request that was quarantined last.
+    last: watch::Sender<Option<Fingerprint>>,
     agents: Agents,
     view: Arc<View>,
 }
@@ -31,8 +33,8 @@
 impl Suspects {
     pub(crate) fn new(view: Arc<View>, agents: Agents) -> Self {
         Self {
-            known: Mutex::default(),
-            changed: watch::Sender::default(),
+            known: Mutex::new(Quarantine::new(rand::rng().random())),
+            last: watch::Sender::default(),
             agents,
             view,
         }
@@ -43,8 +45,12 @@
         lock(&self.known).is_empty()
     }
 
-    /// Returns what is thought of a request.
-    pub(crate) fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
+    /// Returns what is thought of a request that has come.
+    pub(crate) fn admit(&self, fingerprint: Fingerprint) -> Suspicion {
+        lock(&self.known).admit(fingerprint, BootTime::now())
+    }
+
+    fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
         lock(&self.known).suspicion(fingerprint, BootTime::now())
     }
 
@@ -60,9 +66,8 @@
 
     /// Takes that a request ran to its end.
     pub(crate) fn finished(&self, fingerprint: Fingerprint) {
-        let was_suspected = lock(&self.known).finished(fingerprint, BootTime::now());
-        if was_suspected {
-            self.tell(fingerprint, &REPEATS);
+        if lock(&self.known).finished(fingerprint, BootTime::now()) {
+            self.tell(fingerprint, &[]);
         }
     }
 
@@ -87,10 +92,10 @@
     where
         F: Fn() -> Fingerprint,
     {
-        let mut changes = self.changed.subscribe();
+        let mut last = self.last.subscribe();
         // The sender lives as long as this.
-        while changes.changed().await.is_ok() {
-            if matches!(self.suspicion(fingerprint()), Suspicion::Quarantined(_)) {
+        while last.changed().await.is_ok() {
+            if *last.borrow_and_update() == Some(fingerprint()) {
                 return;
             }
         }
@@ -118,7 +123,7 @@
         if matches!(before, Suspicion::Quarantined(_)) {
             return;
         }
-        self.changed.send_replace(());
+        self.last.send_replace(Some(fingerprint));
         let upstreams: Vec<String> = account.upstreams.into_keys().collect();
         events::REQUEST_QUARANTINED.emit(&[
             ("fingerprint", &fingerprint.short()),
--- a/crates/route/src/direct/quarantine.rs
+++ b/crates/route/src/direct/quarantine.rs
@@ -17,14 +17,25 @@
 /// that the request ends.
 const REMEMBERED: Duration = Duration::from_secs(3600);
 
+/// Shortest time after the last end in which a quarantined request is tried again, doubled with each
+/// further end.
+const TRIED_AFTER: Duration = Duration::from_secs(60);
+
+/// Span after it over which entries begin to try, each at a time of its own: the first one finds out
+/// for all of them.
+const TRIED_WITHIN: Duration = Duration::from_secs(600);
+
+/// How long a request that ran to its end is not suspected. Those that many callers send alike are under way on every upstream that ends.
+const TRUSTED_FOR: Duration = Duration::from_secs(10);
+
 /// Requests that are remembered. At 200 bytes each they take 0.8 MB of an entry.
 const MOST_REQUESTS: usize = 4096;
 
 /// Upstreams that are remembered for a request.
 const MOST_ENDS: usize = 6;
 
-/// How long word of a request's run may be under way: a request that ran to its end is remembered for as
-/// long, so that no earlier word counts against it.
+/// How long word of an end may be under way: a request that was cleared is remembered for as long, so
+/// that no earlier word counts against it.
 const SETTLED_AFTER: Duration = Duration::from_secs(10);
 
 /// Difference within which two words tell of the same moment.
@@ -40,7 +51,7 @@
     None,
     /// Upstreams ended under it: it is not sent on to another one by itself.
     Suspected,
-    /// It is sent to no upstream for that long.
+    /// It is sent to no upstream for that long, and then to one.
     Quarantined(Duration),
 }
 
@@ -50,7 +61,10 @@
     ends: BTreeMap<UpstreamId, BootTime>,
     /// When it last ran to its end: no upstream that ended before counts.
     finished: Option<BootTime>,
+    /// When an end was last heard of.
+    heard: Option<BootTime>,
     told: Option<BootTime>,
+    tried: Option<BootTime>,
 }
 
 impl Account {
@@ -69,11 +83,13 @@
         self.ends.values().max().copied()
     }
 
-    fn suspicion(&self, now: BootTime) -> Suspicion {
-        let last = self.ends.values().max();
+    /// Says what is thought of the request by a process that tries it again `tried_after` the third end.
+    fn suspicion(&self, tried_after: Duration, now: BootTime) -> Suspicion {
+        let last = self.ends.values().copied().chain(self.tried).max();
         match (self.ends.len(), last) {
-            (QUARANTINED_AFTER.., Some(last)) => {
-                Suspicion::Quarantined(REMEMBERED.saturating_sub(now.since(*last)))
+            (ends @ QUARANTINED_AFTER.., Some(last)) => {
+                let wait = tried_after * (1 << (ends - QUARANTINED_AFTER).min(MOST_ENDS));
+                Suspicion::Quarantined(wait.saturating_sub(now.since(last)))
             }
             (TOLD_AFTER.., _) => Suspicion::Suspected,
             _ => Suspicion::None,
@@ -98,19 +114,60 @@
 /// Requests under which upstreams ended.
 ///
 /// Any request that was on an upstream when it ended is suspected. One that ends every upstream is found
-/// out by its third; one that runs to its end is cleared.
+/// out by its third; one that runs to its end is cleared. A quarantined request is tried again, seldom
+/// and one at a time, for the case that it was taken for another one.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     accounts: BTreeMap<Fingerprint, Account>,
+    tried_after: Duration,
+    trusted: Trusted,
+}
+
+/// Requests that ran to their ends lately.
+#[derive(Clone, Debug, Default)]
+struct Trusted {
+    finished: BTreeMap<Fingerprint, BootTime>,
+    before: BTreeMap<Fingerprint, BootTime>,
+    since: Option<BootTime>,
+}
+
+impl Trusted {
+    fn insert(&mut self, fingerprint: Fingerprint, now: BootTime) {
+        let age = now.since(*self.since.get_or_insert(now));
+        if age >= TRUSTED_FOR {
+            self.before = std::mem::take(&mut self.finished);
+            self.since = Some(now);
+        }
+        if self.finished.len() < MOST_REQUESTS || self.finished.contains_key(&fingerprint) {
+            self.finished.insert(fingerprint, now);
+        }
+    }
+
+    /// Returns when a request last ran to its end, if that was lately.
+    fn last(&self, fingerprint: Fingerprint, now: BootTime) -> Option<BootTime> {
+        let last = self.finished.get(&fingerprint);
+        let last = last.or_else(|| self.before.get(&fingerprint)).copied();
+        last.filter(|at| now.since(*at) <= TRUSTED_FOR)
+    }
 }
 
 impl Quarantine {
+    /// Makes the account of a process that tries requests again in its own turn: `turn` is drawn at
+    /// random from 0 to 1.
+    pub fn new(turn: f64) -> Self {
+        Self {
+            tried_after: TRIED_AFTER + TRIED_WITHIN.mul_f64(turn.clamp(0.0, 1.0)),
+            ..Self::default()
+        }
+    }
+
     /// Says whether no request is remembered.
     pub fn is_empty(&self) -> bool {
         self.accounts.is_empty()
     }
 
-    /// Takes that the start `start` of an upstream ended under a request.
+    /// Takes that the start `start` of an upstream ended under a request; it counts only if the request has
+    /// not run to its end lately.
     pub fn ended(
         &mut self,
         fingerprint: Fingerprint,
@@ -123,21 +180,25 @@
         } else {
             format!("{id}@{start}")
         };
+        if self.trusted.last(fingerprint, now).is_some() {
+            return;
+        }
         self.make_room(fingerprint);
         let account = self.accounts.entry(fingerprint).or_default();
         account.ends.entry(upstream).or_insert(now);
+        account.heard = Some(now);
         account.trim(now);
     }
 
     /// Takes that a request ran to its end; returns whether others have to be told.
     pub fn finished(&mut self, fingerprint: Fingerprint, now: BootTime) -> bool {
+        self.trusted.insert(fingerprint, now);
         let Some(account) = self.accounts.get_mut(&fingerprint) else {
             return false;
         };
-        let was_suspected = !account.ends.is_empty();
         account.finished = Some(now);
         account.trim(now);
-        was_suspected
+        self.tell_again(fingerprint, now)
     }
 
     /// Returns what is thought of a request.
@@ -146,7 +207,19 @@
             return Suspicion::None;
         };
         account.trim(now);
-        account.suspicion(now)
+        account.suspicion(self.tried_after, now)
+    }
+
+    /// Returns the same for a request that has come; one that is due to be tried again is only suspected.
+    pub fn admit(&mut self, fingerprint: Fingerprint, now: BootTime) -> Suspicion {
+        let thought = self.suspicion(fingerprint, now);
+        if thought != Suspicion::Quarantined(Duration::ZERO) {
+            return thought;
+        }
+        if let Some(account) = self.accounts.get_mut(&fingerprint) {
+            account.tried = Some(now);
+        }
+        Suspicion::Suspected
     }
 
     /// Says whether a request that comes again is to be told of again, and takes that it is.
@@ -166,16 +239,21 @@
         let ago = |ms: u32| now.minus(Duration::from_millis(ms.into()));
         self.make_room(heard.fingerprint);
         let account = self.accounts.entry(heard.fingerprint).or_default();
+        account.heard.get_or_insert(now);
         let before = account.clone();
         for (upstream, ms) in &heard.upstreams {
-            let at = account.ends.entry(upstream.clone());
-            at.or_insert_with(|| ago(*ms));
+            if !account.ends.contains_key(upstream) {
+                account.ends.insert(upstream.clone(), ago(*ms));
+                account.heard = Some(now);
+            }
         }
         let finished = heard.finished_ms.map(ago);
         // The same end of a run is a little later each time that it is told of.
         if finished > before.finished.map(|at| at.plus(SLACK)) {
             account.finished = finished;
         }
+        let last = self.trusted.last(heard.fingerprint, now);
+        account.finished = account.finished.max(last);
         account.trim(now);
         !account.ends.keys().eq(before.ends.keys()) || account.finished != before.finished
     }
@@ -205,7 +283,7 @@
     pub fn forget(&mut self, now: BootTime) {
         self.accounts.retain(|_, account| {
             let is_settled = |at: BootTime| now.since(at) > SETTLED_AFTER;
-            account.trim(now).is_some() || !account.finished.is_none_or(is_settled)
+            account.trim(now).is_some() || !account.heard.is_none_or(is_settled)
         });
     }
 
