--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -52,7 +52,7 @@
     pub(crate) sent: u32,
     /// The upstream that was chosen last, and what was known of it.
     pub(crate) last_pick: Option<Pick>,
-    sent_at: Instant,
+    pub(crate) sent_at: Instant,
     patience: Patience,
     pub(crate) service: Arc<Service>,
     pub(crate) tried: BTreeSet<UpstreamId>,
@@ -342,6 +342,7 @@
         if !is_ours {
             return Sent::Ended(Ending::Lost, "answers-another-request");
         }
+        self.take_limit(&live);
         let id = live.upstream();
         if let Some(load) = live.marks.load {
             let total = load.running.saturating_add(load.waiting);
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, StatusCode};
 use wagtailreel_core::RequestId;
 use wagtailreel_fleet::WeightsVersion;
+use wagtailreel_route::direct::NamedLimit;
 
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -50,7 +51,7 @@
 }
 
 /// What an upstream's answer says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Id of the request that it answers; answers to something else belong to nobody.
     pub id: Option<RequestId>,
@@ -62,6 +63,8 @@
     pub load: Option<ServerLoad>,
     /// How long the upstream keeps the connection without a request.
     pub keep_alive: Option<Duration>,
+    /// The requests a second that the upstream takes from all entries together.
+    pub limit: NamedLimit,
 }
 
 /// Reads and writes the marks of requests and answers.
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -112,6 +112,16 @@
     remedy: "Look at the upstream and the link to it.",
 };
 
+/// An upstream names another limit.
+pub const UPSTREAM_LIMIT: Event = Event {
+    id: 6118,
+    name: "upstream-limit",
+    level: Level::Info,
+    meaning: "An upstream names another limit of requests a second for all entries together, or none any \
+              more, or one that can't be read.",
+    remedy: "Look why the upstream is in need; mend it if it names something else than a number.",
+};
+
 /// A request is quarantined.
 pub const REQUEST_QUARANTINED: Event = Event {
     id: 6117,
@@ -163,6 +173,7 @@
     FAR_WORDS,
     UPSTREAM_CHANGED,
     UPSTREAM_SHUNNED,
+    UPSTREAM_LIMIT,
     REQUEST_QUARANTINED,
     REQUEST_DONE,
     REQUEST_REFUSED,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 mod far;
 mod front;
+mod limits;
 mod live;
 mod load;
 mod lost;
@@ -35,5 +36,6 @@
 pub use process::{DirectEntry, DirectError};
 pub use refusal::Refusal;
 pub use wagtailreel_route::direct::{
-    Ask, Attempt, Ending, LoadSource, Member, Next, Pick, Shortage, Upstreams, next_step,
+    Ask, Attempt, Ending, Limit, LoadSource, Member, NamedLimit, Next, Pick, Shortage, Upstreams,
+    next_step,
 };
--- /dev/null
+++ b/crates/route/src/direct/limit.rs
@@ -0,0 +1,88 @@
+//! Limits that upstreams name for all entries together.
+
+use std::time::Instant;
+
+use super::upstreams::Upstreams;
+
+/// Lowest limit that is kept to, in requests a second: an upstream that names a lower one gets a request
+/// now and then, from whose answer entries learn that it takes more again.
+const LOWEST: f64 = 0.1;
+
+/// A limit that an upstream names in its answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    per_second: f64,
+}
+
+impl Limit {
+    /// Makes a limit; none if `per_second` is no rate.
+    pub fn new(per_second: f64) -> Option<Self> {
+        let is_rate = per_second.is_finite() && per_second >= 0.0;
+        is_rate.then(|| Self {
+            per_second: per_second.max(LOWEST),
+        })
+    }
+
+    /// Returns the requests a second that all entries together may send.
+    pub const fn per_second(self) -> f64 {
+        self.per_second
+    }
+}
+
+/// What an answer says of its upstream's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    None,
+    /// It names one.
+    Limit(Limit),
+    /// It names one that can't be read; what was named before stays.
+    Unreadable,
+}
+
+/// What an entry knows of an upstream's limit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownLimit {
+    pub(crate) limit: Limit,
+    /// When it was last named.
+    pub(crate) named_at: Instant,
+}
+
+impl Upstreams {
+    /// Takes what the answer to a request that was sent at `sent_at` says of its upstream's limit; returns
+    /// whether that is another one than before.
+    pub fn named_limit(
+        &mut self,
+        id: &str,
+        named: NamedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        let before = member.limit.map(|it| it.limit);
+        match (named, &mut member.limit) {
+            (NamedLimit::Limit(limit), Some(known)) => {
+                known.limit = limit;
+                known.named_at = now;
+            }
+            (NamedLimit::Limit(limit), none) => {
+                *none = Some(KnownLimit {
+                    limit,
+                    named_at: now,
+                });
+            }
+            // An answer to an earlier request may have been under way when the limit was named.
+            (NamedLimit::None, Some(known)) if known.named_at < sent_at => member.limit = None,
+            (NamedLimit::None | NamedLimit::Unreadable, _) => {}
+        }
+        before != member.limit.map(|it| it.limit)
+    }
+
+    /// Returns the limit that an upstream names.
+    pub fn limit(&self, id: &str) -> Option<Limit> {
+        Some(self.members.get(id)?.limit?.limit)
+    }
+}
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -6,6 +6,7 @@
     EngineModel, LoadStatus, Upstream, UpstreamStart, UpstreamState, WeightsVersion,
 };
 
+use super::limit::KnownLimit;
 use super::pick::Shortage;
 use super::prediction::{Prediction, reading};
 use super::reading::ReadingQueue;
@@ -103,6 +104,8 @@
     pub(crate) asked_since: Option<Instant>,
     /// How long the last question and its answer took.
     pub(crate) round_trip: Duration,
+    /// The requests a second that it takes from all entries together, while it names a limit.
+    pub(crate) limit: Option<KnownLimit>,
     pub(crate) is_gone: bool,
 }
 
@@ -121,6 +124,7 @@
             answered_at: None,
             asked_since: None,
             round_trip: Duration::ZERO,
+            limit: None,
             is_gone: false,
         }
     }
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod correction;
 mod ending;
 mod hearsay;
+mod limit;
 mod member;
 mod naming;
 mod patience;
@@ -24,6 +25,7 @@
 pub use correction::Correction;
 pub use ending::{Attempt, Ending, Next, next_step};
 pub use hearsay::{Word, Words};
+pub use limit::{Limit, NamedLimit};
 pub use member::{LoadSource, Member};
 pub use naming::{Naming, NamingBounds, Namings, Told};
 pub use patience::{Patience, Sign};
