Keep all entries together to the limits that upstreams name

What callers saw: upstreams that had named a limit of 1 and 2.3 requests a second went on getting five to eight, as if they had named none. Class: a limit that holds for all entries together and that no entry can keep to alone.

Now each request to an upstream that names a limit needs a permit. One agent gives them, from a token bucket that saves up two requests: the agent beside an engine, else the first of the upstream's data centre by rendezvous rank. Where it doesn't answer, the next one gives 0.45 of the limit, so that two that give to different entries stay within the promise. An upstream without room is passed over until it has some; what finds no room at all is refused at once, with the time at which there will be some. Of limits that entries were told, the last counts; one that is withdrawn is told to the agents, and who heard of it earlier may send and finds so.

Against it were held (by reasoning, not by runs): a share for each entry, which breaks the promise where the limit is smaller than the entries are many and leaves most of it unused where one has all callers; and one entry alone that may send, which leaves the rest of the callers without.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use wagtailreel_fleet::{Fingerprint, UpstreamId};
@@ -23,7 +23,7 @@
 use wagtailreel_route::direct::{Patience, Pick, Prediction, Suspicion};
 
 /// Time that must be left for another attempt to be worth making.
-const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
+pub(crate) const LEAST_FOR_RETRY: Duration = Duration::from_millis(60);
 
 /// What the log says of an attempt that was given up since its answer did not go on.
 pub(crate) const STALLED: &str = "stalled";
@@ -184,7 +184,7 @@
     }
 
     /// Counts a failure against the upstream that it came through.
-    fn judge(&self, upstream: &str, ending: Ending, now: Instant) {
+    pub(crate) fn judge(&self, upstream: &str, ending: Ending, now: Instant) {
         if !matches!(ending, Ending::NotSent | Ending::Lost | Ending::Failed) {
             return;
         }
@@ -331,61 +331,6 @@
         self.cx.view.begin_within(model, version)
     }
 
-    /// Judges the head of an answer.
-    fn take_answer(&mut self, live: Live, doubted_before: bool) -> Sent {
-        let now = Instant::now();
-        let is_ours = live
-            .marks
-            .id
-            .as_ref()
-            .is_none_or(|id| *id == self.admitted.id);
-        if !is_ours {
-            return Sent::Ended(Ending::Lost, "answers-another-request");
-        }
-        self.take_limit(&live);
-        let id = live.upstream();
-        if let Some(load) = live.marks.load {
-            let total = load.running.saturating_add(load.waiting);
-            self.service.upstreams().load(id, total, now);
-        }
-        if live.marks.not_run {
-            self.may_have_run = doubted_before;
-            let mut upstreams = self.service.upstreams();
-            if live.marks.misdirected {
-                upstreams.misdirected(id, now);
-                return Sent::Ended(Ending::NotRun, "another-instance-or-weights");
-            }
-            upstreams.full(id, now);
-            return Sent::Ended(Ending::NotRun, "refused");
-        }
-        if live.head.status.is_server_error()
-            && self.admitted.route.kind == wagtailreel_fleet::RouteKind::Idempotent
-        {
-            return self.take_failure(live);
-        }
-        if live.head.status != StatusCode::INTERNAL_SERVER_ERROR {
-            self.service.upstreams().answered(id);
-        }
-        Sent::Answer(Box::new(live))
-    }
-
-    /// Repeats a request that failed at an upstream, or passes the failure on.
-    fn take_failure(&mut self, live: Live) -> Sent {
-        let id = live.upstream().to_owned();
-        let left = self
-            .admitted
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let may_repeat = self.sent < self.admitted.route.max_attempts
-            && left > LEAST_FOR_RETRY
-            && self.service.budget().left() >= 1.0;
-        if may_repeat {
-            return Sent::Ended(Ending::Failed, "own-failure");
-        }
-        self.judge(&id, Ending::Failed, Instant::now());
-        Sent::Answer(Box::new(live))
-    }
-
     fn request(&self, pick: &Pick, last_event: Option<u64>) -> Option<Request<Full<Bytes>>> {
         let now = Instant::now();
         let remaining = self.admitted.deadline.saturating_duration_since(now);
@@ -408,7 +353,7 @@
 }
 
 /// How an attempt went on after its connection was there.
-enum Sent {
+pub(crate) enum Sent {
     /// The upstream answered.
     Answer(Box<Live>),
     /// It brought no answer, and what the log says of it.
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -17,6 +17,10 @@
 /// known, and a turn of either process.
 const ABROAD_PATIENCE: Duration = Duration::from_millis(15);
 
+/// Upstreams with a limit that one request asks for a permit. Those without room are passed over by
+/// later ones until they have some.
+const PERMITS_ASKED: usize = 4;
+
 /// When a place is expected to be free at a full plain service, whose answers nobody can predict.
 const FREE_IN: Duration = Duration::from_millis(200);
 
@@ -26,13 +30,25 @@
 {
     /// Chooses an upstream, and counts whether there was one.
     pub(crate) async fn choose_counted(&self) -> Result<Pick, Refusal> {
-        let chosen = self.choose_heard().await;
+        let chosen = self.choose_permitted().await;
         let mut pressure = self.service.pressure();
         pressure.count(chosen.is_err(), Instant::now());
         drop(pressure);
         chosen
     }
 
+    /// Chooses an upstream; asks for a permit where it names a limit, and chooses again without one.
+    async fn choose_permitted(&self) -> Result<Pick, Refusal> {
+        for _ in 0..PERMITS_ASKED {
+            let pick = self.choose_heard().await?;
+            if self.is_permitted(&pick).await {
+                return Ok(pick);
+            }
+        }
+        let back_in = self.back_in(Shortage::Full, &self.ask(None), Instant::now());
+        Err(self.not_sent(Refusal::Full { back_in }))
+    }
+
     /// Chooses an upstream; asks a few abroad how they are before a request goes there.
     ///
     /// One that doesn't answer gets no request: its old word says that it has room to every entry of
@@ -97,13 +113,7 @@
         let now = Instant::now();
         let chosen = self.service.upstreams().choose(&ask, now);
         chosen.map_err(|shortage| {
-            let free_in = match shortage {
-                Shortage::Full => self.service.upstreams().free_in(&ask, now),
-                Shortage::NoUpstream | Shortage::Weights => Some(LONG_PAUSE),
-            };
-            let left = self.admitted.deadline.saturating_duration_since(now);
-            let pressure = self.service.pressure();
-            let back_in = pressure.pause(free_in.unwrap_or(FREE_IN), left);
+            let back_in = self.back_in(shortage, &ask, now);
             self.not_sent(match shortage {
                 Shortage::NoUpstream => Refusal::NoUpstream { back_in },
                 Shortage::Weights => Refusal::Weights { back_in },
@@ -112,6 +122,17 @@
         })
     }
 
+    /// Returns when a request that found no upstream is best sent again.
+    fn back_in(&self, shortage: Shortage, ask: &Ask<'_>, now: Instant) -> Duration {
+        let free_in = match shortage {
+            Shortage::Full => self.service.upstreams().free_in(ask, now),
+            Shortage::NoUpstream | Shortage::Weights => Some(LONG_PAUSE),
+        };
+        let left = self.admitted.deadline.saturating_duration_since(now);
+        let pressure = self.service.pressure();
+        pressure.pause(free_in.unwrap_or(FREE_IN), left)
+    }
+
     /// Makes sure that a request which may have run is not refused as not run.
     pub(crate) const fn not_sent(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,8 @@
 //! on the wire is a [`Dialect`].
 
 mod admit;
+mod agents;
+mod answered;
 mod attempt;
 mod choosing;
 mod cutter;
@@ -16,6 +18,7 @@
 pub mod events;
 mod far;
 mod front;
+mod givers;
 mod limits;
 mod live;
 mod load;
--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -1,18 +1,72 @@
 //! Limits that upstreams name for all entries together.
 
-use std::time::Instant;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
 
-use wagtailreel_route::direct::NamedLimit;
+use wagtailreel_fleet::AskPermit;
+use wagtailreel_route::direct::{Limit, NamedLimit, Pick};
 
 use crate::attempt::Call;
 use crate::dialect::Dialect;
 use crate::events;
 use crate::live::Live;
 
+/// Share of a limit that an agent gives in place of one that doesn't answer some entries.
+const STAND_IN_SHARE: f64 = 0.45;
+
+/// How long an upstream with a limit gets no request where no agent answers.
+const WITHOUT_ANSWER: Duration = Duration::from_millis(500);
+
 impl<D> Call<D>
 where
     D: Dialect,
 {
+    /// Asks for leave to send a request to an upstream that names a limit; notes how long there is no
+    /// room. Others need none.
+    pub(crate) async fn is_permitted(&self, pick: &Pick) -> bool {
+        let Some((limit, named_at)) = self.service.upstreams().limit(&pick.id) else {
+            return true;
+        };
+        let wait = self.permit(pick, limit, named_at).await;
+        let wait = wait.unwrap_or(WITHOUT_ANSWER);
+        if !wait.is_zero() {
+            let mut upstreams = self.service.upstreams();
+            upstreams.limited(&pick.id, wait, Instant::now());
+        }
+        wait.is_zero()
+    }
+
+    /// Asks the first agent that answers, one at most; a later one gives less, so that two that give to
+    /// different entries together give little more than the limit.
+    async fn permit(&self, pick: &Pick, limit: Limit, named_at: Instant) -> Option<Duration> {
+        let agents = &self.cx.agents;
+        let givers = self.permit_givers(pick);
+        let silent = givers.iter().take_while(|ip| agents.is_silent(**ip));
+        let silent = silent.count();
+        let share = if silent == 0 { 1.0 } else { STAND_IN_SHARE };
+        let ask = ask(&pick.id, limit.per_second() * share, named_at);
+        agents.ask_permit(*givers.get(silent)?, ask).await
+    }
+
+    /// Tells the agents that give permits for an upstream that it names no limit any more.
+    fn tell_withdrawn(&self, limit: Limit, named_at: Instant) {
+        let Some(pick) = &self.last_pick else {
+            return;
+        };
+        let withdrawn = AskPermit {
+            is_withdrawn: true,
+            ..ask(&pick.id, limit.per_second(), named_at)
+        };
+        for ip in self.permit_givers(pick) {
+            self.cx.agents.tell_withdrawn(ip, withdrawn.clone());
+        }
+    }
+
+    fn permit_givers(&self, pick: &Pick) -> Vec<IpAddr> {
+        let is_engine = self.admitted.engine.is_some();
+        self.cx.view.permit_givers(pick, is_engine)
+    }
+
     /// Takes what an answer says of its upstream's limit.
     pub(crate) fn take_limit(&self, live: &Live) {
         let named = live.marks.limit;
@@ -24,12 +78,15 @@
         if !is_new && named != NamedLimit::Unreadable {
             return;
         }
+        if let (NamedLimit::None, Some((limit, named_at))) = (named, before) {
+            self.tell_withdrawn(limit, named_at);
+        }
         let now = match named {
             NamedLimit::None => String::new(),
             NamedLimit::Limit(limit) => limit.per_second().to_string(),
             NamedLimit::Unreadable => "unreadable".to_owned(),
         };
-        let before = before.map(|limit| limit.per_second().to_string());
+        let before = before.map(|(limit, _)| limit.per_second().to_string());
         events::UPSTREAM_LIMIT.emit(&[
             ("upstream", id),
             ("service", &self.admitted.service),
@@ -38,3 +95,14 @@
         ]);
     }
 }
+
+fn ask(id: &str, per_second: f64, named_at: Instant) -> AskPermit {
+    let age = named_at.elapsed().as_millis();
+    AskPermit {
+        nonce: 0,
+        upstream: id.to_owned(),
+        per_second,
+        named_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        is_withdrawn: false,
+    }
+}
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -1,20 +1,18 @@
 //! Asks agents how loaded their engines are.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
-use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use wagtailreel_core::DataCentre;
-use wagtailreel_fleet::{
-    BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, LoadStatus, ModelName, Query,
-};
+use wagtailreel_fleet::{BootTime, Datagram, LoadStatus, ModelName, Query};
 use wagtailreel_nearby::Neighbours;
 use wagtailreel_route::direct::{Member, Naming};
 
+use crate::agents::{Agents, OUT_OF_TURN};
 use crate::events;
 use crate::far::FarWords;
 use crate::suspects::Suspects;
@@ -38,73 +36,9 @@
 /// with another clock at the same address.
 const CLOCK_KNOWN: Duration = Duration::from_secs(1);
 
-/// Nonce of a question that is asked for one request. Rounds are counted from 1, and what an agent tells unasked
-/// carries 0.
-const OUT_OF_TURN: u32 = u32::MAX;
-
 /// Longest datagram in bytes.
 const DATAGRAM: usize = 4096;
 
-/// The way to the agents beside engines.
-#[derive(Clone, Debug)]
-pub(crate) struct Agents {
-    socket: Arc<UdpSocket>,
-    port: u16,
-}
-
-impl Agents {
-    /// Makes the way to agents that listen on `port` of their VMs.
-    pub(crate) fn new(socket: UdpSocket, port: u16) -> Self {
-        Self {
-            socket: Arc::new(socket),
-            port,
-        }
-    }
-
-    /// Tells the agent on the VM `ip` of a request that is about to go to its engine, whose prompt
-    /// takes `reading`.
-    pub(crate) fn announce(&self, ip: IpAddr, reading: Duration) {
-        self.send(
-            ip,
-            Query {
-                sends_us: Some(u32::try_from(reading.as_micros()).unwrap_or(u32::MAX)),
-                ..Query::default()
-            },
-        );
-    }
-
-    /// Asks the agent on the VM `ip` how its engine is, out of turn.
-    pub(crate) fn ask(&self, ip: IpAddr) {
-        self.send(
-            ip,
-            Query {
-                nonce: OUT_OF_TURN,
-                ..Query::default()
-            },
-        );
-    }
-
-    /// Tells the agents on the VMs `ips` of requests that upstreams ended under.
-    pub(crate) fn tell(&self, ips: &[IpAddr], ended: &[EndedUnder]) {
-        for ended in ended.chunks(ENDED_A_DATAGRAM) {
-            for ip in ips {
-                self.send_datagram(*ip, &Datagram::Ended(ended.to_vec()));
-            }
-        }
-    }
-
-    fn send(&self, ip: IpAddr, query: Query) {
-        self.send_datagram(ip, &Datagram::Query(query));
-    }
-
-    fn send_datagram(&self, ip: IpAddr, datagram: &Datagram) {
-        // What is lost is made up for by the next question, or told again.
-        let _ = self
-            .socket
-            .try_send_to(&datagram.to_bytes(), SocketAddr::new(ip, self.port));
-    }
-}
-
 /// Asks the agents of all engines for their load, for as long as it is not dropped.
 pub(crate) async fn ask_agents(
     view: Arc<View>,
@@ -146,7 +80,7 @@
                     known.insert(ip, asked);
                 }
             }
-            received = agents.socket.recv_from(&mut buf) => {
+            received = agents.socket().recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 let status = match Datagram::from_bytes(&buf[..len]) {
                     Ok(Datagram::Status(status)) => status,
@@ -154,7 +88,11 @@
                         suspects.hear(&told);
                         continue;
                     }
-                    Ok(Datagram::Query(_)) | Err(_) => continue,
+                    Ok(Datagram::Permit(permit)) => {
+                        agents.take_permit(&permit);
+                        continue;
+                    }
+                    Ok(Datagram::Query(_) | Datagram::AskPermit(_)) | Err(_) => continue,
                 };
                 let asked_of = known.get(&from.ip());
                 match asked_of {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -19,10 +19,10 @@
 use wagtailreel_settings::DirectEntrySettings;
 use wagtailreel_telemetry::Event;
 
+use crate::agents::Agents;
 use crate::dialect::Dialect;
 use crate::far::{self, FarWords};
 use crate::front::Callers;
-use crate::load::Agents;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::suspects::Suspects;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -8,7 +8,7 @@
 use wagtailreel_fleet::Topic;
 use wagtailreel_settings::DirectEntrySettings;
 
-use crate::load::Agents;
+use crate::agents::Agents;
 use crate::metrics::Metrics;
 use crate::suspects::Suspects;
 use crate::view::View;
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -13,8 +13,8 @@
 use wagtailreel_fleet::{BootTime, EndedUnder, Fingerprint};
 use wagtailreel_route::direct::{Pick, Quarantine, Suspicion};
 
+use crate::agents::Agents;
 use crate::events;
-use crate::load::Agents;
 use crate::view::{View, lock};
 
 /// Pauses before an account is told to the same agents again, for datagrams that are lost.
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
-use wagtailreel_core::{DataCentre, Region, ServiceName, rank_score};
+use wagtailreel_core::{DataCentre, Region, ServiceName};
 use wagtailreel_fleet::{
     BootTime, Change, Directory, HeardNaming, ModelName, NamedWeights, Sink, Topic, Upstream,
     UpstreamId, WeightsVersion,
@@ -22,9 +22,6 @@
 /// 8 entries they spend 40 of the 104 that the users allow beyond the share of the requests.
 const RETRY_BURST: f64 = 5.0;
 
-/// Agents of a data centre at which what entries tell of a matter meets. One may be gone.
-const MEETING_AGENTS: usize = 2;
-
 /// One service: its upstreams, its retries and its connections, each under a lock of its own.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -118,23 +115,6 @@
         data_centres
     }
 
-    /// Returns the VMs whose agents all entries tell of the matter `key`: in each data centre the first by
-    /// rendezvous rank, so that entries that never heard of each other tell the same ones.
-    pub(crate) fn meeting_agents(&self, key: &[u8]) -> Vec<IpAddr> {
-        let mut ranked: BTreeMap<DataCentre, BTreeSet<(u64, IpAddr)>> = BTreeMap::new();
-        for (service, _) in self.engine_services() {
-            for member in service.upstreams().members() {
-                let ip = member.upstream.addr.ip();
-                let data_centre = member.upstream.data_centre.clone();
-                let ranked = ranked.entry(data_centre).or_default();
-                ranked.insert((rank_score(key, &ip.to_string()), ip));
-            }
-        }
-        let first = |ranked: BTreeSet<(u64, IpAddr)>| ranked.into_iter().rev().take(MEETING_AGENTS);
-        let ips = ranked.into_values().flat_map(first);
-        ips.map(|(_, ip)| ip).collect()
-    }
-
     /// Returns the words on engines in `data_centre` that are no older than `oldest`.
     pub(crate) fn words(&self, data_centre: &str, oldest: Duration, now: Instant) -> Words {
         let mut words = Words::new();
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -152,6 +152,37 @@
     pub finished_ms: Option<u32>,
 }
 
+/// A question for leave to send one request to an upstream that names a limit for all entries together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AskPermit {
+    /// Told back in the answer.
+    #[serde(rename = "n")]
+    pub nonce: u32,
+    /// The upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Its limit, in requests a second.
+    #[serde(rename = "l")]
+    pub per_second: f64,
+    /// How long ago it last named it to the asker, in milliseconds.
+    #[serde(rename = "a")]
+    pub named_ms: u32,
+    /// It names none any more: the asker tells so, and wants no answer.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_withdrawn: bool,
+}
+
+/// An agent's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permit {
+    /// The question's nonce.
+    #[serde(rename = "n")]
+    pub nonce: u32,
+    /// How long the upstream has no room yet, in milliseconds; the request may be sent if it is 0.
+    #[serde(rename = "w")]
+    pub wait_ms: u32,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -164,6 +195,12 @@
     /// What an entry tells agents, and these tell entries, of requests that end upstreams.
     #[serde(rename = "E")]
     Ended(Vec<EndedUnder>),
+    /// A question for a permit.
+    #[serde(rename = "A")]
+    AskPermit(AskPermit),
+    /// Its answer.
+    #[serde(rename = "P")]
+    Permit(Permit),
 }
 
 impl Datagram {
--- a/crates/route/src/direct/limit.rs
+++ b/crates/route/src/direct/limit.rs
@@ -1,6 +1,6 @@
 //! Limits that upstreams name for all entries together.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::upstreams::Upstreams;
 
@@ -47,6 +47,16 @@
     pub(crate) limit: Limit,
     /// When it was last named.
     pub(crate) named_at: Instant,
+    /// The upstream has no room until then.
+    pub(crate) full_until: Option<Instant>,
+}
+
+impl KnownLimit {
+    /// Returns how long the upstream has no room yet.
+    pub(crate) fn full_for(&self, now: Instant) -> Duration {
+        let until = self.full_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
 }
 
 impl Upstreams {
@@ -72,6 +82,7 @@
                 *none = Some(KnownLimit {
                     limit,
                     named_at: now,
+                    full_until: None,
                 });
             }
             // An answer to an earlier request may have been under way when the limit was named.
@@ -81,8 +92,17 @@
         before != member.limit.map(|it| it.limit)
     }
 
-    /// Returns the limit that an upstream names.
-    pub fn limit(&self, id: &str) -> Option<Limit> {
-        Some(self.members.get(id)?.limit?.limit)
+    /// Returns the limit that an upstream names, and when it last did.
+    pub fn limit(&self, id: &str) -> Option<(Limit, Instant)> {
+        let known = self.members.get(id)?.limit?;
+        Some((known.limit, known.named_at))
+    }
+
+    /// Takes that an upstream with a limit has no room for that long.
+    pub fn limited(&mut self, id: &str, full_for: Duration, now: Instant) {
+        let member = self.members.get_mut(id);
+        if let Some(known) = member.and_then(|member| member.limit.as_mut()) {
+            known.full_until = Some(now + full_for);
+        }
     }
 }
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -290,6 +290,12 @@
         }
     }
 
+    /// Returns how long the upstream's own limit leaves no room for another request.
+    pub(crate) fn limited_for(&self, now: Instant) -> Duration {
+        let limit = self.limit.as_ref();
+        limit.map_or(Duration::ZERO, |limit| limit.full_for(now))
+    }
+
     /// Says whether the link to the upstream is in doubt.
     pub(crate) fn is_doubted(&self, now: Instant) -> bool {
         let owes = |since: Instant| now.saturating_duration_since(since) > OPEN_QUESTION;
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -3,7 +3,7 @@
 //! [`Upstreams`] chooses where a request goes or refuses it, by what [`Prediction`] expects of each
 //! engine; [`Places`] is the agent's account of requests on their way to its engine, which all
 //! entries share; [`Namings`] says on which weights a request may begin; [`Patience`] says how long a stream is waited
-//! for; [`Pressure`] says when a refused caller is to come back; [`Quarantine`] knows requests under
+//! for; [`Permits`] keeps all entries together to the limits that upstreams name; [`Pressure`] says when a refused caller is to come back; [`Quarantine`] knows requests under
 //! which upstreams end; [`next_step`] says what follows from the end of an attempt.
 
 mod correction;
@@ -13,6 +13,7 @@
 mod member;
 mod naming;
 mod patience;
+mod permits;
 mod pick;
 mod places;
 mod prediction;
@@ -21,6 +22,7 @@
 mod reading;
 mod room;
 mod upstreams;
+mod waits;
 
 pub use correction::Correction;
 pub use ending::{Attempt, Ending, Next, next_step};
@@ -29,6 +31,7 @@
 pub use member::{LoadSource, Member};
 pub use naming::{Naming, NamingBounds, Namings, Told};
 pub use patience::{Patience, Sign};
+pub use permits::Permits;
 pub use pick::{Ask, Pick, Shortage};
 pub use places::Places;
 pub use prediction::Prediction;
--- /dev/null
+++ b/crates/route/src/direct/permits.rs
@@ -0,0 +1,93 @@
+//! Leave to send requests to upstreams that name a limit, given to all entries by one agent.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use wagtailreel_fleet::UpstreamId;
+
+use super::limit::Limit;
+
+/// Requests that may be saved up while nobody asks.
+const DEPTH: f64 = 2.0;
+
+/// Requests that an upstream takes at once of which nothing was known.
+const AT_FIRST: f64 = 1.0;
+
+/// How long an upstream is remembered that nobody asks for. At the lowest limit it has saved up all by then.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    /// The limit that was named last, and when.
+    limit: Limit,
+    named_at: Instant,
+    /// When the upstream named none any more.
+    withdrawn_at: Option<Instant>,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn fill(&mut self, now: Instant) {
+        let past = now.saturating_duration_since(self.filled);
+        let earned = past.as_secs_f64() * self.limit.per_second();
+        self.tokens = (self.tokens + earned).min(DEPTH);
+        self.filled = now;
+    }
+}
+
+/// Token buckets of upstreams that name a limit.
+#[derive(Clone, Debug, Default)]
+pub struct Permits {
+    buckets: BTreeMap<UpstreamId, Bucket>,
+}
+
+impl Permits {
+    /// Asks for leave to send one request to an upstream that named `limit` at `named_at`; returns how long
+    /// it has no room yet, which is no time if the request may be sent.
+    ///
+    /// Of what entries were told, the last counts. Who was told of a limit before it was withdrawn may send,
+    /// and finds so from the answer.
+    pub fn ask(
+        &mut self,
+        upstream: &str,
+        limit: Limit,
+        named_at: Instant,
+        now: Instant,
+    ) -> Duration {
+        self.forget(now);
+        let bucket = self.buckets.entry(upstream.to_owned()).or_insert(Bucket {
+            limit,
+            named_at,
+            withdrawn_at: None,
+            tokens: AT_FIRST,
+            filled: now,
+        });
+        bucket.fill(now);
+        if named_at >= bucket.named_at {
+            bucket.limit = limit;
+            bucket.named_at = named_at;
+        }
+        match bucket.withdrawn_at {
+            Some(at) if named_at <= at => return Duration::ZERO,
+            _ => bucket.withdrawn_at = None,
+        }
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64((1.0 - bucket.tokens) / bucket.limit.per_second())
+    }
+
+    /// Takes that an upstream names no limit any more.
+    pub fn withdrawn(&mut self, upstream: &str, now: Instant) {
+        if let Some(bucket) = self.buckets.get_mut(upstream) {
+            bucket.withdrawn_at = Some(now);
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.buckets
+            .retain(|_, it| now.saturating_duration_since(it.filled) <= REMEMBERED);
+    }
+}
--- a/crates/route/src/direct/pick.rs
+++ b/crates/route/src/direct/pick.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use wagtailreel_core::DataCentre;
 use wagtailreel_fleet::{EngineModel, UpstreamId, UpstreamStart, WeightsVersion};
 
 use super::member::LoadSource;
@@ -35,6 +36,8 @@
     pub started: UpstreamStart,
     /// Its address.
     pub addr: std::net::SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
     /// The version of the weights that the request is to run on.
     pub version: Option<WeightsVersion>,
     /// Requests that were thought to be there.
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -302,17 +302,6 @@
         best.map(|(_, pick)| pick).ok_or(shortage)
     }
 
-    /// Returns when the first place for a request gets free at the engines that are full.
-    pub fn free_in(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
-        let engine = ask.engine?;
-        let presumed = self.presumed(ask, now);
-        let takes_new = self.members.values().filter(|it| it.takes_new(now));
-        let objective = room::safe(ask.objective);
-        let predictions = takes_new.map(|it| it.predict(engine, presumed, now));
-        let waits = predictions.map(|it| it.slot_wait().max(it.crowd_wait(ask.prompt, objective)));
-        waits.min()
-    }
-
     /// Returns what is thought of engines of which nothing was heard. Plain services have no agents
     /// that could tell of them.
     pub(super) fn presumed(&self, ask: &Ask<'_>, now: Instant) -> Option<Presumed> {
@@ -330,6 +319,9 @@
         if !member.takes_new(now) || ask.tried.contains(&member.upstream.id) {
             return Err(Shortage::NoUpstream);
         }
+        if member.limited_for(now) > Duration::ZERO {
+            return Err(Shortage::Full);
+        }
         let version = match ask.model {
             None => None,
             Some(model) => Some(member.serves(model, ask.least_version, now)?),
@@ -372,6 +364,7 @@
             id: member.upstream.id.clone(),
             started: member.upstream.started,
             addr: member.upstream.addr,
+            data_centre: member.upstream.data_centre.clone(),
             version,
             in_flight,
             source,
--- /dev/null
+++ b/crates/route/tests/permits.rs
@@ -0,0 +1,120 @@
+//! All entries together keep to the limits that upstreams name.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rstest::rstest;
+use wagtailreel_fleet::{Upstream, UpstreamState};
+use wagtailreel_route::direct::{Ask, Limit, NamedLimit, Permits, Shortage, Upstreams};
+
+const SPAN: Duration = Duration::from_secs(4);
+
+fn limit(per_second: f64) -> Limit {
+    Limit::new(per_second).unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Any number of entries, each of which asks again as soon as it was told or earlier, gets no more than
+    /// the promise in any span, and most of the limit.
+    #[test]
+    fn any_entries(per_second in 0.2_f64..20.0, entries in 1_usize..120, hurry in 0.0_f64..1.0) {
+        let start = Instant::now();
+        let mut permits = Permits::default();
+        let mut next = vec![start; entries];
+        let mut given: Vec<Instant> = Vec::new();
+        let end = start + SPAN * 5;
+        for ms in 0..u64::try_from((SPAN * 5).as_millis()).unwrap() {
+            let now = start + Duration::from_millis(ms);
+            for due in next.iter_mut().filter(|due| **due <= now) {
+                let wait = permits.ask("u", limit(per_second), start, now);
+                if wait.is_zero() {
+                    given.push(now);
+                }
+                *due = now + wait.mul_f64(hurry).max(Duration::from_millis(5));
+            }
+        }
+        let within = |from: Instant| given.iter().filter(|at| **at >= from && **at < from + SPAN).count();
+        let worst = given.iter().map(|at| within(*at)).max().unwrap_or_default();
+        let allowed = 1.5 * per_second * SPAN.as_secs_f64() + 5.0;
+        prop_assert!(worst as f64 <= allowed, "{worst} of {allowed}");
+        let used = given.len() as f64;
+        let could = per_second * end.duration_since(start).as_secs_f64();
+        prop_assert!(used >= 0.9 * could - 1.0, "{used} of {could}");
+    }
+}
+
+#[rstest]
+fn last_named_counts() {
+    let start = Instant::now();
+    let mut permits = Permits::default();
+    assert!(permits.ask("u", limit(1.0), start, start).is_zero());
+    let later = start + Duration::from_millis(100);
+    assert!(!permits.ask("u", limit(10.0), later, later).is_zero());
+    let later = start + Duration::from_millis(200);
+    let wait = permits.ask("u", limit(1.0), start, later);
+    assert!(wait.is_zero(), "it was raised since, {wait:?}");
+}
+
+#[rstest]
+fn withdrawn() {
+    let start = Instant::now();
+    let mut permits = Permits::default();
+    permits.ask("u", limit(0.5), start, start);
+    assert!(!permits.ask("u", limit(0.5), start, start).is_zero());
+    let later = start + Duration::from_millis(100);
+    permits.withdrawn("u", later);
+    assert!(permits.ask("u", limit(0.5), start, later).is_zero());
+    let again = later + Duration::from_millis(1);
+    assert!(!permits.ask("u", limit(0.5), again, again).is_zero());
+}
+
+fn upstreams() -> Upstreams {
+    let mut upstreams = Upstreams::new("hall".to_owned(), BTreeMap::new());
+    upstreams.update(Upstream {
+        id: "u".to_owned(),
+        started: 0,
+        service: "desk".to_owned(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: "hall".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warmup_left: Duration::ZERO,
+        models: Vec::new(),
+    });
+    upstreams
+}
+
+#[rstest]
+fn no_room() {
+    let mut upstreams = upstreams();
+    let now = Instant::now();
+    upstreams.named_limit("u", NamedLimit::Limit(limit(2.0)), now, now);
+    assert!(upstreams.choose(&Ask::default(), now).is_ok());
+    let wait = Duration::from_millis(400);
+    upstreams.limited("u", wait, now);
+    assert_eq!(upstreams.choose(&Ask::default(), now), Err(Shortage::Full));
+    assert_eq!(upstreams.free_in(&Ask::default(), now), Some(wait));
+    assert!(upstreams.choose(&Ask::default(), now + wait).is_ok());
+}
+
+#[rstest]
+#[case::sent_after(10, NamedLimit::None, true)]
+#[case::sent_before(0, NamedLimit::None, false)]
+#[case::unreadable(10, NamedLimit::Unreadable, false)]
+fn end_of_limit(#[case] sent_ms: u64, #[case] named: NamedLimit, #[case] is_over: bool) {
+    let mut upstreams = upstreams();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    assert!(upstreams.named_limit("u", NamedLimit::Limit(limit(2.0)), at(0), at(5)));
+    assert!(!upstreams.named_limit("u", NamedLimit::Limit(limit(2.0)), at(0), at(5)));
+    let changed = upstreams.named_limit("u", named, at(sent_ms), at(20));
+    assert_eq!(
+        (changed, upstreams.limit("u").is_none()),
+        (is_over, is_over)
+    );
+}
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -9,11 +9,11 @@
 use tokio::time::MissedTickBehavior;
 use wagtailreel_core::first_ranked;
 use wagtailreel_fleet::{
-    BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, HeardNaming, HeldChunks, LoadStatus,
-    NamedWeights, Query, Status, WeightsVersion,
+    AskPermit, BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, HeardNaming, HeldChunks,
+    LoadStatus, NamedWeights, Permit, Query, Status, WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
-use wagtailreel_route::direct::Places;
+use wagtailreel_route::direct::{Limit, Permits, Places};
 
 use crate::EngineReport;
 use crate::askers::Askers;
@@ -54,6 +54,7 @@
     neighbours: Arc<Neighbours>,
     shelf: Arc<Shelf>,
     suspects: Suspects,
+    permits: Mutex<Permits>,
     socket: UdpSocket,
     /// How long the agent tells of weights that were named, and asks since when.
     naming_told: Duration,
@@ -80,6 +81,7 @@
             neighbours,
             shelf,
             suspects: Suspects::default(),
+            permits: Mutex::default(),
             socket,
             naming_told: bound + TOLD_LONGER,
         }
@@ -183,6 +185,31 @@
         }
     }
 
+    /// Gives an entry leave to send a request to an upstream that names a limit, or tells when there is room.
+    fn give_permit(&self, ask: &AskPermit, from: SocketAddr) {
+        // What is no rate is no question of an entry.
+        let Some(limit) = Limit::new(ask.per_second) else {
+            return;
+        };
+        let now = Instant::now();
+        let named_ago = Duration::from_millis(ask.named_ms.into());
+        let mut permits = self.permits.lock().unwrap_or_else(PoisonError::into_inner);
+        if ask.is_withdrawn {
+            permits.withdrawn(&ask.upstream, now);
+            return;
+        }
+        let named_at = now.checked_sub(named_ago).unwrap_or(now);
+        let wait = permits.ask(&ask.upstream, limit, named_at, now);
+        drop(permits);
+        let permit = Permit {
+            nonce: ask.nonce,
+            wait_ms: u32::try_from(wait.as_micros().div_ceil(1000)).unwrap_or(u32::MAX),
+        };
+        let datagram = Datagram::Permit(permit).to_bytes();
+        // An entry without an answer sends nothing.
+        let _ = self.socket.try_send_to(&datagram, from);
+    }
+
     /// Tells entries of requests under which upstreams end.
     fn tell_of(&self, told: &[EndedUnder], entries: &[SocketAddr]) {
         for told in told.chunks(ENDED_A_DATAGRAM) {
@@ -249,12 +276,13 @@
                         let _ = chunks.send(PeerChunks { ip, held });
                     }
                 }
+                Ok(Datagram::AskPermit(ask)) => self.give_permit(&ask, from),
                 Ok(Datagram::Ended(told)) => {
                     let askers = self.askers.recent(Instant::now());
                     self.tell_of(&self.suspects.hear(&told), &askers);
                 }
                 // Whoever speaks otherwise is no part of the system.
-                Err(_) => {}
+                Ok(Datagram::Permit(_)) | Err(_) => {}
             }
         }
     }
