--- a/crates/direct/src/agents.rs
+++ b/crates/direct/src/agents.rs
@@ -9,6 +9,8 @@
 use tokio::sync::oneshot;
 use wagtailreel_fleet::{AskPermit, Datagram, ENDED_A_DATAGRAM, EndedUnder, Permit, Query};
 
+use wagtailreel_route::direct::{Limit, Permits};
+
 use crate::view::lock;
 
 /// Nonce of a question that is asked for one request. Rounds are counted from 1, and what an agent tells unasked
@@ -37,6 +39,8 @@
     last: u32,
     /// Agents that did not answer, and until when they are passed over.
     silent: BTreeMap<IpAddr, Instant>,
+    /// The entry's own share where there are no agents.
+    alone: Permits,
 }
 
 impl Agents {
@@ -79,6 +83,13 @@
         self.send_datagram(ip, &Datagram::AskPermit(withdrawn));
     }
 
+    /// Gives a permit out of the entry's own share, where there is no agent to ask; returns how long there is
+    /// none yet.
+    pub(crate) fn permit_alone(&self, id: &str, limit: Limit, named_at: Instant) -> Duration {
+        let mut permits = lock(&self.permits);
+        permits.alone.ask(id, limit, named_at, Instant::now())
+    }
+
     /// Takes an agent's answer to a question for a permit.
     pub(crate) fn take_permit(&self, permit: &Permit) {
         let waiting = lock(&self.permits).waiting.remove(&permit.nonce);
--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -14,6 +14,9 @@
 /// Share of a limit that an agent gives in place of one that doesn't answer some entries.
 const STAND_IN_SHARE: f64 = 0.45;
 
+/// Share of a limit that an entry takes in a fleet without agents, where none knows how many there are.
+const ALONE_SHARE: f64 = 0.1;
+
 /// How long an upstream with a limit gets no request where no agent answers.
 const WITHOUT_ANSWER: Duration = Duration::from_millis(500);
 
@@ -41,6 +44,10 @@
     async fn permit(&self, pick: &Pick, limit: Limit, named_at: Instant) -> Option<Duration> {
         let agents = &self.cx.agents;
         let givers = self.permit_givers(pick);
+        if givers.is_empty() {
+            let limit = Limit::new(limit.per_second() * ALONE_SHARE)?;
+            return Some(agents.permit_alone(&pick.id, limit, named_at));
+        }
         let silent = givers.iter().take_while(|ip| agents.is_silent(**ip));
         let silent = silent.count();
         let share = if silent == 0 { 1.0 } else { STAND_IN_SHARE };
--- a/crates/direct/tests/limit.rs
+++ b/crates/direct/tests/limit.rs
@@ -161,3 +161,22 @@
         );
     }
 }
+
+/// An upstream that names a limit is still used, and little, where no agent gives permits.
+#[tokio::test]
+async fn without_agents() {
+    let registry = RegistryStandin::default();
+    registry.config(directory(1));
+    let (addr, arrivals) = upstream("127.79.83.1", "6").await;
+    registry.upstream(Change::Upstream(Box::new(registered("u", addr))));
+    let entry = entry_with_agents(&registry, Duration::from_secs(60), 9).await;
+    until_readiness(&entry, 200).await;
+    let until = Instant::now() + STABLE + SPAN;
+    let headers = [("x-id", "r1"), ("x-key", "k1")];
+    while Instant::now() < until {
+        send(entry.callers(), &request("GET", "/read/1", &headers, "")).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let counted = worst_span(&arrivals.lock().unwrap());
+    assert!((1..=6).contains(&counted), "{counted} in a span");
+}
