Requests that may have run wait for another upstream while their time lasts

What callers saw: a resumable stream whose upstream ended was broken off in the middle, with 0.2 to 1.27 s of its time left and retries in the budget. A read in the same situation got 502.

Cause: after `next=again` an upstream is chosen once. If none can take the request at that moment, a request that has not run is refused with the time to come back; one that may have run can't be, and was given up as unknown.

Ruled out: quarantine (no line for the fingerprint), the retry budget (5.0 left).

Fix: a request that may have run chooses again whenever the registry tells of an upstream, and every 50 ms for limits and pauses, which end without a word; until 60 ms before its deadline. One that has not run is refused at once as before. The event upstream-awaited says what kept it from each upstream, how long it waited and where it went on.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -94,7 +94,7 @@
     pub(crate) async fn obtain(&mut self, last_event: Option<u64>) -> Result<Live, Refusal> {
         loop {
             self.check_quarantine()?;
-            let pick = self.choose_counted().await?;
+            let pick = self.choose_next().await?;
             self.last_pick = Some(pick.clone());
             let (ending, why) = match self.connect(&pick).await {
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -5,8 +5,9 @@
 use rand::RngExt as _;
 use wagtailreel_route::direct::{Ask, LoadSource, Pick, Shortage};
 
-use crate::attempt::Call;
+use crate::attempt::{Call, LEAST_FOR_RETRY};
 use crate::dialect::Dialect;
+use crate::events;
 use crate::refusal::{LONG_PAUSE, Refusal};
 
 /// Upstreams abroad that are asked before a request goes there. Of three drawn at random one has
@@ -24,16 +25,67 @@
 /// When a place is expected to be free at a full plain service, whose answers nobody can predict.
 const FREE_IN: Duration = Duration::from_millis(200);
 
+/// Longest pause before an upstream is chosen again for a request that waits for one: limits and pauses of
+/// upstreams end without a word.
+const CHOOSE_AGAIN: Duration = Duration::from_millis(50);
+
 impl<D> Call<D>
 where
     D: Dialect,
 {
     /// Chooses an upstream, and counts whether there was one.
-    pub(crate) async fn choose_counted(&self) -> Result<Pick, Refusal> {
+    ///
+    /// A request that has not run is refused where there is none. One that may have run can't be, and waits
+    /// for as long as another attempt is worth making.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller gets.
+    pub(crate) async fn choose_next(&self) -> Result<Pick, Refusal> {
         let chosen = self.choose_permitted().await;
+        self.count_shortage(chosen.is_err());
+        match chosen {
+            Err(refusal) if self.may_have_run => self.await_upstream(refusal).await,
+            chosen => chosen,
+        }
+    }
+
+    fn count_shortage(&self, is_short: bool) {
         let mut pressure = self.service.pressure();
-        pressure.count(chosen.is_err(), Instant::now());
-        drop(pressure);
+        pressure.count(is_short, Instant::now());
+    }
+
+    /// Waits until an upstream can be chosen in place of the one that was lost; `shortage` is why none
+    /// could be at first.
+    async fn await_upstream(&self, shortage: Refusal) -> Result<Pick, Refusal> {
+        let since = Instant::now();
+        let until = self.admitted.deadline.checked_sub(LEAST_FOR_RETRY);
+        let obstacles = self.service.upstreams().obstacles(&self.ask(None), since);
+        let choosing = async {
+            loop {
+                self.check_quarantine()?;
+                let changed = self.service.changed.notified();
+                // Some of what is waited for comes with time alone.
+                let _ = tokio::time::timeout(CHOOSE_AGAIN, changed).await;
+                if let Ok(pick) = self.choose_permitted().await {
+                    return Ok(pick);
+                }
+            }
+        };
+        let chosen = match until {
+            Some(until) => tokio::time::timeout_at(until.into(), choosing).await.ok(),
+            None => None,
+        };
+        let chosen = chosen.unwrap_or(Err(Refusal::Unknown));
+        let obstacles = obstacles.iter().map(|(it, count)| format!("{it} {count}"));
+        events::UPSTREAM_AWAITED.emit(&[
+            ("id", &self.admitted.id),
+            ("service", &self.admitted.service),
+            ("shortage", &shortage.to_string()),
+            ("obstacles", &obstacles.collect::<Vec<_>>().join(", ")),
+            ("waited_ms", &since.elapsed().as_millis().to_string()),
+            ("upstream", chosen.as_ref().map_or("", |pick| &pick.id)),
+        ]);
         chosen
     }
 
@@ -46,7 +98,7 @@
             }
         }
         let back_in = self.back_in(Shortage::Full, &self.ask(None), Instant::now());
-        Err(self.not_sent(Refusal::Full { back_in }))
+        Err(Refusal::Full { back_in })
     }
 
     /// Chooses an upstream; asks a few abroad how they are before a request goes there.
@@ -107,18 +159,18 @@
 
     fn choose(&self, heard_since: Option<Instant>) -> Result<Pick, Refusal> {
         if self.admitted.customer.is_some() && !self.cx.trusts_keys() {
-            return Err(self.not_sent(Refusal::StaleConfiguration));
+            return Err(Refusal::StaleConfiguration);
         }
         let ask = self.ask(heard_since);
         let now = Instant::now();
         let chosen = self.service.upstreams().choose(&ask, now);
         chosen.map_err(|shortage| {
             let back_in = self.back_in(shortage, &ask, now);
-            self.not_sent(match shortage {
+            match shortage {
                 Shortage::NoUpstream => Refusal::NoUpstream { back_in },
                 Shortage::Weights => Refusal::Weights { back_in },
                 Shortage::Full => Refusal::Full { back_in },
-            })
+            }
         })
     }
 
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -122,6 +122,16 @@
     remedy: "Look why the upstream is in need; mend it if it names something else than a number.",
 };
 
+/// A request that may have run waited for another upstream.
+pub const UPSTREAM_AWAITED: Event = Event {
+    id: 6119,
+    name: "upstream-awaited",
+    level: Level::Info,
+    meaning: "A request that was lost waited for an upstream to go on at; `obstacles` counts those that were \
+              passed over at first, `upstream` is empty where its time was over before one could be chosen.",
+    remedy: "If it is often empty, add upstreams, or look why those that are registered are passed over.",
+};
+
 /// A request is quarantined.
 pub const REQUEST_QUARANTINED: Event = Event {
     id: 6117,
@@ -177,5 +187,6 @@
     REQUEST_QUARANTINED,
     REQUEST_DONE,
     REQUEST_REFUSED,
+    UPSTREAM_AWAITED,
     ATTEMPT_ENDED,
 ];
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -30,6 +30,8 @@
     pressure: Mutex<Pressure>,
     /// An agent told of one of the upstreams.
     pub(crate) heard: Notify,
+    /// The registry told of one of the upstreams.
+    pub(crate) changed: Notify,
     pub(crate) pool: Pool,
 }
 
@@ -166,6 +168,7 @@
                 budget: Mutex::new(RetryBudget::new(budget)),
                 pressure: Mutex::new(Pressure::new(Instant::now())),
                 heard: Notify::new(),
+                changed: Notify::new(),
                 pool: Pool::default(),
             })
         });
@@ -294,7 +297,9 @@
             ("state", upstream.state.to_string()),
             ("version", version.unwrap_or_default().to_string()),
         ];
-        if service.upstreams().update(upstream) {
+        let is_changed = service.upstreams().update(upstream);
+        service.changed.notify_waiters();
+        if is_changed {
             let fields: Vec<(&str, &str)> = fields.iter().map(|(k, v)| (*k, v.as_str())).collect();
             events::UPSTREAM_CHANGED.emit(&fields);
         }
--- /dev/null
+++ b/crates/route/src/direct/obstacle.rs
@@ -0,0 +1,63 @@
+//! Why upstreams are passed over, for the log.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use wagtailreel_fleet::UpstreamState;
+
+use super::member::Member;
+use super::{Ask, Shortage, Upstreams};
+
+/// What keeps a request from an upstream that is registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum Obstacle {
+    /// The request was sent to it, or did not reach it.
+    #[display("tried")]
+    Tried,
+    /// It is leaving, or not ready yet.
+    #[display("not-ready")]
+    NotReady,
+    /// Attempts failed there lately, or it is changing its weights.
+    #[display("failing")]
+    Failing,
+    /// It names a limit and has no room within it.
+    #[display("limited")]
+    Limited,
+    /// It doesn't hold the weights.
+    #[display("weights")]
+    Weights,
+    /// It is full.
+    #[display("full")]
+    Full,
+}
+
+impl Upstreams {
+    /// Counts the registered upstreams that `ask` can't be sent to, by what keeps it from them.
+    pub fn obstacles(&self, ask: &Ask<'_>, now: Instant) -> BTreeMap<Obstacle, u32> {
+        let mut counts = BTreeMap::new();
+        for obstacle in self.members().filter_map(|it| self.obstacle(it, ask, now)) {
+            *counts.entry(obstacle).or_default() += 1;
+        }
+        counts
+    }
+
+    fn obstacle(&self, member: &Member, ask: &Ask<'_>, now: Instant) -> Option<Obstacle> {
+        if ask.tried.contains(&member.upstream.id) {
+            return Some(Obstacle::Tried);
+        }
+        if member.upstream.state != UpstreamState::Ready {
+            return Some(Obstacle::NotReady);
+        }
+        if member.limited_for(now) > Duration::ZERO {
+            return Some(Obstacle::Limited);
+        }
+        let shortage = self
+            .offer(member, ask, self.presumed(ask, now), now)
+            .err()?;
+        Some(match shortage {
+            Shortage::NoUpstream => Obstacle::Failing,
+            Shortage::Weights => Obstacle::Weights,
+            Shortage::Full => Obstacle::Full,
+        })
+    }
+}
