Entries that start together read both topics from a seed first

Cause: entries hear of each other from the agents beside engines, and of these from the list of upstreams. Entries that start together therefore each read that list over their region's link. 50 readers of 3,000 heartbeats ask for more than the link carries, no read ends within its 500 ms, each begins again from nothing, and reads of the settings fail on the same link. Nothing ends that state: who can't read the list never hears of the neighbour that could read it for all. Settings had a way out, the seeds; but a seed also waited 0.7 s for neighbours to be named, as long as the others waited for the seed, so that all gave up waiting at the same moment.

Fix: the first read of either topic goes to the seeds; a seed reads the registry at once, without waiting for those that wait for it. Both topics share one limit, so that a process whose seeds are gone waits no longer than before.

seeds::upstreams_of_late_seed fails without the fix: the seed is never asked.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -168,6 +168,7 @@
         )
         .with_mirror(Arc::clone(&mirror))
         .with_seeds(Seeds::new(own, &cx.settings.seeds))
+        .with_is_seed(cx.settings.seeds.contains(&own.ip()))
         .with_counters(calls);
         let copied = wagtailreel_nearby::router(mirror).merge(far::router(Arc::clone(&far)));
         let copied = Routes::new(copied);
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -1,7 +1,7 @@
 //! The registry, read through a neighbour where there is one.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +23,13 @@
 /// Pause after an answer that is old from a neighbour that is reading.
 const READING_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a process has asked for since it started.
+#[derive(Debug, Default)]
+struct Start {
+    since: Option<BootTime>,
+    asked: BTreeSet<Topic>,
+}
+
 /// The registry, read through a neighbour where there is one.
 #[derive(Clone, Debug)]
 pub struct Nearby<R> {
@@ -35,7 +42,9 @@
     seeds: Seeds,
     /// Whom the last answer came from, for the event of a change.
     reader: Arc<Mutex<Option<SocketAddr>>>,
-    has_started: Arc<AtomicBool>,
+    start: Arc<Mutex<Start>>,
+    /// Processes that start together read from this one, which waits for none of them.
+    is_seed: bool,
     own_turn: Arc<Mutex<OwnTurn>>,
     stand_in: Arc<Mutex<StandIn>>,
     counters: Option<CallCounters>,
@@ -56,7 +65,8 @@
             neighbours,
             seeds: Seeds::default(),
             reader: Arc::default(),
-            has_started: Arc::default(),
+            start: Arc::default(),
+            is_seed: false,
             own_turn: Arc::new(Mutex::new(OwnTurn::new(pauses.own))),
             stand_in: Arc::new(Mutex::new(StandIn::new(pauses.stand_in))),
             counters: None,
@@ -70,13 +80,21 @@
         self
     }
 
-    /// Reads the settings first from the nearest of `seeds` that knows them.
+    /// Reads each topic first from the nearest of `seeds` that knows it.
     #[must_use]
     pub fn with_seeds(mut self, seeds: Seeds) -> Self {
         self.seeds = seeds;
         self
     }
 
+    /// Says whether this process is a seed of others: they wait for it, so that it waits for nobody before it
+    /// first reads the registry.
+    #[must_use]
+    pub const fn with_is_seed(mut self, is_seed: bool) -> Self {
+        self.is_seed = is_seed;
+        self
+    }
+
     /// Counts calls to the registry in `counters`.
     #[must_use]
     pub fn with_counters(mut self, counters: CallCounters) -> Self {
@@ -91,9 +109,8 @@
     /// Returns the [`Cause`] for asking the registry itself.
     async fn ask(&self, question: &Question) -> Result<Heard, Cause> {
         let topic = question.topic;
-        if topic == Topic::Settings
-            && !self.has_started.swap(true, Ordering::Relaxed)
-            && let Some(heard) = self.ask_seeds().await
+        if let Some(limit) = self.first_wait(topic)
+            && let Some(heard) = self.ask_seeds(topic, limit).await
         {
             return Ok(heard);
         }
@@ -129,22 +146,39 @@
         old.map(Heard::Known).ok_or(Cause::NeighbourReads)
     }
 
-    /// Asks the seeds for the settings, until agents have named neighbours or it is no use to wait for them;
-    /// returns what a seed knows.
-    async fn ask_seeds(&self) -> Option<Heard> {
+    /// Returns how long the first read of `topic` waits for seeds and neighbours; none if there is nothing to
+    /// wait for, or it was read before.
+    ///
+    /// Upstreams have to be known before their agents can name neighbours, so that only seeds are waited for.
+    fn first_wait(&self, topic: Topic) -> Option<Duration> {
+        let mut start = self.start.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = BootTime::now();
+        let since = *start.since.get_or_insert(now);
+        let is_first = start.asked.insert(topic);
+        let may_be_named = topic == Topic::Settings || !self.seeds.is_empty();
+        let waits = is_first && may_be_named && !self.is_seed;
+        waits.then(|| self.cfg.start_wait.saturating_sub(now.since(since)))
+    }
+
+    /// Asks the seeds for `topic` for up to `limit`, until agents have named neighbours or it is no use to wait
+    /// for them; returns what a seed knows.
+    ///
+    /// Load pattern: 50 entries of a data centre that start together, each of which would read thousands of
+    /// upstreams over its region's link. None of the reads ends in its time, and each begins from nothing.
+    async fn ask_seeds(&self, topic: Topic, limit: Duration) -> Option<Heard> {
         let question = Question {
-            topic: Topic::Settings,
+            topic,
             path: "/newest?wait_ms=0".to_owned(),
             wait: Duration::ZERO,
             is_for_news: false,
         };
-        let oldest = self.cfg.longest_age(Topic::Settings);
+        let oldest = self.cfg.longest_age(topic);
         let first_known = self.seeds.first_known(&self.client, &question, oldest);
         tokio::select! {
-            () = self.neighbours.until_named(self.cfg.start_wait) => None,
+            () = self.neighbours.until_named(limit) => None,
             (seed, heard) = first_known => {
                 self.neighbours.introduce(seed);
-                self.note_reader(Topic::Settings, Some(seed));
+                self.note_reader(topic, Some(seed));
                 Some(heard)
             }
         }
--- a/crates/nearby/src/seeds.rs
+++ b/crates/nearby/src/seeds.rs
@@ -34,6 +34,11 @@
         Self(addrs.collect())
     }
 
+    /// Says whether there are none.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns what the nearest seed that knows anything answers to `question`, and which that is; never
     /// returns while none does.
     pub(crate) async fn first_known(
@@ -42,7 +47,7 @@
         question: &Question,
         oldest: Duration,
     ) -> (SocketAddr, Heard) {
-        if self.0.is_empty() {
+        if self.is_empty() {
             std::future::pending::<()>().await;
         }
         loop {
--- a/crates/nearby/tests/seeds.rs
+++ b/crates/nearby/tests/seeds.rs
@@ -5,9 +5,9 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::Entry;
+use common::{Entry, upstream};
 use rstest::rstest;
 use wagtailreel_fleet::{BootTime, Change, ClientLimits, Directory, Registry as _, Topic};
 use wagtailreel_nearby::{Nearby, NearbyConfig, Neighbours, Seeds};
@@ -91,6 +91,43 @@
     assert_eq!(newcomer.store.calls(), 0, "by the seed");
 }
 
+/// Guards against processes that start together and each read all upstreams for themselves.
+#[rstest]
+#[tokio::test]
+async fn upstreams_of_late_seed() {
+    let entry = Entry::start().await;
+    entry.store.upstream(upstream("u-1"));
+    let newcomer = Newcomer::new(&entry, &[entry.addr.ip()]);
+    let until_asked = async {
+        while !entry.mirror.was_asked_within(TIMEOUT) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let read = async {
+        let was_asked = tokio::time::timeout(TIMEOUT, until_asked).await;
+        was_asked.expect("the seed is asked");
+        entry.registry.newest(Topic::Upstreams, TIMEOUT).await
+    };
+    let asked = newcomer.registry.newest(Topic::Upstreams, TIMEOUT);
+    let (asked, read) = tokio::join!(asked, read);
+    assert_eq!(asked.unwrap().items, read.unwrap().items);
+    assert_eq!(newcomer.store.calls(), 0, "by the seed");
+}
+
+/// Guards against a seed that waits for others while they wait for it.
+#[rstest]
+#[case::settings(Topic::Settings)]
+#[case::upstreams(Topic::Upstreams)]
+#[tokio::test]
+async fn seed_reads_at_once(#[case] topic: Topic) {
+    let store = RegistryStandin::default();
+    let cfg = NearbyConfig::seldom(Duration::from_secs(4));
+    let registry = Nearby::new(store, cfg, Arc::new(Neighbours::of_a_guest())).with_is_seed(true);
+    let began = Instant::now();
+    registry.newest(topic, TIMEOUT).await.unwrap();
+    assert!(began.elapsed() < cfg.start_wait / 2, "it waits for nobody");
+}
+
 /// Without a seed that lives the newcomer reads for itself.
 #[rstest]
 #[tokio::test]
