Find removed upstreams by a set of the listed ids

Each read of the newest records compared each known upstream with each listed one, 9 million comparisons at 3,000 upstreams, on a VM with a quarter of a core. Behaviour is the same.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -1,6 +1,6 @@
 //! What to read of a topic next, and what the answers change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use wagtailreel_core::Offset;
@@ -83,7 +83,7 @@
         let goes_on = self.burst_end.is_some_and(|end| snapshot.end > end);
         self.burst_end = goes_on.then_some(snapshot.end);
         self.next = (!goes_on).then_some(snapshot.end);
-        let listed: Vec<UpstreamId> = snapshot
+        let listed: BTreeSet<UpstreamId> = snapshot
             .items
             .iter()
             .filter_map(|item| match &item.change {
@@ -94,7 +94,7 @@
         let missing: Vec<UpstreamId> = self
             .known
             .keys()
-            .filter(|id| !listed.contains(id))
+            .filter(|id| !listed.contains(*id))
             .cloned()
             .collect();
         let mut changes = self.take(snapshot.items, now);
