--- a/crates/route/src/direct/permits.rs
+++ b/crates/route/src/direct/permits.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use wagtailreel_fleet::UpstreamId;
+use wagtailreel_fleet::{AskPermit, Permit, UpstreamId};
 
 use super::limit::Limit;
 
@@ -43,6 +43,24 @@
 }
 
 impl Permits {
+    /// Answers a question for a permit; takes a withdrawal, which wants no answer.
+    ///
+    /// What names no rate is no question of an entry.
+    pub fn answer(&mut self, ask: &AskPermit, now: Instant) -> Option<Permit> {
+        let limit = Limit::new(ask.per_second)?;
+        if ask.is_withdrawn {
+            self.withdrawn(&ask.upstream, now);
+            return None;
+        }
+        let named_ago = Duration::from_millis(ask.named_ms.into());
+        let named_at = now.checked_sub(named_ago).unwrap_or(now);
+        let wait = self.ask(&ask.upstream, limit, named_at, now);
+        Some(Permit {
+            nonce: ask.nonce,
+            wait_ms: u32::try_from(wait.as_micros().div_ceil(1000)).unwrap_or(u32::MAX),
+        })
+    }
+
     /// Asks for leave to send one request to an upstream that named `limit` at `named_at`; returns how long
     /// it has no room yet, which is no time if the request may be sent.
     ///
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -10,10 +10,10 @@
 use wagtailreel_core::first_ranked;
 use wagtailreel_fleet::{
     AskPermit, BootTime, Datagram, ENDED_A_DATAGRAM, EndedUnder, HeardNaming, HeldChunks,
-    LoadStatus, NamedWeights, Permit, Query, Status, WeightsVersion,
+    LoadStatus, NamedWeights, Query, Status, WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
-use wagtailreel_route::direct::{Limit, Permits, Places};
+use wagtailreel_route::direct::{Permits, Places};
 
 use crate::EngineReport;
 use crate::askers::Askers;
@@ -187,24 +187,11 @@
 
     /// Gives an entry leave to send a request to an upstream that names a limit, or tells when there is room.
     fn give_permit(&self, ask: &AskPermit, from: SocketAddr) {
-        // What is no rate is no question of an entry.
-        let Some(limit) = Limit::new(ask.per_second) else {
-            return;
-        };
-        let now = Instant::now();
-        let named_ago = Duration::from_millis(ask.named_ms.into());
         let mut permits = self.permits.lock().unwrap_or_else(PoisonError::into_inner);
-        if ask.is_withdrawn {
-            permits.withdrawn(&ask.upstream, now);
+        let Some(permit) = permits.answer(ask, Instant::now()) else {
             return;
-        }
-        let named_at = now.checked_sub(named_ago).unwrap_or(now);
-        let wait = permits.ask(&ask.upstream, limit, named_at, now);
-        drop(permits);
-        let permit = Permit {
-            nonce: ask.nonce,
-            wait_ms: u32::try_from(wait.as_micros().div_ceil(1000)).unwrap_or(u32::MAX),
         };
+        drop(permits);
         let datagram = Datagram::Permit(permit).to_bytes();
         // An entry without an answer sends nothing.
         let _ = self.socket.try_send_to(&datagram, from);
