In fleets without agents, seeds give permits and pass on which requests end upstreams

What callers saw: in a fleet of plain upstreams each entry kept a tenth of an upstream's limit, and learned of a withdrawal only from its own next answer, which came after 10 s at a limit of 1 a second: an upstream in good health again got 6 requests in 4 s where its neighbour got 265. A request that ends upstreams ended 17 or 18 (findings of the users, six entries), since each entry had to see three ends itself.

Cause: what one entry learns meets at agents, and there are none.

Fix: entries that all settings name as seeds take the place of agents. They answer questions for permits from the same token bucket, are asked twice a second by each entry, pass accounts of requests on at once, and tell them again each second for 5 s. Ranking, the share of a stand-in and the pause after silence are those of agents.

limit::sum_over_entries::no_agents (six entries, limits of 1, 2.7 and 6) failed with the seeds taken away: 0 requests in the last span at a limit of 1, at least 3 fit. The two cases of crashing::repeats_without_agents (six entries) failed likewise: 4 and 8 late arrivals, allowed 3, 18 upstreams ended. All pass with seeds, and the other cases as before.

--- a/crates/direct/src/agents.rs
+++ b/crates/direct/src/agents.rs
@@ -28,6 +28,9 @@
 pub(crate) struct Agents {
     socket: Arc<UdpSocket>,
     port: u16,
+    /// Entries that do what agents do in a fleet without any; they listen on the port of this one.
+    seeds: Arc<[IpAddr]>,
+    own: SocketAddr,
     permits: Arc<Mutex<AskedPermits>>,
 }
 
@@ -44,15 +47,22 @@
 }
 
 impl Agents {
-    /// Makes the way to agents that listen on `port` of their VMs.
-    pub(crate) fn new(socket: UdpSocket, port: u16) -> Self {
+    /// Makes the way of the entry at `own` to agents that listen on `port` of their VMs.
+    pub(crate) fn new(socket: UdpSocket, own: SocketAddr, port: u16, seeds: &[IpAddr]) -> Self {
         Self {
             socket: Arc::new(socket),
             port,
+            seeds: seeds.into(),
+            own,
             permits: Arc::default(),
         }
     }
 
+    /// Says whether a datagram from `from` is this entry's own.
+    pub(crate) fn is_own(&self, from: SocketAddr) -> bool {
+        from == self.own
+    }
+
     pub(crate) fn socket(&self) -> &UdpSocket {
         &self.socket
     }
@@ -132,10 +142,15 @@
 
     /// Tells the agents on the VMs `ips` of requests that upstreams ended under.
     pub(crate) fn tell(&self, ips: &[IpAddr], ended: &[EndedUnder]) {
+        for ip in ips {
+            self.tell_one(self.addr_of(*ip), ended);
+        }
+    }
+
+    /// Tells the process at `addr` of requests that upstreams ended under.
+    pub(crate) fn tell_one(&self, addr: SocketAddr, ended: &[EndedUnder]) {
         for ended in ended.chunks(ENDED_A_DATAGRAM) {
-            for ip in ips {
-                self.send_datagram(*ip, &Datagram::Ended(ended.to_vec()));
-            }
+            self.send_to(addr, &Datagram::Ended(ended.to_vec()));
         }
     }
 
@@ -145,9 +160,17 @@
     }
 
     fn send_datagram(&self, ip: IpAddr, datagram: &Datagram) {
+        self.send_to(self.addr_of(ip), datagram);
+    }
+
+    /// Sends a datagram to the process at `addr`.
+    pub(crate) fn send_to(&self, addr: SocketAddr, datagram: &Datagram) {
         // What is lost is made up for by the next question, or told again.
-        let _ = self
-            .socket
-            .try_send_to(&datagram.to_bytes(), SocketAddr::new(ip, self.port));
+        let _ = self.socket.try_send_to(&datagram.to_bytes(), addr);
+    }
+
+    fn addr_of(&self, ip: IpAddr) -> SocketAddr {
+        let is_seed = self.seeds.contains(&ip);
+        SocketAddr::new(ip, if is_seed { self.own.port() } else { self.port })
     }
 }
--- a/crates/direct/src/givers.rs
+++ b/crates/direct/src/givers.rs
@@ -1,4 +1,5 @@
-//! Agents that entries turn to with what concerns all of them: the same ones at each entry.
+//! Processes that entries turn to with what concerns all of them: the same ones at each entry. These are
+//! agents, or in a fleet without any the entries that the settings name as seeds.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -42,7 +43,16 @@
         own.into_iter().chain(others).take(PERMIT_GIVERS).collect()
     }
 
-    /// Returns the VMs that have agents: those of the engines.
+    /// Returns the seeds that do for the fleet what agents do elsewhere; none where there are agents.
+    pub(crate) fn seeds_in_place(&self) -> &[IpAddr] {
+        let has_agents = self.engine_services().into_iter().any(|(service, _)| {
+            let upstreams = service.upstreams();
+            upstreams.members().next().is_some()
+        });
+        if has_agents { &[] } else { self.seeds() }
+    }
+
+    /// Returns the VMs that have agents: those of the engines, or the seeds where there are none.
     fn agents(&self) -> BTreeSet<(DataCentre, IpAddr)> {
         let mut agents = BTreeSet::new();
         for (service, _) in self.engine_services() {
@@ -51,6 +61,10 @@
                 agents.insert((upstream.data_centre.clone(), upstream.addr.ip()));
             }
         }
+        if agents.is_empty() {
+            let seeds = self.seeds().iter();
+            agents.extend(seeds.map(|ip| (DataCentre::default(), *ip)));
+        }
         agents
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod far;
 mod front;
 mod givers;
+mod in_place;
 mod limits;
 mod live;
 mod load;
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -15,6 +15,7 @@
 use crate::agents::{Agents, OUT_OF_TURN};
 use crate::events;
 use crate::far::FarWords;
+use crate::in_place::InPlace;
 use crate::suspects::Suspects;
 use crate::view::{Service, View};
 
@@ -25,6 +26,9 @@
 /// How many near questions there are for each one to another data centre, whose links are narrow.
 const FAR_EVERY: u32 = 5;
 
+/// How many near questions there are for each time that requests are told of again, in fleets without agents.
+const TELL_AGAIN_EVERY: u32 = 10;
+
 /// Agents of another data centre, of which its entries tell, that are asked in a turn: they tell which
 /// entries there are, and hear of weights that were named.
 const FAR_ASKED: f64 = 2.0;
@@ -54,6 +58,7 @@
     let mut round: u32 = 0;
     let mut rounds = Rounds::default();
     let mut clocks = AgentClocks::default();
+    let mut in_place = InPlace::new(Arc::clone(&view), agents.clone(), Arc::clone(&suspects));
     // What was asked of each VM, so that an answer locks one service alone.
     let mut known: BTreeMap<IpAddr, Asked> = BTreeMap::new();
     loop {
@@ -66,6 +71,10 @@
                 if is_far_turn {
                     // Those that are gone are forgotten.
                     known.clear();
+                    in_place.ask_seeds();
+                }
+                if round.is_multiple_of(TELL_AGAIN_EVERY) {
+                    in_place.tell_again();
                 }
                 let abroad = is_far_turn.then_some(far.as_ref());
                 let engines = engines(&view, &home, abroad);
@@ -85,14 +94,22 @@
                 let status = match Datagram::from_bytes(&buf[..len]) {
                     Ok(Datagram::Status(status)) => status,
                     Ok(Datagram::Ended(told)) => {
-                        suspects.hear(&told);
+                        in_place.told(&told, from);
+                        continue;
+                    }
+                    Ok(Datagram::Query(_)) => {
+                        in_place.asked(from);
+                        continue;
+                    }
+                    Ok(Datagram::AskPermit(ask)) => {
+                        in_place.permit(&ask, from);
                         continue;
                     }
                     Ok(Datagram::Permit(permit)) => {
                         agents.take_permit(&permit);
                         continue;
                     }
-                    Ok(Datagram::Query(_) | Datagram::AskPermit(_)) | Err(_) => continue,
+                    Err(_) => continue,
                 };
                 let asked_of = known.get(&from.ip());
                 match asked_of {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -139,11 +139,12 @@
         };
         let regions = settings.regions.clone();
         let home = settings.data_centre.clone();
-        let view = Arc::new(View::new(home.clone(), regions, bounds));
+        let view = View::new(home.clone(), regions, bounds).with_seeds(settings.seeds.clone());
+        let view = Arc::new(view);
         let agent_port = settings.agent_port;
         let pace = settings.bounds.upstreams_pace;
         let lapse_after = settings.bounds.lapse_after;
-        let agents = Agents::new(socket, agent_port);
+        let agents = Agents::new(socket, own, agent_port, &settings.seeds);
         let suspects = Arc::new(Suspects::new(Arc::clone(&view), agents.clone()));
         let cx = Arc::new(Shared {
             dialect,
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -4,6 +4,7 @@
 //! same few for the same request, so that what several entries saw meets there. From there all entries
 //! that ask the agent hear of it.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,6 +21,9 @@
 /// Pauses before an account is told to the same agents again, for datagrams that are lost.
 const REPEATS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
+/// How long others are told again of what was learned of a request, for datagrams that are lost.
+const TOLD_FOR: Duration = Duration::from_secs(5);
+
 /// Requests under which upstreams end.
 #[derive(Debug)]
 pub(crate) struct Suspects {
@@ -78,13 +82,35 @@
         }
     }
 
-    /// Takes what an agent tells.
-    pub(crate) fn hear(&self, told: &[EndedUnder]) {
+    /// Takes what another process tells, or this one told itself if `is_own`; returns what others are to be
+    /// told of it.
+    pub(crate) fn hear(&self, told: &[EndedUnder], is_own: bool) -> Vec<EndedUnder> {
+        let mut news = BTreeSet::new();
         for account in told {
+            let mut is_news = false;
             self.change(account.fingerprint, "heard", |known| {
-                known.hear(account, BootTime::now());
+                is_news = known.hear(account, BootTime::now());
             });
+            if is_news || is_own {
+                news.insert(account.fingerprint);
+            }
         }
+        let mut told = Vec::new();
+        if !news.is_empty() {
+            told = self.all();
+            told.retain(|account| news.contains(&account.fingerprint));
+        }
+        told
+    }
+
+    /// Returns all that others are to know.
+    pub(crate) fn all(&self) -> Vec<EndedUnder> {
+        lock(&self.known).told_of(Duration::MAX, BootTime::now())
+    }
+
+    /// Returns what others are told again.
+    pub(crate) fn learned_lately(&self) -> Vec<EndedUnder> {
+        lock(&self.known).told_of(TOLD_FOR, BootTime::now())
     }
 
     /// Waits until a request is quarantined.
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -63,6 +63,8 @@
 pub(crate) struct View {
     data_centre: DataCentre,
     regions: BTreeMap<DataCentre, Region>,
+    /// Entries that the settings of all entries name.
+    seeds: Vec<IpAddr>,
     bounds: Bounds,
     directory: RwLock<Option<Arc<Directory>>>,
     confirmed: Mutex<BTreeMap<Topic, BootTime>>,
@@ -83,6 +85,7 @@
         Self {
             data_centre,
             regions,
+            seeds: Vec::new(),
             bounds,
             directory: RwLock::default(),
             confirmed: Mutex::default(),
@@ -94,6 +97,16 @@
         }
     }
 
+    /// Names entries that all entries know.
+    pub(crate) fn with_seeds(mut self, seeds: Vec<IpAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    pub(crate) fn seeds(&self) -> &[IpAddr] {
+        &self.seeds
+    }
+
     /// Returns the services whose upstreams are engines, each with its model.
     pub(crate) fn engine_services(&self) -> Vec<(Arc<Service>, ModelName)> {
         let Some(directory) = self.directory() else {
--- a/crates/direct/tests/common/agent.rs
+++ b/crates/direct/tests/common/agent.rs
@@ -1,12 +1,12 @@
 //! The agent of one engine, which says of it what it is told to.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use wagtailreel_fleet::{Datagram, LoadStatus, Permit, Status};
-use wagtailreel_route::direct::{Limit, Permits};
+use wagtailreel_fleet::{Datagram, LoadStatus, Status};
+use wagtailreel_route::direct::Permits;
 
 /// Answers questions on `ip` and `port` with the status that the sender was last given.
 pub(crate) async fn agent_of(ip: &str, port: u16, load: LoadStatus) -> watch::Sender<LoadStatus> {
@@ -31,20 +31,10 @@
             let query = match Datagram::from_bytes(&buf[..len]) {
                 Ok(Datagram::Query(query)) => query,
                 Ok(Datagram::AskPermit(ask)) => {
-                    let limit = Limit::new(ask.per_second).unwrap();
-                    let now = Instant::now();
-                    if ask.is_withdrawn {
-                        permits.withdrawn(&ask.upstream, now);
-                        continue;
+                    if let Some(permit) = permits.answer(&ask, Instant::now()) {
+                        let answer = Datagram::Permit(permit).to_bytes();
+                        socket.send_to(&answer, from).await.unwrap();
                     }
-                    let named_ago = Duration::from_millis(ask.named_ms.into());
-                    let wait = permits.ask(&ask.upstream, limit, now - named_ago, now);
-                    let permit = Permit {
-                        nonce: ask.nonce,
-                        wait_ms: wait.as_micros().div_ceil(1000).try_into().unwrap(),
-                    };
-                    let answer = Datagram::Permit(permit).to_bytes();
-                    socket.send_to(&answer, from).await.unwrap();
                     continue;
                 }
                 _ => continue,
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod upstream;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -219,6 +219,18 @@
     registry: &RegistryStandin,
     keys: Duration,
     agent_port: u16,
+) -> DirectEntry<TestDialect> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    entry_at(registry, keys, any, agent_port, &[]).await
+}
+
+/// Starts an entry that talks to agents and other entries at `agents`, of which `seeds` are known to all.
+pub(crate) async fn entry_at(
+    registry: &RegistryStandin,
+    keys: Duration,
+    agents: SocketAddr,
+    agent_port: u16,
+    seeds: &[IpAddr],
 ) -> DirectEntry<TestDialect> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = DirectEntrySettings {
@@ -228,11 +240,11 @@
         listen: DirectListen {
             callers: any,
             status: any,
-            agents: any,
+            agents,
         },
         registry: any,
         agent_port,
-        seeds: Vec::new(),
+        seeds: seeds.to_vec(),
         threads: 1,
         bounds: DirectBounds {
             keys,
--- a/crates/direct/tests/crashing.rs
+++ b/crates/direct/tests/crashing.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use common::caller::{Answer, request, send};
-use common::{TestDialect, directory, entry_with_agents, registered, until_readiness};
+use common::{TestDialect, directory, entry_at, entry_with_agents, registered, until_readiness};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -34,6 +34,9 @@
 /// Pause between two repeats.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The same where each entry, left to itself, takes longer than the window to see upstreams end three times.
+const LONG_PAUSE: Duration = Duration::from_millis(400);
+
 /// What marks a request under which upstreams end.
 const MARK: &str = "ends-you";
 
@@ -208,6 +211,21 @@
     });
 }
 
+/// Starts entries of a fleet without agents, which know the first of them as seeds.
+async fn entries_alone(fleet: &Fleet, net: u8, count: u8) -> Vec<DirectEntry<TestDialect>> {
+    let port = common::agent::free_port().await;
+    let seeds = [101, 102, 103].map(|number| IpAddr::from([127, 79, net, number]));
+    let mut entries = Vec::new();
+    for number in 101..101 + count {
+        let own = SocketAddr::from(([127, 79, net, number], port));
+        let keys = Duration::from_secs(60);
+        let entry = entry_at(&fleet.registry, keys, own, port, &seeds).await;
+        until_readiness(&entry, 200).await;
+        entries.push(entry);
+    }
+    entries
+}
+
 async fn entries(fleet: &Fleet, agent_port: u16, count: usize) -> Vec<DirectEntry<TestDialect>> {
     let mut entries = Vec::new();
     for _ in 0..count {
@@ -243,6 +261,38 @@
         relay(SocketAddr::from(([127, 79, net, number], agent_port))).await;
     }
     let entries = entries(&fleet, agent_port, 3).await;
+    repeat_at(&fleet, &entries, PAUSE, method, path, body).await;
+}
+
+/// The same in a fleet of plain upstreams, which has no agents.
+#[rstest]
+#[case::by_path(4, "GET", "/read/ends-you", "")]
+#[case::by_body(5, "POST", "/order/1", "ends-you")]
+#[tokio::test]
+async fn repeats_without_agents(
+    #[case] net: u8,
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] body: &str,
+) {
+    let fleet = Fleet::new();
+    for number in 1..=12 {
+        let listener = TcpListener::bind(format!("127.79.{net}.{number}:0")).await;
+        tokio::spawn(fleet.clone().live(listener.unwrap(), false));
+    }
+    let entries = entries_alone(&fleet, net, 6).await;
+    repeat_at(&fleet, &entries, LONG_PAUSE, method, path, body).await;
+}
+
+/// Repeats a request that ends upstreams at all entries, and holds what upstreams saw against the promise.
+async fn repeat_at(
+    fleet: &Fleet,
+    entries: &[DirectEntry<TestDialect>],
+    pause: Duration,
+    method: &str,
+    path: &str,
+    body: &str,
+) {
     let innocent = if body.is_empty() {
         (path.replace(MARK, "innocent"), String::new())
     } else {
@@ -251,7 +301,7 @@
     let started = Instant::now();
     let mut number = 0;
     let mut unserved = 0;
-    while started.elapsed() < WINDOW + Duration::from_secs(3) {
+    while started.elapsed() < WINDOW + Duration::from_secs(3) + pause * 5 {
         number += 1;
         let entry = entries[number % entries.len()].callers();
         let refused = call(entry, number, method, path, body).await;
@@ -261,7 +311,7 @@
         if started.elapsed() > WINDOW + Duration::from_secs(1) && served.status != 200 {
             unserved += 1;
         }
-        sleep(PAUSE).await;
+        sleep(pause).await;
     }
     let late = fleet.late_arrivals();
     let ended = fleet.record.lock().unwrap().ends.len();
--- a/crates/direct/tests/limit.rs
+++ b/crates/direct/tests/limit.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -11,7 +11,7 @@
 use axum::http::HeaderMap;
 use common::agent::{Beside, free_port};
 use common::caller::{request, send};
-use common::{directory, entry_with_agents, registered, until_readiness};
+use common::{directory, entry_at, entry_with_agents, registered, until_readiness};
 use rstest::rstest;
 use tokio::net::TcpListener;
 use wagtailreel_fleet::{Change, LoadedModel, Upstream};
@@ -37,6 +37,14 @@
 /// Pause between two requests to an entry.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// Which upstreams a fleet has; agents stand beside engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Engines,
+    PlainAndEngines,
+    Plain,
+}
+
 type Arrivals = Arc<Mutex<Vec<Instant>>>;
 
 /// Starts an upstream that names `limit` in its answers, or nothing.
@@ -92,10 +100,11 @@
 }
 
 #[rstest]
-#[case::engines(81, "/written/1", true)]
-#[case::plain_service(82, "/read/1", false)]
+#[case::engines(81, "/written/1", Kind::Engines)]
+#[case::plain_service(82, "/read/1", Kind::PlainAndEngines)]
+#[case::no_agents(84, "/read/1", Kind::Plain)]
 #[tokio::test]
-async fn sum_over_entries(#[case] net: u8, #[case] path: &'static str, #[case] is_engine: bool) {
+async fn sum_over_entries(#[case] net: u8, #[case] path: &'static str, #[case] kind: Kind) {
     let registry = RegistryStandin::default();
     registry.config(directory(1));
     let port = free_port().await;
@@ -103,13 +112,17 @@
     let mut upstreams = Vec::new();
     for (number, limit) in limits.iter().enumerate() {
         let ip = format!("127.79.{net}.{}", number + 1);
-        Beside::start(&ip, port).await;
         let (addr, arrivals) = upstream(&ip, limit).await;
-        let id = format!("u-{number}");
-        registry.upstream(Change::Upstream(Box::new(engine(&id, addr))));
-        if !is_engine {
+        if kind != Kind::Plain {
+            Beside::start(&ip, port).await;
+            let id = format!("u-{number}");
+            registry.upstream(Change::Upstream(Box::new(engine(&id, addr))));
+        }
+        if kind != Kind::Engines {
             let id = format!("d-{number}");
             registry.upstream(Change::Upstream(Box::new(registered(&id, addr))));
+        }
+        if kind == Kind::PlainAndEngines {
             registry.upstream(Change::Upstream(Box::new(engine(
                 &format!("e-{number}"),
                 SocketAddr::new(addr.ip(), port),
@@ -118,8 +131,14 @@
         upstreams.push((limit.parse::<f64>().unwrap(), arrivals));
     }
     let mut entries = Vec::new();
-    for _ in 0..ENTRIES {
-        let entry = entry_with_agents(&registry, Duration::from_secs(60), port).await;
+    let seeds = [101, 102, 103].map(|number| IpAddr::from([127, 79, net, number]));
+    for number in 0..ENTRIES {
+        let keys = Duration::from_secs(60);
+        let own = SocketAddr::from(([127, 79, net, 101 + number as u8], port));
+        let entry = match kind {
+            Kind::Plain => entry_at(&registry, keys, own, port, &seeds).await,
+            Kind::Engines | Kind::PlainAndEngines => entry_with_agents(&registry, keys, port).await,
+        };
         until_readiness(&entry, 200).await;
         entries.push(entry);
     }
