Go on with a request that may have run after three upstreams that were gone

The same fault elsewhere: a stream whose upstream was lost was broken off after three upstreams that could not be reached, with time left. The bound keeps an entry from holding a request that another one may be able to serve; one that may have run can't be refused, so that nobody gains by the bound. The attempts stay bounded: an upstream that was tried isn't chosen again, and the deadline holds.

endings::many_unreached::may_have_run failed before by the rule (unreached < 3).

--- a/crates/direct/tests/endings.rs
+++ b/crates/direct/tests/endings.rs
@@ -57,6 +57,17 @@
     assert_eq!(next_step(late), Next::Refuse);
 }
 
+/// Guards against answers that are broken off, with time left, since three other upstreams were gone.
+#[rstest]
+#[case::may_have_run(true, Next::Again)]
+#[case::has_not_run(false, Next::Refuse)]
+fn many_unreached(#[case] may_have_run: bool, #[case] next: Next) {
+    let mut unreached = attempt(STREAM, Ending::NotSent);
+    unreached.unreached = 7;
+    unreached.may_have_run = may_have_run;
+    assert_eq!(next_step(unreached), next);
+}
+
 fn kinds() -> impl Strategy<Value = RouteKind> {
     prop_oneof![
         Just(RouteKind::Idempotent),
--- a/crates/route/src/direct/ending.rs
+++ b/crates/route/src/direct/ending.rs
@@ -56,7 +56,7 @@
 }
 
 /// Attempts that may fail to reach an upstream before the request is refused. More would hold a
-/// request that other entries may be able to serve.
+/// request that other entries may be able to serve. One that may have run can't be refused, and goes on.
 const MOST_UNREACHED: u32 = 3;
 
 /// Says what follows from the end of an attempt.
@@ -65,7 +65,7 @@
 /// not run.
 pub fn next_step(attempt: Attempt) -> Next {
     let has_attempts = match attempt.ending {
-        Ending::NotSent => attempt.unreached < MOST_UNREACHED,
+        Ending::NotSent => attempt.may_have_run || attempt.unreached < MOST_UNREACHED,
         Ending::NotRun | Ending::Failed | Ending::Lost => attempt.sent < attempt.max_attempts,
     };
     let may_repeat = match attempt.ending {
