Take a tenth of a limit where no seed answers

Seeds that the settings name may be gone for good. In a fleet without agents an upstream with a limit then got no request at all, found in a second reading; before seeds gave permits it got a tenth from each entry, which it gets again. limit::without_agents has the case gone_seeds.

--- a/crates/direct/src/givers.rs
+++ b/crates/direct/src/givers.rs
@@ -45,11 +45,15 @@
 
     /// Returns the seeds that do for the fleet what agents do elsewhere; none where there are agents.
     pub(crate) fn seeds_in_place(&self) -> &[IpAddr] {
-        let has_agents = self.engine_services().into_iter().any(|(service, _)| {
+        if self.has_agents() { &[] } else { self.seeds() }
+    }
+
+    /// Says whether any engine is registered, beside which an agent stands.
+    pub(crate) fn has_agents(&self) -> bool {
+        self.engine_services().into_iter().any(|(service, _)| {
             let upstreams = service.upstreams();
             upstreams.members().next().is_some()
-        });
-        if has_agents { &[] } else { self.seeds() }
+        })
     }
 
     /// Returns the VMs that have agents: those of the engines, or the seeds where there are none.
--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -14,7 +14,8 @@
 /// Share of a limit that an agent gives in place of one that doesn't answer some entries.
 const STAND_IN_SHARE: f64 = 0.45;
 
-/// Share of a limit that an entry takes in a fleet without agents, where none knows how many there are.
+/// Share of a limit that an entry takes in a fleet without agents whose seeds don't answer: none knows how many
+/// entries there are.
 const ALONE_SHARE: f64 = 0.1;
 
 /// How long an upstream with a limit gets no request where no agent answers.
@@ -44,12 +45,13 @@
     async fn permit(&self, pick: &Pick, limit: Limit, named_at: Instant) -> Option<Duration> {
         let agents = &self.cx.agents;
         let givers = self.permit_givers(pick);
-        if givers.is_empty() {
+        let silent = givers.iter().take_while(|ip| agents.is_silent(**ip));
+        let silent = silent.count();
+        // Seeds may be gone for good, where agents come back with their engines.
+        if silent == givers.len() && !self.cx.view.has_agents() {
             let limit = Limit::new(limit.per_second() * ALONE_SHARE)?;
             return Some(agents.permit_alone(&pick.id, limit, named_at));
         }
-        let silent = givers.iter().take_while(|ip| agents.is_silent(**ip));
-        let silent = silent.count();
         let share = if silent == 0 { 1.0 } else { STAND_IN_SHARE };
         let ask = ask(&pick.id, limit.per_second() * share, named_at);
         agents.ask_permit(*givers.get(silent)?, ask).await
--- a/crates/direct/tests/limit.rs
+++ b/crates/direct/tests/limit.rs
@@ -181,14 +181,18 @@
     }
 }
 
-/// An upstream that names a limit is still used, and little, where no agent gives permits.
+/// An upstream that names a limit is still used, and little, where no agent or seed gives permits.
+#[rstest]
+#[case::no_seeds(83, &[])]
+#[case::gone_seeds(85, &[IpAddr::from([127, 79, 85, 101]), IpAddr::from([127, 79, 85, 102])])]
 #[tokio::test]
-async fn without_agents() {
+async fn without_agents(#[case] net: u8, #[case] seeds: &[IpAddr]) {
     let registry = RegistryStandin::default();
     registry.config(directory(1));
-    let (addr, arrivals) = upstream("127.79.83.1", "6").await;
+    let (addr, arrivals) = upstream(&format!("127.79.{net}.1"), "6").await;
     registry.upstream(Change::Upstream(Box::new(registered("u", addr))));
-    let entry = entry_with_agents(&registry, Duration::from_secs(60), 9).await;
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let entry = entry_at(&registry, Duration::from_secs(60), any, 9, seeds).await;
     until_readiness(&entry, 200).await;
     let until = Instant::now() + STABLE + SPAN;
     let headers = [("x-id", "r1"), ("x-key", "k1")];
