Ask only the nearest seed at first

Of 50 entries of guayaquil-hall 16 first read from the seed of quito-hall, 9 from that of cuenca-hall: a seed beside the registry knows all upstreams first, and was asked as soon as the nearest one knew nothing. Their copies cross the link over which the own seed reads. What that one knew was 1.0 to 1.4 s old from -6 s to -4 s (0.6 s and 0.3 s are allowed), so that all entries read the registry themselves, over the same link.

Fix: for 450 ms only the nearest seed is asked, by the time that its VM takes to accept or refuse a connection; one that refuses may start a little later. After that, any that knows.

seeds::nearest_seed_starts_later failed before (u-far in place of u-near).

--- a/crates/nearby/src/seeds.rs
+++ b/crates/nearby/src/seeds.rs
@@ -1,7 +1,8 @@
 //! Entries that the settings name, from which a process that starts reads.
 
+use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -15,6 +16,20 @@
 /// Pause before seeds that know nothing yet are asked again. Of processes that start together all seeds do.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// How long only the nearest seed is asked, whose process may start a little later than this one.
+///
+/// Load pattern: 50 entries of a data centre start together, and the seed of another one, beside the registry,
+/// knows all upstreams first. The copies for half of them fill the link over which the own seed reads.
+const NEAREST_FOR: Duration = Duration::from_millis(450);
+
+/// A seed whose VM answered.
+#[derive(Clone, Copy, Debug)]
+struct Reached {
+    seed: SocketAddr,
+    /// Its process listens.
+    accepts: bool,
+}
+
 /// Entries that the settings name, some of which may be gone.
 ///
 /// Load pattern: engines that are added under load, and processes that come back after a loss of power. Until
@@ -50,29 +65,39 @@
         if self.is_empty() {
             std::future::pending::<()>().await;
         }
+        let began = Instant::now();
         loop {
             // The quickest to accept comes first: one in the own data centre takes a tenth of the time of
             // others, and its bytes cross no narrow link.
             let mut connects = self.connect();
-            while let Some(connected) = connects.join_next().await {
+            while let Some(reached) = connects.join_next().await {
                 // A seed that is gone is no news: the settings are as old as the process.
-                let Ok(Some(seed)) = connected else {
+                let Ok(Some(Reached { seed, accepts })) = reached else {
                     continue;
                 };
                 // One that knows nothing yet is asked again after the pause.
-                if let Ok(heard) = client.ask(seed, question, oldest).await {
+                if accepts && let Ok(heard) = client.ask(seed, question, oldest).await {
                     return (seed, heard);
                 }
+                if began.elapsed() < NEAREST_FOR {
+                    break;
+                }
             }
             tokio::time::sleep(PAUSE).await;
         }
     }
 
-    /// Connects to all seeds; each that accepts is returned as it does.
-    fn connect(&self) -> JoinSet<Option<SocketAddr>> {
+    /// Connects to all seeds; each whose VM answers is returned as it does.
+    fn connect(&self) -> JoinSet<Option<Reached>> {
         let connect = |seed| async move {
-            let connected = tokio::time::timeout(CONNECT, TcpStream::connect(seed));
-            connected.await.is_ok_and(|it| it.is_ok()).then_some(seed)
+            let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(seed));
+            let connected = connecting.await.ok()?;
+            let is_there = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+            let answers = connected.as_ref().err().is_none_or(is_there);
+            answers.then_some(Reached {
+                seed,
+                accepts: connected.is_ok(),
+            })
         };
         self.0.iter().copied().map(connect).collect()
     }
--- a/crates/nearby/tests/seeds.rs
+++ b/crates/nearby/tests/seeds.rs
@@ -128,6 +128,31 @@
     assert!(began.elapsed() < cfg.start_wait / 2, "it waits for nobody");
 }
 
+/// Guards against copies for a whole data centre that cross a narrow link, since a seed of another one knew
+/// everything first. Of two on the loopback the first that is asked answers first.
+#[rstest]
+#[tokio::test]
+async fn nearest_seed_starts_later() {
+    let far = Entry::start().await;
+    let near = SocketAddr::from(([127, 0, 0, 2], far.addr.port()));
+    far.store.upstream(upstream("u-far"));
+    far.registry
+        .newest(Topic::Upstreams, TIMEOUT)
+        .await
+        .unwrap();
+    let newcomer = Newcomer::new(&far, &[near.ip(), far.addr.ip()]);
+    let starting = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let entry = Entry::at(&near.to_string(), RegistryStandin::default()).await;
+        entry.store.upstream(upstream("u-near"));
+        let read = entry.registry.newest(Topic::Upstreams, TIMEOUT).await;
+        (entry, read.unwrap().items)
+    };
+    let asking = newcomer.registry.newest(Topic::Upstreams, TIMEOUT);
+    let (asked, (_entry, near_items)) = tokio::join!(asking, starting);
+    assert_eq!(asked.unwrap().items, near_items);
+}
+
 /// Without a seed that lives the newcomer reads for itself.
 #[rstest]
 #[tokio::test]
