--- a/crates/direct/src/givers.rs
+++ b/crates/direct/src/givers.rs
@@ -43,11 +43,6 @@
         own.into_iter().chain(others).take(PERMIT_GIVERS).collect()
     }
 
-    /// Returns the seeds that do for the fleet what agents do elsewhere; none where there are agents.
-    pub(crate) fn seeds_in_place(&self) -> &[IpAddr] {
-        if self.has_agents() { &[] } else { self.seeds() }
-    }
-
     /// Says whether any engine is registered, beside which an agent stands.
     pub(crate) fn has_agents(&self) -> bool {
         self.engine_services().into_iter().any(|(service, _)| {
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -15,7 +15,7 @@
 use crate::agents::{Agents, OUT_OF_TURN};
 use crate::events;
 use crate::far::FarWords;
-use crate::in_place::InPlace;
+use crate::seed::SeedRelay;
 use crate::suspects::Suspects;
 use crate::view::{Service, View};
 
@@ -27,7 +27,7 @@
 const FAR_EVERY: u32 = 5;
 
 /// How many near questions there are for each time that requests are told of again, in fleets without agents.
-const TELL_AGAIN_EVERY: u32 = 10;
+const RELAY_AGAIN_EVERY: u32 = 10;
 
 /// Agents of another data centre, of which its entries tell, that are asked in a turn: they tell which
 /// entries there are, and hear of weights that were named.
@@ -58,7 +58,7 @@
     let mut round: u32 = 0;
     let mut rounds = Rounds::default();
     let mut clocks = AgentClocks::default();
-    let mut in_place = InPlace::new(Arc::clone(&view), agents.clone(), Arc::clone(&suspects));
+    let mut seed = SeedRelay::new(Arc::clone(&view), agents.clone(), Arc::clone(&suspects));
     // What was asked of each VM, so that an answer locks one service alone.
     let mut known: BTreeMap<IpAddr, Asked> = BTreeMap::new();
     loop {
@@ -71,10 +71,10 @@
                 if is_far_turn {
                     // Those that are gone are forgotten.
                     known.clear();
-                    in_place.ask_seeds();
+                    seed.ask_seeds();
                 }
-                if round.is_multiple_of(TELL_AGAIN_EVERY) {
-                    in_place.tell_again();
+                if round.is_multiple_of(RELAY_AGAIN_EVERY) {
+                    seed.relay_again();
                 }
                 let abroad = is_far_turn.then_some(far.as_ref());
                 let engines = engines(&view, &home, abroad);
@@ -94,15 +94,15 @@
                 let status = match Datagram::from_bytes(&buf[..len]) {
                     Ok(Datagram::Status(status)) => status,
                     Ok(Datagram::Ended(told)) => {
-                        in_place.told(&told, from);
+                        seed.take_accounts(&told, from);
                         continue;
                     }
                     Ok(Datagram::Query(_)) => {
-                        in_place.asked(from);
+                        seed.take_query(from);
                         continue;
                     }
                     Ok(Datagram::AskPermit(ask)) => {
-                        in_place.permit(&ask, from);
+                        seed.give_permit(&ask, from);
                         continue;
                     }
                     Ok(Datagram::Permit(permit)) => {
--- a/crates/direct/src/in_place.rs
+++ b/crates/direct/src/seed.rs
@@ -1,5 +1,5 @@
-//! What a seed does in place of agents, in a fleet without any: gives permits, and passes on what entries tell
-//! of requests under which upstreams end.
+//! What an entry that others know as a seed does for them in a fleet without agents: it gives permits, and
+//! relays what entries tell of requests under which upstreams end.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,9 +19,9 @@
 /// Entries that are told of requests: the most that a fleet has, with room for those that were replaced.
 const MOST_ASKERS: usize = 1024;
 
-/// What a seed does in place of agents.
+/// The seed's part in a fleet without agents. Entries that are no seeds only ask with it.
 #[derive(Debug)]
-pub(crate) struct InPlace {
+pub(crate) struct SeedRelay {
     view: Arc<View>,
     agents: Agents,
     suspects: Arc<Suspects>,
@@ -29,7 +29,7 @@
     permits: Permits,
 }
 
-impl InPlace {
+impl SeedRelay {
     pub(crate) fn new(view: Arc<View>, agents: Agents, suspects: Arc<Suspects>) -> Self {
         Self {
             view,
@@ -40,25 +40,18 @@
         }
     }
 
-    /// Asks the seeds for what is known of requests, if they do what agents do elsewhere.
+    /// Asks the seeds for what is known of requests, in a fleet without agents.
     pub(crate) fn ask_seeds(&self) {
-        for ip in self.view.seeds_in_place() {
-            self.agents.send(*ip, Query::default());
+        if self.view.has_agents() {
+            return;
         }
-    }
-
-    /// Tells all askers again of requests that were learned of lately, for datagrams that were lost.
-    pub(crate) fn tell_again(&mut self) {
-        let now = Instant::now();
-        self.askers
-            .retain(|_, at| now.saturating_duration_since(*at) <= ASKER_FOR);
-        if !self.askers.is_empty() {
-            self.pass_on(&self.suspects.learned_lately(), None);
+        for ip in self.view.seeds() {
+            self.agents.send(*ip, Query::default());
         }
     }
 
     /// Takes a question of an entry; one that may have missed something is told all.
-    pub(crate) fn asked(&mut self, from: SocketAddr) {
+    pub(crate) fn take_query(&mut self, from: SocketAddr) {
         let is_known = self.askers.contains_key(&from);
         if !is_known && self.askers.len() >= MOST_ASKERS {
             return;
@@ -69,21 +62,31 @@
         }
     }
 
-    /// Takes what an entry tells of requests, which may be this one, and tells the others what is news.
-    pub(crate) fn told(&self, told: &[EndedUnder], from: SocketAddr) {
+    /// Takes what a process tells of requests, which may be this one, and relays what is news.
+    pub(crate) fn take_accounts(&self, told: &[EndedUnder], from: SocketAddr) {
         let is_own = self.agents.is_own(from);
         let news = self.suspects.hear(told, is_own);
-        self.pass_on(&news, Some(from));
+        self.relay(&news, Some(from));
     }
 
-    /// Gives an entry leave to send a request to an upstream that names a limit.
-    pub(crate) fn permit(&mut self, ask: &AskPermit, from: SocketAddr) {
+    /// Answers a question for leave to send a request to an upstream that names a limit.
+    pub(crate) fn give_permit(&mut self, ask: &AskPermit, from: SocketAddr) {
         if let Some(permit) = self.permits.answer(ask, Instant::now()) {
             self.agents.send_to(from, &Datagram::Permit(permit));
         }
     }
 
-    fn pass_on(&self, told: &[EndedUnder], from: Option<SocketAddr>) {
+    /// Relays again what was learned lately, for datagrams that were lost.
+    pub(crate) fn relay_again(&mut self) {
+        let now = Instant::now();
+        self.askers
+            .retain(|_, at| now.saturating_duration_since(*at) <= ASKER_FOR);
+        if !self.askers.is_empty() {
+            self.relay(&self.suspects.learned_lately(), None);
+        }
+    }
+
+    fn relay(&self, told: &[EndedUnder], from: Option<SocketAddr>) {
         for asker in self.askers.keys().filter(|asker| Some(**asker) != from) {
             self.agents.tell_one(*asker, told);
         }
