Leave accounts as they are where there is nobody to relay them to

Found by reading the change: taking an account also marked all others as told, which holds back the next word of them for a second. In a fleet with agents nobody asks an entry, so that nothing is to be told there. Behaviour with agents is that of before seeds relayed accounts.

--- a/crates/direct/src/seed.rs
+++ b/crates/direct/src/seed.rs
@@ -66,7 +66,12 @@
     pub(crate) fn take_accounts(&self, told: &[EndedUnder], from: SocketAddr) {
         let is_own = self.agents.is_own(from);
         let news = self.suspects.hear(told, is_own);
-        self.relay(&news, Some(from));
+        if news.is_empty() || self.askers.is_empty() {
+            return;
+        }
+        let mut told = self.suspects.all();
+        told.retain(|account| news.contains(&account.fingerprint));
+        self.relay(&told, Some(from));
     }
 
     /// Answers a question for leave to send a request to an upstream that names a limit.
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -82,9 +82,9 @@
         }
     }
 
-    /// Takes what another process tells, or this one told itself if `is_own`; returns what others are to be
-    /// told of it.
-    pub(crate) fn hear(&self, told: &[EndedUnder], is_own: bool) -> Vec<EndedUnder> {
+    /// Takes what another process tells, or this one told itself if `is_own`; returns the requests of which
+    /// others have not heard so.
+    pub(crate) fn hear(&self, told: &[EndedUnder], is_own: bool) -> BTreeSet<Fingerprint> {
         let mut news = BTreeSet::new();
         for account in told {
             let mut is_news = false;
@@ -95,12 +95,7 @@
                 news.insert(account.fingerprint);
             }
         }
-        let mut told = Vec::new();
-        if !news.is_empty() {
-            told = self.all();
-            told.retain(|account| news.contains(&account.fingerprint));
-        }
-        told
+        news
     }
 
     /// Returns all that others are to know.
