Engine stand-in: begin a request before its answer is lost

Cause, traced then by a delay put in: the stand-in closed the connection and began the request in a task of its own. The agent, whose answer was lost, cancels the request, and where that came first it was never begun. A stand-in that loses an answer is to be an engine that ran the request; it now begins it before it closes the connection. The test is unchanged.

--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -80,14 +80,20 @@
 
     /// Returns the next bytes of the stream; an error cuts it.
     pub(super) async fn next_frame(&mut self) -> Option<Result<Bytes, io::Error>> {
-        if let Some(ticket) = self.ticket.take() {
-            self.start(ticket).await?;
-        }
+        self.begin().await?;
         self.wait_for_token().await?;
         self.store.faults.thawed().await;
         Some(self.generate())
     }
 
+    /// Starts the request if it has not been started; none if it has ended before.
+    pub(super) async fn begin(&mut self) -> Option<()> {
+        match self.ticket.take() {
+            Some(ticket) => self.start(ticket).await,
+            None => Some(()),
+        }
+    }
+
     /// Waits for the slot and starts.
     async fn start(&mut self, ticket: Ticket) -> Option<()> {
         let slot = match ticket {
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -161,9 +161,12 @@
     let loses = store
         .faults
         .take(|faults| count_down(&mut faults.lose_answers));
-    let answer = Answer::new(store, req, held, track, ticket);
+    let mut answer = Answer::new(store, req, held, track, ticket);
     if loses.is_some() {
-        tokio::spawn(answer.run_unread());
+        // Whoever loses the answer may cancel the request, which is to find it begun.
+        if answer.begin().await.is_some() {
+            tokio::spawn(answer.run_unread());
+        }
         return lose_answer();
     }
     stream_answer(answer)
