--- a/crates/entry/src/snapshots.rs
+++ b/crates/entry/src/snapshots.rs
@@ -71,10 +71,11 @@
     };
     match log.append(ConfigBook::STREAM, encoded).await {
         Ok(offset) => {
+            book.with_fold(|fold| fold.note_snapshot(offset));
             let offset = offset.to_string();
             events::SNAPSHOT_APPENDED.emit(&[("offset", &offset)]);
         }
-        // A snapshot that was appended twice is harmless; it is tried again when next due.
+        // It may be in the log all the same; a second one does no harm.
         Err(err) => report_failed(&err.to_string()),
     }
 }
--- a/crates/fold/src/config.rs
+++ b/crates/fold/src/config.rs
@@ -11,7 +11,7 @@
 use crate::edits::{EditMemory, EditResult, Verdict};
 use crate::rules::{Edit, Refusal, RefusalReason, Winner, check_base, judge};
 use crate::scan::{Incoming, Scan};
-use crate::snapshot::{LogHead, SnapshotMark, SnapshotRule, SnapshotState};
+use crate::snapshot::{KnownSnapshots, LogHead, SnapshotRule, SnapshotState};
 use crate::stop::{FoldStop, UnknownFormatSnafu};
 
 /// The configuration, from the records of the stream `config`.
@@ -24,7 +24,7 @@
     edits: EditMemory,
     scan: Option<Scan>,
     cursor: Cursor,
-    mark: Option<SnapshotMark>,
+    snapshots: KnownSnapshots,
 }
 
 impl ConfigFold {
@@ -189,6 +189,11 @@
         })
     }
 
+    /// Takes that this process has appended a snapshot at `offset`; none is due until it is read.
+    pub fn note_snapshot(&mut self, offset: Offset) {
+        self.snapshots.appended(offset);
+    }
+
     /// Says whether a snapshot is due at `now`, given the ends of the log.
     ///
     /// None is due while the fold is behind the log: a newer one may be among what it has not
@@ -199,15 +204,7 @@
             return false;
         }
         let at = self.view.offset;
-        // A fold that has seen no snapshot counts from now: one may be in the log already.
-        let mark = *self.mark.get_or_insert(SnapshotMark {
-            at,
-            record: None,
-            time: now,
-        });
-        let age = now.duration_since(mark.time).unwrap_or_default();
-        let lapsed = mark.record.is_some_and(|record| record < head.first);
-        at.saturating_sub(mark.at) >= rule.every || age >= rule.max_age || lapsed
+        self.snapshots.is_due(at, head.first, now, rule)
     }
 
     fn take_in(
@@ -381,11 +378,9 @@
         at: Offset,
         state: Value,
     ) -> Applied {
-        let newer = self.mark.is_none_or(|mark| mark.at <= at);
         // One that claims to know the future is of no use to anyone, so another is needed.
-        if newer && at < offset {
-            let record = Some(offset);
-            self.mark = Some(SnapshotMark { at, record, time });
+        if at < offset {
+            self.snapshots.read(at, time);
         }
         let state: Option<SnapshotState> = serde_json::from_value(state).ok();
         let contradicts = state.map_or_else(Vec::new, |state| state.contradictions(at, &self.view));
--- a/crates/fold/src/snapshot.rs
+++ b/crates/fold/src/snapshot.rs
@@ -37,15 +37,64 @@
     }
 }
 
-/// The newest snapshot in the log that the fold knows of.
+/// The newest snapshot in the log.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct SnapshotMark {
+struct SnapshotMark {
     /// The state's offset.
-    pub(crate) at: Offset,
-    /// The record's own offset; none if the fold has seen no snapshot yet.
-    pub(crate) record: Option<Offset>,
+    at: Offset,
     /// When the record was appended, or when the fold began to wait for one.
-    pub(crate) time: SystemTime,
+    time: SystemTime,
+    /// Whether the fold has read it.
+    is_read: bool,
+}
+
+/// What a fold knows of the snapshots in the log.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownSnapshots {
+    newest: Option<SnapshotMark>,
+    /// Offset of the last one that this process appended.
+    own: Option<Offset>,
+}
+
+impl KnownSnapshots {
+    /// Takes that this process appended one at `offset`.
+    pub(crate) fn appended(&mut self, offset: Offset) {
+        self.own = Some(offset);
+    }
+
+    /// Takes that the log has one as of `at` since `time`.
+    pub(crate) fn read(&mut self, at: Offset, time: SystemTime) {
+        if self.newest.is_none_or(|newest| newest.at <= at) {
+            let is_read = true;
+            self.newest = Some(SnapshotMark { at, time, is_read });
+        }
+    }
+
+    /// Says whether one is due at `now`, at a fold that has read up to `at` of a log that keeps the records from
+    /// `first` on.
+    ///
+    /// A snapshot is of use while the log keeps the record after its state. The record of the snapshot itself may
+    /// come later: other records, or another snapshot of the same state, were appended in between.
+    pub(crate) fn is_due(
+        &mut self,
+        at: Offset,
+        first: Offset,
+        now: SystemTime,
+        rule: SnapshotRule,
+    ) -> bool {
+        if self.own.is_some_and(|own| at < own) {
+            return false;
+        }
+        // A fold that has seen no snapshot counts from now: one may be in the log already.
+        let newest = *self.newest.get_or_insert(SnapshotMark {
+            at,
+            time: now,
+            is_read: false,
+        });
+        let age = now.duration_since(newest.time).unwrap_or_default();
+        let lapsed = newest.is_read && newest.at + 1 < first;
+        at.saturating_sub(newest.at) >= rule.every || age >= rule.max_age || lapsed
+    }
 }
 
 /// When a snapshot is due.
--- a/crates/fold/tests/snapshots.rs
+++ b/crates/fold/tests/snapshots.rs
@@ -206,6 +206,59 @@
     assert!(fold.snapshot_due(head, time(100), rule));
 }
 
+/// A second snapshot of the same state joins on to nothing once the log keeps only that one.
+#[test]
+fn one_until_read() {
+    let mut log = Log::default();
+    let mut fold = ConfigFold::new();
+    let rule = SnapshotRule {
+        every: 2,
+        ..SnapshotRule::default()
+    };
+    for base in 0..3 {
+        log.append(&edit(&format!("e-{base}"), "scribes", S, base, "1"));
+        log.feed_all(&mut fold);
+        let head = LogHead {
+            first: 1,
+            next: log.next(),
+        };
+        assert_eq!(fold.snapshot_due(head, time(1), rule), base == 2);
+    }
+    // The head is as it was told before the append.
+    let head = LogHead { first: 1, next: 4 };
+    log.append(&fold.snapshot().unwrap());
+    fold.note_snapshot(4);
+    assert!(!fold.snapshot_due(head, time(1), rule));
+    log.feed_all(&mut fold);
+    let head = LogHead { first: 1, next: 5 };
+    assert!(!fold.snapshot_due(head, time(1), rule));
+}
+
+/// The log still keeps the snapshot, but no longer the record after its state: a new fold can't start from it.
+#[test]
+fn due_when_unjoined() {
+    let mut log = Log::default();
+    let mut fold = ConfigFold::new();
+    log.append(&edit("e-1", "scribes", S, 0, "1"));
+    log.feed_all(&mut fold);
+    let snapshot = fold.snapshot().unwrap();
+    log.append(&snapshot);
+    log.append(&snapshot);
+    log.feed_all(&mut fold);
+    let rule = SnapshotRule::default();
+    assert!(!fold.snapshot_due(LogHead { first: 2, next: 4 }, time(1), rule));
+    assert!(fold.snapshot_due(LogHead { first: 3, next: 4 }, time(1), rule));
+    log.append(&fold.snapshot().unwrap());
+    log.feed_all(&mut fold);
+    assert!(!fold.snapshot_due(LogHead { first: 3, next: 5 }, time(1), rule));
+    let mut new = ConfigFold::new();
+    new.start_from(3);
+    log.feed(&mut new, 3).unwrap();
+    log.feed(&mut new, 4).unwrap();
+    assert!(new.is_ready());
+    assert_eq!(new.state(), fold.state());
+}
+
 #[test]
 fn one_goes_first() {
     let entries = ["qh-e1", "qh-e2", "gh-e1", "ch-e1"];
