Random faults of weights against real agents; the soak ends upstreams in one place

weights_faults: agents and engines end and stand still, the origin is slow, refuses, stalls, spoils chunks and goes away, and versions follow each other, in a series by seed. Engines hold what they say, answers are whole and never of an older version, and the newest is served everywhere after the last fault. Seen to fail with the digests of chunks and wholes switched off.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod support;
 mod switch;
 mod weights;
+mod weights_faults;
 mod whole_session;
