Listeners close once no new connection has come for 0.43 s, in place of once no connection is open

Each of those that were traced was a handshake under way as an entry closed its listener at the last moment of its grace.

Cause: `Server::quiet` waited until no connection was open and then for 0.1 s without a new one. An entry with a stream or a kept connection missed each time without callers, and closed its listener at the last moment, in the middle of callers that the balancer sends to all entries of a data centre where most leave.

Now only new connections count, 0.4 s without one and then 30 ms in which the kernel is told to drop opening packets; a caller that comes in these 30 ms makes the server wait again, where before the close followed anyhow. Entries look for such a time from 4 s after the signal, when idle connections from before it are closed; the last moment is 0.5 s before the end of the grace in place of 1 s. The other kind of entry waits for its idle connections by itself, since quiet no longer does.

Evidence: serve drain::quiet_beside_stream and drain::quiet_between_callers failed before.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -15,7 +15,7 @@
 use wagtailreel_fleet::{FollowConfig, Registry, Topic, follow};
 use wagtailreel_nearby::{CallCounters, Mirror, Nearby, NearbyConfig, Neighbours, Seeds};
 use wagtailreel_route::direct::NamingBounds;
-use wagtailreel_serve::{ConnectionCounters, Phase, Routes, Server};
+use wagtailreel_serve::{ConnectionCounters, LONGEST_UNUSED, Phase, Routes, Server};
 use wagtailreel_settings::DirectEntrySettings;
 use wagtailreel_telemetry::Event;
 
@@ -59,7 +59,7 @@
 
 /// Time before the end of the grace at which the listener is closed: what was accepted last is still
 /// answered, or refused.
-const LAST_ANSWERS: Duration = Duration::from_millis(1000);
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
 /// Time before the end of the grace at which idle connections are closed, whatever callers were told.
 const LAST_CLOSES: Duration = Duration::from_millis(300);
@@ -235,18 +235,21 @@
     ///
     /// Callers are taken for as long as they come: where most entries of a data centre leave at once, the
     /// balancer goes on sending callers to all of them. A connection whose handshake is under way as the
-    /// listener closes is reset, so that a moment without callers is waited for.
+    /// listener closes is reset, so that a time without new connections is waited for. It is looked for once
+    /// idle connections from before the signal are closed: a listener that closes much before the process
+    /// ends has the balancer's callers meet a closed port for as long.
     pub async fn shutdown(mut self) {
         let grace = self.cx.settings.bounds.grace;
         let now = Instant::now();
         let until = now + grace;
         let lame_duck = now + LAME_DUCK.min(grace / 2);
+        let unused_closed = now + LONGEST_UNUSED.min(grace / 2);
         let closing = until - LAST_ANSWERS.min(grace / 4);
         let ending = until - LAST_CLOSES.min(grace / 8);
         self.cx.leave(lame_duck, ending);
         self.enter(Phase::Leaving);
         self.tell(events::LEAVING);
-        tokio::time::sleep_until(lame_duck.into()).await;
+        tokio::time::sleep_until(lame_duck.max(unused_closed).into()).await;
         let _ = timeout_at(closing.into(), self.server.quiet()).await;
         self.server.enter(Phase::Closing);
         let _ = timeout_at(ending.into(), self.server.ended()).await;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use prometheus::Registry;
 use snafu::ResultExt as _;
 use tokio::net::TcpListener;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wagtailreel_adapters::{BaseUrl, HttpClient, HttpLog, HttpVmList, bind};
@@ -115,11 +116,13 @@
         events::LEAVING.emit(&[("vm", &self.cx.settings.vm)]);
         self.callers.enter(Phase::Leaving);
         tokio::time::sleep(LAME_DUCK).await;
+        let unused_closed = Instant::now() + LAST_CALLERS;
         // Callers that come meanwhile hear that they were not run, and who keeps a connection hears of the end.
-        let _ = tokio::time::timeout(LAST_CALLERS, self.callers.quiet()).await;
+        let _ = timeout_at(unused_closed.into(), self.callers.quiet()).await;
         self.callers.enter(Phase::Closing);
         self.cx.requests.close();
         self.cx.requests.wait().await;
+        let _ = timeout_at(unused_closed.into(), self.callers.ended()).await;
         self.callers.enter(Phase::Ending);
         let _ = tokio::time::timeout(SETTLE, self.callers.ended()).await;
         self.cx.cleanups.close();
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod connection;
 pub mod events;
 mod front;
+mod handshakes;
 mod listener;
 mod metrics;
 mod options;
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -1,21 +1,24 @@
 //! A listener with its connections.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 use crate::front::Front;
-use crate::listener::accept;
+use crate::handshakes::{refuse_handshakes, take_handshakes};
+use crate::listener::{HANDSHAKE, accept};
 use crate::metrics::ConnectionCounters;
 use crate::phase::{Phase, PhaseWatch};
 
-/// How long a server has no connection before it counts as quiet. A balancer that still sends callers
+/// How long no connection comes before a server counts as quiet. A balancer that still sends callers
 /// sends several in this time.
-const QUIET: Duration = Duration::from_millis(100);
+const QUIET: Duration = Duration::from_millis(400);
 
 /// What a server's connections share.
 #[derive(Debug)]
@@ -24,8 +27,10 @@
     pub(crate) front: F,
     pub(crate) phase: PhaseWatch,
     pub(crate) counters: ConnectionCounters,
-    /// Connections that were accepted.
-    pub(crate) accepted: Arc<AtomicU64>,
+    /// How many connections were accepted.
+    pub(crate) accepted: watch::Sender<u64>,
+    /// New connections are refused, and no handshake is under way any more.
+    pub(crate) refuses: Arc<AtomicBool>,
 }
 
 /// A listener with its connections. Dropping it closes the listener and leaves the connections to the runtime.
@@ -33,7 +38,10 @@
 pub struct Server {
     phase: PhaseWatch,
     accepting: JoinHandle<()>,
-    accepted: Arc<AtomicU64>,
+    accepted: watch::Sender<u64>,
+    refuses: Arc<AtomicBool>,
+    /// None once the listener is closed.
+    listener: Weak<TcpListener>,
     connections: TaskTracker,
 }
 
@@ -49,7 +57,9 @@
         F: Front,
     {
         let phase = PhaseWatch::default();
-        let accepted = Arc::new(AtomicU64::new(0));
+        let accepted = watch::Sender::new(0);
+        let refuses = Arc::new(AtomicBool::new(false));
+        let listener = Arc::new(listener);
         let connections = TaskTracker::new();
         // It still takes connections, and may be waited for from now on.
         connections.close();
@@ -58,14 +68,18 @@
             front,
             phase: phase.clone(),
             counters,
-            accepted: Arc::clone(&accepted),
+            accepted: accepted.clone(),
+            refuses: Arc::clone(&refuses),
         });
+        let weak = Arc::downgrade(&listener);
         let accepting = tokio::spawn(accept(cx, listener, connections.clone()));
         Self {
             phase,
             accepting,
             connections,
             accepted,
+            refuses,
+            listener: weak,
         }
     }
 
@@ -74,15 +88,24 @@
         self.phase.enter(phase);
     }
 
-    /// Waits until there has been no connection for a while.
+    /// Waits until no new connection has come for a while, and none is under way.
+    ///
+    /// Connections that are open don't count: the balancer may send callers again by the time they end.
     pub async fn quiet(&self) {
+        let mut accepted = self.accepted.subscribe();
+        // The sender lives as long as `self`, so that only time ends the waits.
         loop {
-            self.connections.wait().await;
-            let before = self.accepted.load(Ordering::Relaxed);
-            tokio::time::sleep(QUIET).await;
-            if self.accepted.load(Ordering::Relaxed) == before {
+            while timeout(QUIET, accepted.changed()).await.is_ok() {}
+            let Some(listener) = self.listener.upgrade() else {
+                return;
+            };
+            // Where the kernel takes no filter, callers that come in the meantime are still seen.
+            let _ = refuse_handshakes(&listener);
+            if timeout(HANDSHAKE, accepted.changed()).await.is_err() {
+                self.refuses.store(true, Ordering::Relaxed);
                 return;
             }
+            let _ = take_handshakes(&listener);
         }
     }
 
--- a/crates/serve/tests/drain.rs
+++ b/crates/serve/tests/drain.rs
@@ -166,3 +166,36 @@
     server.server.enter(Phase::Closing);
     server.server.ended().await;
 }
+
+/// A stream that is still under way does not hold the listener open until callers come again.
+#[tokio::test]
+async fn quiet_beside_stream() {
+    let mut server = server(Sleepy::new(Duration::from_secs(60))).await;
+    let mut stream = Caller::connect(server.addr).await;
+    stream.send(GET);
+    stream.head().await;
+    server.server.enter(Phase::Leaving);
+    let quiet = tokio::time::timeout(Duration::from_secs(10), server.server.quiet());
+    quiet.await.expect("quiet without a new connection");
+    server.server.enter(Phase::Closing);
+    drop(stream);
+    server.server.ended().await;
+}
+
+/// Callers that come a few times a second are seen before the listener closes.
+#[tokio::test]
+async fn quiet_between_callers() {
+    let server = server(Sleepy::default()).await;
+    server.server.enter(Phase::Leaving);
+    let mut quiet = std::pin::pin!(server.server.quiet());
+    let mut ticks = tokio::time::interval(Duration::from_millis(180));
+    for _ in 0..6 {
+        tokio::select! {
+            () = &mut quiet => panic!("quiet between callers"),
+            _ = ticks.tick() => {}
+        }
+        let mut caller = Caller::connect(server.addr).await;
+        caller.send(GET);
+        assert_eq!(caller.answer().await.status, 200);
+    }
+}
