A read of the settings that failed keeps back no read of the upstreams

The reason in the line is "it did not answer lately, and neighbours know only old things". What had not answered was a read of the settings, a large configuration over a full link; the pause after a failed call counted for both topics. So the read of the upstreams was not sent at all, their follower took the registry for away, and as it heard again, 0.3 s later, it doubted what had vanished for 2.1 s more.

The pause is now each topic's own. An outage that is one still shows in both: each topic has failed calls of its own.

Evidence: nearby outage::settings_failed failed before. registry_away, which counts the calls to a registry that is away, passes as it is.

--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registry, read through a neighbour where there is one.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -45,7 +45,9 @@
     start: Arc<Mutex<Start>>,
     /// Processes that start together read from this one, which waits for none of them.
     is_seed: bool,
-    own_turn: Arc<Mutex<OwnTurn>>,
+    /// Apart for each topic: a large configuration may not come over a link that brings the upstreams.
+    own_turns: Arc<Mutex<BTreeMap<Topic, OwnTurn>>>,
+    own_pause: Duration,
     stand_in: Arc<Mutex<StandIn>>,
     counters: Option<CallCounters>,
 }
@@ -67,7 +69,8 @@
             reader: Arc::default(),
             start: Arc::default(),
             is_seed: false,
-            own_turn: Arc::new(Mutex::new(OwnTurn::new(pauses.own))),
+            own_turns: Arc::default(),
+            own_pause: pauses.own,
             stand_in: Arc::new(Mutex::new(StandIn::new(pauses.stand_in))),
             counters: None,
         }
@@ -229,7 +232,7 @@
         }
         let sent = BootTime::now();
         let is_reader = self.neighbours.place(sent) < self.cfg.readers;
-        if !self.lock_turn().is_due(is_reader, sent) {
+        if !self.with_turn(topic, |turn| turn.is_due(is_reader, sent)) {
             let reason = "it did not answer lately, and neighbours know only old things".to_owned();
             return Err(RegistryError::Away { reason });
         }
@@ -241,11 +244,11 @@
         let now = BootTime::now();
         let outcome = match &answer {
             Ok(_) | Err(RegistryError::Expired { .. }) => {
-                self.lock_turn().answered();
+                self.with_turn(topic, OwnTurn::answered);
                 "answered"
             }
             Err(_) => {
-                self.lock_turn().failed(now);
+                self.with_turn(topic, |turn| turn.failed(now));
                 "failed"
             }
         };
@@ -264,8 +267,16 @@
         answer
     }
 
-    fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
-        self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
+    fn with_turn<F, T>(&self, topic: Topic, act: F) -> T
+    where
+        F: FnOnce(&mut OwnTurn) -> T,
+    {
+        let mut turns = self
+            .own_turns
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let new = || OwnTurn::new(self.own_pause);
+        act(turns.entry(topic).or_insert_with(new))
     }
 
     /// Tells once that a topic comes from somewhere else than before.
--- a/crates/nearby/tests/outage.rs
+++ b/crates/nearby/tests/outage.rs
@@ -10,8 +10,11 @@
 use common::{Entry, Told, following, keep_told, upstream};
 use rstest::rstest;
 use tokio::task::JoinHandle;
+use wagtailreel_fleet::{Registry as _, Topic};
 use wagtailreel_standins::RegistryStandin;
 
+const TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Entries of one data centre that know of each other, and what they believe.
 struct DataCentre {
     followed: Vec<Arc<Told>>,
@@ -93,3 +96,30 @@
     let took = fell.elapsed();
     assert!(took < Duration::from_millis(1800), "{took:?}");
 }
+
+/// A read of the settings that failed does not keep back a read of the upstreams, whose follower would
+/// take the registry for away and doubt what vanished.
+#[rstest]
+#[tokio::test]
+async fn settings_failed() {
+    let cut = RegistryStandin::default();
+    let first = Entry::at("127.0.0.1:0", cut.clone()).await;
+    let second = Entry::at("127.0.0.2:0", cut.clone()).await;
+    for topic in [Topic::Settings, Topic::Upstreams] {
+        for entry in [&first, &second] {
+            entry.registry.newest(topic, TIMEOUT).await.unwrap();
+        }
+    }
+    // Until what they know is old.
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let store = RegistryStandin::default();
+    let third = Entry::at("127.0.0.3:0", store.clone()).await;
+    let keeping = keep_told(&third, vec![first.addr, second.addr]);
+    store.set_away(true);
+    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
+    assert!(settings.is_err(), "{settings:?}");
+    store.set_away(false);
+    let upstreams = third.registry.newest(Topic::Upstreams, TIMEOUT).await;
+    assert!(upstreams.is_ok(), "{upstreams:?}");
+    keeping.abort();
+}
