A limit that is withdrawn late does not let every entry send

Callers of other requests would see: an upstream that gets more than it said it takes, and answers later or refuses.

Cause, by reading: an entry tells the agent that gives permits when an answer names no limit any more, and the agent let all entries send without leave whose word of the limit was older than the arrival of that message. An answer may have been under way for long (a stream), to an entry that had not heard of the limit that was named meanwhile. For entries the rule was right: an answer ends a limit only if its request was sent after the limit was last named. The agent had no such rule, since the message told when the old limit was named, and not when the request was sent.

The message now tells when the request was sent, and a limit that an agent heard of since then holds.

Evidence: route permits::late_withdrawal failed before (60 of 60 may send at once, now 2 at most).

--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -58,13 +58,13 @@
     }
 
     /// Tells the agents that give permits for an upstream that it names no limit any more.
-    fn tell_withdrawn(&self, limit: Limit, named_at: Instant) {
+    fn tell_withdrawn(&self, limit: Limit) {
         let Some(pick) = &self.last_pick else {
             return;
         };
         let withdrawn = AskPermit {
             is_withdrawn: true,
-            ..ask(&pick.id, limit.per_second(), named_at)
+            ..ask(&pick.id, limit.per_second(), self.sent_at)
         };
         for ip in self.permit_givers(pick) {
             self.cx.agents.tell_withdrawn(ip, withdrawn.clone());
@@ -87,8 +87,8 @@
         if !is_new && named != NamedLimit::Unreadable {
             return;
         }
-        if let (NamedLimit::None, Some((limit, named_at))) = (named, before) {
-            self.tell_withdrawn(limit, named_at);
+        if let (NamedLimit::None, Some((limit, _))) = (named, before) {
+            self.tell_withdrawn(limit);
         }
         let now = match named {
             NamedLimit::None => String::new(),
@@ -105,8 +105,8 @@
     }
 }
 
-fn ask(id: &str, per_second: f64, named_at: Instant) -> AskPermit {
-    let age = named_at.elapsed().as_millis();
+fn ask(id: &str, per_second: f64, at: Instant) -> AskPermit {
+    let age = at.elapsed().as_millis();
     AskPermit {
         nonce: 0,
         upstream: id.to_owned(),
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -164,7 +164,8 @@
     /// Its limit, in requests a second.
     #[serde(rename = "l")]
     pub per_second: f64,
-    /// How long ago it last named it to the asker, in milliseconds.
+    /// How long ago it last named it to the asker, in milliseconds; of one that is withdrawn, how long ago the
+    /// request was sent whose answer named none.
     #[serde(rename = "a")]
     pub named_ms: u32,
     /// It names none any more: the asker tells so, and wants no answer.
--- a/crates/route/src/direct/permits.rs
+++ b/crates/route/src/direct/permits.rs
@@ -48,13 +48,13 @@
     /// What names no rate is no question of an entry.
     pub fn answer(&mut self, ask: &AskPermit, now: Instant) -> Option<Permit> {
         let limit = Limit::new(ask.per_second)?;
+        let ago = Duration::from_millis(ask.named_ms.into());
+        let at = now.checked_sub(ago).unwrap_or(now);
         if ask.is_withdrawn {
-            self.withdrawn(&ask.upstream, now);
+            self.withdrawn(&ask.upstream, at);
             return None;
         }
-        let named_ago = Duration::from_millis(ask.named_ms.into());
-        let named_at = now.checked_sub(named_ago).unwrap_or(now);
-        let wait = self.ask(&ask.upstream, limit, named_at, now);
+        let wait = self.ask(&ask.upstream, limit, at, now);
         Some(Permit {
             nonce: ask.nonce,
             wait_ms: u32::try_from(wait.as_micros().div_ceil(1000)).unwrap_or(u32::MAX),
@@ -97,10 +97,13 @@
         Duration::from_secs_f64((1.0 - bucket.tokens) / bucket.limit.per_second())
     }
 
-    /// Takes that an upstream names no limit any more.
-    pub fn withdrawn(&mut self, upstream: &str, now: Instant) {
-        if let Some(bucket) = self.buckets.get_mut(upstream) {
-            bucket.withdrawn_at = Some(now);
+    /// Takes that the answer to a request that was sent at `at` named no limit any more.
+    ///
+    /// One that was named since then holds: the answer may have been under way for long.
+    pub fn withdrawn(&mut self, upstream: &str, at: Instant) {
+        let bucket = self.buckets.get_mut(upstream);
+        if let Some(bucket) = bucket.filter(|it| it.named_at <= at) {
+            bucket.withdrawn_at = Some(at);
         }
     }
 
--- a/crates/route/tests/permits.rs
+++ b/crates/route/tests/permits.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use wagtailreel_fleet::{Upstream, UpstreamState};
+use wagtailreel_fleet::{AskPermit, Upstream, UpstreamState};
 use wagtailreel_route::direct::{Ask, Limit, NamedLimit, Permits, Shortage, Upstreams};
 
 const SPAN: Duration = Duration::from_secs(4);
@@ -73,6 +73,27 @@
     assert!(!permits.ask("u", limit(0.5), again, again).is_zero());
 }
 
+/// An answer that was under way while a limit was named does not let every entry send without leave.
+#[rstest]
+fn late_withdrawal() {
+    let start = Instant::now();
+    let mut permits = Permits::default();
+    let named = start + Duration::from_millis(500);
+    permits.ask("u", limit(2.7), named, named);
+    let now = start + Duration::from_millis(600);
+    let withdrawal = AskPermit {
+        nonce: 0,
+        upstream: "u".to_owned(),
+        per_second: 2.7,
+        named_ms: 600,
+        is_withdrawn: true,
+    };
+    assert_eq!(permits.answer(&withdrawal, now), None);
+    let asks = (0..60).filter(|_| permits.ask("u", limit(2.7), named, now).is_zero());
+    let given = asks.count();
+    assert!(given <= 2, "{given} of 60 may send at once");
+}
+
 fn upstreams() -> Upstreams {
     let mut upstreams = Upstreams::new("hall".to_owned(), BTreeMap::new());
     upstreams.update(Upstream {
