--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -111,7 +111,7 @@
         nonce: 0,
         upstream: id.to_owned(),
         per_second,
-        named_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         is_withdrawn: false,
     }
 }
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -164,10 +164,10 @@
     /// Its limit, in requests a second.
     #[serde(rename = "l")]
     pub per_second: f64,
-    /// How long ago it last named it to the asker, in milliseconds; of one that is withdrawn, how long ago the
-    /// request was sent whose answer named none.
+    /// How long ago the asker was told of it, in milliseconds. Of a withdrawal: how long ago the request was sent
+    /// whose answer named none.
     #[serde(rename = "a")]
-    pub named_ms: u32,
+    pub age_ms: u32,
     /// It names none any more: the asker tells so, and wants no answer.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_withdrawn: bool,
--- a/crates/route/src/direct/permits.rs
+++ b/crates/route/src/direct/permits.rs
@@ -48,7 +48,7 @@
     /// What names no rate is no question of an entry.
     pub fn answer(&mut self, ask: &AskPermit, now: Instant) -> Option<Permit> {
         let limit = Limit::new(ask.per_second)?;
-        let ago = Duration::from_millis(ask.named_ms.into());
+        let ago = Duration::from_millis(ask.age_ms.into());
         let at = now.checked_sub(ago).unwrap_or(now);
         if ask.is_withdrawn {
             self.withdrawn(&ask.upstream, at);
--- a/crates/route/tests/permits.rs
+++ b/crates/route/tests/permits.rs
@@ -85,7 +85,7 @@
         nonce: 0,
         upstream: "u".to_owned(),
         per_second: 2.7,
-        named_ms: 600,
+        age_ms: 600,
         is_withdrawn: true,
     };
     assert_eq!(permits.answer(&withdrawal, now), None);
--- a/crates/serve/src/handshakes.rs
+++ b/crates/serve/src/handshakes.rs
@@ -43,6 +43,6 @@
 /// # Errors
 ///
 /// Returns the kernel's error if there is no filter to take away.
-pub(crate) fn take_handshakes(listener: &TcpListener) -> io::Result<()> {
+pub(crate) fn allow_handshakes(listener: &TcpListener) -> io::Result<()> {
     SockRef::from(listener).detach_filter()
 }
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -11,7 +11,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::front::Front;
-use crate::handshakes::{refuse_handshakes, take_handshakes};
+use crate::handshakes::{allow_handshakes, refuse_handshakes};
 use crate::listener::{HANDSHAKE, accept};
 use crate::metrics::ConnectionCounters;
 use crate::phase::{Phase, PhaseWatch};
@@ -90,7 +90,8 @@
 
     /// Waits until no new connection has come for a while, and none is under way.
     ///
-    /// Connections that are open don't count: the balancer may send callers again by the time they end.
+    /// Connections that are open don't count: the balancer may send callers again by the time they end. From then
+    /// on the kernel drops new ones, where it takes a filter: the next phase is [`Phase::Closing`].
     pub async fn quiet(&self) {
         let mut accepted = self.accepted.subscribe();
         // The sender lives as long as `self`, so that only time ends the waits.
@@ -105,7 +106,7 @@
                 self.refuses.store(true, Ordering::Relaxed);
                 return;
             }
-            let _ = take_handshakes(&listener);
+            let _ = allow_handshakes(&listener);
         }
     }
 
