An answer of the registry for one topic lets the other be read at once, as before

After an outage the settings could be read up to 2.4 s after the upstreams were. An answer ends the pauses of both topics again; a failure is still its topic's own.

Evidence: nearby outage::other_topic_answered failed before; outage::settings_failed passes as it did.

--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -232,7 +232,7 @@
         }
         let sent = BootTime::now();
         let is_reader = self.neighbours.place(sent) < self.cfg.readers;
-        if !self.with_turn(topic, |turn| turn.is_due(is_reader, sent)) {
+        if !self.is_due(topic, is_reader, sent) {
             let reason = "it did not answer lately, and neighbours know only old things".to_owned();
             return Err(RegistryError::Away { reason });
         }
@@ -244,11 +244,14 @@
         let now = BootTime::now();
         let outcome = match &answer {
             Ok(_) | Err(RegistryError::Expired { .. }) => {
-                self.with_turn(topic, OwnTurn::answered);
+                // It is there, so that the other topic may be asked for at once.
+                self.lock_turns().clear();
                 "answered"
             }
             Err(_) => {
-                self.with_turn(topic, |turn| turn.failed(now));
+                let new = || OwnTurn::new(self.own_pause);
+                let mut turns = self.lock_turns();
+                turns.entry(topic).or_insert_with(new).failed(now);
                 "failed"
             }
         };
@@ -267,16 +270,16 @@
         answer
     }
 
-    fn with_turn<F, T>(&self, topic: Topic, act: F) -> T
-    where
-        F: FnOnce(&mut OwnTurn) -> T,
-    {
-        let mut turns = self
-            .own_turns
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let new = || OwnTurn::new(self.own_pause);
-        act(turns.entry(topic).or_insert_with(new))
+    fn lock_turns(&self) -> MutexGuard<'_, BTreeMap<Topic, OwnTurn>> {
+        let turns = self.own_turns.lock();
+        turns.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_due(&self, topic: Topic, is_reader: bool, now: BootTime) -> bool {
+        let turns = self.lock_turns();
+        turns
+            .get(&topic)
+            .is_none_or(|turn| turn.is_due(is_reader, now))
     }
 
     /// Tells once that a topic comes from somewhere else than before.
--- a/crates/nearby/tests/outage.rs
+++ b/crates/nearby/tests/outage.rs
@@ -97,29 +97,73 @@
     assert!(took < Duration::from_millis(1800), "{took:?}");
 }
 
+/// An entry that hears only old things from the two neighbours before it.
+struct BehindOthers {
+    third: Entry,
+    keeping: JoinHandle<()>,
+    _others: [Entry; 2],
+}
+
+impl BehindOthers {
+    async fn start(store: RegistryStandin) -> Self {
+        let cut = RegistryStandin::default();
+        let first = Entry::at("127.0.0.1:0", cut.clone()).await;
+        let second = Entry::at("127.0.0.2:0", cut).await;
+        for topic in [Topic::Settings, Topic::Upstreams] {
+            for entry in [&first, &second] {
+                entry.registry.newest(topic, TIMEOUT).await.unwrap();
+            }
+        }
+        // Until what they know is old.
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        let third = Entry::at("127.0.0.3:0", store).await;
+        let keeping = keep_told(&third, vec![first.addr, second.addr]);
+        Self {
+            third,
+            keeping,
+            _others: [first, second],
+        }
+    }
+}
+
+impl Drop for BehindOthers {
+    fn drop(&mut self) {
+        self.keeping.abort();
+    }
+}
+
 /// A read of the settings that failed does not keep back a read of the upstreams, whose follower would
 /// take the registry for away and doubt what vanished.
 #[rstest]
 #[tokio::test]
 async fn settings_failed() {
-    let cut = RegistryStandin::default();
-    let first = Entry::at("127.0.0.1:0", cut.clone()).await;
-    let second = Entry::at("127.0.0.2:0", cut.clone()).await;
-    for topic in [Topic::Settings, Topic::Upstreams] {
-        for entry in [&first, &second] {
-            entry.registry.newest(topic, TIMEOUT).await.unwrap();
-        }
-    }
-    // Until what they know is old.
-    tokio::time::sleep(Duration::from_millis(1200)).await;
     let store = RegistryStandin::default();
-    let third = Entry::at("127.0.0.3:0", store.clone()).await;
-    let keeping = keep_told(&third, vec![first.addr, second.addr]);
+    let behind = BehindOthers::start(store.clone()).await;
+    let third = &behind.third;
     store.set_away(true);
     let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
     assert!(settings.is_err(), "{settings:?}");
     store.set_away(false);
     let upstreams = third.registry.newest(Topic::Upstreams, TIMEOUT).await;
     assert!(upstreams.is_ok(), "{upstreams:?}");
-    keeping.abort();
+}
+
+/// Once the registry has answered for one topic the other is read at once.
+#[rstest]
+#[tokio::test]
+async fn other_topic_answered() {
+    let store = RegistryStandin::default();
+    let behind = BehindOthers::start(store.clone()).await;
+    let third = &behind.third;
+    store.set_away(true);
+    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
+    assert!(settings.is_err(), "{settings:?}");
+    store.set_away(false);
+    third
+        .registry
+        .newest(Topic::Upstreams, TIMEOUT)
+        .await
+        .unwrap();
+    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
+    assert!(settings.is_ok(), "{settings:?}");
 }
