OwnTurn keeps a pause for each topic itself, and one set-up serves both tests of it

The pauses of both topics stood in a map of turns beside the type that decides on them, with the rule that an answer ends both written at the caller; OwnTurn::answered was left for its test alone. The type now holds when a call of each topic failed, as StandIn holds its waits, and the caller says what happened, as before. Behaviour and assertions are the same.

--- a/crates/nearby/src/own_turn.rs
+++ b/crates/nearby/src/own_turn.rs
@@ -1,18 +1,22 @@
 //! When a process asks the registry itself.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wagtailreel_fleet::BootTime;
+use wagtailreel_fleet::{BootTime, Topic};
 
 /// When a process asks the registry itself though it did not answer before.
 ///
 /// Load pattern: the registry is away, and no neighbour knows anything newer. If each process asks it
 /// after each vain question to its neighbours, 219 processes make 700 calls a second to a registry
 /// that is in trouble, and its return is noticed no sooner than by the first of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+///
+/// A call that failed holds back those of its own topic alone: a large configuration may not come over a link
+/// that brings the upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnTurn {
     pause: Duration,
-    failed_at: Option<BootTime>,
+    failed_at: BTreeMap<Topic, BootTime>,
 }
 
 impl OwnTurn {
@@ -20,23 +24,23 @@
     pub const fn new(pause: Duration) -> Self {
         Self {
             pause,
-            failed_at: None,
+            failed_at: BTreeMap::new(),
         }
     }
 
-    /// Says whether a call is due at `now`; those that others hear through are always due.
-    pub fn is_due(&self, is_reader: bool, now: BootTime) -> bool {
-        let rested = |failed_at| now.since(failed_at) >= self.pause;
-        is_reader || self.failed_at.is_none_or(rested)
+    /// Says whether a call for `topic` is due at `now`; those that others hear through are always due.
+    pub fn is_due(&self, topic: Topic, is_reader: bool, now: BootTime) -> bool {
+        let rested = |failed_at: &BootTime| now.since(*failed_at) >= self.pause;
+        is_reader || self.failed_at.get(&topic).is_none_or(rested)
     }
 
-    /// Takes that the registry did not answer.
-    pub const fn failed(&mut self, now: BootTime) {
-        self.failed_at = Some(now);
+    /// Takes that the registry did not answer a call for `topic`.
+    pub fn failed(&mut self, topic: Topic, now: BootTime) {
+        self.failed_at.insert(topic, now);
     }
 
-    /// Takes that the registry answered.
-    pub const fn answered(&mut self) {
-        self.failed_at = None;
+    /// Takes that the registry answered: it is there for the other topic too.
+    pub fn answered(&mut self) {
+        self.failed_at.clear();
     }
 }
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registry, read through a neighbour where there is one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -45,9 +45,7 @@
     start: Arc<Mutex<Start>>,
     /// Processes that start together read from this one, which waits for none of them.
     is_seed: bool,
-    /// Apart for each topic: a large configuration may not come over a link that brings the upstreams.
-    own_turns: Arc<Mutex<BTreeMap<Topic, OwnTurn>>>,
-    own_pause: Duration,
+    own_turn: Arc<Mutex<OwnTurn>>,
     stand_in: Arc<Mutex<StandIn>>,
     counters: Option<CallCounters>,
 }
@@ -69,8 +67,7 @@
             reader: Arc::default(),
             start: Arc::default(),
             is_seed: false,
-            own_turns: Arc::default(),
-            own_pause: pauses.own,
+            own_turn: Arc::new(Mutex::new(OwnTurn::new(pauses.own))),
             stand_in: Arc::new(Mutex::new(StandIn::new(pauses.stand_in))),
             counters: None,
         }
@@ -232,7 +229,7 @@
         }
         let sent = BootTime::now();
         let is_reader = self.neighbours.place(sent) < self.cfg.readers;
-        if !self.is_due(topic, is_reader, sent) {
+        if !self.lock_turn().is_due(topic, is_reader, sent) {
             let reason = "it did not answer lately, and neighbours know only old things".to_owned();
             return Err(RegistryError::Away { reason });
         }
@@ -244,14 +241,11 @@
         let now = BootTime::now();
         let outcome = match &answer {
             Ok(_) | Err(RegistryError::Expired { .. }) => {
-                // It is there, so that the other topic may be asked for at once.
-                self.lock_turns().clear();
+                self.lock_turn().answered();
                 "answered"
             }
             Err(_) => {
-                let new = || OwnTurn::new(self.own_pause);
-                let mut turns = self.lock_turns();
-                turns.entry(topic).or_insert_with(new).failed(now);
+                self.lock_turn().failed(topic, now);
                 "failed"
             }
         };
@@ -270,16 +264,8 @@
         answer
     }
 
-    fn lock_turns(&self) -> MutexGuard<'_, BTreeMap<Topic, OwnTurn>> {
-        let turns = self.own_turns.lock();
-        turns.unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn is_due(&self, topic: Topic, is_reader: bool, now: BootTime) -> bool {
-        let turns = self.lock_turns();
-        turns
-            .get(&topic)
-            .is_none_or(|turn| turn.is_due(is_reader, now))
+    fn lock_turn(&self) -> MutexGuard<'_, OwnTurn> {
+        self.own_turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Tells once that a topic comes from somewhere else than before.
--- a/crates/nearby/tests/outage.rs
+++ b/crates/nearby/tests/outage.rs
@@ -105,7 +105,7 @@
 }
 
 impl BehindOthers {
-    async fn start(store: RegistryStandin) -> Self {
+    async fn start() -> Self {
         let cut = RegistryStandin::default();
         let first = Entry::at("127.0.0.1:0", cut.clone()).await;
         let second = Entry::at("127.0.0.2:0", cut).await;
@@ -116,7 +116,7 @@
         }
         // Until what they know is old.
         tokio::time::sleep(Duration::from_millis(1200)).await;
-        let third = Entry::at("127.0.0.3:0", store).await;
+        let third = Entry::at("127.0.0.3:0", RegistryStandin::default()).await;
         let keeping = keep_told(&third, vec![first.addr, second.addr]);
         Self {
             third,
@@ -124,6 +124,17 @@
             _others: [first, second],
         }
     }
+
+    /// Has the entry's own read of the settings fail.
+    async fn fail_settings(&self) {
+        let Entry {
+            registry, store, ..
+        } = &self.third;
+        store.set_away(true);
+        let settings = registry.newest(Topic::Settings, TIMEOUT).await;
+        assert!(settings.is_err(), "{settings:?}");
+        store.set_away(false);
+    }
 }
 
 impl Drop for BehindOthers {
@@ -137,14 +148,10 @@
 #[rstest]
 #[tokio::test]
 async fn settings_failed() {
-    let store = RegistryStandin::default();
-    let behind = BehindOthers::start(store.clone()).await;
-    let third = &behind.third;
-    store.set_away(true);
-    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
-    assert!(settings.is_err(), "{settings:?}");
-    store.set_away(false);
-    let upstreams = third.registry.newest(Topic::Upstreams, TIMEOUT).await;
+    let behind = BehindOthers::start().await;
+    behind.fail_settings().await;
+    let registry = &behind.third.registry;
+    let upstreams = registry.newest(Topic::Upstreams, TIMEOUT).await;
     assert!(upstreams.is_ok(), "{upstreams:?}");
 }
 
@@ -152,18 +159,10 @@
 #[rstest]
 #[tokio::test]
 async fn other_topic_answered() {
-    let store = RegistryStandin::default();
-    let behind = BehindOthers::start(store.clone()).await;
-    let third = &behind.third;
-    store.set_away(true);
-    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
-    assert!(settings.is_err(), "{settings:?}");
-    store.set_away(false);
-    third
-        .registry
-        .newest(Topic::Upstreams, TIMEOUT)
-        .await
-        .unwrap();
-    let settings = third.registry.newest(Topic::Settings, TIMEOUT).await;
+    let behind = BehindOthers::start().await;
+    behind.fail_settings().await;
+    let registry = &behind.third.registry;
+    registry.newest(Topic::Upstreams, TIMEOUT).await.unwrap();
+    let settings = registry.newest(Topic::Settings, TIMEOUT).await;
     assert!(settings.is_ok(), "{settings:?}");
 }
--- a/crates/nearby/tests/own_turn.rs
+++ b/crates/nearby/tests/own_turn.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::BootTime;
+use wagtailreel_fleet::{BootTime, Topic};
 use wagtailreel_nearby::OwnTurn;
 
 fn at(ms: u64) -> BootTime {
@@ -16,9 +16,18 @@
 #[case::rested(false, 1000, true)]
 fn after_failure(#[case] is_reader: bool, #[case] after: u64, #[case] is_due: bool) {
     let mut turn = OwnTurn::new(Duration::from_secs(1));
-    assert!(turn.is_due(false, at(500)), "nothing failed yet");
-    turn.failed(at(500));
-    assert_eq!(turn.is_due(is_reader, at(500 + after)), is_due);
+    assert!(
+        turn.is_due(Topic::Settings, false, at(500)),
+        "nothing failed yet"
+    );
+    turn.failed(Topic::Settings, at(500));
+    assert_eq!(
+        turn.is_due(Topic::Settings, is_reader, at(500 + after)),
+        is_due
+    );
     turn.answered();
-    assert!(turn.is_due(false, at(501)), "it answers again");
+    assert!(
+        turn.is_due(Topic::Settings, false, at(501)),
+        "it answers again"
+    );
 }
