--- a/crates/standins/src/chance.rs
+++ b/crates/standins/src/chance.rs
@@ -35,3 +35,20 @@
         self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the seeds that the environment variable `name` names, as `A-B` or `A,B,C`, or else those of `usual`.
+///
+/// # Panics
+///
+/// Panics if they can't be read: a run without its seeds would pass.
+pub fn seeds(name: &str, usual: &str) -> Vec<u64> {
+    let text = std::env::var(name).unwrap_or_else(|_| usual.to_owned());
+    let seed = |text: &str| -> u64 {
+        let seed = text.parse();
+        seed.unwrap_or_else(|e| panic!("{name}: {text:?} is no seed ({e})"))
+    };
+    match text.split_once('-') {
+        Some((first, last)) => (seed(first)..=seed(last)).collect(),
+        None => text.split(',').map(seed).collect(),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,6 +19,7 @@
 mod token;
 mod vms;
 
+pub use chance::seeds;
 pub use engine::{
     EngineConfig, EngineFaults, EngineStandin, EngineStats, RequestState, RequestStats,
 };
--- a/tests/all/weights_faults.rs
+++ b/tests/all/weights_faults.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 use wagtailreel_bench::fleet::FleetSpec;
 use wagtailreel_core::{Digest, Epoch, VmId};
-use wagtailreel_standins::{OriginFaults, OriginModel};
+use wagtailreel_standins::{OriginFaults, OriginModel, seeds};
 
 use crate::support::{
     BOUND, Crowd, Live, MODEL, Rig, SERVICE, check_never_back, check_whole, two_halls,
@@ -205,17 +205,11 @@
     (number % VERSIONS).to_string()
 }
 
-fn seeds() -> Vec<u64> {
-    let text = std::env::var("WEIGHTS_SEEDS").unwrap_or_else(|_| SHORT_SEEDS.to_owned());
-    let (first, last) = text.split_once('-').unwrap_or((&text, &text));
-    (first.parse().unwrap()..=last.parse().unwrap()).collect()
-}
-
 /// No engine ever holds spoilt weights, no answer is mixed or of older weights than one before it, and once the
 /// faults have ended the newest version is served everywhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults() {
-    for seed in seeds() {
+    for seed in seeds("WEIGHTS_SEEDS", SHORT_SEEDS) {
         play(seed).await;
     }
 }
