signals: ended_unread asks again after 0.1 s whether a process still listens

A listener that is about to close drops opening packets for 30 ms. The test asks every 5 ms, so that its question was always one of those dropped, and was answered by the second packet, 1.00 to 1.03 s later. That is as long as a process waits for the reader of its last lines: in a run with times, reading began 7 ms before that wait was over.

--- a/tests/all/signals.rs
+++ b/tests/all/signals.rs
@@ -1,8 +1,8 @@
 //! Processes of a fleet whose upstreams name themselves, and the signals that they get.
 
 use std::fs;
-use std::io::{BufRead as _, BufReader, PipeReader, PipeWriter, Read as _, Write as _};
-use std::net::{TcpListener, TcpStream};
+use std::io::{BufRead as _, BufReader, ErrorKind, PipeReader, PipeWriter, Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
@@ -13,6 +13,9 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
+/// Longest wait for a connection on the loopback.
+const CONNECT: Duration = Duration::from_millis(100);
+
 /// A process with its settings file and what it writes.
 struct Running {
     child: Child,
@@ -145,7 +148,7 @@
 fn ended_unread() -> (PipeReader, usize, Child) {
     let (program, args, text) = entry();
     let status = text.split("status: \"").nth(1).unwrap();
-    let status = status.split('"').next().unwrap().to_owned();
+    let status: SocketAddr = status.split('"').next().unwrap().parse().unwrap();
     let dir = TempDir::new().unwrap();
     let settings = dir.path().join("settings.yaml");
     fs::write(&settings, text).unwrap();
@@ -156,15 +159,18 @@
         .stdout(writer)
         .spawn()
         .unwrap();
-    // A pause between two tries, since a full backlog delays a connection by a second.
-    let listens = || {
+    // A pause between two tries, since a full backlog delays a connection by a second. So does a listener that
+    // is about to close: it drops opening packets, and the process waits for its log's reader no longer than that.
+    let connect = || {
         std::thread::sleep(Duration::from_millis(5));
-        TcpStream::connect(&status).is_ok()
+        TcpStream::connect_timeout(&status, CONNECT)
+            .err()
+            .map(|e| e.kind())
     };
-    while !listens() {}
+    while connect().is_some() {}
     let pid = Pid::from_raw(child.id().cast_signed()).unwrap();
     kill_process(pid, Signal::TERM).unwrap();
-    while listens() {}
+    while connect() != Some(ErrorKind::ConnectionRefused) {}
     (reader, filled, child)
 }
 
