signals: ports are taken at an IP of the test program's own

Another test program could be given the port that free() had just given back: with both log_reader tests 48 at once, 1 of 96 programs waited for ever for an entry whose port was taken, and 5 failed with an empty log.

--- a/tests/all/signals.rs
+++ b/tests/all/signals.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{BufRead as _, BufReader, ErrorKind, PipeReader, PipeWriter, Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
@@ -24,9 +24,11 @@
     _dir: TempDir,
 }
 
-/// Returns an address that nobody listens on.
+/// Returns an address that nobody listens on, at an IP of this test program's own: a port that it gives back
+/// is not given to another program.
 fn free() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 90, high, low), 0)).unwrap();
     listener.local_addr().unwrap().to_string()
 }
 
