fleet, settings: read the warm-up rate of services and the bound on cold engines

A cold engine crashes above a number of requests per second, which operators give as the warm-up rate of its service and the overage and slack of their bounds. ServiceSpec holds the rate, DirectBounds the other two (1.5 and 5 unless given). Without a rate a service is serialized as before.

--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -143,6 +143,7 @@
         name: name.to_owned(),
         max_connections: 100,
         engine,
+        warmup_per_second: 0.0,
         origin: None,
     };
     Directory::new(version, limits)
@@ -266,6 +267,8 @@
             upstreams_pace: Duration::from_millis(100),
             lapse_after: Duration::ZERO,
             grace: Duration::from_secs(2),
+            warmup_overage: 1.5,
+            warmup_slack: 5.0,
         },
     };
     DirectEntry::start(settings, registry.clone(), TestDialect)
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -153,6 +153,16 @@
     pub engine: Option<EngineModel>,
     /// The origin of weights, if the service is one.
     pub origin: Option<OriginSpec>,
+    /// Requests per second that an engine tolerates while it is cold; 0 if the service has no such limit.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub warmup_per_second: f64,
+}
+
+/// Returns whether a service has no warm-up rate, which is then not serialized.
+// The signature is serde's.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(rate: &f64) -> bool {
+    *rate <= 0.0
 }
 
 /// Limits for requests and connections of clients.
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -6,43 +6,25 @@
 
 use wagtailreel_core::{DataCentre, Region, ServiceName, VmId};
 
+use crate::bounds::{Bounds, bounds};
 use crate::fields::{Fields, read_root};
 use crate::listen::{check_listeners, listener};
 use crate::problem::{Problems, SettingsErrors};
 use crate::values::{self, At};
 
-/// How long a revoked key may go on working, unless told otherwise.
-const DEFAULT_KEYS_MS: u64 = 5000;
-
 /// Part of the bound on keys that is kept for a request's own way to the upstream.
 const KEYS_MARGIN: Duration = Duration::from_millis(300);
 
-/// How long requests may begin on older weights, unless told otherwise.
-const DEFAULT_WEIGHTS_MS: u64 = 8000;
-
 /// Part of the bound on weights that is kept for a request's wait at the engine.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
 
 /// Part of the bound on weights that is kept for taking back a request that has not begun.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 
-/// Time after a start in which the bound on weights isn't judged, less a margin: a new process
-/// can't know when weights were named.
-const DEFAULT_STABLE_MS: u64 = 3000;
-
-/// How long an accepted configuration may take to be in force, unless told otherwise.
-const DEFAULT_CONFIG_MS: u64 = 2000;
-
-/// How long a leaving upstream may still get requests, unless told otherwise.
-const DEFAULT_DRAIN_MS: u64 = 2000;
-
 /// Part of the bound on leaving upstreams that is kept for one read that fails and is made again: its
 /// time-out of 0.5 s, the pause, a slow answer, and the request's own way.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1300);
 
-/// How often upstreams tell the registry that they live, unless told otherwise.
-const DEFAULT_HEARTBEAT_MS: u64 = 1200;
-
 /// Share of a heartbeat's time, in hundredths, that the registry has to be away for an upstream that
 /// lives to lapse: it lapses after three heartbeats, of which one may just have been due.
 const LAPSE_PERCENT: u32 = 150;
@@ -50,24 +32,15 @@
 /// Shortest time between two reads of the upstreams.
 const LEAST_PACE: Duration = Duration::from_millis(300);
 
-/// How long a process may take to end, unless told otherwise.
-const DEFAULT_GRACE_MS: u64 = 8000;
-
 /// Part of the time to end that is kept for the end itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
 
-/// Retries for each request, unless told otherwise.
-const DEFAULT_RETRY_RATIO: f64 = 0.2;
-
 /// Part of the shared retry budget that is used; entries count in windows of their own.
 const RETRY_SHARE: f64 = 0.75;
 
 /// Bits in a megabit.
 const MEGABIT: f64 = 1e6;
 
-/// Longest bound that is taken, in milliseconds.
-const MAX_BOUND_MS: u64 = 600_000;
-
 /// Settings of an entry that sends requests straight to upstreams.
 #[derive(Clone, Debug)]
 pub struct DirectEntrySettings {
@@ -125,6 +98,10 @@
     pub lapse_after: Duration,
     /// How long the process may take to end.
     pub grace: Duration,
+    /// Requests that a cold upstream may get in one second, as a multiple of its warm-up rate.
+    pub warmup_overage: f64,
+    /// Requests beyond this that a cold upstream may get in one second.
+    pub warmup_slack: f64,
 }
 
 /// Settings of an agent that stages weights beside an engine.
@@ -228,6 +205,8 @@
             upstreams_pace: bounds.drain.saturating_sub(DRAIN_MARGIN).max(LEAST_PACE),
             lapse_after: bounds.heartbeat * LAPSE_PERCENT / 100,
             grace: bounds.grace.saturating_sub(GRACE_MARGIN),
+            warmup_overage: bounds.warmup_overage,
+            warmup_slack: bounds.warmup_slack,
         },
     })
 }
@@ -263,72 +242,6 @@
     })
 }
 
-/// The bounds as they are written, without margins.
-#[derive(Clone, Copy, Debug)]
-struct Bounds {
-    keys: Duration,
-    weights: Duration,
-    stable: Duration,
-    config: Duration,
-    drain: Duration,
-    heartbeat: Duration,
-    grace: Duration,
-    retry_ratio: f64,
-}
-
-impl Default for Bounds {
-    fn default() -> Self {
-        Self {
-            keys: Duration::from_millis(DEFAULT_KEYS_MS),
-            weights: Duration::from_millis(DEFAULT_WEIGHTS_MS),
-            stable: Duration::from_millis(DEFAULT_STABLE_MS),
-            config: Duration::from_millis(DEFAULT_CONFIG_MS),
-            drain: Duration::from_millis(DEFAULT_DRAIN_MS),
-            heartbeat: Duration::from_millis(DEFAULT_HEARTBEAT_MS),
-            grace: Duration::from_millis(DEFAULT_GRACE_MS),
-            retry_ratio: DEFAULT_RETRY_RATIO,
-        }
-    }
-}
-
-fn bounds(at: &At<'_>, problems: &mut Problems) -> Option<Bounds> {
-    let usual = Bounds::default();
-    let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
-    let mut bound = |name, default| {
-        f.optional(name, problems, default, |at, problems| {
-            values::milliseconds(at, problems, 100..=MAX_BOUND_MS)
-        })
-    };
-    let keys = bound("keys_ms", usual.keys);
-    let weights = bound("weights_ms", usual.weights);
-    let stable = bound("stable_ms", usual.stable);
-    let config = bound("config_ms", usual.config);
-    let drain = bound("drain_ms", usual.drain);
-    let heartbeat = bound("heartbeat_ms", usual.heartbeat);
-    let grace = bound("grace_ms", usual.grace);
-    let retry_ratio = f.optional(
-        "retry_ratio",
-        problems,
-        usual.retry_ratio,
-        |at, problems| {
-            values::number(at, problems, "write a share from 0 to 1", |share| {
-                (0.0..=1.0).contains(&share)
-            })
-        },
-    );
-    f.finish(problems);
-    Some(Bounds {
-        keys: keys?,
-        weights: weights?,
-        stable: stable?,
-        config: config?,
-        drain: drain?,
-        heartbeat: heartbeat?,
-        grace: grace?,
-        retry_ratio: retry_ratio?,
-    })
-}
-
 fn mode(at: &At<'_>, problems: &mut Problems) -> Option<()> {
     values::choice(at, problems, &[("direct", ())])
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! gets every mistake at once, each with its place and the remedy.
 
 mod agent;
+mod bounds;
 mod direct;
 mod document;
 mod entry;
--- a/crates/settings/tests/direct_settings.rs
+++ b/crates/settings/tests/direct_settings.rs
@@ -58,6 +58,17 @@
     assert!(bounds.retry_ratio < 0.2);
 }
 
+/// The bound on cold upstreams has defaults, and no value of it lets them get less than their warm-up rate.
+#[rstest]
+#[case::missing("", (1.5, 5.0))]
+#[case::given("  warmup_overage: 2\n  warmup_slack: 0\n", (2.0, 0.0))]
+fn warmup_bounds(#[case] lines: &str, #[case] expected: (f64, f64)) {
+    let bounds = DirectEntrySettings::from_yaml(&format!("{ENTRY}{lines}"))
+        .unwrap()
+        .bounds;
+    assert_eq!((bounds.warmup_overage, bounds.warmup_slack), expected);
+}
+
 #[rstest]
 fn agent_settings() {
     let settings = StagingAgentSettings::from_yaml(AGENT).unwrap();
@@ -99,6 +110,8 @@
 #[case::same_address("10.1.0.1:8002", "10.1.0.1:8005", "listen.callers")]
 #[case::bad_address("10.9.0.1:8007", "store", "registry")]
 #[case::share_above_one("retry_ratio: 0.2", "retry_ratio: 2", "retry_ratio")]
+#[case::overage_below_one("retry_ratio: 0.2", "warmup_overage: 0.5", "warmup_overage")]
+#[case::negative_slack("retry_ratio: 0.2", "warmup_slack: -1", "warmup_slack")]
 #[case::unit_in_value("keys_ms: 5000", "keys_ms: 5s", "keys_ms")]
 fn mistakes(#[case] from: &str, #[case] to: &str, #[case] place: &str) {
     let err = DirectEntrySettings::from_yaml(&ENTRY.replace(from, to)).unwrap_err();
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -253,6 +253,7 @@
         name: name.to_owned(),
         max_connections: 100,
         engine,
+        warmup_per_second: 0.0,
         origin,
     };
     let origin = OriginSpec {
