Retry a quarantined suspect without the others that have its crashes

Cause: a suspect that has never completed is not released by others with the same crashes, since either may be the cause.

Ruled out: release by time or by count. Crash counts do not tell which of two suspects with the same crashes is the cause; only a request that has one of them does.

Change: Quarantine::admit_request decides over all suspects of a request. If suspects that the request does not have may have caused the crashes of a quarantined one (all of them, but for one crash of the first burst), the request is its retry 5 to 10 s after the last crash or retry, spread over the entries, and reported as other retries are. It still has to complete. Two failed retries end the short delay, and a failed retry that no other suspect accounts for ends it at once.

--- a/crates/direct/src/quarantine_sync.rs
+++ b/crates/direct/src/quarantine_sync.rs
@@ -71,24 +71,11 @@
     /// Decides whether a request may be sent, by the suspicion against each of its suspects. If a quarantined
     /// suspect is due for a retry, this request is the retry, which is reported to the other entries.
     pub(crate) fn admit(&self, suspects: &[Fingerprint]) -> Admission {
-        let now = BootTime::now();
-        let mut known = lock(&self.known);
-        let mut due = Vec::new();
-        let mut blocked: Option<(Duration, Fingerprint)> = None;
-        for suspect in suspects {
-            match known.suspicion(*suspect, now) {
-                Suspicion::Quarantined(Duration::ZERO) => due.push(*suspect),
-                Suspicion::Quarantined(left) => blocked = blocked.max(Some((left, *suspect))),
-                Suspicion::None | Suspicion::Suspected => {}
-            }
-        }
-        if let Some((retry_in, suspect)) = blocked {
-            return Admission::Refused { retry_in, suspect };
-        }
-        for suspect in &due {
-            known.admit(*suspect, now);
-        }
-        drop(known);
+        let admitted = lock(&self.known).admit_request(suspects, BootTime::now());
+        let due = match admitted {
+            Ok(due) => due,
+            Err((retry_in, suspect)) => return Admission::Refused { retry_in, suspect },
+        };
         for suspect in &due {
             self.report(*suspect, &REPEAT_DELAYS);
         }
--- a/crates/route/src/direct/crash_record.rs
+++ b/crates/route/src/direct/crash_record.rs
@@ -18,8 +18,9 @@
 /// Maximum number of times that the delay of a retry is doubled.
 const MAX_DOUBLINGS: usize = 6;
 
-/// Delay until a retry of a suspect that has completed here before.
-const TRUSTED_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Delay until a retry of a suspect that has completed here before, and shortest delay until one of a suspect
+/// whose crashes others may have caused.
+pub(super) const SHORT_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Difference within which two reports mean the same moment.
 const TIME_TOLERANCE: Duration = Duration::from_millis(200);
@@ -70,29 +71,28 @@
     }
 
     /// Returns the time until a quarantined suspect is retried by a process that retries `retry_delay` after
-    /// the third crash. `is_trusted` tells that it has completed there before.
-    pub(super) fn retry_in(
-        &self,
-        retry_delay: Duration,
-        is_trusted: bool,
-        now: BootTime,
-    ) -> Duration {
+    /// the third crash.
+    pub(super) fn retry_in(&self, retry_delay: Duration, now: BootTime) -> Duration {
+        let doublings = self.crashes.len().saturating_sub(MIN_CRASHES);
+        self.left(retry_delay * (1 << doublings.min(MAX_DOUBLINGS)), now)
+    }
+
+    /// Returns the time until `delay` after the last crash or retry.
+    pub(super) fn left(&self, delay: Duration, now: BootTime) -> Duration {
         let last = self.crashes.values().copied().chain(self.retried_at).max();
-        let wait = if is_trusted && self.is_one_burst() {
-            TRUSTED_RETRY_DELAY
-        } else {
-            let doublings = self.crashes.len().saturating_sub(MIN_CRASHES);
-            retry_delay * (1 << doublings.min(MAX_DOUBLINGS))
-        };
-        last.map_or(Duration::ZERO, |last| wait.saturating_sub(now.since(last)))
+        last.map_or(Duration::ZERO, |last| delay.saturating_sub(now.since(last)))
     }
 
-    /// Returns whether no crash came as late after the one before as the crash of a retry does.
-    fn is_one_burst(&self) -> bool {
+    /// Returns the times of the crashes that came as late after the one before as the crash of a retry does.
+    pub(super) fn failed_retries(&self) -> Vec<BootTime> {
         let mut times: Vec<BootTime> = self.crashes.values().copied().collect();
         times.sort_unstable();
-        let is_close = |pair: &[BootTime]| pair[1].since(pair[0]) < TRUSTED_RETRY_DELAY;
-        times.windows(2).all(is_close)
+        let is_late = |pair: &&[BootTime]| pair[1].since(pair[0]) >= SHORT_RETRY_DELAY;
+        times
+            .windows(2)
+            .filter(is_late)
+            .map(|pair| pair[1])
+            .collect()
     }
 
     /// Merges the report of another process. `completed_here` is when the suspect last completed here.
--- a/crates/route/src/direct/quarantine.rs
+++ b/crates/route/src/direct/quarantine.rs
@@ -5,7 +5,7 @@
 
 use wagtailreel_fleet::{BootTime, CrashReport, Fingerprint, UpstreamId, UpstreamStart};
 
-use super::crash_record::{CrashRecord, MIN_CRASHES, Thresholds};
+use super::crash_record::{CrashRecord, MIN_CRASHES, SHORT_RETRY_DELAY, Thresholds};
 use super::trusted::Trusted;
 
 /// Thresholds of a suspect. Everything on an upstream that crashes is suspected together with the request that
@@ -33,6 +33,14 @@
 /// entries.
 const RETRY_SPREAD: Duration = Duration::from_secs(600);
 
+/// Span after the short delay over which the entries spread their retries of a suspect whose crashes others may
+/// have caused. The report of a retry takes some 100 ms to reach the other entries.
+const SHORT_RETRY_SPREAD: Duration = Duration::from_secs(5);
+
+/// Failed retries after which the short delay no longer applies. The first may fail under another suspect of the
+/// request.
+const MAX_SHORT_RETRIES: usize = 2;
+
 /// How long before its first crash a suspect may have completed for the trusted thresholds to apply.
 const TRUST_TTL: Duration = Duration::from_secs(10);
 
@@ -70,13 +78,16 @@
 /// Everything that was on an upstream when it crashed is suspected. What crashes every upstream is identified at
 /// its third crash, and accounts for these crashes, so that what completed before and was on the same upstreams
 /// is released. A suspect that completes is cleared. A quarantined one is retried, seldom and one at a time, in case it is
-/// suspected wrongly.
+/// suspected wrongly. Of several with the same crashes, one that a request has without the others is retried
+/// within seconds.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     records: BTreeMap<Fingerprint, CrashRecord>,
     /// The suspects with enough crashes to be quarantined.
     frequent: BTreeSet<Fingerprint>,
     retry_delay: Duration,
+    /// Delay of the first retry of a suspect whose crashes others may have caused.
+    short_retry_delay: Duration,
     trusted: Trusted,
 }
 
@@ -84,8 +95,10 @@
     /// Creates the quarantine of a process. `phase`, drawn at random from 0 to 1, spreads the retries of
     /// processes.
     pub fn new(phase: f64) -> Self {
+        let phase = phase.clamp(0.0, 1.0);
         Self {
-            retry_delay: MIN_RETRY_DELAY + RETRY_SPREAD.mul_f64(phase.clamp(0.0, 1.0)),
+            retry_delay: MIN_RETRY_DELAY + RETRY_SPREAD.mul_f64(phase),
+            short_retry_delay: SHORT_RETRY_DELAY + SHORT_RETRY_SPREAD.mul_f64(phase),
             ..Self::default()
         }
     }
@@ -147,7 +160,53 @@
             return Suspicion::Suspected;
         }
         let is_trusted = self.trusted.last(fingerprint).is_some();
-        Suspicion::Quarantined(record.retry_in(self.retry_delay, is_trusted, now))
+        Suspicion::Quarantined(if is_trusted && record.failed_retries().is_empty() {
+            record.left(SHORT_RETRY_DELAY, now)
+        } else {
+            record.retry_in(self.retry_delay, now)
+        })
+    }
+
+    /// Returns the suspicion against a suspect of a request that has the suspects `request`.
+    ///
+    /// If others that the request does not have may have caused the crashes, the request can tell which it
+    /// was, and is the retry after the short delay.
+    fn suspicion_in(
+        &mut self,
+        fingerprint: Fingerprint,
+        request: &[Fingerprint],
+        now: BootTime,
+    ) -> Suspicion {
+        let suspicion = self.suspicion(fingerprint, now);
+        let record = self.records.get(&fingerprint);
+        match (suspicion, record) {
+            (Suspicion::Quarantined(left), Some(record))
+                if self.has_alternative(record, request) =>
+            {
+                Suspicion::Quarantined(left.min(record.left(self.short_retry_delay, now)))
+            }
+            _ => suspicion,
+        }
+    }
+
+    /// Returns whether suspects that a request does not have may have caused the crashes of `record`: each
+    /// failed retry, and of the other crashes all but fewer than a suspicion needs.
+    fn has_alternative(&self, record: &CrashRecord, request: &[Fingerprint]) -> bool {
+        let others = self.frequent.iter().filter(|it| !request.contains(it));
+        let others: Vec<&CrashRecord> = others
+            .filter_map(|it| self.records.get(it).map(|record| (it, record)))
+            .filter(|(it, record)| {
+                record.crashes.len() >= self.thresholds(**it, record).quarantined
+            })
+            .map(|(_, record)| record)
+            .collect();
+        let has_other = |id: &UpstreamId| others.iter().any(|it| it.crashes.contains_key(id));
+        let own = record.crashes.iter().filter(|(id, _)| !has_other(id));
+        let own: Vec<BootTime> = own.map(|(_, at)| *at).collect();
+        let retries = record.failed_retries();
+        own.len() < REPORT_AFTER_CRASHES
+            && retries.len() < MAX_SHORT_RETRIES
+            && !own.iter().any(|at| retries.contains(at))
     }
 
     fn thresholds(&self, fingerprint: Fingerprint, record: &CrashRecord) -> Thresholds {
@@ -207,6 +266,37 @@
         Suspicion::Suspected
     }
 
+    /// Admits a request by the suspicion against each of its suspects. Returns the suspects that it retries;
+    /// others have to be informed of these.
+    ///
+    /// # Errors
+    ///
+    /// Returns the suspect that is quarantined the longest, and for how long, if the request may not be sent.
+    pub fn admit_request(
+        &mut self,
+        suspects: &[Fingerprint],
+        now: BootTime,
+    ) -> Result<Vec<Fingerprint>, (Duration, Fingerprint)> {
+        let mut due = Vec::new();
+        let mut blocked = None;
+        for suspect in suspects {
+            match self.suspicion_in(*suspect, suspects, now) {
+                Suspicion::Quarantined(Duration::ZERO) => due.push(*suspect),
+                Suspicion::Quarantined(left) => blocked = blocked.max(Some((left, *suspect))),
+                Suspicion::None | Suspicion::Suspected => {}
+            }
+        }
+        if let Some(blocked) = blocked {
+            return Err(blocked);
+        }
+        for suspect in &due {
+            if let Some(record) = self.records.get_mut(suspect) {
+                record.retried_at = Some(now);
+            }
+        }
+        Ok(due)
+    }
+
     /// Returns whether a request that was received again has to be reported again, and if so records the
     /// report.
     pub fn should_report_again(&mut self, fingerprint: Fingerprint, now: BootTime) -> bool {
