route: weigh what an engine still holds of a prompt against the wait there

An engine that retains the beginning of a prompt need not read it again, but the choice did not know it, and sent each request wherever load was lowest. An entry now assumes that engines hold the prompts that it sent there, and compares engines by the expected first event if one of them is assumed to hold enough of the prompt.

--- a/crates/route/src/direct/capacity.rs
+++ b/crates/route/src/direct/capacity.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::pick::Requirements;
 use super::prediction::Prediction;
 
 /// Share of the objective within which the first event must be expected for a local engine to come before a
@@ -18,7 +17,8 @@
     objective.mul_f64(SAFE_OBJECTIVE_SHARE)
 }
 
-/// Returns whether the engine of `prediction` has no capacity for a request.
+/// Returns whether the engine of `prediction` has no capacity for a request that has a prompt of `prompt` tokens
+/// to be read.
 ///
 /// A request that gets a slot is served even if it is late, unless the prompts of others make it late.
 /// `has_report` tells that the prefill time comes from the agent's report; with an estimate too many requests
@@ -31,7 +31,8 @@
 /// other requests lose too much: the value of all answers was 0.078 instead of 0.094, over three seeds.
 pub(super) fn is_full<F>(
     prediction: &Prediction<'_>,
-    needs: &Requirements<'_>,
+    prompt: u32,
+    objective: Duration,
     is_queued: bool,
     has_report: bool,
     likely: F,
@@ -39,9 +40,9 @@
 where
     F: Fn(Duration) -> Duration,
 {
-    let beyond = needs.prompt.saturating_sub(prediction.model.usual_prompt);
-    let prompt = needs.prompt - beyond / 2;
-    let is_late = || likely(prediction.first_event(prompt)) > needs.objective;
+    let beyond = prompt.saturating_sub(prediction.model.usual_prompt);
+    let prompt = prompt - beyond / 2;
+    let is_late = || likely(prediction.first_event(prompt)) > objective;
     (is_queued && is_late())
-        || (has_report && prediction.is_prefill_bound(prompt, safe_objective(needs.objective)))
+        || (has_report && prediction.is_prefill_bound(prompt, safe_objective(objective)))
 }
--- a/crates/route/src/direct/pick.rs
+++ b/crates/route/src/direct/pick.rs
@@ -7,6 +7,7 @@
 use wagtailreel_fleet::{EngineModel, UpstreamId, UpstreamStart, WeightsVersion};
 
 use super::member::LoadSource;
+use super::prompt_cache::PromptPrefix;
 
 /// What one request requires of an upstream.
 #[derive(Clone, Debug, Default)]
@@ -25,6 +26,8 @@
     pub objective: Duration,
     /// If set, a remote upstream is a candidate only if its agent answered this entry since then.
     pub reported_since: Option<Instant>,
+    /// The beginnings of the prompt, if engines are assumed to hold some.
+    pub prefixes: &'a [PromptPrefix],
 }
 
 /// An upstream that was chosen.
@@ -53,6 +56,8 @@
     /// Whether the load is known only from relayed or unsolicited reports, as the upstream is remote and its
     /// agent did not just answer this entry.
     pub is_unconfirmed: bool,
+    /// Tokens of the prompt that the upstream is assumed to hold, so that it does not read them.
+    pub held_tokens: u32,
 }
 
 /// Why no upstream could be chosen.
@@ -93,6 +98,8 @@
     pub(super) is_late: bool,
     pub(super) is_risky: bool,
     pub(super) distance: u8,
+    /// Zero unless an upstream is assumed to hold a part of the prompt.
+    pub(super) first_event_steps: u128,
     pub(super) prefill_steps: u128,
     pub(super) load: u64,
     pub(super) turn: u64,
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -12,6 +12,7 @@
 use super::correction::Correction;
 use super::member::{Estimate, LoadSource, Member};
 use super::pick::{Candidate, Pick, Rank, Requirements, Unavailable};
+use super::prompt_cache::{self, PromptCache};
 
 /// First duration of an ejection after consecutive failures. The duration doubles with each further failure.
 const MIN_EJECTION: Duration = Duration::from_millis(500);
@@ -49,6 +50,8 @@
     pub(super) members: BTreeMap<UpstreamId, Member>,
     pub(super) announcements: Announcements,
     correction: Correction,
+    /// What engines are assumed to hold of prompts, if that is enabled.
+    pub(super) prompt_cache: Option<PromptCache>,
     turn: u64,
 }
 
@@ -63,6 +66,7 @@
             members: BTreeMap::new(),
             announcements: Announcements::default(),
             correction: Correction::default(),
+            prompt_cache: None,
             turn: 0,
         }
     }
@@ -266,14 +270,15 @@
     ///
     /// An upstream that is expected to begin the request in time comes first. Among those, upstreams of the
     /// own data centre come before those of its region and others, because a remote request uses narrow
-    /// links. Next come the shortest prefill and the lowest load. Equal upstreams take turns.
+    /// links. If one of them is assumed to hold a part of the prompt, the earliest first event comes next. Then
+    /// come the shortest prefill and the lowest load. Equal upstreams take turns.
     ///
     /// # Errors
     ///
     /// Returns the [`Unavailable`] reason if no upstream can take the request now.
     pub fn choose(&mut self, needs: &Requirements<'_>, now: Instant) -> Result<Pick, Unavailable> {
         let mut reason = Unavailable::NoUpstream;
-        let mut best: Option<(Rank, Pick)> = None;
+        let mut candidates: Vec<Candidate> = Vec::new();
         self.turn = self.turn.wrapping_add(1);
         let count = self.members.len().max(1) as u64;
         let estimate = self.estimate(needs, now);
@@ -286,15 +291,23 @@
                 }
             };
             let turn = (position as u64).wrapping_add(self.turn) % count;
-            let rank = Rank {
-                turn,
-                ..candidate.rank
-            };
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, candidate.pick));
+            candidates.push(Candidate {
+                rank: Rank {
+                    turn,
+                    ..candidate.rank
+                },
+                ..candidate
+            });
+        }
+        let weighs_held = candidates.iter().any(|it| it.pick.held_tokens > 0);
+        if let Some(engine) = needs.engine.filter(|_| weighs_held) {
+            for candidate in &mut candidates {
+                let expected = candidate.pick.expected.unwrap_or_default();
+                candidate.rank.first_event_steps = prompt_cache::steps(engine, expected);
             }
         }
-        best.map(|(_, pick)| pick).ok_or(reason)
+        let best = candidates.into_iter().min_by_key(|it| it.rank);
+        best.map(|it| it.pick).ok_or(reason)
     }
 
     /// Returns the estimate for engines without a fresh report. Plain services have no agents that report, so
@@ -326,12 +339,15 @@
         let is_queued = in_flight >= slots;
         let engine = needs.engine;
         let prediction = engine.map(|engine| member.predict(engine, estimate, now));
-        let expected = prediction.map(|it| it.first_event(needs.prompt));
+        let held_tokens = self.held_tokens(member, needs, version, now);
+        let prompt = needs.prompt - held_tokens;
+        let expected = prediction.map(|it| it.first_event(prompt));
         let likely = |expected| self.correction.apply(is_queued, expected, now);
         let is_late = expected.map_or(is_queued, |expected| likely(expected) > needs.objective);
         let is_full = match &prediction {
             Some(it) => {
-                capacity::is_full(it, needs, is_queued, source == LoadSource::Agent, likely)
+                let has_report = source == LoadSource::Agent;
+                capacity::is_full(it, prompt, needs.objective, is_queued, has_report, likely)
             }
             None => in_flight >= slots.saturating_add(PLAIN_QUEUE_DEPTH),
         };
@@ -352,6 +368,7 @@
             is_risky: expected
                 .is_some_and(|it| likely(it) > capacity::safe_objective(needs.objective)),
             distance,
+            first_event_steps: 0,
             prefill_steps: needs
                 .engine
                 .map_or(0, |engine| member.prefill_step(engine, estimate, now)),
@@ -370,6 +387,7 @@
             expected,
             is_queued,
             is_unconfirmed,
+            held_tokens,
         };
         Ok(Candidate { rank, pick })
     }
@@ -385,5 +403,8 @@
     fn prune(&mut self) {
         self.members
             .retain(|_, member| !member.is_gone || member.own_in_flight > 0);
+        if let Some(cache) = &mut self.prompt_cache {
+            cache.retain(|id| self.members.contains_key(id));
+        }
     }
 }
