direct: requests tell the choice what beginnings their prompts have

The choice can weigh what an engine still holds, but requests did not say which parts their prompts have. With the setting prompt_cache the entry passes them on, counts only the tokens to be read towards an engine's prefill, and records prompts as their first events come.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -8,7 +8,7 @@
 use rand::RngExt as _;
 use wagtailreel_core::{CustomerId, RequestId, ServiceName};
 use wagtailreel_fleet::{Directory, EngineModel, ModelName, Route};
-use wagtailreel_route::direct::Prediction;
+use wagtailreel_route::direct::{Prediction, PromptPrefix};
 use wagtailreel_serve::connection_options;
 
 use crate::dialect::{Dialect, RequestHead};
@@ -48,6 +48,8 @@
     /// The customer whose key the request carries; `None` on a public route.
     pub(crate) customer: Option<CustomerId>,
     pub(crate) rank: u8,
+    /// The beginnings of the prompt; empty if engines retain none.
+    pub(crate) prefixes: Vec<PromptPrefix>,
     pub(crate) deadline: Instant,
 }
 
@@ -83,6 +85,7 @@
         return Err(Refusal::Leaving);
     }
     let model = engine.as_ref().map(|engine| engine.model.clone());
+    let prefixes = prefixes(cx, engine.as_ref(), &parts.headers);
     let (customer, customer_rank) = customer.unzip();
     let rank = customer_rank.flatten().unwrap_or(route.rank);
     Ok(Admitted {
@@ -93,12 +96,29 @@
         engine,
         customer,
         rank,
+        prefixes,
         route,
         directory,
         deadline: now + time_limit,
     })
 }
 
+/// Returns the beginnings of the prompt, if the settings say that engines retain them.
+fn prefixes<D>(
+    cx: &Shared<D>,
+    engine: Option<&EngineModel>,
+    headers: &HeaderMap,
+) -> Vec<PromptPrefix>
+where
+    D: Dialect,
+{
+    if engine.is_none() || cx.settings.prompt_cache.is_none() {
+        return Vec::new();
+    }
+    let parts = cx.dialect.prompt(headers);
+    PromptPrefix::of_parts(parts.iter().map(|(id, tokens)| (id.as_str(), *tokens)))
+}
+
 /// Returns the maximum duration of an answer, or [`Duration::MAX`] if it can't be predicted.
 ///
 /// The first event is expected within the route's objective: a request for which no upstream can meet it is
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -285,13 +285,21 @@
         if let Some(pick) = &self.last_pick {
             let now = Instant::now();
             let took = now.saturating_duration_since(self.sent_at);
-            self.service.upstreams().record_first_event(pick, took, now);
+            let needs = self.needs(None);
+            let mut upstreams = self.service.upstreams();
+            upstreams.record_first_event(pick, took, now);
+            upstreams.record_prompt(pick, &needs, took, now);
         }
     }
 
     /// Counts the request as in flight at its upstream, and announces it to the engine's agent.
     fn count_in_flight(&self, pick: &Pick) -> Lease {
         let tokens = self.admitted.head.prompt_tokens;
+        let tokens = tokens.saturating_sub(pick.held_tokens);
+        if pick.held_tokens > 0 {
+            let held = &self.cx.metrics.prompt_tokens_held;
+            held.inc_by(pick.held_tokens.into());
+        }
         let lease = Lease::new(&self.service, &pick.id, tokens);
         if let Some(engine) = &self.admitted.engine {
             let prefill = Prediction::prefill_time(engine, tokens);
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -149,7 +149,7 @@
     }
 
     /// Returns what the request requires of an upstream, with a load report since `reported_since` if given.
-    fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
+    pub(crate) fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
         let model = self.admitted.model.as_deref();
         Requirements {
             model,
@@ -159,6 +159,7 @@
             prompt: self.admitted.head.prompt_tokens,
             objective: self.admitted.route.objective,
             reported_since,
+            prefixes: &self.admitted.prefixes,
         }
     }
 
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -81,6 +81,13 @@
     /// Reads the metadata of a caller's request.
     fn request(&self, headers: &HeaderMap) -> RequestHead;
 
+    /// Reads the parts of the caller's prompt in order, each with its number of tokens. Only called if engines
+    /// retain prompts.
+    fn prompt(&self, headers: &HeaderMap) -> Vec<(PromptPart, u32)> {
+        let _ = headers;
+        Vec::new()
+    }
+
     /// Sets the headers that only this system may set, in place of any that the caller sent, and removes the
     /// customer's key.
     fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the histogram buckets in seconds, from an answer of the same data centre to the longest
 /// deadline.
@@ -25,6 +27,8 @@
     pub(crate) open: IntGauge,
     /// Age of the registry state that the entry works with, in milliseconds, by topic.
     pub(crate) state_age: IntGaugeVec,
+    /// Tokens of prompts that upstreams were assumed to hold.
+    pub(crate) prompt_tokens_held: IntCounter,
     /// Log lines that were dropped.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -53,6 +57,10 @@
                 Opts::new("wagtailreel_belief_age_ms", "Age of what is believed"),
                 &["topic"],
             )?,
+            prompt_tokens_held: IntCounter::new(
+                "wagtailreel_prompt_tokens_held_total",
+                "Prompt tokens that engines were assumed to hold",
+            )?,
             lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -62,6 +70,7 @@
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
         registry.register(Box::new(metrics.state_age.clone()))?;
+        registry.register(Box::new(metrics.prompt_tokens_held.clone()))?;
         registry.register(Box::new(metrics.lines_dropped.clone()))?;
         Ok(metrics)
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -16,7 +16,7 @@
 use wagtailreel_nearby::{
     CallCounters, Mirror, Neighbours, Seeds, SharedRegistry, SharedRegistryConfig,
 };
-use wagtailreel_route::direct::NamingBounds;
+use wagtailreel_route::direct::{NamingBounds, PromptCacheConfig};
 use wagtailreel_serve::{ConnectionCounters, MAX_IDLE, Phase, Routes, Server};
 use wagtailreel_settings::DirectEntrySettings;
 use wagtailreel_telemetry::Event;
@@ -154,7 +154,13 @@
         };
         let regions = settings.regions.clone();
         let home = settings.data_centre.clone();
-        let view = View::new(home.clone(), regions, bounds).with_seeds(settings.seeds.clone());
+        let prompt_cache = settings.prompt_cache.map(|it| PromptCacheConfig {
+            retention: it.retention,
+            max_prefixes: it.prefixes,
+        });
+        let view = View::new(home.clone(), regions, bounds)
+            .with_seeds(settings.seeds.clone())
+            .with_prompt_cache(prompt_cache);
         let view = Arc::new(view);
         let agent_port = settings.agent_port;
         let read_interval = settings.bounds.upstreams_pace;
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -18,7 +18,7 @@
 use crate::events;
 use crate::pool::Pool;
 use wagtailreel_route::direct::{
-    LoadReports, Naming, NamingBounds, Namings, RefusalRate, Upstreams,
+    LoadReports, Naming, NamingBounds, Namings, PromptCacheConfig, RefusalRate, Upstreams,
 };
 
 /// Maximum retries that this entry may save up for each service. The users allow all entries together 104
@@ -69,6 +69,7 @@
     /// Entries that the settings of all entries name as seeds.
     seeds: Vec<IpAddr>,
     bounds: Bounds,
+    prompt_cache: Option<PromptCacheConfig>,
     directory: RwLock<Option<Arc<Directory>>>,
     confirmed: Mutex<BTreeMap<Topic, BootTime>>,
     services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
@@ -94,6 +95,7 @@
             regions,
             seeds: Vec::new(),
             bounds,
+            prompt_cache: None,
             directory: RwLock::default(),
             confirmed: Mutex::default(),
             services: RwLock::default(),
@@ -112,6 +114,12 @@
         self
     }
 
+    /// Sets how long and how much engines retain of prompts.
+    pub(crate) fn with_prompt_cache(mut self, cfg: Option<PromptCacheConfig>) -> Self {
+        self.prompt_cache = cfg;
+        self
+    }
+
     pub(crate) fn seeds(&self) -> &[IpAddr] {
         &self.seeds
     }
@@ -187,6 +195,10 @@
         let mut services = services.unwrap_or_else(PoisonError::into_inner);
         let service = services.entry(name.to_owned()).or_insert_with(|| {
             let upstreams = Upstreams::new(self.data_centre.clone(), self.regions.clone());
+            let upstreams = match self.prompt_cache {
+                Some(cfg) => upstreams.with_prompt_cache(cfg),
+                None => upstreams,
+            };
             let budget = BudgetConfig {
                 ratio: self.bounds.retry_ratio,
                 burst: RETRY_BURST,
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -14,7 +14,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use wagtailreel_direct::{
-    AnswerHead, Dialect, DirectEntry, Dispatch, Limit, NamedLimit, RequestHead,
+    AnswerHead, Dialect, DirectEntry, Dispatch, Limit, NamedLimit, PromptPart, RequestHead,
 };
 use wagtailreel_fleet::{
     Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route, RouteKind,
@@ -34,6 +34,15 @@
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
 
+/// Returns the parts of the prompt in `x-prompt`, as `id:tokens` separated by spaces.
+fn prompt(headers: &HeaderMap) -> Vec<(PromptPart, u32)> {
+    let text = text(headers, "x-prompt").unwrap_or_default();
+    let parts = text.split(' ').filter_map(|part| part.split_once(':'));
+    parts
+        .map(|(id, tokens)| (id.to_owned(), tokens.parse().unwrap()))
+        .collect()
+}
+
 impl Dialect for TestDialect {
     fn request(&self, headers: &HeaderMap) -> RequestHead {
         RequestHead {
@@ -43,7 +52,7 @@
                 .map(Duration::from_millis),
             key: text(headers, "x-key"),
             last_event: text(headers, "last-event-id").and_then(|id| id.parse().ok()),
-            prompt_tokens: 0,
+            prompt_tokens: prompt(headers).iter().map(|(_, tokens)| tokens).sum(),
             answer_tokens: 0,
             prompt_parts: text(headers, "x-parts")
                 .map(|parts| parts.split(' ').map(ToOwned::to_owned).collect())
@@ -51,6 +60,10 @@
         }
     }
 
+    fn prompt(&self, headers: &HeaderMap) -> Vec<(PromptPart, u32)> {
+        prompt(headers)
+    }
+
     fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>) {
         headers.remove("x-key");
         headers.remove("x-customer");
@@ -242,8 +255,33 @@
     agent_port: u16,
     seeds: &[IpAddr],
 ) -> DirectEntry<TestDialect> {
+    let settings = settings(keys, agents, agent_port, seeds);
+    DirectEntry::start(settings, registry.clone(), TestDialect)
+        .await
+        .unwrap()
+}
+
+/// Starts an entry without agents whose settings `change` has changed.
+pub(crate) async fn entry_with<F>(registry: &RegistryStandin, change: F) -> DirectEntry<TestDialect>
+where
+    F: FnOnce(&mut DirectEntrySettings),
+{
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = settings(Duration::from_secs(4), any, 9, &[]);
+    change(&mut settings);
+    DirectEntry::start(settings, registry.clone(), TestDialect)
+        .await
+        .unwrap()
+}
+
+fn settings(
+    keys: Duration,
+    agents: SocketAddr,
+    agent_port: u16,
+    seeds: &[IpAddr],
+) -> DirectEntrySettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let settings = DirectEntrySettings {
+    DirectEntrySettings {
         vm: "entry-1".to_owned(),
         data_centre: "hall".to_owned(),
         regions: BTreeMap::from([("hall".to_owned(), "sierra".to_owned())]),
@@ -256,6 +294,7 @@
         agent_port,
         seeds: seeds.to_vec(),
         threads: 1,
+        prompt_cache: None,
         bounds: DirectBounds {
             keys,
             denial: keys,
@@ -267,10 +306,7 @@
             lapse_after: Duration::ZERO,
             grace: Duration::from_secs(2),
         },
-    };
-    DirectEntry::start(settings, registry.clone(), TestDialect)
-        .await
-        .unwrap()
+    }
 }
 
 /// Repeats a call until the answer has `status`.
--- a/crates/route/src/direct/prompt_cache.rs
+++ b/crates/route/src/direct/prompt_cache.rs
@@ -212,13 +212,7 @@
             return 0;
         }
         let upstream = &member.upstream;
-        let held = cache.held_tokens(
-            &upstream.id,
-            upstream.started,
-            version,
-            needs.prefixes,
-            now,
-        );
+        let held = cache.held_tokens(&upstream.id, upstream.started, version, needs.prefixes, now);
         // The last token is always read, since the first event follows from it.
         let held = held.min(needs.prompt.saturating_sub(1));
         if prefill_time(engine, held) >= step(engine) {
--- a/crates/route/tests/prompt_cache.rs
+++ b/crates/route/tests/prompt_cache.rs
@@ -9,9 +9,7 @@
 
 use rstest::rstest;
 use wagtailreel_fleet::{EngineModel, LoadStatus};
-use wagtailreel_route::direct::{
-    Pick, PromptCacheConfig, PromptPrefix, Requirements, Upstreams,
-};
+use wagtailreel_route::direct::{Pick, PromptCacheConfig, PromptPrefix, Requirements, Upstreams};
 
 const SLOTS: u32 = 12;
 const OBJECTIVE: Duration = Duration::from_secs(1);
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -62,6 +62,13 @@
 /// Part of the shared retry budget that is used; entries count in windows of their own.
 const RETRY_SHARE: f64 = 0.75;
 
+/// Beginnings of prompts that are remembered for each engine, unless told otherwise: sessions of a hundred
+/// customers with a few parts each.
+const DEFAULT_PREFIXES: u32 = 1024;
+
+/// Most of them; 65,536 take 6 MB for each engine.
+const MAX_PREFIXES: u32 = 65_536;
+
 /// Bits in a megabit.
 const MEGABIT: f64 = 1e6;
 
@@ -88,10 +95,21 @@
     pub seeds: Vec<IpAddr>,
     /// Threads for requests.
     pub threads: usize,
+    /// How long and how much engines retain of prompts, if they do.
+    pub prompt_cache: Option<PromptCacheSettings>,
     /// What the operators were promised, less the margins.
     pub bounds: DirectBounds,
 }
 
+/// How long and how much engines retain of prompts after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptCacheSettings {
+    /// How long an engine retains a prompt that no request uses.
+    pub retention: Duration,
+    /// Beginnings of prompts that are remembered for each engine.
+    pub prefixes: usize,
+}
+
 /// Where an entry listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectListen {
@@ -205,6 +223,9 @@
     let threads = f.optional("threads", problems, 1, |at, problems| {
         values::count(at, problems, "threads", 1..=64)
     });
+    let prompt_cache = f.optional("prompt_cache", problems, None, |at, problems| {
+        prompt_cache(at, problems).map(Some)
+    });
     let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
     f.finish(problems);
     mode?;
@@ -218,6 +239,7 @@
         agent_port: agent_port?,
         seeds: seeds?,
         threads: threads? as usize,
+        prompt_cache: prompt_cache?,
         bounds: DirectBounds {
             keys: bounds.keys.saturating_sub(KEYS_MARGIN),
             denial: bounds.config,
@@ -329,6 +351,21 @@
     })
 }
 
+fn prompt_cache(at: &At<'_>, problems: &mut Problems) -> Option<PromptCacheSettings> {
+    let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
+    let retention = f.required("retention_ms", problems, |at, problems| {
+        values::milliseconds(at, problems, 100..=MAX_BOUND_MS)
+    });
+    let prefixes = f.optional("prefixes", problems, DEFAULT_PREFIXES, |at, problems| {
+        values::count(at, problems, "prefixes", 1..=MAX_PREFIXES)
+    });
+    f.finish(problems);
+    Some(PromptCacheSettings {
+        retention: retention?,
+        prefixes: prefixes? as usize,
+    })
+}
+
 fn mode(at: &At<'_>, problems: &mut Problems) -> Option<()> {
     values::choice(at, problems, &[("direct", ())])
 }
--- a/crates/settings/tests/direct_settings.rs
+++ b/crates/settings/tests/direct_settings.rs
@@ -111,3 +111,17 @@
     let err = StagingAgentSettings::from_yaml(&text).unwrap_err();
     assert!(err.to_string().contains("link_mbps"), "{err}");
 }
+
+/// Engines retain prompts only where the settings say so, and for how long.
+#[rstest]
+fn prompt_cache() {
+    let settings = DirectEntrySettings::from_yaml(ENTRY).unwrap();
+    assert_eq!(settings.prompt_cache, None);
+    let with = format!("{ENTRY}prompt_cache:\n  retention_ms: 20000\n");
+    let settings = DirectEntrySettings::from_yaml(&with).unwrap();
+    let cache = settings.prompt_cache.unwrap();
+    assert_eq!(cache.retention, Duration::from_secs(20));
+    assert!(cache.prefixes > 0);
+    let without_time = format!("{ENTRY}prompt_cache:\n  prefixes: 10\n");
+    assert!(DirectEntrySettings::from_yaml(&without_time).is_err());
+}
