--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -69,7 +69,10 @@
         if let Some(pick) = &self.last_pick {
             let now = Instant::now();
             let took = now.saturating_duration_since(self.sent_at);
-            self.service.upstreams().record_first_event(pick, took, now);
+            let needs = self.needs(None);
+            let mut upstreams = self.service.upstreams();
+            upstreams.record_first_event(pick, took, now);
+            upstreams.record_prompt(pick, &needs, took, now);
         }
     }
 
--- a/crates/settings/src/bounds.rs
+++ b/crates/settings/src/bounds.rs
@@ -37,7 +37,7 @@
 const DEFAULT_WARMUP_SLACK: f64 = 5.0;
 
 /// Longest bound that is taken, in milliseconds.
-const MAX_BOUND_MS: u64 = 600_000;
+pub(crate) const MAX_BOUND_MS: u64 = 600_000;
 
 /// The bounds as they are written, without margins.
 #[derive(Clone, Copy, Debug)]
