route: admission level of one entry, by class

Under overload the kind with the longest objective fills the queues, and urgent requests are refused. The level is the share of the offered engine time that is admitted; classes fill it by rank, requests that may be in time first, each with a floor.

--- /dev/null
+++ b/crates/route/src/direct/admission.rs
@@ -0,0 +1,283 @@
+//! Admission control by rank: which requests are refused under overload before any engine gets them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time in which an offered request fades to about a third: what counts is the last second.
+const OFFERED_TIME: Duration = Duration::from_secs(1);
+
+/// Share of the offered requests that is kept at least from one request to the next, so that a quiet entry
+/// knows the shares of classes from its last 20 requests. By the last second alone, an entry with one request
+/// a second would know one class, and shed urgent requests like any others.
+const MIN_KEPT: f64 = 0.95;
+
+/// Pause after which the offered requests are forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+/// Time in which a first choice fades to about a third, so that nearly all that counts is from the last second.
+/// With 0.5 s, the mean level of 35 entries swings by 0.09 at a steady overload, with 0.3 s by 0.05.
+const CHOICE_TIME: Duration = Duration::from_millis(300);
+
+/// Number of first choices over which failures are counted at least, so that a failure at an entry without
+/// other requests fades too. With 0.7, the mean level of an entry with one request a second was 0.82 where that
+/// of an entry with 100 was 0.54; with 0.3 it is 0.73.
+const MIN_CHOICES: f64 = 0.3;
+
+/// Share of first choices without an engine in time up to which the level rises. Bursts of a few requests at
+/// the same moment cause some of these without an overload.
+const FULL_SHARE: f64 = 0.05;
+
+/// Fall of the level per second for each unit of failed choices above [`FULL_SHARE`].
+const FALL: f64 = 0.8;
+
+/// Rise of the level per second after [`CALM`] without failures above [`FULL_SHARE`]; slower before. With it,
+/// entries have recovered 3 s after an overload ends, including the time in which its failures fade.
+const RISE: f64 = 0.35;
+
+/// Time in which the rise reaches its full speed. With full speed at once, the level swings under a steady
+/// overload, since the failures that a rise causes are seen 0.3 s later.
+const CALM: Duration = Duration::from_secs(1);
+
+/// Lowest level. Some requests have to be admitted for an entry to see that the overload has ended.
+const MIN_LEVEL: f64 = 0.1;
+
+/// Longest step in which the level is integrated.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Longest time that one observation integrates. After it the level is back at 1 from any value.
+const MAX_GAP: Duration = Duration::from_secs(5);
+
+/// Mean load of the engines, in requests per slot, below which nothing is shed.
+const MIN_LOAD: f64 = 0.85;
+
+/// Floor of a class that may be in time, as a share of how often requests are admitted overall. No kind of
+/// request may be served less than a quarter as often as all.
+const FLOOR: f64 = 0.3;
+
+/// Floor of a late class. A late answer is worth about a third of one in time.
+const LATE_FLOOR: f64 = 0.1;
+
+/// Passes in which the floors and the overall share, which depend on each other, are computed. The third
+/// changes neither by more than 0.01.
+const PASSES: usize = 3;
+
+/// Requests below which a class is forgotten.
+const MIN_COUNT: f64 = 0.01;
+
+/// Part of a caller's remaining time within which it is told to retry. Callers do not heed a longer pause than
+/// a third.
+const MAX_RETRY_SHARE: f64 = 0.33;
+
+/// Shortest retry delay as a part of the longest. A caller that retries at once meets the same overload.
+const MIN_RETRY: f64 = 0.1;
+
+/// Width of the range of retry delays of one class, as a part of the longest, if there are several classes.
+const RETRY_RANGE: f64 = 0.5;
+
+/// Requests between which the admission control doesn't distinguish, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Class {
+    /// Rank of the request; 0 is the highest.
+    pub rank: u8,
+    /// Whether the request can no longer begin within the objective since the caller's first attempt.
+    pub is_late: bool,
+}
+
+/// A request on which [`Admission`] decides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    /// The class of the request.
+    pub class: Class,
+    /// The engine time that it uses.
+    pub engine_time: Duration,
+    /// Mean load of the engines that accept requests, in requests per slot.
+    pub load: f64,
+    /// A random number from 0 to 1, drawn for this request only.
+    pub draw: f64,
+}
+
+/// The decision on one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Whether the request is admitted.
+    pub is_admitted: bool,
+    /// The level of the entry, 0 to 1.
+    pub level: f64,
+    /// The share of the requests of its class that the level admits.
+    pub class_share: f64,
+    /// Parts of the longest retry delay between which a caller that is refused draws its delay.
+    pub retry_range: (f64, f64),
+}
+
+impl Decision {
+    /// Returns the retry delay of a refused caller with `left` of its time remaining. `draw` is a random number
+    /// from 0 to 1, which spreads callers evenly over the range of their class.
+    pub fn retry_after(&self, draw: f64, left: Duration) -> Duration {
+        let (from, to) = self.retry_range;
+        left.mul_f64(MAX_RETRY_SHARE * (from + (to - from) * draw.clamp(0.0, 1.0)))
+    }
+}
+
+/// Requests of one class in the last second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Offered {
+    count: f64,
+    /// Their engine time in seconds.
+    work: f64,
+}
+
+/// The admission level of one service at one entry.
+///
+/// Load pattern: requests need 1.35 times the engine time that there is, for seconds, and those with the longest
+/// objective are the least urgent. Without this they fill the queues, and the urgent ones are refused.
+///
+/// Invariant: the level is between [`MIN_LEVEL`] and 1.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    level: f64,
+    offered: BTreeMap<Class, Offered>,
+    offered_at: Instant,
+    /// First choices in the last second, and those that found no engine in time.
+    chosen: f64,
+    full: f64,
+    level_at: Instant,
+    /// Time without failures above [`FULL_SHARE`], at most [`CALM`].
+    calm: Duration,
+}
+
+impl Admission {
+    /// Creates the admission of a service without requests so far.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            level: 1.0,
+            offered: BTreeMap::new(),
+            offered_at: now,
+            chosen: 0.0,
+            full: 0.0,
+            level_at: now,
+            calm: Duration::ZERO,
+        }
+    }
+
+    /// Returns the level after its movement until `now`.
+    pub fn level(&mut self, now: Instant) -> f64 {
+        self.advance(now);
+        self.level
+    }
+
+    /// Counts a request and decides whether it is admitted.
+    pub fn decide(&mut self, offer: Offer, now: Instant) -> Decision {
+        self.advance(now);
+        self.count(offer, now);
+        let is_loaded = offer.load >= MIN_LOAD;
+        let class_share = if is_loaded && self.level < 1.0 {
+            self.class_share(offer.class)
+        } else {
+            1.0
+        };
+        Decision {
+            is_admitted: offer.draw < class_share || class_share >= 1.0,
+            level: self.level,
+            class_share,
+            retry_range: self.retry_range(offer.class),
+        }
+    }
+
+    /// Records the first choice of an admitted request, and whether it found no engine in time.
+    pub fn record_choice(&mut self, is_full: bool, now: Instant) {
+        self.advance(now);
+        self.chosen += 1.0;
+        if is_full {
+            self.full += 1.0;
+        }
+    }
+
+    fn count(&mut self, offer: Offer, now: Instant) {
+        let passed = now.saturating_duration_since(self.offered_at);
+        self.offered_at = now;
+        if passed > FORGOTTEN_AFTER {
+            self.offered.clear();
+        }
+        let keep = kept(passed, OFFERED_TIME).max(MIN_KEPT);
+        self.offered.retain(|_, offered| {
+            offered.count *= keep;
+            offered.work *= keep;
+            offered.count > MIN_COUNT
+        });
+        let offered = self.offered.entry(offer.class).or_default();
+        offered.count += 1.0;
+        offered.work += offer.engine_time.as_secs_f64();
+    }
+
+    /// Moves the level by the time that has passed since its last movement.
+    fn advance(&mut self, now: Instant) {
+        let mut left = now.saturating_duration_since(self.level_at).min(MAX_GAP);
+        self.level_at = self.level_at.max(now);
+        while !left.is_zero() {
+            let step = left.min(STEP);
+            left -= step;
+            let full_share = self.full / self.chosen.max(MIN_CHOICES);
+            let rate = if full_share > FULL_SHARE {
+                self.calm = Duration::ZERO;
+                -FALL * (full_share - FULL_SHARE)
+            } else {
+                self.calm = (self.calm + step).min(CALM);
+                RISE * self.calm.div_duration_f64(CALM)
+            };
+            let level = self.level + rate * step.as_secs_f64();
+            self.level = level.clamp(MIN_LEVEL, 1.0);
+            let keep = kept(step, CHOICE_TIME);
+            self.chosen *= keep;
+            self.full *= keep;
+        }
+    }
+
+    /// Returns the share of the requests of `class` that the level admits.
+    fn class_share(&self, class: Class) -> f64 {
+        let (count, work) = self.offered.values().fold((0.0, 0.0), |(count, work), it| {
+            (count + it.count, work + it.work)
+        });
+        if work <= 0.0 {
+            return 1.0;
+        }
+        let mut overall = self.level;
+        let mut share = 1.0;
+        for _ in 0..PASSES {
+            let floor = |class: &Class| overall * if class.is_late { LATE_FLOOR } else { FLOOR };
+            let floors = self.offered.iter().map(|(it, of)| floor(it) * of.work);
+            let mut left = self.level * work - floors.sum::<f64>();
+            let mut admitted = 0.0;
+            for (it, of) in &self.offered {
+                let above = of.work * (1.0 - floor(it));
+                let of_class = (left / above.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+                left -= above;
+                let of_class = floor(it) + (1.0 - floor(it)) * of_class;
+                admitted += of_class * of.count;
+                if *it == class {
+                    share = of_class;
+                }
+            }
+            overall = admitted / count;
+        }
+        share
+    }
+
+    /// Returns the range of retry delays of `class`: less urgent classes come back later.
+    fn retry_range(&self, class: Class) -> (f64, f64) {
+        let others = self.offered.keys().filter(|it| **it != class).count();
+        if others == 0 {
+            return (MIN_RETRY, 1.0);
+        }
+        let before = self.offered.keys().filter(|it| **it < class).count();
+        // At most 512 classes.
+        #[allow(clippy::cast_precision_loss)]
+        let place = before as f64 / others as f64;
+        let from = MIN_RETRY + (1.0 - RETRY_RANGE - MIN_RETRY) * place;
+        (from, from + RETRY_RANGE)
+    }
+}
+
+/// Returns the part of a sum that is kept after `passed`, if a third of it is kept after `time`.
+fn kept(passed: Duration, time: Duration) -> f64 {
+    (-passed.as_secs_f64() / time.as_secs_f64()).exp()
+}
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -4,9 +4,11 @@
 //! engine. [`PendingArrivals`] counts the requests announced to an agent that its engine has not reported
 //! yet. [`Namings`] tells on which weights a request may begin. [`StallPolicy`] tells how long a stream may
 //! stall. [`Permits`] keeps all entries together within the rate limits that upstreams name. [`RefusalRate`]
-//! tells when a refused caller should retry. [`Quarantine`] identifies requests that crash upstreams.
+//! tells when a refused caller should retry. [`Admission`]
+//! refuses less urgent requests first under overload. [`Quarantine`] identifies requests that crash upstreams.
 //! [`next_step`] decides what follows the end of an attempt.
 
+mod admission;
 mod announcements;
 mod capacity;
 mod correction;
@@ -17,6 +19,7 @@
 mod load_reports;
 mod member;
 mod naming;
+mod overview;
 mod pending;
 mod permits;
 mod pick;
@@ -30,6 +33,7 @@
 mod trusted;
 mod upstreams;
 
+pub use admission::{Admission, Class, Decision, Offer};
 pub use correction::Correction;
 pub use ending::{Attempt, Ending, Next, next_step};
 pub use exclusion::Exclusion;
@@ -37,6 +41,7 @@
 pub use load_reports::{LoadReport, LoadReports};
 pub use member::{LoadSource, Member};
 pub use naming::{Naming, NamingBounds, NamingSource, Namings};
+pub use overview::Overview;
 pub use pending::PendingArrivals;
 pub use permits::{ISSUER_SHARES, Permits};
 pub use pick::{Pick, Requirements, Unavailable};
--- a/crates/route/src/direct/prediction.rs
+++ b/crates/route/src/direct/prediction.rs
@@ -27,6 +27,19 @@
     pub slowdown: f64,
 }
 
+impl<'a> Prediction<'a> {
+    /// Returns the state of a full engine without queued prompts.
+    const fn full(model: &'a EngineModel) -> Self {
+        Self {
+            model,
+            slots: model.slots,
+            in_flight: model.slots,
+            prefill_left: Duration::ZERO,
+            slowdown: 1.0,
+        }
+    }
+}
+
 impl Prediction<'_> {
     /// Returns the prefill time of a prompt of `tokens`, or zero if the operator gives no rate.
     pub fn prefill_time(model: &EngineModel, tokens: u32) -> Duration {
@@ -45,14 +58,19 @@
     /// Returns the longest time that a full engine takes for an answer of at most `tokens`, from its first
     /// event on.
     pub fn longest_answer(model: &EngineModel, tokens: u32) -> Duration {
-        let full = Prediction {
-            model,
-            slots: model.slots,
-            in_flight: model.slots,
-            prefill_left: Duration::ZERO,
-            slowdown: 1.0,
+        let step = Prediction::full(model).step(model.slots);
+        seconds(f64::from(tokens) * step * MAX_TOKEN_SLOWDOWN)
+    }
+
+    /// Returns the time of a full engine that a request uses with a prompt of `prompt` tokens and an answer of
+    /// `answer` tokens, or of usual length if that is 0.
+    pub fn engine_time(model: &EngineModel, prompt: u32, answer: u32) -> Duration {
+        let answer = if answer > 0 {
+            answer
+        } else {
+            model.usual_answer
         };
-        seconds(f64::from(tokens) * full.step(model.slots) * MAX_TOKEN_SLOWDOWN)
+        seconds(Prediction::full(model).usage(prompt, answer))
     }
 
     /// Returns whether a request with a prompt of `tokens` would begin too late for `objective` only because
@@ -91,9 +109,14 @@
     /// Returns the seconds between the ends of two requests at a full engine, which is the engine time that a
     /// usual request uses.
     fn turnover(&self) -> f64 {
+        self.usage(self.model.usual_prompt, self.model.usual_answer)
+    }
+
+    /// Returns the seconds of a full engine that a request with `prompt` and `answer` tokens uses.
+    fn usage(&self, prompt: u32, answer: u32) -> f64 {
         let slots = self.slots.max(1);
-        let writing = f64::from(self.model.usual_answer) * self.step(slots) / f64::from(slots);
-        writing + prefill_time(self.model, self.model.usual_prompt).as_secs_f64()
+        let writing = f64::from(answer) * self.step(slots) / f64::from(slots);
+        writing + prefill_time(self.model, prompt).as_secs_f64()
     }
 
     /// Returns the seconds of a decoding step for `running` requests.
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -327,7 +327,7 @@
         let engine = needs.engine;
         let prediction = engine.map(|engine| member.predict(engine, estimate, now));
         let expected = prediction.map(|it| it.first_event(needs.prompt));
-        let likely = |expected| self.correction.apply(is_queued, expected, now);
+        let likely = |expected| self.likely(is_queued, expected, now);
         let is_late = expected.map_or(is_queued, |expected| likely(expected) > needs.objective);
         let is_full = match &prediction {
             Some(it) => {
@@ -374,6 +374,11 @@
         Ok(Candidate { rank, pick })
     }
 
+    /// Returns the time within which a first event predicted after `expected` is likely to come.
+    pub(super) fn likely(&self, is_queued: bool, expected: Duration, now: Instant) -> Duration {
+        self.correction.apply(is_queued, expected, now)
+    }
+
     fn distance(&self, data_centre: &str) -> u8 {
         if data_centre == self.data_centre {
             return 0;
