fleet: ranks of the requests that can reach a service

Admission control by rank is active where they differ. They are collected once per configuration. A customer's rank overrides that of the route, so routes that differ do not count where all customers name the same rank.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -9,6 +9,7 @@
 use wagtailreel_core::{CustomerId, DataCentre, ServiceName};
 
 use crate::ModelName;
+use crate::ranks::ServiceRanks;
 
 /// Version of a configuration; later ones are higher.
 pub type ConfigVersion = u64;
@@ -196,6 +197,7 @@
     limits: ClientLimits,
     by_host: BTreeMap<String, Vec<usize>>,
     by_key: BTreeMap<ApiKey, usize>,
+    ranks: BTreeMap<ServiceName, ServiceRanks>,
 }
 
 impl Directory {
@@ -209,6 +211,7 @@
             limits,
             by_host: BTreeMap::new(),
             by_key: BTreeMap::new(),
+            ranks: BTreeMap::new(),
         }
     }
 
@@ -224,6 +227,7 @@
             positions.sort_by_key(|position| std::cmp::Reverse(routes[*position].prefix.len()));
         }
         self.routes = routes;
+        self.ranks = ServiceRanks::collect(&self.routes, &self.customers);
         self
     }
 
@@ -247,6 +251,7 @@
             }
         }
         self.customers = customers;
+        self.ranks = ServiceRanks::collect(&self.routes, &self.customers);
         self
     }
 
@@ -286,6 +291,11 @@
         self.services.get(name)
     }
 
+    /// Returns the ranks of the requests that can reach a service; `None` if no route leads there.
+    pub fn ranks(&self, service: &str) -> Option<&ServiceRanks> {
+        self.ranks.get(service)
+    }
+
     /// Returns all services, sorted by name.
     pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
         self.services.values()
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,4 +1,5 @@
-//! Look-up of a request's route and customer.
+//! Look-up of a request's route and customer, and the ranks of the requests to a service.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::time::Duration;
 
@@ -79,3 +80,58 @@
     );
     assert!(!directory.needs_keys());
 }
+
+fn customer(name: &str, rank: Option<u8>) -> Customer {
+    Customer {
+        name: name.to_owned(),
+        rank,
+        keys: vec![name.to_owned()],
+    }
+}
+
+/// With one rank everywhere admission control by rank must stay off, also where customers name that rank.
+#[rstest]
+#[case::one_rank(&[1, 1], &[], false)]
+#[case::routes_differ(&[0, 2], &[], true)]
+#[case::customer_of_the_same_rank(&[1], &[None, Some(1)], false)]
+#[case::customer_differs_from_route(&[1], &[None, Some(0)], true)]
+#[case::customers_differ(&[1], &[Some(2), Some(0)], true)]
+#[case::customers_override_routes(&[0, 2], &[Some(1), Some(1)], false)]
+fn ranks_differ(#[case] routes: &[u8], #[case] customers: &[Option<u8>], #[case] differ: bool) {
+    let routes = routes.iter().map(|rank| Route {
+        rank: *rank,
+        ..route(&format!("r{rank}"), "a.example", "/")
+    });
+    let customers = customers.iter().enumerate();
+    let customers = customers.map(|(at, rank)| customer(&format!("c{at}"), *rank));
+    let directory = Directory::new(1, limits())
+        .with_routes(routes.collect())
+        .with_customers(customers.collect());
+    assert_eq!(directory.ranks("scribes").unwrap().differ(), differ);
+    assert_eq!(directory.ranks("others"), None);
+}
+
+/// The shortest objective of more urgent ranks counts, and none for the most urgent rank.
+#[rstest]
+fn objective_before() {
+    let at = |rank, millis| Route {
+        rank,
+        objective: Duration::from_millis(millis),
+        ..route(&format!("r{rank}-{millis}"), "a.example", "/")
+    };
+    let directory =
+        Directory::new(1, limits()).with_routes(vec![at(0, 400), at(0, 700), at(2, 1000)]);
+    let ranks = directory.ranks("scribes").unwrap();
+    let millis = |rank| ranks.objective_before(rank).map(|it| it.as_millis());
+    assert_eq!(
+        (millis(0), millis(1), millis(2)),
+        (None, Some(400), Some(400))
+    );
+    let read: Directory =
+        serde_json::from_str(&serde_json::to_string(&directory).unwrap()).unwrap();
+    assert_eq!(
+        read.ranks("scribes"),
+        directory.ranks("scribes"),
+        "also after it was sent"
+    );
+}
