--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -88,10 +88,22 @@
     pub seeds: Vec<IpAddr>,
     /// Threads for requests.
     pub threads: usize,
+    /// Where admission control by rank is active.
+    pub admission: AdmissionMode,
     /// What the operators were promised, less the margins.
     pub bounds: DirectBounds,
 }
 
+/// Where admission control by rank is active.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// At engine services that requests of different ranks can reach.
+    #[default]
+    ByRank,
+    /// At all engine services.
+    Always,
+}
+
 /// Where an entry listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectListen {
@@ -205,6 +217,7 @@
     let threads = f.optional("threads", problems, 1, |at, problems| {
         values::count(at, problems, "threads", 1..=64)
     });
+    let admission = f.optional("admission", problems, AdmissionMode::ByRank, admission);
     let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
     f.finish(problems);
     mode?;
@@ -218,6 +231,7 @@
         agent_port: agent_port?,
         seeds: seeds?,
         threads: threads? as usize,
+        admission: admission?,
         bounds: DirectBounds {
             keys: bounds.keys.saturating_sub(KEYS_MARGIN),
             denial: bounds.config,
@@ -333,6 +347,14 @@
     values::choice(at, problems, &[("direct", ())])
 }
 
+fn admission(at: &At<'_>, problems: &mut Problems) -> Option<AdmissionMode> {
+    let modes = [
+        ("by-rank", AdmissionMode::ByRank),
+        ("always", AdmissionMode::Always),
+    ];
+    values::choice(at, problems, &modes)
+}
+
 fn listen(at: &At<'_>, problems: &mut Problems) -> Option<DirectListen> {
     let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
     let mut all = Vec::new();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,7 +17,9 @@
 mod values;
 
 pub use agent::{AgentListen, AgentPlatform, AgentSettings, UpstreamSettings, WeightsSettings};
-pub use direct::{DirectBounds, DirectEntrySettings, DirectListen, StagingAgentSettings};
+pub use direct::{
+    AdmissionMode, DirectBounds, DirectEntrySettings, DirectListen, StagingAgentSettings,
+};
 pub use document::{MAX_DOCUMENT_BYTES, check_document, check_document_for};
 pub use entry::{
     ConfigSettings, CustomerSettings, EntryListen, EntryPlatform, EntrySettings, OrderSettings,
--- a/crates/settings/tests/direct_settings.rs
+++ b/crates/settings/tests/direct_settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_settings::{DirectEntrySettings, StagingAgentSettings};
+use wagtailreel_settings::{AdmissionMode, DirectEntrySettings, StagingAgentSettings};
 
 const ENTRY: &str = r#"
 upstreams: direct
@@ -77,6 +77,15 @@
     assert_eq!(entry.seeds, expected);
 }
 
+/// Without the setting, earlier deployments are served as before.
+#[rstest]
+#[case::none("", AdmissionMode::ByRank)]
+#[case::always("admission: always\n", AdmissionMode::Always)]
+fn admission(#[case] line: &str, #[case] mode: AdmissionMode) {
+    let settings = DirectEntrySettings::from_yaml(&format!("{ENTRY}{line}")).unwrap();
+    assert_eq!(settings.admission, mode);
+}
+
 #[rstest]
 fn bad_seed() {
     let text = format!("{AGENT}seeds: [\"10.1.0.9\"]\n");
@@ -99,6 +108,7 @@
 #[case::same_address("10.1.0.1:8002", "10.1.0.1:8005", "listen.callers")]
 #[case::bad_address("10.9.0.1:8007", "store", "registry")]
 #[case::share_above_one("retry_ratio: 0.2", "retry_ratio: 2", "retry_ratio")]
+#[case::unknown_mode("agent_port: 7700", "agent_port: 7700\nadmission: never", "admission")]
 #[case::unit_in_value("keys_ms: 5000", "keys_ms: 5s", "keys_ms")]
 fn mistakes(#[case] from: &str, #[case] to: &str, #[case] place: &str) {
     let err = DirectEntrySettings::from_yaml(&ENTRY.replace(from, to)).unwrap_err();
