direct: admission control by rank before the first choice

Where requests of different ranks can reach an engine service, or with the setting admission: always, an entry decides by its level on each request that has not run, before it chooses the first upstream. Second attempts and resumed streams are not decided on. A shed request gets a 503 that says it has not run, with a retry delay spread over a third of the caller's time. A line admission-drawn tells of each request that the draw decided; metrics tell the level and shed requests by rank.

--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -34,7 +34,8 @@
 where
     D: Dialect,
 {
-    /// Chooses an upstream, and records whether there was one for the refusal rate.
+    /// Chooses an upstream, and records whether there was one for the refusal rate. Where admission control by
+    /// rank is active, it decides before the first choice.
     ///
     /// A request that has not run is refused if there is none. A request that may have run must not be
     /// refused as not run, and waits for an upstream as long as time for another attempt is left.
@@ -43,7 +44,15 @@
     ///
     /// Returns the refusal to send to the caller.
     pub(crate) async fn choose_next(&self) -> Result<Pick, Refusal> {
-        let chosen = self.choose_permitted().await;
+        let is_shedding = self.is_first_choice() && self.is_admission_controlled();
+        let admitted = if is_shedding { self.shed() } else { Ok(()) };
+        let chosen = match admitted {
+            Ok(()) => self.choose_permitted().await,
+            Err(refusal) => Err(refusal),
+        };
+        if is_shedding {
+            self.record_first_choice(chosen.as_ref().err());
+        }
         self.record_choice(chosen.is_err());
         match chosen {
             Err(refusal) if self.may_have_run => self.await_upstream(refusal).await,
@@ -149,7 +158,7 @@
     }
 
     /// Returns what the request requires of an upstream, with a load report since `reported_since` if given.
-    fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
+    pub(crate) fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
         let model = self.admitted.model.as_deref();
         Requirements {
             model,
@@ -157,7 +166,7 @@
             tried: self.tried.clone(),
             engine: self.admitted.engine.as_ref(),
             prompt: self.admitted.head.prompt_tokens,
-            objective: self.admitted.route.objective,
+            objective: self.objective(),
             reported_since,
         }
     }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -184,6 +184,17 @@
     remedy: "See docs/OPERATIONS.md.",
 };
 
+/// A request of a class that is admitted in part was admitted or shed.
+pub const ADMISSION_DRAWN: Event = Event {
+    id: 6123,
+    name: "admission-drawn",
+    level: Level::Info,
+    meaning: "The service is overloaded and admits only `class_share` of the requests of this `rank`; `level` \
+              is the share of the offered engine time that the entry admits. With `outcome` shed, no \
+              upstream got the request `id`.",
+    remedy: "If it lasts, add engines.",
+};
+
 /// An attempt ended without an answer for the caller.
 pub const ATTEMPT_ENDED: Event = Event {
     id: 6122,
@@ -214,6 +225,7 @@
     REQUEST_QUARANTINED,
     REQUEST_DONE,
     REQUEST_REFUSED,
+    ADMISSION_DRAWN,
     UPSTREAM_AWAITED,
     ATTEMPT_ENDED,
 ];
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -33,6 +33,7 @@
 mod response;
 mod seed;
 mod shared;
+mod shedding;
 mod socket;
 mod status_page;
 mod view;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the histogram buckets in seconds, from an answer of the same data centre to the longest
 /// deadline.
@@ -17,6 +19,10 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts that brought no answer, by how they ended.
     pub(crate) attempts: IntCounterVec,
+    /// Admission level by service, where admission control by rank is active.
+    pub(crate) admission_level: GaugeVec,
+    /// Requests that were shed by the admission level, by rank.
+    pub(crate) shed: IntCounterVec,
     /// Time to the first byte of an answer.
     pub(crate) first_byte: Histogram,
     /// Time to the last byte of an answer.
@@ -46,6 +52,14 @@
                 "Failed attempts",
                 "end",
             )?,
+            admission_level: GaugeVec::new(
+                Opts::new(
+                    "wagtailreel_admission_level",
+                    "Share of the offered engine time that is admitted",
+                ),
+                &["service"],
+            )?,
+            shed: counters("wagtailreel_shed_total", "Shed requests", "rank")?,
             first_byte: times("wagtailreel_first_byte_seconds", "Time to the first byte")?,
             duration: times("wagtailreel_request_seconds", "Time to the last byte")?,
             open: IntGauge::new("wagtailreel_requests_open", "Requests under way")?,
@@ -58,6 +72,8 @@
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.admission_level.clone()))?;
+        registry.register(Box::new(metrics.shed.clone()))?;
         registry.register(Box::new(metrics.first_byte.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -60,6 +60,12 @@
         /// Time after which the caller should send the request again.
         retry_in: Duration,
     },
+    /// The service is overloaded, and more urgent requests are admitted before this one.
+    #[display("shed")]
+    Shed {
+        /// Time after which the caller should send the request again, already spread at random.
+        retry_in: Duration,
+    },
     /// The upstreams that got the request did not run it.
     #[display("upstreams-refused")]
     UpstreamsRefused,
@@ -94,6 +100,7 @@
             | Self::NoUpstream { .. }
             | Self::Weights { .. }
             | Self::Full { .. }
+            | Self::Shed { .. }
             | Self::UpstreamsRefused
             | Self::Quarantined { .. }
             | Self::Leaving
@@ -114,6 +121,7 @@
             Self::NoUpstream { retry_in }
             | Self::Weights { retry_in }
             | Self::Full { retry_in }
+            | Self::Shed { retry_in }
             | Self::Quarantined { retry_in, .. } => Some(retry_in),
             Self::Leaving => Some(SHORT_RETRY_AFTER),
             Self::UpstreamsRefused | Self::Deadline => Some(Duration::from_millis(250)),
@@ -134,6 +142,9 @@
             Self::NoUpstream { .. } => "no upstream can be reached: send the request again later",
             Self::Weights { .. } => "the weights are on their way: send the request again later",
             Self::Full { .. } => "all upstreams are busy: send the request again later",
+            Self::Shed { .. } => {
+                "the service is overloaded, and the request has not run: send it again later"
+            }
             Self::UpstreamsRefused => "the upstreams refused: send the request again later",
             Self::Quarantined { .. } => {
                 "upstreams ended each time that this request or a part of its prompt ran: change it, or wait until they are mended"
@@ -157,7 +168,10 @@
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
         if let Some(retry_after) = self.retry_after() {
-            let stretch = 1.0 + JITTER * rand::rng().random::<f64>();
+            let stretch = match self {
+                Self::Shed { .. } => 1.0,
+                _ => 1.0 + JITTER * rand::rng().random::<f64>(),
+            };
             let text = format!("{:.3}", retry_after.as_secs_f64() * stretch);
             if let Ok(value) = HeaderValue::try_from(text) {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -18,19 +18,20 @@
 use crate::events;
 use crate::pool::Pool;
 use wagtailreel_route::direct::{
-    LoadReports, Naming, NamingBounds, Namings, RefusalRate, Upstreams,
+    Admission, LoadReports, Naming, NamingBounds, Namings, RefusalRate, Upstreams,
 };
 
 /// Maximum retries that this entry may save up for each service. The users allow all entries together 104
 /// retries beyond the share of the requests; 8 entries spend at most 40 of these.
 const RETRY_BURST: f64 = 5.0;
 
-/// One service: its upstreams, retry budget, refusal rate and connections, each under a separate lock.
+/// One service: its upstreams, retry budget, refusal rate, admission level and connections, each under a separate lock.
 #[derive(Debug)]
 pub(crate) struct Service {
     upstreams: Mutex<Upstreams>,
     budget: Mutex<RetryBudget>,
     refusal_rate: Mutex<RefusalRate>,
+    admission: Mutex<Admission>,
     /// Notified when a load report of one of the upstreams comes.
     pub(crate) load_updated: Notify,
     /// Notified when the registry record of one of the upstreams changes.
@@ -47,6 +48,10 @@
         lock(&self.refusal_rate)
     }
 
+    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
     pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.budget)
     }
@@ -195,6 +200,7 @@
                 upstreams: Mutex::new(upstreams),
                 budget: Mutex::new(RetryBudget::new(budget)),
                 refusal_rate: Mutex::new(RefusalRate::new(Instant::now())),
+                admission: Mutex::new(Admission::new(Instant::now())),
                 load_updated: Notify::new(),
                 registry_changed: Notify::new(),
                 pool: Pool::default(),
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -20,7 +20,7 @@
     Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route, RouteKind,
     ServiceSpec, Upstream, UpstreamState,
 };
-use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
+use wagtailreel_settings::{AdmissionMode, DirectBounds, DirectEntrySettings, DirectListen};
 
 use wagtailreel_standins::RegistryStandin;
 
@@ -256,6 +256,7 @@
         agent_port,
         seeds: seeds.to_vec(),
         threads: 1,
+        admission: AdmissionMode::ByRank,
         bounds: DirectBounds {
             keys,
             denial: keys,
