Entries exchange admission levels by agents

Entries of busier data centres see more failures and refuse more. An entry that decides sends its level with its queries, the agent returns the mean of the levels of the last 2 s, and each entry moves towards it. Both fields are left out where nothing is decided, so that datagrams stay as they were.

--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -125,6 +125,9 @@
                     let reading = BootTime::from_millis(clock_ms);
                     clocks.insert(from.ip(), reading, BootTime::now());
                 }
+                if let (Some(mean), Some(agent)) = (status.admission_permille, agent) {
+                    agent.service.admission().receive_mean(mean, Instant::now());
+                }
                 // Unsolicited and very late datagrams match no known round.
                 let sent = rounds.get(status.nonce);
                 if let (Some(naming), Some(sent)) = (&status.naming, sent) {
@@ -239,6 +242,7 @@
                 .zip(after)
                 .map(|(clock, after)| clock.translate(after).as_millis()),
             is_local: self.is_local,
+            admission_permille: self.service.admission().reported_level(Instant::now()),
             ..Query::default()
         }
     }
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -55,6 +55,10 @@
     /// in microseconds. Such a query gets no answer.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub prefill_us: Option<u32>,
+    /// The sender's admission level for the engine's service, in thousandths, while admission control by rank is
+    /// active there. Without it the query is as before.
+    #[serde(rename = "al", default, skip_serializing_if = "Option::is_none")]
+    pub admission_permille: Option<u16>,
 }
 
 /// A report of recently named weights, with a bound on how long ago they were named.
@@ -138,6 +142,10 @@
     /// The first entries of the agent's data centre by address.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<SocketAddr>,
+    /// The mean admission level of the entries that the agent heard of recently, in thousandths; only in answers
+    /// to queries with a level.
+    #[serde(rename = "al", default, skip_serializing_if = "Option::is_none")]
+    pub admission_permille: Option<u16>,
 }
 
 /// Maximum number of crash reports in one datagram. With twelve upstream ids of 60
--- a/crates/route/src/direct/admission.rs
+++ b/crates/route/src/direct/admission.rs
@@ -42,6 +42,17 @@
 /// Lowest level. Some requests have to be admitted for an entry to see that the overload has ended.
 const MIN_LEVEL: f64 = 0.1;
 
+/// Time in which the distance to the mean level of other entries shrinks to about a third. Entries of busier data
+/// centres see more failures, and their callers would be served worse.
+const MEAN_TIME: Duration = Duration::from_millis(500);
+
+/// How long a mean level counts.
+const MEAN_TTL: Duration = Duration::from_secs(2);
+
+/// Time after the last decision in which an entry reports its level. Without requests it says nothing about the
+/// load.
+const REPORTED_FOR: Duration = Duration::from_secs(2);
+
 /// Longest step in which the level is integrated.
 const STEP: Duration = Duration::from_millis(50);
 
@@ -150,6 +161,9 @@
     level_at: Instant,
     /// Time without failures above [`FULL_SHARE`], at most [`CALM`].
     calm: Duration,
+    /// The mean level of the entries that an agent heard of, and when it was received.
+    mean: Option<(f64, Instant)>,
+    decided_at: Option<Instant>,
 }
 
 impl Admission {
@@ -163,6 +177,8 @@
             full: BTreeMap::new(),
             level_at: now,
             calm: Duration::ZERO,
+            mean: None,
+            decided_at: None,
         }
     }
 
@@ -176,6 +192,7 @@
     pub fn decide(&mut self, offer: Offer, now: Instant) -> Decision {
         self.advance(now);
         self.count(offer, now);
+        self.decided_at = Some(now);
         let is_loaded = offer.load >= MIN_LOAD;
         let class_share = if is_loaded && self.level < 1.0 {
             self.class_share(offer.class)
@@ -199,6 +216,33 @@
         }
     }
 
+    /// Returns the level to report to other entries in thousandths, if the entry decided on requests recently.
+    pub fn reported_level(&mut self, now: Instant) -> Option<u16> {
+        let decided_at = self.decided_at?;
+        if now.saturating_duration_since(decided_at) > REPORTED_FOR {
+            return None;
+        }
+        // The level is at most 1.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let permille = (self.level(now) * 1000.0).round() as u16;
+        Some(permille)
+    }
+
+    /// Records the mean level of other entries in thousandths. An entry that knew none adopts it at once.
+    pub fn receive_mean(&mut self, permille: u16, now: Instant) {
+        self.advance(now);
+        let mean = (f64::from(permille) / 1000.0).clamp(MIN_LEVEL, 1.0);
+        if self.mean_at(now).is_none() {
+            self.level = mean;
+        }
+        self.mean = Some((mean, now));
+    }
+
+    fn mean_at(&self, now: Instant) -> Option<f64> {
+        let (mean, at) = self.mean?;
+        (now.saturating_duration_since(at) <= MEAN_TTL).then_some(mean)
+    }
+
     fn count(&mut self, offer: Offer, now: Instant) {
         let passed = now.saturating_duration_since(self.offered_at);
         self.offered_at = now;
@@ -220,6 +264,7 @@
     fn advance(&mut self, now: Instant) {
         let mut left = now.saturating_duration_since(self.level_at).min(MAX_GAP);
         self.level_at = self.level_at.max(now);
+        let mean = self.mean_at(now);
         while !left.is_zero() {
             let step = left.min(STEP);
             left -= step;
@@ -238,6 +283,9 @@
                 MIN_LEVEL
             };
             self.level = level.clamp(least, 1.0);
+            if let Some(mean) = mean {
+                self.level += (mean - self.level) * (1.0 - kept(step, MEAN_TIME));
+            }
             let keep = kept(step, CHOICE_TIME);
             self.chosen *= keep;
             self.full.retain(|_, full| {
--- a/crates/route/tests/lab/kinds.rs
+++ b/crates/route/tests/lab/kinds.rs
@@ -38,4 +38,6 @@
     pub(crate) impatient: f64,
     /// Whether entries decide on admission.
     pub(crate) is_controlled: bool,
+    /// Whether entries exchange their levels by agents.
+    pub(crate) exchanges_levels: bool,
 }
--- a/crates/route/tests/lab/mod.rs
+++ b/crates/route/tests/lab/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod ranked;
 pub(crate) mod served;
 mod simulated_engine;
+mod steps;
 
 pub(crate) const MODEL: &str = "epitaph";
 
--- a/crates/route/tests/lab/ranked.rs
+++ b/crates/route/tests/lab/ranked.rs
@@ -3,7 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -17,6 +17,7 @@
 use super::kinds::RankedPattern;
 use super::served::Served;
 use super::simulated_engine::SimulatedEngine;
+use super::steps::{Request, Step};
 use super::{MODEL, engine_model, upstream};
 
 /// Interval of an agent's regular reports to the entries of its data centre.
@@ -25,6 +26,9 @@
 /// Reports of this number of intervals reach the entries of other data centres.
 const REMOTE_ROUNDS: u32 = 5;
 
+/// Agents of another data centre that an entry queries in a round, on average.
+const REMOTE_AGENTS: f64 = 2.0;
+
 /// Remote agents that are queried before a request goes to another data centre.
 const REMOTE_QUERIES: usize = 3;
 
@@ -37,28 +41,6 @@
 /// Longest time for a request.
 const TIMEOUT: Duration = Duration::from_secs(6);
 
-#[derive(Clone, Debug)]
-pub(super) struct Request {
-    kind: usize,
-    entry: usize,
-    pub(super) rank: u8,
-    pub(super) prompt: u32,
-    pub(super) answer: u32,
-    first_sent: Duration,
-    sent: Duration,
-    is_repeat: bool,
-    pick: Option<Pick>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Step {
-    Arrival(usize),
-    Return(usize),
-    Report(usize, u32),
-    Begins(usize, usize),
-    Ends(usize, usize),
-}
-
 struct Entry {
     upstreams: Upstreams,
     admission: Admission,
@@ -130,6 +112,12 @@
             let first = REPORT_INTERVAL.mul_f64(lab.rng.random());
             lab.at(first, Step::Report(engine, 0));
         }
+        for entry in 0..lab.entries.len() {
+            let first = REPORT_INTERVAL.mul_f64(lab.rng.random());
+            if lab.pattern.exchanges_levels {
+                lab.at(first, Step::Query(entry, 0));
+            }
+        }
         for kind in 0..lab.pattern.kinds.len() {
             lab.at(Duration::ZERO, Step::Arrival(kind));
         }
@@ -148,6 +136,7 @@
                 Step::Arrival(kind) => self.arrival(kind),
                 Step::Return(id) => self.offer(id),
                 Step::Report(engine, round) => self.report(engine, round),
+                Step::Query(entry, round) => self.query(entry, round),
                 Step::Begins(engine, id) => self.begins(engine, id),
                 Step::Ends(engine, id) => self.ends(engine, id),
             }
@@ -361,6 +350,29 @@
         self.at(self.now + REPORT_INTERVAL, Step::Report(engine, round + 1));
     }
 
+    /// Exchanges levels with the agents of the entry's data centre, and now and then with some of the others.
+    fn query(&mut self, entry: usize, round: u32) {
+        let now = self.start + self.now;
+        let home = entry / self.pattern.entries;
+        let share = REMOTE_AGENTS / self.pattern.engines as f64;
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, u16::try_from(entry).unwrap() + 1));
+        for engine in 0..self.engines.len() {
+            let is_remote = engine / self.pattern.engines != home;
+            let is_due = round.is_multiple_of(REMOTE_ROUNDS) && self.rng.random::<f64>() < share;
+            let admission = &mut self.entries[entry].admission;
+            let Some(level) = admission
+                .reported_level(now)
+                .filter(|_| !is_remote || is_due)
+            else {
+                continue;
+            };
+            let levels = &mut self.engines[engine].levels;
+            levels.record(addr, level, now);
+            admission.receive_mean(levels.mean(now).unwrap(), now);
+        }
+        self.at(self.now + REPORT_INTERVAL, Step::Query(entry, round + 1));
+    }
+
     fn report_to(&mut self, engine: usize, includes_remote: bool) {
         let now = self.start + self.now;
         let report: LoadStatus = self.engines[engine].report(now);
--- a/crates/route/tests/lab/simulated_engine.rs
+++ b/crates/route/tests/lab/simulated_engine.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wagtailreel_fleet::{EngineModel, LoadStatus};
-use wagtailreel_route::direct::{PendingArrivals, Prediction};
+use wagtailreel_route::direct::{PendingArrivals, Prediction, ReportedLevels};
 
 /// Requests that may wait for a slot.
 const QUEUE: usize = 24;
@@ -27,6 +27,7 @@
     prefill: f64,
     prefill_at: Duration,
     pub(super) arrivals: PendingArrivals,
+    pub(super) levels: ReportedLevels,
 }
 
 impl SimulatedEngine {
@@ -39,6 +40,7 @@
             prefill: 0.0,
             prefill_at: Duration::ZERO,
             arrivals: PendingArrivals::default(),
+            levels: ReportedLevels::default(),
         }
     }
 
--- a/crates/route/tests/ranks.rs
+++ b/crates/route/tests/ranks.rs
@@ -55,6 +55,7 @@
         span: Duration::from_secs(24),
         impatient: 0.3,
         is_controlled,
+        exchanges_levels: is_controlled,
     }
 }
 
@@ -122,3 +123,51 @@
     let [before, after] = [&off, &on].map(|it| it.all(&DURING).in_time_share());
     assert!(after > before, "more are in time: {before}, {after}");
 }
+
+/// Data centres are asked unlike each other. Entries of the busier one see more failures, and without the
+/// exchange of levels they refuse more.
+#[rstest]
+fn unlike_data_centres() {
+    let steady = RankedPattern {
+        burst: None,
+        ..pattern(true)
+    };
+    let shares = |pattern: &RankedPattern| {
+        let served = run_seeds(pattern);
+        let shares = (0..3).map(|it| served.centre(it, &(4..24)).served_share());
+        shares.collect::<Vec<f64>>()
+    };
+    let alone = shares(&RankedPattern {
+        exchanges_levels: false,
+        ..steady.clone()
+    });
+    let together = shares(&steady);
+    println!("served by data centre: alone {alone:.3?}, with exchanged levels {together:.3?}");
+    let spread = |shares: &[f64]| {
+        let most = shares.iter().copied().fold(0.0, f64::max);
+        most - shares.iter().copied().fold(1.0, f64::min)
+    };
+    assert!(spread(&together) < 0.05, "{together:?}");
+    assert!(spread(&together) < spread(&alone), "{alone:?}");
+}
+
+/// One rank: refused callers come back when they can no longer be in time. With the setting `always`, those who
+/// can still be come first.
+#[rstest]
+fn late_callers() {
+    let kinds = kinds().into_iter().map(|kind| Kind { rank: 1, ..kind });
+    let always = RankedPattern {
+        kinds: kinds.collect(),
+        burst: None,
+        ..pattern(true)
+    };
+    let on = run_seeds(&always).all(&(4..24)).in_time_share();
+    let off = RankedPattern {
+        is_controlled: false,
+        exchanges_levels: false,
+        ..always
+    };
+    let off = run_seeds(&off).all(&(4..24)).in_time_share();
+    println!("in time with one rank: off {off:.3}, always {on:.3}");
+    assert!(on > off, "{off} {on}");
+}
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -13,7 +13,7 @@
     NamedWeights, NamingReport, PermitRequest, Query, Status, WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
-use wagtailreel_route::direct::{PendingArrivals, Permits};
+use wagtailreel_route::direct::{PendingArrivals, Permits, ReportedLevels};
 
 use crate::EngineReport;
 use crate::chunk_store::ChunkStore;
@@ -55,6 +55,7 @@
     chunk_store: Arc<ChunkStore>,
     quarantine_sync: QuarantineSync,
     permits: Mutex<Permits>,
+    levels: Mutex<ReportedLevels>,
     socket: UdpSocket,
     /// How long the agent reports a naming, and asks entries for proofs of its time.
     naming_report_ttl: Duration,
@@ -82,6 +83,7 @@
             chunk_store,
             quarantine_sync: QuarantineSync::default(),
             permits: Mutex::default(),
+            levels: Mutex::default(),
             socket,
             naming_report_ttl: bound + NAMING_REPORT_MARGIN,
         }
@@ -177,9 +179,7 @@
             nonce: 0,
             load: self.load(now),
             naming: self.naming(),
-            clock_ms: None,
-            chunks: None,
-            entries: Vec::new(),
+            ..Status::default()
         };
         let datagram = Datagram::Status(status).to_bytes();
         for subscriber in subscribers {
@@ -304,12 +304,21 @@
             clock_ms: self.clock_if_wanted(),
             chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
             entries,
+            admission_permille: self.mean_level(query, from, now),
         };
         let datagram = Datagram::Status(status).to_bytes();
         // The sender repeats its query if the answer is lost.
         let _ = self.socket.try_send_to(&datagram, from);
     }
 
+    /// Records the admission level of an entry that reports one, and returns the mean for the answer.
+    fn mean_level(&self, query: &Query, from: SocketAddr, now: Instant) -> Option<u16> {
+        let level = query.admission_permille?;
+        let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
+        levels.record(from, level, now);
+        levels.mean(now)
+    }
+
     /// Chooses the entry through which the agent reads the registry.
     ///
     /// Agents choose different entries, since a single entry's link would need seconds to send a large
