--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -20,7 +20,7 @@
     Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route, RouteKind,
     ServiceSpec, Upstream, UpstreamState,
 };
-use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
+use wagtailreel_settings::{AdmissionMode, DirectBounds, DirectEntrySettings, DirectListen};
 
 use wagtailreel_standins::RegistryStandin;
 
@@ -296,6 +296,7 @@
         seeds: seeds.to_vec(),
         threads: 1,
         prompt_cache: None,
+        admission: AdmissionMode::ByRank,
         bounds: DirectBounds {
             keys,
             denial: keys,
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -70,6 +70,8 @@
     pub threads: usize,
     /// How long and how much engines retain of prompts, if they do.
     pub prompt_cache: Option<PromptCacheSettings>,
+    /// Where admission control by rank is active.
+    pub admission: AdmissionMode,
     /// What the operators were promised, less the margins.
     pub bounds: DirectBounds,
 }
@@ -83,6 +85,16 @@
     pub prefixes: usize,
 }
 
+/// Where admission control by rank is active.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// At engine services that requests of different ranks can reach.
+    #[default]
+    ByRank,
+    /// At all engine services.
+    Always,
+}
+
 /// Where an entry listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectListen {
@@ -203,6 +215,7 @@
     let prompt_cache = f.optional("prompt_cache", problems, None, |at, problems| {
         prompt_cache(at, problems).map(Some)
     });
+    let admission = f.optional("admission", problems, AdmissionMode::ByRank, admission);
     let bounds = f.optional("bounds", problems, Bounds::default(), bounds);
     f.finish(problems);
     mode?;
@@ -217,6 +230,7 @@
         seeds: seeds?,
         threads: threads? as usize,
         prompt_cache: prompt_cache?,
+        admission: admission?,
         bounds: DirectBounds {
             keys: bounds.keys.saturating_sub(KEYS_MARGIN),
             denial: bounds.config,
@@ -283,6 +297,14 @@
     values::choice(at, problems, &[("direct", ())])
 }
 
+fn admission(at: &At<'_>, problems: &mut Problems) -> Option<AdmissionMode> {
+    let modes = [
+        ("by-rank", AdmissionMode::ByRank),
+        ("always", AdmissionMode::Always),
+    ];
+    values::choice(at, problems, &modes)
+}
+
 fn listen(at: &At<'_>, problems: &mut Problems) -> Option<DirectListen> {
     let mut f = Fields::new(At::new(at.place.clone(), at.node), problems)?;
     let mut all = Vec::new();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,7 +19,8 @@
 
 pub use agent::{AgentListen, AgentPlatform, AgentSettings, UpstreamSettings, WeightsSettings};
 pub use direct::{
-    DirectBounds, DirectEntrySettings, DirectListen, PromptCacheSettings, StagingAgentSettings,
+    AdmissionMode, DirectBounds, DirectEntrySettings, DirectListen, PromptCacheSettings,
+    StagingAgentSettings,
 };
 pub use document::{MAX_DOCUMENT_BYTES, check_document, check_document_for};
 pub use entry::{
--- a/crates/stage/src/status.rs
+++ b/crates/stage/src/status.rs
@@ -14,7 +14,7 @@
     WeightsVersion,
 };
 use wagtailreel_nearby::Neighbours;
-use wagtailreel_route::direct::{PendingArrivals, Permits, WarmupPermits};
+use wagtailreel_route::direct::{PendingArrivals, Permits, ReportedLevels, WarmupPermits};
 
 use crate::EngineReport;
 use crate::chunk_store::ChunkStore;
@@ -57,6 +57,7 @@
     quarantine_sync: QuarantineSync,
     permits: Mutex<Permits>,
     warmup_permits: Mutex<WarmupPermits>,
+    levels: Mutex<ReportedLevels>,
     socket: UdpSocket,
     /// How long the agent reports a naming, and asks entries for proofs of its time.
     naming_report_ttl: Duration,
@@ -85,6 +86,7 @@
             quarantine_sync: QuarantineSync::default(),
             permits: Mutex::default(),
             warmup_permits: Mutex::new(WarmupPermits::new(Instant::now())),
+            levels: Mutex::default(),
             socket,
             naming_report_ttl: bound + NAMING_REPORT_MARGIN,
         }
@@ -180,9 +182,7 @@
             nonce: 0,
             load: self.load(now),
             naming: self.naming(),
-            clock_ms: None,
-            chunks: None,
-            entries: Vec::new(),
+            ..Status::default()
         };
         let datagram = Datagram::Status(status).to_bytes();
         for subscriber in subscribers {
@@ -322,12 +322,21 @@
             clock_ms: self.clock_if_wanted(),
             chunks: chunks.and_then(|(model, version)| self.chunks(model, *version)),
             entries,
+            admission_permille: self.mean_level(query, from, now),
         };
         let datagram = Datagram::Status(status).to_bytes();
         // The sender repeats its query if the answer is lost.
         let _ = self.socket.try_send_to(&datagram, from);
     }
 
+    /// Records the admission level of an entry that reports one, and returns the mean for the answer.
+    fn mean_level(&self, query: &Query, from: SocketAddr, now: Instant) -> Option<u16> {
+        let level = query.admission_permille?;
+        let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
+        levels.record(from, level, now);
+        levels.mean(now)
+    }
+
     /// Chooses the entry through which the agent reads the registry.
     ///
     /// Agents choose different entries, since a single entry's link would need seconds to send a large
