Allowed regions of routes and customers

Some customers require that their requests are served in some regions only. An entry had no such restriction: the first choice prefers near upstreams, and overflow, second attempts and resumed streams go anywhere.

Routes and customers have AllowedRegions (serde default, left out where unrestricted, so that records and relayed copies without them are unchanged). Admission intersects them once, and refuses with the reason region if nothing is left. Upstreams::restriction is consulted by candidate, by the retry estimates and again just before a request is sent, so that no path has a check of its own. An upstream whose data centre has no known region serves no restricted request; an entry in a data centre that the settings do not list has no upstream in its region.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Uri, header};
 use rand::RngExt as _;
 use wagtailreel_core::{CustomerId, RequestId, ServiceName};
-use wagtailreel_fleet::{Directory, EngineModel, ModelName, Route};
+use wagtailreel_fleet::{AllowedRegions, Customer, Directory, EngineModel, ModelName, Route};
 use wagtailreel_route::direct::Prediction;
 use wagtailreel_serve::connection_options;
 
@@ -48,6 +48,8 @@
     /// The customer whose key the request carries; `None` on a public route.
     pub(crate) customer: Option<CustomerId>,
     pub(crate) rank: u8,
+    /// Regions that both the route and the customer allow.
+    pub(crate) regions: AllowedRegions,
     pub(crate) deadline: Instant,
 }
 
@@ -68,6 +70,15 @@
     let route = find_route(cx, &directory, parts)?.clone();
     let customer = find_customer(cx, &directory, &route, &head)?;
     let id = head.id.clone().ok_or(Refusal::NoId)?;
+    let regions = match customer {
+        Some(customer) => route.regions.intersection(&customer.regions),
+        None => route.regions.clone(),
+    };
+    if regions.is_empty() {
+        return Err(Refusal::Region {
+            retry_in: LONG_RETRY_AFTER,
+        });
+    }
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     if time_limit < MIN_TIME {
         return Err(Refusal::Deadline);
@@ -83,16 +94,17 @@
         return Err(Refusal::Leaving);
     }
     let model = engine.as_ref().map(|engine| engine.model.clone());
-    let (customer, customer_rank) = customer.unzip();
-    let rank = customer_rank.flatten().unwrap_or(route.rank);
+    let rank = customer.and_then(|customer| customer.rank);
+    let rank = rank.unwrap_or(route.rank);
     Ok(Admitted {
         id,
         head,
         service,
         model,
         engine,
-        customer,
+        customer: customer.map(|customer| customer.name.clone()),
         rank,
+        regions,
         route,
         directory,
         deadline: now + time_limit,
@@ -127,21 +139,19 @@
     }
 }
 
-type CustomerAndRank = (CustomerId, Option<u8>);
-
-fn find_customer<D>(
+fn find_customer<'a, D>(
     cx: &Shared<D>,
-    directory: &Directory,
+    directory: &'a Directory,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<CustomerAndRank>, Refusal> {
+) -> Result<Option<&'a Customer>, Refusal> {
     if route.is_public || !directory.needs_keys() {
         return Ok(None);
     }
     let customer = head.key.as_deref().and_then(|key| directory.customer(key));
     match customer {
         Some(_) if !cx.trusts_keys() => Err(Refusal::StaleConfiguration),
-        Some(customer) => Ok(Some((customer.name.clone(), customer.rank))),
+        Some(customer) => Ok(Some(customer)),
         None if cx.may_deny() => Err(Refusal::UnknownKey),
         None => Err(Refusal::StaleConfiguration),
     }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -233,18 +233,8 @@
         conn: Connection,
         last_event: Option<u64>,
     ) -> AttemptOutcome {
-        // The upstream may have started draining while the connection was being opened.
-        if !self.service.upstreams().may_send(&pick.id) {
-            return AttemptOutcome::Ended(Ending::NotSent, "began-to-leave");
-        }
-        // The answer to another request may have asked for rest meanwhile. No byte was sent, which is no
-        // failure of the upstream.
-        if self
-            .service
-            .upstreams()
-            .is_resting(&pick.id, Instant::now())
-        {
-            return AttemptOutcome::Ended(Ending::NotRun, "rests");
+        if let Err((ending, why)) = self.check_pick(pick) {
+            return AttemptOutcome::Ended(ending, why);
         }
         let Some(req) = self.request(pick, last_event) else {
             return AttemptOutcome::Ended(Ending::NotSent, "no-time");
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -149,7 +149,7 @@
     }
 
     /// Returns what the request requires of an upstream, with a load report since `reported_since` if given.
-    fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
+    pub(crate) fn needs(&self, reported_since: Option<Instant>) -> Requirements<'_> {
         let model = self.admitted.model.as_deref();
         Requirements {
             model,
@@ -158,6 +158,7 @@
             engine: self.admitted.engine.as_ref(),
             prompt: self.admitted.head.prompt_tokens,
             objective: self.admitted.route.objective,
+            regions: self.admitted.regions.clone(),
             reported_since,
         }
     }
@@ -173,6 +174,7 @@
             let retry_in = self.retry_in(reason, &needs, now);
             match reason {
                 Unavailable::NoUpstream => Refusal::NoUpstream { retry_in },
+                Unavailable::Region => Refusal::Region { retry_in },
                 Unavailable::Weights => Refusal::Weights { retry_in },
                 Unavailable::Full => Refusal::Full { retry_in },
             }
@@ -183,7 +185,9 @@
     fn retry_in(&self, reason: Unavailable, needs: &Requirements<'_>, now: Instant) -> Duration {
         let free_in = match reason {
             Unavailable::Full => self.service.upstreams().free_in(needs, now),
-            Unavailable::NoUpstream | Unavailable::Weights => Some(LONG_RETRY_AFTER),
+            Unavailable::NoUpstream | Unavailable::Region | Unavailable::Weights => {
+                Some(LONG_RETRY_AFTER)
+            }
         };
         let left = self.admitted.deadline.saturating_duration_since(now);
         let refusals = self.service.refusal_rate();
@@ -194,7 +198,8 @@
     /// after the first of them has rested.
     pub(crate) fn refused_by_upstreams(&self) -> Refusal {
         let now = Instant::now();
-        let rest = self.service.upstreams().all_rest(now);
+        let needs = self.needs(None);
+        let rest = self.service.upstreams().all_rest(&needs, now);
         let left = self.admitted.deadline.saturating_duration_since(now);
         rest.map_or(Refusal::UpstreamsRefused, |rest| Refusal::Full {
             retry_in: self.service.refusal_rate().retry_after(rest, left),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod lost;
 mod metrics;
 mod pool;
+mod precheck;
 mod process;
 mod quarantine_sync;
 mod refusal;
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -48,6 +48,12 @@
         /// Time after which the caller should send the request again.
         retry_in: Duration,
     },
+    /// No region that may serve the request has an upstream.
+    #[display("region")]
+    Region {
+        /// Time after which the caller should send the request again.
+        retry_in: Duration,
+    },
     /// No upstream holds the required weights yet.
     #[display("weights")]
     Weights {
@@ -92,6 +98,7 @@
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::NoUpstream { .. }
+            | Self::Region { .. }
             | Self::Weights { .. }
             | Self::Full { .. }
             | Self::UpstreamsRefused
@@ -112,6 +119,7 @@
         match self {
             Self::NoConfiguration | Self::StaleConfiguration => Some(LONG_RETRY_AFTER),
             Self::NoUpstream { retry_in }
+            | Self::Region { retry_in }
             | Self::Weights { retry_in }
             | Self::Full { retry_in }
             | Self::Quarantined { retry_in, .. } => Some(retry_in),
@@ -132,6 +140,9 @@
             Self::BodyTooLarge => "the body is too long: send a shorter one",
             Self::BodyBroken => "the body broke off: send the request again",
             Self::NoUpstream { .. } => "no upstream can be reached: send the request again later",
+            Self::Region { .. } => {
+                "no upstream of an allowed region accepts requests: send the request again later"
+            }
             Self::Weights { .. } => "the weights are on their way: send the request again later",
             Self::Full { .. } => "all upstreams are busy: send the request again later",
             Self::UpstreamsRefused => "the upstreams refused: send the request again later",
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -17,8 +17,8 @@
     AnswerHead, Dialect, DirectEntry, Dispatch, Limit, NamedLimit, RequestHead,
 };
 use wagtailreel_fleet::{
-    Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route, RouteKind,
-    ServiceSpec, Upstream, UpstreamState,
+    AllowedRegions, Change, ClientLimits, Customer, Directory, EngineModel, LoadedModel, Route,
+    RouteKind, ServiceSpec, Upstream, UpstreamState,
 };
 use wagtailreel_settings::{DirectBounds, DirectEntrySettings, DirectListen};
 
@@ -105,6 +105,7 @@
         services: vec![("desk".to_owned(), 1)],
         max_attempts: 2,
         is_public: false,
+        regions: AllowedRegions::default(),
     }
 }
 
@@ -138,6 +139,7 @@
         name: "quay".to_owned(),
         rank: None,
         keys: vec!["k1".to_owned()],
+        regions: AllowedRegions::default(),
     };
     let service = |name: &str, engine| ServiceSpec {
         name: name.to_owned(),
@@ -241,9 +243,38 @@
     agents: SocketAddr,
     agent_port: u16,
     seeds: &[IpAddr],
+) -> DirectEntry<TestDialect> {
+    let settings = settings(keys, agents, agent_port, seeds);
+    DirectEntry::start(settings, registry.clone(), TestDialect)
+        .await
+        .unwrap()
+}
+
+/// Starts an entry without agents in `data_centre`, with the region of each data centre.
+pub(crate) async fn entry_of(
+    registry: &RegistryStandin,
+    data_centre: &str,
+    regions: BTreeMap<String, String>,
 ) -> DirectEntry<TestDialect> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = DirectEntrySettings {
+        data_centre: data_centre.to_owned(),
+        regions,
+        ..settings(Duration::from_secs(4), any, 9, &[])
+    };
+    DirectEntry::start(settings, registry.clone(), TestDialect)
+        .await
+        .unwrap()
+}
+
+fn settings(
+    keys: Duration,
+    agents: SocketAddr,
+    agent_port: u16,
+    seeds: &[IpAddr],
+) -> DirectEntrySettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    DirectEntrySettings {
         vm: "entry-1".to_owned(),
         data_centre: "hall".to_owned(),
         regions: BTreeMap::from([("hall".to_owned(), "sierra".to_owned())]),
@@ -267,10 +298,7 @@
             lapse_after: Duration::ZERO,
             grace: Duration::from_secs(2),
         },
-    };
-    DirectEntry::start(settings, registry.clone(), TestDialect)
-        .await
-        .unwrap()
+    }
 }
 
 /// Repeats a call until the answer has `status`.
--- a/crates/direct/tests/known_state.rs
+++ b/crates/direct/tests/known_state.rs
@@ -9,7 +9,7 @@
 use common::upstream::{Act, TestUpstream};
 use common::{directory, entry, ready_entry, register, registered, until_readiness, until_status};
 use rstest::rstest;
-use wagtailreel_fleet::{Change, UpstreamState};
+use wagtailreel_fleet::{AllowedRegions, Change, UpstreamState};
 use wagtailreel_standins::RegistryStandin;
 
 #[tokio::test]
@@ -71,6 +71,7 @@
         name: "quay".to_owned(),
         rank: None,
         keys: vec!["k2".to_owned()],
+        regions: AllowedRegions::default(),
     };
     other = other.with_customers(vec![customer]);
     registry.config(other);
--- a/crates/direct/tests/session.rs
+++ b/crates/direct/tests/session.rs
@@ -10,7 +10,9 @@
 
 use rstest::rstest;
 use wagtailreel_direct::{Attempt, Ending, Requirements, Upstreams, next_step};
-use wagtailreel_fleet::{LoadStatus, LoadedModel, RouteKind, Upstream, UpstreamState};
+use wagtailreel_fleet::{
+    AllowedRegions, LoadStatus, LoadedModel, RouteKind, Upstream, UpstreamState,
+};
 
 const MODEL: &str = "epitaph";
 
@@ -104,6 +106,7 @@
             engine: Some(&engine),
             prompt: tokens,
             objective: Duration::from_millis(300),
+            regions: AllowedRegions::default(),
             reported_since: None,
         };
         let now = self.now();
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,7 +8,7 @@
 use serde_with::{DurationNanoSeconds, serde_as};
 use wagtailreel_core::{CustomerId, DataCentre, ServiceName};
 
-use crate::ModelName;
+use crate::{AllowedRegions, ModelName};
 
 /// Version of a configuration; later ones are higher.
 pub type ConfigVersion = u64;
@@ -91,6 +91,9 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Regions whose upstreams may serve its requests.
+    #[serde(default, skip_serializing_if = "AllowedRegions::is_unrestricted")]
+    pub regions: AllowedRegions,
 }
 
 /// Performance model of an engine, as its operator measured it.
@@ -180,6 +183,9 @@
     pub rank: Option<CustomerRank>,
     /// Keys of the customer's requests.
     pub keys: Vec<ApiKey>,
+    /// Regions whose upstreams may serve the customer's requests.
+    #[serde(default, skip_serializing_if = "AllowedRegions::is_unrestricted")]
+    pub regions: AllowedRegions,
 }
 
 /// A configuration in force.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod events;
 mod follow;
 mod follower;
+mod regions;
 mod registry;
 mod status;
 mod upstream;
@@ -21,6 +22,7 @@
 };
 pub use follow::{FollowConfig, Sink, follow};
 pub use follower::{Applied, Follower, Step};
+pub use regions::AllowedRegions;
 pub use registry::{Change, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
 pub use status::{
     CRASH_REPORTS_PER_DATAGRAM, CrashReport, Datagram, Fingerprint, HeldChunks, LoadStatus,
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{ClientLimits, Customer, Directory, Route, RouteKind};
+use wagtailreel_fleet::{AllowedRegions, ClientLimits, Customer, Directory, Route, RouteKind};
 
 fn limits() -> ClientLimits {
     ClientLimits {
@@ -26,6 +26,7 @@
         services: vec![("scribes".to_owned(), 1)],
         max_attempts: 1,
         is_public: false,
+        regions: AllowedRegions::default(),
     }
 }
 
@@ -39,6 +40,7 @@
         name: "quay".to_owned(),
         rank: Some(2),
         keys: vec!["k1".to_owned(), "k2".to_owned()],
+        regions: AllowedRegions::default(),
     };
     Directory::new(3, limits())
         .with_routes(routes)
--- a/crates/nearby/tests/copies.rs
+++ b/crates/nearby/tests/copies.rs
@@ -9,7 +9,9 @@
 use http::Request;
 use rstest::rstest;
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
-use wagtailreel_fleet::{Change, ClientLimits, Directory, Registry as _, Route, RouteKind, Topic};
+use wagtailreel_fleet::{
+    AllowedRegions, Change, ClientLimits, Directory, Registry as _, Route, RouteKind, Topic,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -34,6 +36,7 @@
         services: vec![("desk".to_owned(), 1)],
         max_attempts: 1,
         is_public: false,
+        regions: AllowedRegions::default(),
     };
     Directory::new(version, limits).with_routes((0..ROUTES).map(route).collect())
 }
--- a/crates/route/src/direct/announcements.rs
+++ b/crates/route/src/direct/announcements.rs
@@ -5,6 +5,7 @@
 
 use wagtailreel_fleet::{UpstreamId, UpstreamStart};
 
+use super::pick::Requirements;
 use super::upstreams::Upstreams;
 
 /// Upstreams that are kept. An upstream that leaves is gone long before as many others have said so.
@@ -90,9 +91,13 @@
         member.is_some_and(|member| !member.announced.rest_left(now).is_zero())
     }
 
-    /// Returns the time until the first upstream has rested, if all that accept requests rest.
-    pub fn all_rest(&self, now: Instant) -> Option<Duration> {
-        let accepting = self.members().filter(|member| member.accepts_new(now));
+    /// Returns the time until the first upstream has rested, if all that accept requests and may get this one
+    /// rest.
+    pub fn all_rest(&self, needs: &Requirements<'_>, now: Instant) -> Option<Duration> {
+        let accepting = self.members().filter(|member| {
+            let data_centre = &member.upstream.data_centre;
+            member.accepts_new(now) && self.restriction(data_centre, needs).is_none()
+        });
         let first = accepting
             .map(|member| member.announced.rest_left(now))
             .min()?;
--- a/crates/route/src/direct/exclusion.rs
+++ b/crates/route/src/direct/exclusion.rs
@@ -6,7 +6,7 @@
 use wagtailreel_fleet::UpstreamState;
 
 use super::member::Member;
-use super::{Requirements, Unavailable, Upstreams};
+use super::{Requirements, Restriction, Unavailable, Upstreams};
 
 /// Why a registered upstream cannot take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
@@ -20,6 +20,9 @@
     /// The upstream said in an answer that it leaves.
     #[display("says-leaving")]
     SaysLeaving,
+    /// The upstream is in a region that may not serve the request.
+    #[display("region")]
+    Region,
     /// The upstream is ejected after failures, or is switching its weights.
     #[display("failing")]
     Failing,
@@ -65,6 +68,11 @@
         if member.announced.is_leaving {
             return Some(Exclusion::SaysLeaving);
         }
+        if let Some(restriction) = self.restriction(&member.upstream.data_centre, needs) {
+            return Some(match restriction {
+                Restriction::Region => Exclusion::Region,
+            });
+        }
         if !member.announced.rest_left(now).is_zero() {
             return Some(Exclusion::Rests);
         }
@@ -76,6 +84,7 @@
             .err()?;
         Some(match reason {
             Unavailable::NoUpstream => Exclusion::Failing,
+            Unavailable::Region => Exclusion::Region,
             Unavailable::Weights => Exclusion::Weights,
             Unavailable::Full => Exclusion::Full,
         })
--- a/crates/route/src/direct/pick.rs
+++ b/crates/route/src/direct/pick.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wagtailreel_core::DataCentre;
-use wagtailreel_fleet::{EngineModel, UpstreamId, UpstreamStart, WeightsVersion};
+use wagtailreel_fleet::{AllowedRegions, EngineModel, UpstreamId, UpstreamStart, WeightsVersion};
 
 use super::member::LoadSource;
 
@@ -23,6 +23,8 @@
     pub prompt: u32,
     /// Wanted time to the first event.
     pub objective: Duration,
+    /// Regions whose upstreams may serve the request.
+    pub regions: AllowedRegions,
     /// If set, a remote upstream is a candidate only if its agent answered this entry since then.
     pub reported_since: Option<Instant>,
 }
@@ -61,6 +63,9 @@
     /// No upstream is registered, or all are leaving or failing.
     #[display("no-upstream")]
     NoUpstream,
+    /// Those that accept requests are in regions that may not serve the request.
+    #[display("region")]
+    Region,
     /// No upstream holds the weights.
     #[display("weights")]
     Weights,
@@ -70,11 +75,13 @@
 }
 
 impl Unavailable {
-    /// Returns the more specific of two reasons: full, then missing weights, then no upstream.
+    /// Returns the more specific of two reasons: full, then missing weights, then the region, then no
+    /// upstream.
     pub(super) fn max_with(self, other: Self) -> Self {
         match (self, other) {
             (Self::Full, _) | (_, Self::Full) => Self::Full,
             (Self::Weights, _) | (_, Self::Weights) => Self::Weights,
+            (Self::Region, _) | (_, Self::Region) => Self::Region,
             _ => Self::NoUpstream,
         }
     }
--- a/crates/route/src/direct/retry.rs
+++ b/crates/route/src/direct/retry.rs
@@ -11,8 +11,10 @@
     pub fn free_in(&self, needs: &Requirements<'_>, now: Instant) -> Option<Duration> {
         let estimate = self.estimate(needs, now);
         let objective = capacity::safe_objective(needs.objective);
-        let accepts_new = self.members.values().filter(|it| it.accepts_new(now));
-        let waits = accepts_new.map(|member| {
+        let allowed = self.members.values().filter(|it| {
+            it.accepts_new(now) && self.restriction(&it.upstream.data_centre, needs).is_none()
+        });
+        let waits = allowed.map(|member| {
             let blocked = member.blocked_time(now);
             let Some(engine) = needs.engine else {
                 // The answer times of a plain service cannot be predicted.
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -257,7 +257,7 @@
         self.members.values().filter(|member| !member.is_gone)
     }
 
-    /// Returns whether `id` may still get a request. Checked again just before the request is sent.
+    /// Returns whether `id` is registered and not leaving. Checked again just before a request is sent.
     pub fn may_send(&self, id: &str) -> bool {
         self.members.get(id).is_some_and(Member::is_ready)
     }
@@ -314,6 +314,9 @@
         if !member.accepts_new(now) || needs.tried.contains(&member.upstream.id) {
             return Err(Unavailable::NoUpstream);
         }
+        if let Some(restriction) = self.restriction(&member.upstream.data_centre, needs) {
+            return Err(restriction.into());
+        }
         if member.blocked_time(now) > Duration::ZERO {
             return Err(Unavailable::Full);
         }
@@ -378,10 +381,15 @@
         if data_centre == self.data_centre {
             return 0;
         }
-        let region = self.regions.get(data_centre);
+        let region = self.region_of(data_centre);
         if region == Some(&self.region) { 1 } else { 2 }
     }
 
+    /// Returns the region of `data_centre`, if the settings list it.
+    pub(super) fn region_of(&self, data_centre: &str) -> Option<&Region> {
+        self.regions.get(data_centre)
+    }
+
     fn prune(&mut self) {
         self.members
             .retain(|_, member| !member.is_gone || member.own_in_flight > 0);
--- a/crates/route/tests/announced.rs
+++ b/crates/route/tests/announced.rs
@@ -79,7 +79,10 @@
         known.asks_for_rest("a", 1, Duration::from_millis(rest), now);
     }
     assert!(!is_chosen(&mut known, at(kept - 1)));
-    assert_eq!(known.all_rest(now), Some(Duration::from_millis(kept)));
+    assert_eq!(
+        known.all_rest(&Requirements::default(), now),
+        Some(Duration::from_millis(kept))
+    );
     known.remove("a");
     known.update(upstream("a", 1));
     assert!(!is_chosen(&mut known, at(kept - 1)), "listed again");
@@ -96,5 +99,9 @@
     known.asks_for_rest("a", 1, Duration::from_secs(1), now);
     known.says_leaving("a", 1);
     assert!(!is_chosen(&mut known, now + Duration::from_secs(2)));
-    assert_eq!(known.all_rest(now), None, "it never accepts again");
+    assert_eq!(
+        known.all_rest(&Requirements::default(), now),
+        None,
+        "it never accepts again"
+    );
 }
