Evacuation of data centres

An operator can ask that nothing more is sent to the upstreams of a data centre: the record evacuate/ZONE of the operators' topic, an object to evacuate and no value to withdraw. Entries did not read it.

The mirror relays evacuations and withdrawals by the same rule. The view copies the set into each service; Upstreams::restriction excludes the upstreams for candidate, the retry estimates and the check just before a request is sent. Running requests complete; agents ignore the records and go on fetching weights. Events 6123 and 6124 and the metric wagtailreel_evacuated show an evacuation in force.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -184,6 +184,25 @@
     remedy: "See docs/OPERATIONS.md.",
 };
 
+/// A data centre is evacuated.
+pub const EVACUATION_IN_FORCE: Event = Event {
+    id: 6123,
+    name: "evacuation-in-force",
+    level: Level::Warn,
+    meaning: "The entry sends nothing more to the upstreams of `data_centre`, where `running` of its requests \
+              still run.",
+    remedy: "Withdraw the evacuation once the data centre may serve again.",
+};
+
+/// An evacuation was withdrawn.
+pub const EVACUATION_WITHDRAWN: Event = Event {
+    id: 6124,
+    name: "evacuation-withdrawn",
+    level: Level::Info,
+    meaning: "The entry may send requests to the upstreams of `data_centre` again.",
+    remedy: "Nothing.",
+};
+
 /// An attempt ended without an answer for the caller.
 pub const ATTEMPT_ENDED: Event = Event {
     id: 6122,
@@ -216,4 +235,6 @@
     REQUEST_REFUSED,
     UPSTREAM_AWAITED,
     ATTEMPT_ENDED,
+    EVACUATION_IN_FORCE,
+    EVACUATION_WITHDRAWN,
 ];
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) open: IntGauge,
     /// Age of the registry state that the entry works with, in milliseconds, by topic.
     pub(crate) state_age: IntGaugeVec,
+    /// Evacuated data centres, with the value 1.
+    pub(crate) evacuated: IntGaugeVec,
     /// Log lines that were dropped.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -53,6 +55,10 @@
                 Opts::new("wagtailreel_belief_age_ms", "Age of what is believed"),
                 &["topic"],
             )?,
+            evacuated: IntGaugeVec::new(
+                Opts::new("wagtailreel_evacuated", "Evacuated data centres"),
+                &["data_centre"],
+            )?,
             lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -62,6 +68,7 @@
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
         registry.register(Box::new(metrics.state_age.clone()))?;
+        registry.register(Box::new(metrics.evacuated.clone()))?;
         registry.register(Box::new(metrics.lines_dropped.clone()))?;
         Ok(metrics)
     }
--- a/crates/direct/src/precheck.rs
+++ b/crates/direct/src/precheck.rs
@@ -29,6 +29,7 @@
         match upstreams.restriction_of(pick, &self.needs(None)) {
             None => Ok(()),
             Some(Restriction::Region) => Err((Ending::NotRun, "region")),
+            Some(Restriction::Evacuated) => Err((Ending::NotRun, "evacuated")),
         }
     }
 }
--- a/crates/direct/src/status_page.rs
+++ b/crates/direct/src/status_page.rs
@@ -38,6 +38,11 @@
             gauge.with_label_values(&[&topic.to_string()]).set(age);
         }
     }
+    cx.metrics.evacuated.reset();
+    for data_centre in cx.view.evacuated() {
+        let gauge = &cx.metrics.evacuated;
+        gauge.with_label_values(&[&data_centre]).set(1);
+    }
     let dropped = i64::try_from(wagtailreel_telemetry::lines_dropped()).unwrap_or(i64::MAX);
     cx.metrics.lines_dropped.set(dropped);
     match encode_metrics(&cx.registry) {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,5 +1,6 @@
 //! The last known state of the fleet: configuration, upstreams and namings, with the age of each topic.
 
+mod evacuation;
 mod naming;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,6 +74,7 @@
     confirmed: Mutex<BTreeMap<Topic, BootTime>>,
     services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
     homes: Mutex<BTreeMap<UpstreamId, ServiceName>>,
+    evacuated: Mutex<BTreeSet<DataCentre>>,
     namings: Mutex<Namings>,
     /// Notified when other processes report newer weights than the registry has named to this entry.
     read_due: Notify,
@@ -98,6 +100,7 @@
             confirmed: Mutex::default(),
             services: RwLock::default(),
             homes: Mutex::default(),
+            evacuated: Mutex::default(),
             namings: Mutex::new(Namings::new(bounds.weights)),
             read_due: Notify::new(),
             started: BootTime::now(),
@@ -186,7 +189,10 @@
         let services = self.services.write();
         let mut services = services.unwrap_or_else(PoisonError::into_inner);
         let service = services.entry(name.to_owned()).or_insert_with(|| {
-            let upstreams = Upstreams::new(self.data_centre.clone(), self.regions.clone());
+            let mut upstreams = Upstreams::new(self.data_centre.clone(), self.regions.clone());
+            for data_centre in lock(&self.evacuated).iter() {
+                upstreams.set_evacuated(data_centre, true);
+            }
             let budget = BudgetConfig {
                 ratio: self.bounds.retry_ratio,
                 burst: RETRY_BURST,
@@ -288,6 +294,12 @@
             Change::Weights(weights) => self.apply_weights(&weights),
             Change::Upstream(upstream) => self.apply_upstream(*upstream),
             Change::Gone(id) => self.remove_upstream(&id),
+            Change::Evacuation {
+                data_centre,
+                is_evacuated,
+            } => self.apply_evacuation(&data_centre, is_evacuated),
+            // The follower has logged the unreadable record.
+            Change::UnreadableEvacuation { .. } => {}
             // The follower has logged the unreadable record. The last readable settings stay in force,
             // whereas an upstream without a readable record is removed.
             Change::Unreadable { key, .. } => self.remove_upstream(&key),
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -152,9 +152,16 @@
         sink.returned(cfg.topic, unanswered);
     }
     for change in applied.changes {
-        if let Change::Unreadable { key, reason } = &change {
-            let fields = [("key", key.as_str()), ("reason", reason.as_str())];
-            events::RECORD_UNREADABLE.emit(&fields);
+        let unreadable = match &change {
+            Change::Unreadable { key, reason } => Some((key.clone(), reason)),
+            Change::UnreadableEvacuation {
+                data_centre,
+                reason,
+            } => Some((format!("evacuation of {data_centre}"), reason)),
+            _ => None,
+        };
+        if let Some((key, reason)) = unreadable {
+            events::RECORD_UNREADABLE.emit(&[("key", &key), ("reason", reason)]);
         }
         sink.apply(change);
     }
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -5,6 +5,7 @@
 
 use wagtailreel_core::Offset;
 
+use crate::evacuations::{self, Evacuations};
 use crate::{BootTime, Change, Keyed, Page, RegistryError, Snapshot, UpstreamId};
 
 /// The next read of a follower.
@@ -32,7 +33,8 @@
 /// Follows one topic.
 ///
 /// Invariants: a record is applied once and in order. An upstream whose registration lapsed while the
-/// registry was unreachable is removed only after it has had time to register again.
+/// registry was unreachable is removed only after it has had time to register again. An evacuation is in force
+/// until a newer record, or a newer snapshot that lacks its record, withdraws it.
 #[derive(Clone, Debug)]
 pub struct Follower {
     lapse_hold: Duration,
@@ -44,6 +46,7 @@
     known: BTreeMap<UpstreamId, Offset>,
     /// Upstreams whose removal is held back, with the time at which it is applied.
     pending_removals: BTreeMap<UpstreamId, BootTime>,
+    evacuations: Evacuations,
     is_unreachable: bool,
     known_as_of: Option<BootTime>,
     hold_until: Option<BootTime>,
@@ -60,6 +63,7 @@
             burst_end: None,
             known: BTreeMap::new(),
             pending_removals: BTreeMap::new(),
+            evacuations: Evacuations::default(),
             is_unreachable: false,
             known_as_of: None,
             hold_until: None,
@@ -97,10 +101,17 @@
             .filter(|id| !listed.contains(*id))
             .cloned()
             .collect();
+        let evacuations = evacuations::listed(&snapshot.items);
         let mut changes = self.apply_items(snapshot.items, now);
         for id in missing {
             self.remove(id, now, &mut changes);
         }
+        let withdrawn = self
+            .evacuations
+            .withdraw_unlisted(&evacuations, snapshot.end);
+        changes.extend(withdrawn);
+        // A process that starts is ready once it has a configuration, and must know of evacuations before.
+        changes.sort_by_key(|change| !matches!(change, Change::Evacuation { .. }));
         Applied {
             changes,
             as_of: Some(snapshot.as_of),
@@ -190,6 +201,18 @@
                     changes.push(Change::Upstream(upstream));
                 }
                 Change::Gone(id) => self.remove(id, now, &mut changes),
+                Change::Evacuation {
+                    data_centre,
+                    is_evacuated,
+                } => {
+                    let evacuations = &mut self.evacuations;
+                    if evacuations.record(&data_centre, is_evacuated, item.offset) {
+                        changes.push(Change::Evacuation {
+                            data_centre,
+                            is_evacuated,
+                        });
+                    }
+                }
                 other => changes.push(other),
             }
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clock;
 mod directory;
+mod evacuations;
 pub mod events;
 mod follow;
 mod follower;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use wagtailreel_core::Offset;
+use wagtailreel_core::{DataCentre, Offset};
 
 use crate::{BootTime, Directory, NamedWeights, Upstream, UpstreamId};
 
@@ -14,7 +14,7 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Topic {
-    /// Configurations and namings of weights.
+    /// Configurations, namings of weights and evacuations.
     #[display("settings")]
     Settings,
     /// Upstreams by id.
@@ -33,6 +33,20 @@
     Upstream(Box<Upstream>),
     /// The upstream is no longer registered.
     Gone(UpstreamId),
+    /// Whether nothing more may be sent to the upstreams of a data centre.
+    Evacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// False once the evacuation is withdrawn.
+        is_evacuated: bool,
+    },
+    /// The evacuation record of a data centre can't be parsed; whether it is evacuated stays as it was.
+    UnreadableEvacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// What is wrong, and how to fix it.
+        reason: String,
+    },
     /// The record can't be parsed; the last valid record of its key stays in force.
     Unreadable {
         /// Key of the record.
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use wagtailreel_core::Offset;
+use wagtailreel_core::{DataCentre, Offset};
 use wagtailreel_fleet::{BootTime, Change, Keyed, ModelName, Page, Snapshot, Topic, UpstreamId};
 
 use crate::calls::CallState;
@@ -18,6 +18,9 @@
     Config,
     Weights(ModelName),
     Upstream(UpstreamId),
+    Evacuation(DataCentre),
+    /// A key of its own for the same reason as [`Key::Unreadable`].
+    UnreadableEvacuation(DataCentre),
     /// A key of its own, so that the last valid record of the same key is still relayed.
     Unreadable(String),
 }
@@ -29,6 +32,10 @@
             Change::Weights(weights) => Self::Weights(weights.model.clone()),
             Change::Upstream(upstream) => Self::Upstream(upstream.id.clone()),
             Change::Gone(id) => Self::Upstream(id.clone()),
+            Change::Evacuation { data_centre, .. } => Self::Evacuation(data_centre.clone()),
+            Change::UnreadableEvacuation { data_centre, .. } => {
+                Self::UnreadableEvacuation(data_centre.clone())
+            }
             Change::Unreadable { key, .. } => Self::Unreadable(key.clone()),
         }
     }
@@ -39,10 +46,22 @@
     match change {
         Change::Config(directory) => Some(directory.version()),
         Change::Weights(weights) => Some(weights.version),
-        Change::Upstream(_) | Change::Gone(_) | Change::Unreadable { .. } => None,
+        Change::Upstream(_)
+        | Change::Gone(_)
+        | Change::Evacuation { .. }
+        | Change::UnreadableEvacuation { .. }
+        | Change::Unreadable { .. } => None,
     }
 }
 
+/// Returns whether the snapshot lists an evacuation record of `data_centre` that can't be parsed, so that the
+/// record before it stays in force.
+fn has_unreadable_evacuation(snapshot: &Snapshot, data_centre: &DataCentre) -> bool {
+    snapshot.items.iter().any(|item| {
+        matches!(&item.change, Change::UnreadableEvacuation { data_centre: it, .. } if it == data_centre)
+    })
+}
+
 /// Records of one topic.
 ///
 /// Invariant: `newest` holds the newest record of each key with an offset below `end`; for settings it holds
@@ -175,9 +194,12 @@
         let state = self.state(topic);
         {
             let mut records = state.lock();
-            records
-                .newest
-                .retain(|_, it| version_of(&it.change).is_some());
+            records.newest.retain(|_, it| match &it.change {
+                Change::Evacuation { data_centre, .. } => {
+                    it.offset >= snapshot.end || has_unreadable_evacuation(snapshot, data_centre)
+                }
+                change => version_of(change).is_some(),
+            });
             records.insert(&snapshot.items);
             records.expired_before = snapshot.end;
             records.advance(snapshot.end);
--- a/crates/nearby/tests/mirror.rs
+++ b/crates/nearby/tests/mirror.rs
@@ -62,6 +62,72 @@
     assert_eq!(second.store.calls(), 0);
 }
 
+fn evacuation(is_evacuated: bool) -> Change {
+    Change::Evacuation {
+        data_centre: "quay".to_owned(),
+        is_evacuated,
+    }
+}
+
+fn unreadable() -> Change {
+    Change::UnreadableEvacuation {
+        data_centre: "quay".to_owned(),
+        reason: "no object".to_owned(),
+    }
+}
+
+/// Guards against neighbours that get an evacuation that was withdrawn, or miss one that is in force: after
+/// records `later`, which may be a snapshot with the end 20, a reader that starts gets `expected`.
+#[rstest]
+#[case::set(&[(12, evacuation(true))], None, &[(12, evacuation(true))])]
+#[case::withdrawn(
+    &[(12, evacuation(true)), (13, evacuation(false))],
+    None,
+    &[(13, evacuation(false))]
+)]
+#[case::set_again(
+    &[(12, evacuation(true)), (13, evacuation(false)), (14, evacuation(true))],
+    None,
+    &[(14, evacuation(true))]
+)]
+#[case::absent_in_snapshot(&[(12, evacuation(true))], Some(vec![]), &[])]
+#[case::listed_in_snapshot(
+    &[(12, evacuation(true))],
+    Some(vec![(12, evacuation(true))]),
+    &[(12, evacuation(true))]
+)]
+#[case::newer_than_snapshot(&[(25, evacuation(true))], Some(vec![]), &[(25, evacuation(true))])]
+#[case::unreadable_in_snapshot(
+    &[(12, evacuation(true))],
+    Some(vec![(15, unreadable())]),
+    &[(12, evacuation(true)), (15, unreadable())]
+)]
+#[tokio::test]
+async fn evacuations(
+    #[case] records: &[(u64, Change)],
+    #[case] later: Option<Vec<(u64, Change)>>,
+    #[case] expected: &[(u64, Change)],
+) {
+    let settings = Topic::Settings;
+    let first = Entry::start().await;
+    let second = Entry::with_neighbour(&first).await;
+    first.mirror.store_snapshot(settings, &snapshot(vec![], 10));
+    let items: Vec<Keyed> = records.iter().map(|it| keyed(it.0, it.1.clone())).collect();
+    let next = records.last().unwrap().0 + 1;
+    first.mirror.store_page(settings, 10, &page(items, next));
+    if let Some(later) = later {
+        let items = later.into_iter().map(|it| keyed(it.0, it.1)).collect();
+        first.mirror.store_snapshot(settings, &snapshot(items, 20));
+    }
+    let newest = second.registry.newest(settings, TIMEOUT).await.unwrap();
+    let expected: Vec<Keyed> = expected
+        .iter()
+        .map(|it| keyed(it.0, it.1.clone()))
+        .collect();
+    assert_eq!(newest.items, expected);
+    assert_eq!(second.store.calls(), 0);
+}
+
 /// A snapshot from a neighbour has no removed keys.
 #[rstest]
 #[tokio::test]
--- a/crates/route/src/direct/exclusion.rs
+++ b/crates/route/src/direct/exclusion.rs
@@ -23,6 +23,9 @@
     /// The upstream is in a region that may not serve the request.
     #[display("region")]
     Region,
+    /// The data centre of the upstream is evacuated.
+    #[display("evacuated")]
+    Evacuated,
     /// The upstream is ejected after failures, or is switching its weights.
     #[display("failing")]
     Failing,
@@ -71,6 +74,7 @@
         if let Some(restriction) = self.restriction(&member.upstream.data_centre, needs) {
             return Some(match restriction {
                 Restriction::Region => Exclusion::Region,
+                Restriction::Evacuated => Exclusion::Evacuated,
             });
         }
         if !member.announced.rest_left(now).is_zero() {
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams of one service: the known state of each, and the choice of one for a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -46,6 +46,7 @@
     data_centre: DataCentre,
     region: Region,
     regions: BTreeMap<DataCentre, Region>,
+    pub(super) evacuated: BTreeSet<DataCentre>,
     pub(super) members: BTreeMap<UpstreamId, Member>,
     pub(super) announcements: Announcements,
     correction: Correction,
@@ -60,6 +61,7 @@
             data_centre,
             region,
             regions,
+            evacuated: BTreeSet::new(),
             members: BTreeMap::new(),
             announcements: Announcements::default(),
             correction: Correction::default(),
--- a/crates/route/tests/regions.rs
+++ b/crates/route/tests/regions.rs
@@ -153,3 +153,29 @@
     let restriction = upstreams.restriction_of(&pick, &needs);
     assert_eq!(restriction, Some(Restriction::Region));
 }
+
+/// Guards against an evacuation that misses an attempt, the retry estimate, the queries or the check before a
+/// request is sent, and against one that outlives its withdrawal.
+#[rstest]
+fn evacuated() {
+    let now = Instant::now();
+    let mut upstreams = upstreams("hall");
+    let unrestricted = needs(&[]);
+    let pick = upstreams.choose(&unrestricted, now).unwrap();
+    upstreams.set_evacuated("hall", true);
+    let restriction = upstreams.restriction_of(&pick, &unrestricted);
+    assert_eq!(restriction, Some(Restriction::Evacuated));
+    let (chosen, reason) = choose_all(&mut upstreams, &[], now);
+    assert_eq!((chosen.len(), reason), (2, Unavailable::NoUpstream));
+    assert!(!chosen.contains(&"hall".to_owned()));
+    let exclusions = upstreams.exclusions(&unrestricted, now);
+    assert_eq!(exclusions, BTreeMap::from([(Exclusion::Evacuated, 1)]));
+    let rest = Duration::from_millis(700);
+    for id in ["quay", "attic"] {
+        upstreams.asks_for_rest(id, 0, rest, now);
+    }
+    assert_eq!(upstreams.all_rest(&unrestricted, now), Some(rest));
+    upstreams.set_evacuated("hall", false);
+    assert_eq!(upstreams.all_rest(&unrestricted, now), None);
+    assert_eq!(upstreams.restriction_of(&pick, &unrestricted), None);
+}
--- a/crates/stage/src/known_settings.rs
+++ b/crates/stage/src/known_settings.rs
@@ -192,8 +192,13 @@
         match change {
             Change::Config(directory) => self.apply_directory(&directory),
             Change::Weights(weights) => self.apply_weights(&weights),
-            // Upstreams are read when a fetch begins; unreadable records were reported before.
-            Change::Upstream(_) | Change::Gone(_) | Change::Unreadable { .. } => return,
+            // Upstreams are read when a fetch begins; unreadable records were reported before. Agents of an
+            // evacuated data centre go on fetching weights, so that its engines hold them when it is taken back.
+            Change::Upstream(_)
+            | Change::Gone(_)
+            | Change::Evacuation { .. }
+            | Change::UnreadableEvacuation { .. }
+            | Change::Unreadable { .. } => return,
         }
         self.changed.notify_one();
     }
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -41,6 +41,21 @@
         self.push(Topic::Settings, Change::Weights(weights));
     }
 
+    /// Evacuates `data_centre`, or withdraws that.
+    pub fn evacuate(&self, data_centre: &str, is_evacuated: bool) {
+        let data_centre = data_centre.to_owned();
+        let change = Change::Evacuation {
+            data_centre,
+            is_evacuated,
+        };
+        self.push(Topic::Settings, change);
+    }
+
+    /// Appends a record of the settings.
+    pub fn setting(&self, change: Change) {
+        self.push(Topic::Settings, change);
+    }
+
     /// Appends a record of the upstreams.
     pub fn upstream(&self, change: Change) {
         self.push(Topic::Upstreams, change);
@@ -194,11 +209,23 @@
         Change::Weights(weights) => format!("weights/{}", weights.model),
         Change::Upstream(upstream) => format!("upstream/{}", upstream.id),
         Change::Gone(id) => format!("upstream/{id}"),
+        Change::Evacuation { data_centre, .. }
+        | Change::UnreadableEvacuation { data_centre, .. } => format!("evacuate/{data_centre}"),
         Change::Unreadable { key, .. } => key.clone(),
     };
     let newest: BTreeMap<String, Keyed> = items.into_iter().map(|it| (key(&it), it)).collect();
     let mut items: Vec<Keyed> = newest.into_values().collect();
-    items.retain(|item| !matches!(item.change, Change::Gone(_)));
+    items.retain(|item| {
+        let is_deleted = matches!(
+            item.change,
+            Change::Gone(_)
+                | Change::Evacuation {
+                    is_evacuated: false,
+                    ..
+                }
+        );
+        !is_deleted
+    });
     items.sort_by_key(|item| item.offset);
     items
 }
