--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -184,6 +184,7 @@
             engine: self.admitted.engine.as_ref(),
             prompt: self.admitted.head.prompt_tokens,
             objective: self.objective(),
+            regions: self.admitted.regions.clone(),
             reported_since,
             prefixes: &self.admitted.prefixes,
         }
@@ -200,6 +201,7 @@
             let retry_in = self.retry_in(reason, &needs, now);
             match reason {
                 Unavailable::NoUpstream => Refusal::NoUpstream { retry_in },
+                Unavailable::Region => Refusal::Region { retry_in },
                 Unavailable::Weights => Refusal::Weights { retry_in },
                 Unavailable::Full => Refusal::Full { retry_in },
             }
@@ -210,7 +212,9 @@
     fn retry_in(&self, reason: Unavailable, needs: &Requirements<'_>, now: Instant) -> Duration {
         let free_in = match reason {
             Unavailable::Full => self.service.upstreams().free_in(needs, now),
-            Unavailable::NoUpstream | Unavailable::Weights => Some(LONG_RETRY_AFTER),
+            Unavailable::NoUpstream | Unavailable::Region | Unavailable::Weights => {
+                Some(LONG_RETRY_AFTER)
+            }
         };
         let left = self.admitted.deadline.saturating_duration_since(now);
         let refusals = self.service.refusal_rate();
@@ -221,7 +225,8 @@
     /// after the first of them has rested.
     pub(crate) fn refused_by_upstreams(&self) -> Refusal {
         let now = Instant::now();
-        let rest = self.service.upstreams().all_rest(now);
+        let needs = self.needs(None);
+        let rest = self.service.upstreams().all_rest(&needs, now);
         let left = self.admitted.deadline.saturating_duration_since(now);
         rest.map_or(Refusal::UpstreamsRefused, |rest| Refusal::Full {
             retry_in: self.service.refusal_rate().retry_after(rest, left),
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -186,7 +186,7 @@
 
 /// A request of a class that is admitted in part was admitted or shed.
 pub const ADMISSION_DRAWN: Event = Event {
-    id: 6123,
+    id: 6125,
     name: "admission-drawn",
     level: Level::Info,
     meaning: "The service is overloaded and admits only `class_share` of the requests of this `rank`; `level` \
@@ -195,6 +195,25 @@
     remedy: "If it lasts, add engines.",
 };
 
+/// A data centre is evacuated.
+pub const EVACUATION_IN_FORCE: Event = Event {
+    id: 6123,
+    name: "evacuation-in-force",
+    level: Level::Warn,
+    meaning: "The entry sends nothing more to the upstreams of `data_centre`, where `running` of its requests \
+              still run.",
+    remedy: "Withdraw the evacuation once the data centre may serve again.",
+};
+
+/// An evacuation was withdrawn.
+pub const EVACUATION_WITHDRAWN: Event = Event {
+    id: 6124,
+    name: "evacuation-withdrawn",
+    level: Level::Info,
+    meaning: "The entry may send requests to the upstreams of `data_centre` again.",
+    remedy: "Nothing.",
+};
+
 /// An attempt ended without an answer for the caller.
 pub const ATTEMPT_ENDED: Event = Event {
     id: 6122,
@@ -228,4 +247,6 @@
     ADMISSION_DRAWN,
     UPSTREAM_AWAITED,
     ATTEMPT_ENDED,
+    EVACUATION_IN_FORCE,
+    EVACUATION_WITHDRAWN,
 ];
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) state_age: IntGaugeVec,
     /// Tokens of prompts that upstreams were assumed to hold.
     pub(crate) prompt_tokens_held: IntCounter,
+    /// Evacuated data centres, with the value 1.
+    pub(crate) evacuated: IntGaugeVec,
     /// Log lines that were dropped.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -74,6 +76,10 @@
                 "wagtailreel_prompt_tokens_held_total",
                 "Prompt tokens that engines were assumed to hold",
             )?,
+            evacuated: IntGaugeVec::new(
+                Opts::new("wagtailreel_evacuated", "Evacuated data centres"),
+                &["data_centre"],
+            )?,
             lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -86,6 +92,7 @@
         registry.register(Box::new(metrics.open.clone()))?;
         registry.register(Box::new(metrics.state_age.clone()))?;
         registry.register(Box::new(metrics.prompt_tokens_held.clone()))?;
+        registry.register(Box::new(metrics.evacuated.clone()))?;
         registry.register(Box::new(metrics.lines_dropped.clone()))?;
         Ok(metrics)
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod clock;
 mod directory;
+mod evacuations;
 pub mod events;
 mod follow;
 mod follower;
 mod ranks;
+mod regions;
 mod registry;
 mod status;
 mod upstream;
@@ -23,6 +25,7 @@
 pub use follow::{FollowConfig, Sink, follow};
 pub use follower::{Applied, Follower, Step};
 pub use ranks::ServiceRanks;
+pub use regions::AllowedRegions;
 pub use registry::{Change, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
 pub use status::{
     CRASH_REPORTS_PER_DATAGRAM, CrashReport, Datagram, Fingerprint, HeldChunks, LoadStatus,
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams of one service: the known state of each, and the choice of one for a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,7 @@
     data_centre: DataCentre,
     region: Region,
     regions: BTreeMap<DataCentre, Region>,
+    pub(super) evacuated: BTreeSet<DataCentre>,
     pub(super) members: BTreeMap<UpstreamId, Member>,
     pub(super) announcements: Announcements,
     correction: Correction,
@@ -63,6 +64,7 @@
             data_centre,
             region,
             regions,
+            evacuated: BTreeSet::new(),
             members: BTreeMap::new(),
             announcements: Announcements::default(),
             correction: Correction::default(),
@@ -261,7 +263,7 @@
         self.members.values().filter(|member| !member.is_gone)
     }
 
-    /// Returns whether `id` may still get a request. Checked again just before the request is sent.
+    /// Returns whether `id` is registered and not leaving. Checked again just before a request is sent.
     pub fn may_send(&self, id: &str) -> bool {
         self.members.get(id).is_some_and(Member::is_ready)
     }
@@ -327,6 +329,9 @@
         if !member.accepts_new(now) || needs.tried.contains(&member.upstream.id) {
             return Err(Unavailable::NoUpstream);
         }
+        if let Some(restriction) = self.restriction(&member.upstream.data_centre, needs) {
+            return Err(restriction.into());
+        }
         if member.blocked_time(now) > Duration::ZERO {
             return Err(Unavailable::Full);
         }
@@ -401,10 +406,15 @@
         if data_centre == self.data_centre {
             return 0;
         }
-        let region = self.regions.get(data_centre);
+        let region = self.region_of(data_centre);
         if region == Some(&self.region) { 1 } else { 2 }
     }
 
+    /// Returns the region of `data_centre`, if the settings list it.
+    pub(super) fn region_of(&self, data_centre: &str) -> Option<&Region> {
+        self.regions.get(data_centre)
+    }
+
     fn prune(&mut self) {
         self.members
             .retain(|_, member| !member.is_gone || member.own_in_flight > 0);
