direct: bound the head of an upstream's answer

An upstream that sent interim answers or header lines without end, or one byte at a time, held its request until the deadline, and one that may be repeated got 504 in place of another upstream's answer. The socket now counts the bytes of a head and of the interim answers before it (64 KB), and each head must be complete within 1 s of its first byte. Beyond either the attempt ends like a lost one, and its connection is reset.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -262,9 +262,7 @@
                 self.sent -= 1;
                 return AttemptOutcome::Ended(Ending::NotSent, "connection-closed");
             }
-            Ok(Err(SendError::Lost)) => {
-                return AttemptOutcome::Ended(Ending::Lost, "connection-broke");
-            }
+            Ok(Err(err)) => return AttemptOutcome::Ended(Ending::Lost, err.why()),
             Err(Abandoned::Stalled) => return AttemptOutcome::Ended(Ending::Lost, STALLED),
             Err(Abandoned::Quarantined) => return AttemptOutcome::Ended(Ending::Lost, QUARANTINED),
         };
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,7 +17,9 @@
 mod dialect;
 mod event_splitter;
 pub mod events;
+mod exchange;
 mod front;
+mod head_scan;
 mod issuers;
 mod limits;
 mod load;
@@ -39,6 +41,7 @@
 
 pub use dialect::{AnswerHead, Dialect, Dispatch, PromptPart, RequestHead, ServerLoad};
 pub use event_splitter::{EventSplitter, Split};
+pub use head_scan::{HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
 pub use process::{DirectEntry, DirectError};
 pub use refusal::Refusal;
 pub use wagtailreel_route::direct::{
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -16,7 +16,8 @@
 use tokio::task::AbortHandle;
 use wagtailreel_fleet::UpstreamStart;
 
-use crate::socket::{ExchangeFlag, Socket};
+use crate::exchange::Exchange;
+use crate::socket::Socket;
 
 /// Timeout of connecting to an upstream. The longest one-way delay is 3 ms. A lost SYN is retransmitted only
 /// after a second, and by then another upstream has answered.
@@ -43,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    in_exchange: ExchangeFlag,
+    exchange: Exchange,
     addr: SocketAddr,
     /// The start of the upstream that the connection was opened to. After a restart the connection is dead,
     /// even if its close never arrived.
@@ -64,6 +65,19 @@
     NotSent,
     /// The request may have been sent.
     Lost,
+    /// The request may have been sent, and the upstream sends a head without end.
+    NoAnswer,
+}
+
+impl SendError {
+    /// Returns the reason for the log.
+    pub(crate) const fn why(self) -> &'static str {
+        match self {
+            Self::NotSent => "connection-closed",
+            Self::Lost => "connection-broke",
+            Self::NoAnswer => "endless-head",
+        }
+    }
 }
 
 impl Connection {
@@ -84,8 +98,8 @@
         start: UpstreamStart,
     ) -> Result<Self, SendError> {
         set_socket_options(&stream);
-        let in_exchange = ExchangeFlag::default();
-        let socket = Socket::new(stream, in_exchange.clone());
+        let exchange = Exchange::default();
+        let socket = Socket::new(stream, exchange.clone());
         let handshake = http1::Builder::new().handshake(TokioIo::new(socket));
         let Ok((sender, conn)) = handshake.await else {
             return Err(SendError::NotSent);
@@ -96,7 +110,7 @@
         });
         Ok(Self {
             sender,
-            in_exchange,
+            exchange,
             addr,
             start,
             task: task.abort_handle(),
@@ -111,12 +125,17 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.in_exchange.set(true);
-        match self.sender.try_send_request(req).await {
+        self.exchange.begin();
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(req) => sent,
+            () = self.exchange.head_timeout() => return Err(SendError::NoAnswer),
+        };
+        match sent {
             Ok(response) => Ok(response),
             // hyper returns a request only if no byte of it was written.
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
+                None if self.exchange.is_endless() => Err(SendError::NoAnswer),
                 None => Err(SendError::Lost),
             },
         }
@@ -124,7 +143,7 @@
 
     /// Records that the response was read completely, so that dropping the connection closes it in order.
     pub(crate) fn response_read(&self) {
-        self.in_exchange.set(false);
+        self.exchange.end();
     }
 }
 
--- a/crates/direct/src/socket.rs
+++ b/crates/direct/src/socket.rs
@@ -1,29 +1,14 @@
-//! The socket of an upstream connection, which is reset if it is dropped while a request is in progress.
+//! The socket of an upstream connection, which is reset if it is dropped while a request is in progress, and
+//! which bounds the head of an answer.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether a request is in progress on a connection.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ExchangeFlag(Arc<AtomicBool>);
-
-impl ExchangeFlag {
-    /// Records that the first byte of a request is about to be sent, or that its response was read
-    /// completely.
-    pub(crate) fn set(&self, in_exchange: bool) {
-        self.0.store(in_exchange, Ordering::Release);
-    }
-
-    fn get(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
-}
+use crate::exchange::Exchange;
 
 /// A socket that is reset if it is dropped while a request is in progress, and closed in order otherwise.
 ///
@@ -33,21 +18,18 @@
 #[derive(Debug)]
 pub(crate) struct Socket {
     stream: TcpStream,
-    in_exchange: ExchangeFlag,
+    exchange: Exchange,
 }
 
 impl Socket {
-    pub(crate) const fn new(stream: TcpStream, in_exchange: ExchangeFlag) -> Self {
-        Self {
-            stream,
-            in_exchange,
-        }
+    pub(crate) const fn new(stream: TcpStream, exchange: Exchange) -> Self {
+        Self { stream, exchange }
     }
 }
 
 impl Drop for Socket {
     fn drop(&mut self) {
-        if self.in_exchange.get() {
+        if self.exchange.is_active() {
             // If the option can't be set, the socket is closed in order; there is no other way to reset it.
             let _ = self.stream.set_zero_linger();
         }
@@ -60,7 +42,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        Poll::Ready(self.exchange.on_read(&buf.filled()[before..]))
     }
 }
 
