direct: bound answers without end

A stream whose event never ends, or comes one byte at a time, counted each byte as progress, so that it was not resumed elsewhere and broke off at the deadline. The time between two events is now counted from the last complete event. The splitter scanned an incomplete event from its start for each frame and held 1 MB of it; it now goes on where it stopped, and holds 64 KB.

A body that always had its next bytes ready was relayed past the deadline, since a time-out of zero still returns what is ready. An answer now has at most 64 MB, and 256 KB after its deadline.

--- a/crates/direct/src/event_splitter.rs
+++ b/crates/direct/src/event_splitter.rs
@@ -4,7 +4,7 @@
 
 /// Maximum bytes that are buffered for one incomplete event. Events hold some hundred bytes; the bound
 /// keeps a stream without event ends from filling the memory.
-const MAX_PENDING: usize = 1 << 20;
+const MAX_PENDING: usize = 64 * 1024;
 
 /// Result of one frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Bytes of `pending` in which no event ends.
+    scanned: usize,
     last: Option<u64>,
     events: u64,
 }
@@ -31,6 +33,7 @@
     pub fn new(last: Option<u64>) -> Self {
         Self {
             pending: BytesMut::new(),
+            scanned: 0,
             last,
             events: 0,
         }
@@ -54,6 +57,7 @@
     /// Discards the incomplete event, which another upstream will send again from its start.
     pub fn restart(&mut self) {
         self.pending.clear();
+        self.scanned = 0;
     }
 
     /// Adds the next bytes, and returns the events that they complete.
@@ -68,14 +72,17 @@
         }
         self.pending.extend_from_slice(data);
         let mut out = BytesMut::new();
-        while let Some(end) = end_of_event(&self.pending) {
-            let event = self.pending.split_to(end);
+        // Without the start, an event that arrives byte by byte takes time that grows by the square of its size.
+        while let Some(end) = end_of_event(&self.pending[self.scanned..]) {
+            let event = self.pending.split_to(self.scanned + end);
+            self.scanned = 0;
             match self.check_order(&event) {
                 Order::Pass => out.extend_from_slice(&event),
                 Order::Skip => {}
                 Order::Gap => return Split::Broken,
             }
         }
+        self.scanned = last_line_start(&self.pending);
         if self.pending.len() > MAX_PENDING {
             return Split::Broken;
         }
@@ -121,6 +128,14 @@
     None
 }
 
+/// Returns the start of the last line of an incomplete event, which may turn out to be the empty line at its
+/// end. It is the line end before, since a line that is empty from its start is none for `end_of_event`.
+fn last_line_start(buf: &[u8]) -> usize {
+    buf.iter()
+        .rposition(|byte| *byte == b'\n')
+        .unwrap_or(buf.len())
+}
+
 /// Returns the id of an event, if it has one.
 fn id_of(event: &[u8]) -> Option<u64> {
     let line = event
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -21,6 +21,14 @@
 /// breaks off, the request can still be repeated or answered with an error status.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
 
+/// Maximum bytes of an answer, in case that it has no end. They take 9 s on a link of 60 Mbit/s, which is longer
+/// than any deadline.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Maximum bytes that are relayed after the deadline, as long as they have arrived already. The receive buffer
+/// of a socket holds no more for an answer that its upstream has sent in time.
+const MAX_LATE_BYTES: usize = 256 * 1024;
+
 /// An answer broke off after a part of it was relayed. The error closes the connection, so that the caller
 /// sees that the answer is incomplete.
 #[derive(Clone, Copy, Debug, Snafu)]
@@ -81,6 +89,10 @@
     log: RequestLog,
     /// Whether the current upstream has sent an event.
     has_first_event: bool,
+    /// Bytes that were read of the answer.
+    received: usize,
+    /// Bytes of them that were read after the deadline.
+    received_late: usize,
 }
 
 impl<D> Relay<D>
@@ -97,6 +109,8 @@
             mode: Mode::Events(splitter),
             log,
             has_first_event: false,
+            received: 0,
+            received_late: 0,
         }
     }
 
@@ -114,6 +128,8 @@
             mode: Mode::Bytes,
             log,
             has_first_event: false,
+            received: 0,
+            received_late: 0,
         }
     }
 
@@ -137,10 +153,17 @@
         if let Some(first) = self.first.take() {
             return Ok(Some(first));
         }
+        // Bytes that complete no event are no progress.
+        let mut since = Instant::now();
         loop {
-            let ending = match self.read().await {
+            let ending = match self.read(since).await {
                 Read::Data(data) => match self.split(&data) {
-                    Some(out) if out.is_empty() => continue,
+                    Some(out) if out.is_empty() => {
+                        if self.is_complete() {
+                            since = Instant::now();
+                        }
+                        continue;
+                    }
                     Some(out) => {
                         self.on_event();
                         self.log.first_byte();
@@ -156,6 +179,7 @@
                     "ended-with-upstream"
                 }
                 Read::Broken => "broken",
+                Read::TooLong => "endless-body",
                 Read::Stalled => STALLED,
                 Read::TimedOut => {
                     self.log.finish("timeout");
@@ -163,6 +187,7 @@
                 }
             };
             self.resume(ending).await?;
+            since = Instant::now();
         }
     }
 
@@ -190,8 +215,8 @@
         }
     }
 
-    async fn read(&mut self) -> Read {
-        let since = Instant::now();
+    /// Reads the next bytes of the answer, whose last event came at `since`.
+    async fn read(&mut self, since: Instant) -> Read {
         let Some(resp) = &mut self.resp else {
             return Read::Broken;
         };
@@ -211,6 +236,16 @@
                 Ok(None) => return Read::End,
                 Ok(Some(Ok(frame))) => {
                     let data = frame.into_data().unwrap_or_default();
+                    self.received = self.received.saturating_add(data.len());
+                    if left.is_zero() {
+                        self.received_late = self.received_late.saturating_add(data.len());
+                    }
+                    if self.received > MAX_ANSWER_BYTES {
+                        return Read::TooLong;
+                    }
+                    if self.received_late > MAX_LATE_BYTES {
+                        return Read::TimedOut;
+                    }
                     return Read::Data(data);
                 }
                 Ok(Some(Err(_))) => return Read::Broken,
@@ -293,6 +328,8 @@
     End,
     /// The connection broke.
     Broken,
+    /// The answer is longer than allowed.
+    TooLong,
     /// The stall timeout has passed, and another upstream may resume the stream.
     Stalled,
     /// The deadline of the request has passed.
