--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -78,7 +78,7 @@
         Err(refusal) => Err((refusal, Some(body))),
         Ok(admitted) => {
             log.admitted(&admitted, &cx);
-            match read_body(&cx, body).await {
+            match read_body(&cx, body, admitted.deadline).await {
                 Err(refusal) => Err((refusal, None)),
                 Ok(body) => {
                     let template = template(parts, body);
@@ -206,12 +206,19 @@
     }
 }
 
-/// Reads the complete body of a request, up to the configured limit, or until the grace period of the entry
-/// ends. The rest may arrive only after the process has ended, and the kernel would then reset the
-/// connection.
-async fn read_body<D>(cx: &Shared<D>, body: RequestBody) -> Result<Bytes, Refusal> {
-    let read = cx.ending.run_until_cancelled(read_whole(cx, body));
-    read.await.unwrap_or(Err(Refusal::Leaving))
+/// Reads the complete body of a request, up to the configured limit, or until the deadline of the request or
+/// the grace period of the entry ends. The rest may arrive only after the process has ended, and the kernel would
+/// then reset the connection. A body that arrives slowly enough would otherwise be read for days.
+async fn read_body<D>(
+    cx: &Shared<D>,
+    body: RequestBody,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let reading = tokio::time::timeout_at(deadline.into(), read_whole(cx, body));
+    let read = cx.ending.run_until_cancelled(reading).await;
+    read.map_or(Err(Refusal::Leaving), |read| {
+        read.unwrap_or(Err(Refusal::Deadline))
+    })
 }
 
 /// Reads the complete body of a request, up to the configured limit.
