adapters, transfer: bound the time of a body that arrives slowly

A body now has 6 times its stall time, and what its bytes take at 16 KB/s. A body that announces its length no longer has all of it allocated before its first byte.

--- a/crates/adapters/src/http.rs
+++ b/crates/adapters/src/http.rs
@@ -15,7 +15,7 @@
 pub use body::Body;
 pub use client::HttpClient;
 pub use engine::{HttpEngine, TokenStream};
-pub use exchange::{collect_body, retry_after};
+pub use exchange::{body_timeout, collect_body, retry_after};
 pub use leftover::{Returning, discard};
 pub use log::HttpLog;
 pub use origin::HttpOrigin;
--- a/crates/adapters/src/http/exchange.rs
+++ b/crates/adapters/src/http/exchange.rs
@@ -1,6 +1,6 @@
 //! Parts that every exchange with an outside system shares.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ::http::{HeaderMap, Method, Request, Response, header};
 use bytes::{Bytes, BytesMut};
@@ -25,6 +25,25 @@
 /// Longest JSON answer that is taken, in bytes.
 const MAX_JSON: usize = 64 * 1024 * 1024;
 
+/// How many times its stall time a body may take in all, apart from what its bytes take at [`MIN_RATE`].
+const MAX_STALLS: u32 = 6;
+
+/// Slowest rate in bytes per second at which a long body may arrive. The slowest link of a platform carries
+/// 9.4 Mbit/s for all its connections.
+const MIN_RATE: f64 = 16.0 * 1024.0;
+
+/// Longest buffer in bytes that is allocated before the first byte of a body arrives.
+const MAX_INITIAL_CAPACITY: usize = 64 * 1024;
+
+/// Returns how long a body may take of which `received` bytes have arrived, and whose frames may be `stall`
+/// apart. A body that arrives one byte at a time never stalls.
+pub fn body_timeout(stall: Duration, received: usize) -> Duration {
+    // The length of a body fits a float without loss.
+    #[allow(clippy::cast_precision_loss)]
+    let at_min_rate = Duration::from_secs_f64(received as f64 / MIN_RATE);
+    stall.saturating_mul(MAX_STALLS).saturating_add(at_min_rate)
+}
+
 /// Reads when to come back from an answer's headers: milliseconds first, else whole seconds.
 pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let number = |name| headers.get(name)?.to_str().ok()?.trim().parse::<u64>().ok();
@@ -32,11 +51,12 @@
     millis.or_else(|| number(header::RETRY_AFTER.as_str()).map(Duration::from_secs))
 }
 
-/// Reads a body of at most `limit` bytes whole; gives up when nothing comes for `stall`.
+/// Reads a body of at most `limit` bytes whole; gives up when nothing comes for `stall`, or when the body
+/// takes longer than its [`body_timeout`].
 ///
 /// # Errors
 ///
-/// Returns [`PlatformError::Lost`] if the body breaks off or stalls, and
+/// Returns [`PlatformError::Lost`] if the body breaks off, stalls or is too slow, and
 /// [`PlatformError::Protocol`] if it is longer than `limit`.
 pub async fn collect_body(
     peer: &str,
@@ -46,10 +66,20 @@
 ) -> Result<Bytes, PlatformError> {
     let expected = body.size_hint().lower();
     let capacity = usize::try_from(expected).unwrap_or(limit).min(limit);
-    let mut buf = BytesMut::with_capacity(capacity);
+    let mut buf = BytesMut::with_capacity(capacity.min(MAX_INITIAL_CAPACITY));
+    let since = Instant::now();
     loop {
-        let Ok(next) = tokio::time::timeout(stall, body.frame()).await else {
-            let source: TransportError = TimeoutSnafu { after: stall }.build();
+        let left = body_timeout(stall, buf.len()).saturating_sub(since.elapsed());
+        let wait = stall.min(left);
+        // A body whose next frame is always there would otherwise never time out.
+        let next = if wait.is_zero() {
+            None
+        } else {
+            tokio::time::timeout(wait, body.frame()).await.ok()
+        };
+        let Some(next) = next else {
+            let after = since.elapsed();
+            let source: TransportError = TimeoutSnafu { after }.build();
             return Err(LostSnafu { peer }.into_error(source));
         };
         let Some(frame) = next else {
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -22,7 +22,8 @@
 pub use crate::error::{Effect, PlatformError, TransportError};
 pub use crate::http::{
     BaseUrl, BaseUrlError, Body, HttpClient, HttpEngine, HttpLog, HttpOrigin, HttpPlainService,
-    HttpVmList, Returning, TokenStream, collect_body, discard, encode_segment, retry_after,
+    HttpVmList, Returning, TokenStream, body_timeout, collect_body, discard, encode_segment,
+    retry_after,
 };
 pub use crate::listen::bind;
 pub use crate::log::{LogPage, LogRecord, LogService};
--- a/crates/transfer/src/fetch.rs
+++ b/crates/transfer/src/fetch.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures::TryFutureExt as _;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use wagtailreel_adapters::{Body, HttpClient, Origin, PlatformError, retry_after};
+use wagtailreel_adapters::{Body, HttpClient, Origin, PlatformError, body_timeout, retry_after};
 use wagtailreel_core::{Digest, ModelRef};
 use wagtailreel_spread::Failure;
 
@@ -145,7 +145,18 @@
     length: usize,
 ) -> Result<Bytes, Trouble> {
     let mut buf = BytesMut::with_capacity(length);
-    while let Some(piece) = next_piece(addr, &mut body).await? {
+    // Time in which the next piece was awaited; the time that pieces wait for their turn is not the giver's.
+    let mut waited = Duration::ZERO;
+    loop {
+        let since = Instant::now();
+        let Some(piece) = next_piece(addr, &mut body).await? else {
+            break;
+        };
+        waited += since.elapsed();
+        if waited > body_timeout(STALL, buf.len()) {
+            let text = format!("{addr} gave {} of {length} bytes in {waited:?}", buf.len());
+            return Err(Trouble::new(Failure::Broken, text));
+        }
         shared.metrics.came(giver, piece.len() as u64);
         if buf.len() + piece.len() > length {
             let text = format!("{addr} gave more than the chunk's {length} bytes");
