serve: bound what is read of callers that send without end

After the last answer of a connection the server reads until its peer closes. While bytes were always there, this never yielded: with three fast callers another request on the same thread took 1.1 to 1.8 s, and the time-out of 1 s did not fire. It now yields, and reads at most 16 MB.

Empty lines before a head are skipped by the HTTP library, which did not look at its time for a head meanwhile: the connection was open until the test ended (7 s). A connection with more than 1 KB of them is closed.

--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -1,9 +1,14 @@
 //! Activity of a connection: its requests and when bytes last passed.
 
+use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Maximum bytes of empty lines before a head. The HTTP library skips them without a limit, and with many of
+/// them never looks at the time for a head. A caller sends one empty line at most.
+const MAX_EMPTY_LINE_BYTES: usize = 1024;
+
 /// Activity of a connection, shared by its socket, its requests and the task that closes it.
 #[derive(Debug)]
 pub(crate) struct Activity {
@@ -18,6 +23,8 @@
     open: u32,
     /// The head of a request has been read in part.
     has_partial_head: bool,
+    /// Bytes of empty lines that were read since the last request.
+    empty_line_bytes: usize,
     /// A write is pending because the send buffer is full.
     is_blocked: bool,
     /// The peer has shut down its writing side or reset the connection.
@@ -32,6 +39,7 @@
                 requests: 0,
                 open: 0,
                 has_partial_head: false,
+                empty_line_bytes: 0,
                 is_blocked: false,
                 has_ended: false,
             }),
@@ -39,11 +47,25 @@
     }
 
     /// Records that `bytes` were read. Empty lines between requests do not start a head.
-    pub(crate) fn on_read(&self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller sends too many empty lines.
+    pub(crate) fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.lock();
         state.last = Instant::now();
         let is_head = state.has_partial_head || bytes.iter().any(|it| !b"\r\n".contains(it));
         state.has_partial_head = state.open == 0 && is_head;
+        if state.open == 0 && !is_head {
+            state.empty_line_bytes += bytes.len();
+        }
+        if state.empty_line_bytes > MAX_EMPTY_LINE_BYTES {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many empty lines before a request",
+            ));
+        }
+        Ok(())
     }
 
     /// Records that the peer has shut down its writing side or reset the connection.
@@ -74,6 +96,7 @@
         state.requests += 1;
         state.open += 1;
         state.has_partial_head = false;
+        state.empty_line_bytes = 0;
         drop(state);
         Arc::new(OpenRequest {
             activity: Arc::clone(self),
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -20,6 +20,10 @@
 /// Size of the read buffer while the peer is waited for.
 const LINGER_BUF_BYTES: usize = 1024;
 
+/// Maximum bytes that are read while the peer is waited for. They cover a body that is a few times longer than
+/// allowed.
+const MAX_LINGER_BYTES: u64 = 16 << 20;
+
 /// Response to a request that could not be read before the process exits. The caller can retry at once,
 /// because another process serves the request.
 const REFUSAL: &[u8] =
@@ -78,8 +82,7 @@
                     return Poll::Ready(Ok(()));
                 }
                 Ok(_) => {
-                    self.activity.on_read(&buf.filled()[before..]);
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(self.activity.on_read(&buf.filled()[before..]));
                 }
                 Err(e) => {
                     self.activity.on_peer_end();
@@ -138,7 +141,9 @@
     let _ = rustix::net::shutdown(stream, Shutdown::Write);
     let mut buf = [0; LINGER_BUF_BYTES];
     let reading = async {
-        while stream.readable().await.is_ok() {
+        while *received < MAX_LINGER_BYTES && stream.readable().await.is_ok() {
+            // The readiness of a socket that always has bytes never lets other tasks run, nor the time-out.
+            tokio::task::consume_budget().await;
             match stream.try_read(&mut buf) {
                 Ok(0) => return,
                 Ok(read) => *received += read as u64,
