serve, direct: end an answer that its caller does not read

While a caller does not read, its relay is not polled, so that neither the deadline nor a stall ended its answer: the upstream held it, and the entry its buffers, for as long as the caller kept its connection. A connection that makes no progress for 2 s is now reset, and its upstream's connection with it. A response that the server has in full is kept for the idle time.

--- a/crates/adapters/tests/endless_bodies.rs
+++ b/crates/adapters/tests/endless_bodies.rs
@@ -28,7 +28,7 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 let mut buf = [0; 1024];
-                stream.read(&mut buf).await.unwrap();
+                assert!(stream.read(&mut buf).await.unwrap() > 0);
                 stream.write_all(first.as_bytes()).await.unwrap();
                 let many = repeated.repeat(4096);
                 let mut bytes = repeated.bytes().cycle();
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -32,6 +32,10 @@
 /// connection is closed is lost.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Longest time for which a caller may read nothing of an answer that is still being received. Upstreams cut off
+/// an answer that stays unread for some seconds.
+const MAX_UNREAD: Duration = Duration::from_secs(2);
+
 /// Handles the requests of callers.
 #[derive(Debug)]
 pub(crate) struct CallerHandler<D> {
@@ -54,6 +58,7 @@
         Limits {
             idle: idle + IDLE_MARGIN,
             head: limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes),
+            unread: Some(MAX_UNREAD),
         }
     }
 
--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -27,6 +27,8 @@
     empty_line_bytes: usize,
     /// A write is pending because the send buffer is full.
     is_blocked: bool,
+    /// The server has the rest of the response.
+    has_whole_response: bool,
     /// The peer has shut down its writing side or reset the connection.
     has_ended: bool,
 }
@@ -41,6 +43,7 @@
                 has_partial_head: false,
                 empty_line_bytes: 0,
                 is_blocked: false,
+                has_whole_response: false,
                 has_ended: false,
             }),
         }
@@ -97,6 +100,7 @@
         state.open += 1;
         state.has_partial_head = false;
         state.empty_line_bytes = 0;
+        state.has_whole_response = false;
         drop(state);
         Arc::new(OpenRequest {
             activity: Arc::clone(self),
@@ -104,6 +108,18 @@
         })
     }
 
+    /// Returns how long no byte of a response has been written, or `None` if no write is pending.
+    pub(crate) fn blocked(&self, now: Instant) -> Option<Duration> {
+        let state = self.lock();
+        let quiet = now.saturating_duration_since(state.last);
+        state.is_blocked.then_some(quiet)
+    }
+
+    /// Returns whether the server has the rest of the response that it writes.
+    pub(crate) fn has_whole_response(&self) -> bool {
+        self.lock().has_whole_response
+    }
+
     /// Returns how many requests the connection has received.
     pub(crate) fn requests(&self) -> u64 {
         self.lock().requests
@@ -157,6 +173,11 @@
         self.is_read.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the server has the rest of the response.
+    pub(crate) fn on_whole_response(&self) {
+        self.activity.lock().has_whole_response = true;
+    }
+
     /// Returns whether the request body was read to its end.
     pub(crate) fn is_read(&self) -> bool {
         self.is_read.load(Ordering::Relaxed)
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -56,13 +56,19 @@
     pub(crate) struct TrackedBody<B> {
         #[pin]
         body: B,
-        _open: Arc<OpenRequest>,
+        open: Arc<OpenRequest>,
     }
 }
 
-impl<B> TrackedBody<B> {
+impl<B> TrackedBody<B>
+where
+    B: Body<Data = Bytes>,
+{
     pub(crate) fn new(body: B, open: Arc<OpenRequest>) -> Self {
-        Self { body, _open: open }
+        if body.is_end_stream() {
+            open.on_whole_response();
+        }
+        Self { body, open }
     }
 }
 
@@ -77,7 +83,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        self.project().body.poll_frame(cx)
+        let mut this = self.project();
+        let frame = ready!(this.body.as_mut().poll_frame(cx));
+        if frame.is_none() || this.body.is_end_stream() {
+            this.open.on_whole_response();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -20,6 +20,7 @@
 use crate::phase::{Phase, PhaseWatch};
 use crate::server::Shared;
 use crate::socket::{Socket, linger, refuse, unread};
+use crate::unread::unread as unread_response;
 
 /// Smallest buffer size that the HTTP library accepts, in bytes.
 const MIN_BUF: usize = 8 * 1024;
@@ -63,10 +64,17 @@
     // Declared after `conn` so that it is dropped first: it logs the number of open requests.
     let mut end = End::new(&cx.listener, &cx.phase, &stream, &activity, number);
     let unread_len = || unread(&stream).unwrap_or(0);
+    let mut is_reset = false;
     let (closing, ended) = tokio::select! {
         biased;
         ended = conn.as_mut() => (None, ended),
         why = closable(&cx.phase, &activity, unread_len) => (Some(why), Ok(())),
+        why = unread_response(&stream, &activity, limits) => {
+            // An orderly close could let a response look complete that ends with its connection.
+            let _ = stream.set_zero_linger();
+            is_reset = true;
+            (Some(why), Ok(()))
+        }
     };
     let failure = ended.err().map(|e| e.to_string());
     let why = match closing {
@@ -81,7 +89,7 @@
     if closing.is_some() && activity.is_in_head() {
         refuse(&stream);
     }
-    if !activity.has_ended() {
+    if !activity.has_ended() && !is_reset {
         linger(&stream, &mut end.crossed).await;
     }
     open.dec();
--- a/crates/serve/src/handler.rs
+++ b/crates/serve/src/handler.rs
@@ -25,6 +25,9 @@
     pub idle: Duration,
     /// Maximum size of a head, in bytes.
     pub head: usize,
+    /// Longest time for which the peer may read nothing of a response of which more is to come; without it there
+    /// is no limit. The idle time bounds it for a response that is complete at the server.
+    pub unread: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -32,6 +35,7 @@
         Self {
             idle: DEFAULT_IDLE,
             head: DEFAULT_HEAD_BYTES,
+            unread: None,
         }
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod phase;
 mod server;
 mod socket;
+mod unread;
 
 pub use body::RequestBody;
 pub use closing::MAX_IDLE;
