--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -169,8 +169,7 @@
     let split = split.or_else(|| fault.first.find("\r\n\r\n").map(|at| at + 4));
     let (at_once, slow) = fault.first.split_at(split.unwrap_or(0));
     let _ = stream.write_all(at_once.as_bytes()).await;
-    let mut bytes = slow.bytes().chain(fault.repeated.bytes().cycle());
-    while let Some(byte) = bytes.next() {
+    for byte in slow.bytes().chain(fault.repeated.bytes().cycle()) {
         if stream.write_all(&[byte]).await.is_err() {
             return;
         }
