--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -1,9 +1,14 @@
 //! Activity of a connection: its requests and when bytes last passed.
 
+use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Maximum bytes of empty lines before a head. The HTTP library skips them without a limit, and with many of
+/// them never looks at the time for a head. A caller sends one empty line at most.
+const MAX_EMPTY_LINE_BYTES: usize = 1024;
+
 /// Activity of a connection, shared by its socket, its requests and the task that closes it.
 #[derive(Debug)]
 pub(crate) struct Activity {
@@ -18,8 +23,12 @@
     open: u32,
     /// The head of a request has been read in part.
     has_partial_head: bool,
+    /// Bytes of empty lines that were read since the last request.
+    empty_line_bytes: usize,
     /// A write is pending because the send buffer is full.
     is_blocked: bool,
+    /// The server has the rest of the response.
+    has_whole_response: bool,
     /// The peer has shut down its writing side or reset the connection.
     has_ended: bool,
 }
@@ -32,18 +41,34 @@
                 requests: 0,
                 open: 0,
                 has_partial_head: false,
+                empty_line_bytes: 0,
                 is_blocked: false,
+                has_whole_response: false,
                 has_ended: false,
             }),
         }
     }
 
     /// Records that `bytes` were read. Empty lines between requests do not start a head.
-    pub(crate) fn on_read(&self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller sends too many empty lines.
+    pub(crate) fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.lock();
         state.last = Instant::now();
         let is_head = state.has_partial_head || bytes.iter().any(|it| !b"\r\n".contains(it));
         state.has_partial_head = state.open == 0 && is_head;
+        if state.open == 0 && !is_head {
+            state.empty_line_bytes += bytes.len();
+        }
+        if state.empty_line_bytes > MAX_EMPTY_LINE_BYTES {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many empty lines before a request",
+            ));
+        }
+        Ok(())
     }
 
     /// Records that the peer has shut down its writing side or reset the connection.
@@ -74,6 +99,8 @@
         state.requests += 1;
         state.open += 1;
         state.has_partial_head = false;
+        state.empty_line_bytes = 0;
+        state.has_whole_response = false;
         drop(state);
         Arc::new(OpenRequest {
             activity: Arc::clone(self),
@@ -81,6 +108,18 @@
         })
     }
 
+    /// Returns how long no byte of a response has been written, or `None` if no write is pending.
+    pub(crate) fn blocked(&self, now: Instant) -> Option<Duration> {
+        let state = self.lock();
+        let quiet = now.saturating_duration_since(state.last);
+        state.is_blocked.then_some(quiet)
+    }
+
+    /// Returns whether the server has the rest of the response that it writes.
+    pub(crate) fn has_whole_response(&self) -> bool {
+        self.lock().has_whole_response
+    }
+
     /// Returns how many requests the connection has received.
     pub(crate) fn requests(&self) -> u64 {
         self.lock().requests
@@ -134,6 +173,11 @@
         self.is_read.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the server has the rest of the response.
+    pub(crate) fn on_whole_response(&self) {
+        self.activity.lock().has_whole_response = true;
+    }
+
     /// Returns whether the request body was read to its end.
     pub(crate) fn is_read(&self) -> bool {
         self.is_read.load(Ordering::Relaxed)
