route: avoid upstreams on VMs that are slow for a while

VMs are 2.5 times as slow for 600 ms, or five times for 7 s, and a response tells of it in the fourth value of Server-Load. The value over 100 is kept for 0.5 s for each upstream. A plain upstream's load is its requests, the one to be sent included, times the factor: with the requests alone an idle slow upstream would be equal to an idle one that is not. An engine's predicted first event is stretched by the greater of the factor and its agent's pace. Without the value nothing changes. The factor is limited to 0.1 to 100, since a larger one overflows the predicted time, which then counts as zero.

--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -43,7 +43,9 @@
         let id = resp.upstream();
         if let Some(load) = resp.meta.load {
             let total = load.running.saturating_add(load.waiting);
-            self.service.upstreams().load(id, total, now);
+            let mut upstreams = self.service.upstreams();
+            upstreams.load(id, total, now);
+            upstreams.record_pace(id, load.pace, now);
         }
         if resp.meta.not_run {
             self.may_have_run = may_have_run_before;
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -47,12 +47,14 @@
 }
 
 /// Load of an upstream as its answer reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerLoad {
     /// Number of requests that the upstream runs.
     pub running: u32,
     /// Number of requests in its queue.
     pub waiting: u32,
+    /// Factor by which work currently takes longer than usual on its VM, above 0; `None` if not reported.
+    pub pace: Option<f64>,
 }
 
 /// Metadata in the headers of an upstream's answer.
--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -8,6 +8,7 @@
 
 use super::announcements::Announced;
 use super::limit::KnownLimit;
+use super::pace::Pace;
 use super::pick::Unavailable;
 use super::prediction::{Prediction, prefill_time};
 use super::prefill::PrefillQueue;
@@ -110,6 +111,8 @@
     pub(crate) limit: Option<KnownLimit>,
     /// No permit of the warm-up limit is due until then.
     pub(crate) warmup_full_until: Option<Instant>,
+    /// How slowly its VM works, as its last answer told.
+    pub(crate) pace: Option<Pace>,
     /// What this start of the upstream said of itself in its answers.
     pub(crate) announced: Announced,
     pub(crate) is_gone: bool,
@@ -132,6 +135,7 @@
             rtt: Duration::ZERO,
             limit: None,
             warmup_full_until: None,
+            pace: None,
             announced: Announced::default(),
             is_gone: false,
         }
@@ -299,7 +303,7 @@
             slots: self.upstream.slots.max(1),
             in_flight: self.estimated_in_flight(estimate, now).0,
             prefill_left: self.prefill_left(engine, estimate, now),
-            slowdown: f64::from(slowdown),
+            slowdown: f64::from(slowdown).max(self.pace_factor(now)),
         }
     }
 
--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod load_reports;
 mod member;
 mod naming;
+mod pace;
 mod pending;
 mod permits;
 mod pick;
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -355,7 +355,10 @@
             prefill_steps: needs
                 .engine
                 .map_or(0, |engine| member.prefill_step(engine, estimate, now)),
-            load: u64::from(in_flight) * 1000 / u64::from(slots),
+            load: match engine {
+                Some(_) => u64::from(in_flight) * 1000 / u64::from(slots),
+                None => member.paced_load(in_flight, now),
+            },
             turn: 0,
         };
         let pick = Pick {
