--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod member;
 mod naming;
 mod overview;
+mod pace;
 mod pending;
 mod permits;
 mod pick;
