direct: log and count permits of the warm-up limit

An operator could not tell whether requests go elsewhere because engines may be cold or because they are full. Events 6123 (no permit is due) and 6124 (the agent did not answer), and the counter wagtailreel_warmup_permits_total by result. clippy passes.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -194,6 +194,27 @@
     remedy: "See docs/OPERATIONS.md.",
 };
 
+/// No permit of the warm-up limit is due for an upstream.
+pub const WARMUP_LIMITED: Event = Event {
+    id: 6123,
+    name: "warmup-limited",
+    level: Level::Info,
+    meaning: "The requests of all entries to the upstream reach what it tolerates while it is cold; the \
+              entry sends it none for `wait_ms`.",
+    remedy: "If it is frequent while engines are warm, add upstreams, or check the warm-up rate of the \
+             service.",
+};
+
+/// An agent did not answer a request for a permit of the warm-up limit.
+pub const WARMUP_UNANSWERED: Event = Event {
+    id: 6124,
+    name: "warmup-unanswered",
+    level: Level::Warn,
+    meaning: "The agent at `issuer` answered neither of two requests for a permit for the upstream; the \
+              entry sends the upstream nothing for 0.5 s, and asks other agents for 3 s.",
+    remedy: "Check the agent and the link to it.",
+};
+
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -216,4 +237,6 @@
     REQUEST_REFUSED,
     UPSTREAM_AWAITED,
     ATTEMPT_ENDED,
+    WARMUP_LIMITED,
+    WARMUP_UNANSWERED,
 ];
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts that brought no answer, by how they ended.
     pub(crate) attempts: IntCounterVec,
+    /// Requests for permits of the warm-up limit, by result.
+    pub(crate) warmup_permits: IntCounterVec,
     /// Time to the first byte of an answer.
     pub(crate) first_byte: Histogram,
     /// Time to the last byte of an answer.
@@ -46,6 +48,11 @@
                 "Failed attempts",
                 "end",
             )?,
+            warmup_permits: counters(
+                "wagtailreel_warmup_permits_total",
+                "Permits for upstreams that may be cold",
+                "result",
+            )?,
             first_byte: times("wagtailreel_first_byte_seconds", "Time to the first byte")?,
             duration: times("wagtailreel_request_seconds", "Time to the last byte")?,
             open: IntGauge::new("wagtailreel_requests_open", "Requests under way")?,
@@ -58,6 +65,7 @@
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.warmup_permits.clone()))?;
         registry.register(Box::new(metrics.first_byte.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
--- a/crates/direct/src/warmup.rs
+++ b/crates/direct/src/warmup.rs
@@ -7,6 +7,7 @@
 
 use crate::attempt::Call;
 use crate::dialect::Dialect;
+use crate::events;
 use crate::limits::{NO_ANSWER_BACKOFF, permit_request};
 
 /// Time after a permit within which its request is sent. Opening a connection takes one round trip, 6 ms at
@@ -42,6 +43,20 @@
         named: Option<(Limit, Instant)>,
     ) -> bool {
         let wait = self.warmup_permit(pick, warmup, named).await;
+        let result = match wait {
+            Some(Duration::ZERO) => "granted",
+            Some(_) => "refused",
+            None => "no-answer",
+        };
+        let counter = &self.cx.metrics.warmup_permits;
+        counter.with_label_values(&[result]).inc();
+        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
+            events::WARMUP_LIMITED.emit(&[
+                ("upstream", &pick.id),
+                ("service", &self.admitted.service),
+                ("wait_ms", &wait.as_millis().to_string()),
+            ]);
+        }
         let wait = wait.unwrap_or(NO_ANSWER_BACKOFF);
         if !wait.is_zero() {
             let mut upstreams = self.service.upstreams();
@@ -76,7 +91,15 @@
             max_in_window,
             named,
         };
-        agents.request_warmup_permit(ip, req).await
+        let wait = agents.request_warmup_permit(ip, req).await;
+        if wait.is_none() {
+            events::WARMUP_UNANSWERED.emit(&[
+                ("upstream", &pick.id),
+                ("service", &self.admitted.service),
+                ("issuer", &ip.to_string()),
+            ]);
+        }
+        wait
     }
 
     /// Returns whether the entry knows the same fallback issuers as the others.
