--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -24,6 +24,8 @@
     pub(crate) admission_level: GaugeVec,
     /// Requests that were shed by the admission level, by rank.
     pub(crate) shed: IntCounterVec,
+    /// Requests for permits of the warm-up limit, by result.
+    pub(crate) warmup_permits: IntCounterVec,
     /// Time to the first byte of an answer.
     pub(crate) first_byte: Histogram,
     /// Time to the last byte of an answer.
@@ -65,6 +67,11 @@
                 &["service"],
             )?,
             shed: counters("wagtailreel_shed_total", "Shed requests", "rank")?,
+            warmup_permits: counters(
+                "wagtailreel_warmup_permits_total",
+                "Permits for upstreams that may be cold",
+                "result",
+            )?,
             first_byte: times("wagtailreel_first_byte_seconds", "Time to the first byte")?,
             duration: times("wagtailreel_request_seconds", "Time to the last byte")?,
             open: IntGauge::new("wagtailreel_requests_open", "Requests under way")?,
@@ -87,6 +94,7 @@
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.admission_level.clone()))?;
         registry.register(Box::new(metrics.shed.clone()))?;
+        registry.register(Box::new(metrics.warmup_permits.clone()))?;
         registry.register(Box::new(metrics.first_byte.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
