--- a/crates/route/tests/ranks.rs
+++ b/crates/route/tests/ranks.rs
@@ -124,6 +124,29 @@
     assert!(after > before, "more are in time: {before}, {after}");
 }
 
+/// Long prompts of the least urgent kind aren't starved, though less urgent requests are chosen an engine by less
+/// than the urgent objective, of which a long prompt alone uses most.
+#[rstest]
+fn long_prompts() {
+    let mut kinds = kinds();
+    let least = kinds[2];
+    kinds.push(Kind {
+        rate: least.rate / 20.0,
+        prompt: 3600,
+        ..least
+    });
+    let served = run_seeds(&RankedPattern {
+        kinds,
+        ..pattern(true)
+    });
+    for seconds in [BEFORE, DURING, AFTER] {
+        let long = served.kind(3, &seconds).served_share();
+        let all = served.all(&seconds).served_share();
+        println!("long prompts: {long:.3} of {all:.3}");
+        assert!(long >= 0.25 * all, "{long} of {all}");
+    }
+}
+
 /// Data centres are asked unlike each other. Entries of the busier one see more failures, and without the
 /// exchange of levels they refuse more.
 #[rstest]
