route: send an engine no request that its memory can't hold

An engine crashes if its requests exceed its memory, and the choice did not look at the share of memory that its agent reports. Above 0.9 an engine now counts as full for a request whose prompt and usual answer, with this entry's unread prompts and half of its other answers, exceed what is left. Below 0.9 and without a fresh report nothing changes.

--- a/crates/route/src/direct/member.rs
+++ b/crates/route/src/direct/member.rs
@@ -31,6 +31,10 @@
 /// entries of its data centre, and gets requests from each.
 const CONCURRENT_ENTRIES: f64 = 2.0;
 
+/// Share of an engine's memory above which its requests are counted against it. Below it, a slot is always
+/// missing before memory is.
+const MEMORY_NEARLY_USED: f32 = 0.9;
+
 /// Source of a figure on an upstream's load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum LoadSource {
@@ -283,6 +287,24 @@
         self.prefill_left(engine, estimate, now).as_nanos() / step.as_nanos()
     }
 
+    /// Returns whether the engine's memory would overflow by a request with a prompt of `prompt` tokens, where its
+    /// agent reports that the memory is nearly used.
+    ///
+    /// The report does not include the prompts of this entry that the engine has not read, nor what the answers
+    /// of this entry's requests still take: half of a usual answer on average.
+    pub(crate) fn is_memory_short(&self, engine: &EngineModel, prompt: u32, now: Instant) -> bool {
+        let used = self.fresh_status(now).map_or(0.0, |status| status.memory);
+        if used <= MEMORY_NEARLY_USED || engine.memory_tokens == 0 {
+            return false;
+        }
+        // The tokens of an engine fit a float without a loss that matters.
+        #[allow(clippy::cast_precision_loss)]
+        let total = engine.memory_tokens as f64;
+        let answer = f64::from(engine.usual_answer);
+        let own = f64::from(self.own_prefill_tokens) + f64::from(self.own_in_flight) * answer / 2.0;
+        f64::from(used) * total + own + f64::from(prompt) + answer > total
+    }
+
     /// Returns the prediction for the engine from its known state.
     pub(crate) fn predict<'a>(
         &self,
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -330,6 +330,7 @@
         let likely = |expected| self.correction.apply(is_queued, expected, now);
         let is_late = expected.map_or(is_queued, |expected| likely(expected) > needs.objective);
         let is_full = match &prediction {
+            Some(it) if member.is_memory_short(it.model, needs.prompt, now) => true,
             Some(it) => {
                 capacity::is_full(it, needs, is_queued, source == LoadSource::Agent, likely)
             }
