direct: bound the bytes held for all callers together

Bodies of requests, buffered answers and relayed frames had bounds each, and none together. At the limit relays stop reading, and new requests' bodies are not read, for at most 2 s; then the answer is ended as incomplete (no-memory) and the new request is refused as not run (full). Gauge wagtailreel_held_bytes.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -13,7 +13,7 @@
 use crate::admit::{admit, strip_hop_by_hop};
 use crate::attempt::{Call, Template};
 use crate::dialect::Dialect;
-use crate::refusal::Refusal;
+use crate::refusal::{LONG_RETRY_AFTER, Refusal};
 use crate::relay::{Collected, Relay, collect};
 use crate::request_log::RequestLog;
 use crate::response::UpstreamResponse;
@@ -34,7 +34,7 @@
 
 /// Longest time for which a caller may read nothing of an answer that is still being received. Upstreams cut off
 /// an answer that stays unread for some seconds.
-const MAX_UNREAD: Duration = Duration::from_secs(2);
+pub(crate) const MAX_UNREAD: Duration = Duration::from_secs(2);
 
 /// Handles the requests of callers.
 #[derive(Debug)]
@@ -154,6 +154,7 @@
             Collected::Whole(body) => {
                 if call.answer_ended(status, is_framed).await {
                     log.first_byte();
+                    let body = cx.held.hold(body);
                     return Ok(Answer::Whole(Response::from_parts(head, Full::new(body))));
                 }
                 upstream
@@ -230,6 +231,10 @@
 async fn read_whole<D>(cx: &Shared<D>, body: RequestBody) -> Result<Bytes, Refusal> {
     let limits = cx.view.directory().map(|directory| directory.limits());
     let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
+    if !cx.held.room(MAX_UNREAD).await {
+        let retry_in = LONG_RETRY_AFTER;
+        return Err(Refusal::Full { retry_in });
+    }
     let mut body = body;
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -245,5 +250,5 @@
         }
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    Ok(cx.held.hold(buf.freeze()))
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod exchange;
 mod front;
 mod head_scan;
+mod held;
 mod issuers;
 mod limits;
 mod load;
@@ -42,6 +43,7 @@
 pub use dialect::{AnswerHead, Dialect, Dispatch, PromptPart, RequestHead, ServerLoad};
 pub use event_splitter::{EventSplitter, Split};
 pub use head_scan::{HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
+pub use held::Held;
 pub use process::{DirectEntry, DirectError};
 pub use refusal::Refusal;
 pub use wagtailreel_route::direct::{
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) open: IntGauge,
     /// Age of the registry state that the entry works with, in milliseconds, by topic.
     pub(crate) state_age: IntGaugeVec,
+    /// Bytes that are held for callers.
+    pub(crate) held_bytes: IntGauge,
     /// Log lines that were dropped.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -53,6 +55,7 @@
                 Opts::new("wagtailreel_belief_age_ms", "Age of what is believed"),
                 &["topic"],
             )?,
+            held_bytes: IntGauge::new("wagtailreel_held_bytes", "Bytes held for callers")?,
             lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -62,6 +65,7 @@
         registry.register(Box::new(metrics.duration.clone()))?;
         registry.register(Box::new(metrics.open.clone()))?;
         registry.register(Box::new(metrics.state_age.clone()))?;
+        registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.lines_dropped.clone()))?;
         Ok(metrics)
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -24,6 +24,7 @@
 use crate::agents::Agents;
 use crate::dialect::Dialect;
 use crate::front::CallerHandler;
+use crate::held::Held;
 use crate::metrics::Metrics;
 use crate::quarantine_sync::QuarantineSync;
 use crate::remote::{self, RemoteLoad};
@@ -165,6 +166,7 @@
             dialect,
             agents: agents.clone(),
             quarantine: Arc::clone(&quarantine),
+            held: Held::new(Held::limit_of_vm(), metrics.held_bytes.clone()),
             view: Arc::clone(&view),
             metrics,
             registry: prometheus,
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::attempt::{Call, STALLED};
 use crate::dialect::Dialect;
 use crate::event_splitter::{EventSplitter, Split};
+use crate::front::MAX_UNREAD;
 use crate::refusal::Refusal;
 use crate::request_log::RequestLog;
 use crate::response::UpstreamResponse;
@@ -151,7 +152,11 @@
     /// Returns the next bytes for the caller, or `None` after the last.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         if let Some(first) = self.first.take() {
-            return Ok(Some(first));
+            return Ok(Some(self.call.cx.held.hold(first)));
+        }
+        if !self.call.cx.held.room(MAX_UNREAD).await {
+            self.log.finish("no-memory");
+            return Err(BrokenOff);
         }
         // Bytes that complete no event are no progress.
         let mut since = Instant::now();
@@ -167,7 +172,7 @@
                     Some(out) => {
                         self.on_event();
                         self.log.first_byte();
-                        return Ok(Some(out));
+                        return Ok(Some(self.call.cx.held.hold(out)));
                     }
                     None => "gap",
                 },
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -9,6 +9,7 @@
 use wagtailreel_settings::DirectEntrySettings;
 
 use crate::agents::Agents;
+use crate::held::Held;
 use crate::metrics::Metrics;
 use crate::quarantine_sync::QuarantineSync;
 use crate::view::View;
@@ -22,6 +23,8 @@
     pub(crate) agents: Agents,
     pub(crate) quarantine: Arc<QuarantineSync>,
     pub(crate) metrics: Metrics,
+    /// Bytes that are held for callers.
+    pub(crate) held: Arc<Held>,
     pub(crate) registry: Registry,
     /// Set once the entry shuts down.
     pub(crate) shutdown: OnceLock<Shutdown>,
--- a/crates/direct/tests/slow_readers.rs
+++ b/crates/direct/tests/slow_readers.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use common::caller::{get, parse, request};
-use common::ready_entry;
+use common::{TestDialect, ready_entry};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::unbounded_channel;
+use wagtailreel_direct::DirectEntry;
 use wagtailreel_standins::RegistryStandin;
 
 /// Time within which the answer of a caller that does not read is ended. Below the deadline of the routes, 5 s.
@@ -19,6 +20,15 @@
 /// Size of an answer, which no socket buffers hold.
 const SIZE: usize = 48 << 20;
 
+/// Returns the bytes that the entry holds for callers.
+async fn held_bytes(entry: &DirectEntry<TestDialect>) -> u64 {
+    let metrics = get(entry.status(), "/metrics", &[]).await.body;
+    let line = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("wagtailreel_held_bytes "));
+    line.unwrap().parse().unwrap()
+}
+
 /// An answer that its caller does not read is ended at the caller, as incomplete, and at its upstream, which would
 /// hold it otherwise. Other requests are answered meanwhile.
 #[rstest]
@@ -65,6 +75,9 @@
     let headers = [("x-id", "r1"), ("x-key", "k1")];
     let text = request("GET", &format!("/{kind}/long"), &headers, "");
     caller.write_all(text.as_bytes()).await.unwrap();
+    while held_bytes(&entry).await == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     let was_sent = tokio::time::timeout(MAX_TIME, ended.recv()).await;
     let was_sent = was_sent
         .expect("the upstream still holds the answer")
@@ -80,4 +93,5 @@
     let metrics = get(entry.status(), "/metrics", &[]).await.body;
     let is_counted = |line: &str| line.contains("callers") && line.contains("\"unread\"} 1");
     assert!(metrics.lines().any(is_counted), "{metrics}");
+    assert_eq!(held_bytes(&entry).await, 0);
 }
