--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) prompt_tokens_held: IntCounter,
     /// Evacuated data centres, with the value 1.
     pub(crate) evacuated: IntGaugeVec,
+    /// Bytes that are held for callers.
+    pub(crate) held_bytes: IntGauge,
     /// Log lines that were dropped.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -87,6 +89,7 @@
                 Opts::new("wagtailreel_evacuated", "Evacuated data centres"),
                 &["data_centre"],
             )?,
+            held_bytes: IntGauge::new("wagtailreel_held_bytes", "Bytes held for callers")?,
             lines_dropped: IntGauge::new("wagtailreel_log_lines_dropped", "Lines left out")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -101,6 +104,7 @@
         registry.register(Box::new(metrics.state_age.clone()))?;
         registry.register(Box::new(metrics.prompt_tokens_held.clone()))?;
         registry.register(Box::new(metrics.evacuated.clone()))?;
+        registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.lines_dropped.clone()))?;
         Ok(metrics)
     }
--- a/crates/route/src/direct/upstreams.rs
+++ b/crates/route/src/direct/upstreams.rs
@@ -350,6 +350,7 @@
         let likely = |expected| self.likely(is_queued, expected, now);
         let is_late = expected.map_or(is_queued, |expected| likely(expected) > needs.objective);
         let is_full = match &prediction {
+            Some(it) if member.is_memory_short(it.model, needs.prompt, now) => true,
             Some(it) => {
                 let has_report = source == LoadSource::Agent;
                 capacity::is_full(it, prompt, needs.objective, is_queued, has_report, likely)
