fleet: the route's rank decides between customers of the same rank

A customer's rank still goes first; among customers of the same rank the route's decides, and engines get requests in that order.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -47,6 +47,8 @@
     pub(crate) engine: Option<EngineModel>,
     /// The customer whose key the request carries; `None` on a public route.
     pub(crate) customer: Option<CustomerId>,
+    /// Rank of the request; 0 is the highest. At an engine service that requests of different ranks can reach,
+    /// the number of ranks that are more urgent.
     pub(crate) rank: u8,
     /// The beginnings of the prompt; empty if engines retain none.
     pub(crate) prefixes: Vec<PromptPrefix>,
@@ -97,8 +99,12 @@
     }
     let model = engine.as_ref().map(|engine| engine.model.clone());
     let prefixes = prefixes(cx, engine.as_ref(), &parts.headers);
-    let rank = customer.and_then(|customer| customer.rank);
-    let rank = rank.unwrap_or(route.rank);
+    let customer_rank = customer.and_then(|customer| customer.rank);
+    let ranks = directory.ranks(&service).filter(|it| it.differ());
+    let rank = match ranks.filter(|_| engine.is_some()) {
+        Some(ranks) => ranks.position(customer_rank, route.rank),
+        None => customer_rank.unwrap_or(route.rank),
+    };
     Ok(Admitted {
         id,
         head,
--- a/crates/direct/tests/session.rs
+++ b/crates/direct/tests/session.rs
@@ -108,6 +108,7 @@
             objective: Duration::from_millis(300),
             regions: AllowedRegions::default(),
             reported_since: None,
+            prefixes: &[],
         };
         let now = self.now();
         match self.fleet.choose(&needs, now) {
--- a/crates/route/tests/engine_memory.rs
+++ b/crates/route/tests/engine_memory.rs
@@ -1,7 +1,7 @@
 //! Engines whose memory is nearly used get no request that it can't hold.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -63,12 +63,10 @@
     let engine = engine();
     let needs = Requirements {
         model: Some("epitaph"),
-        least_version: None,
-        tried: BTreeSet::new(),
         engine: Some(&engine),
         prompt,
         objective: Duration::from_secs(2),
-        reported_since: None,
+        ..Requirements::default()
     };
     upstreams.choose(&needs, now).map(|_| ())
 }
--- a/crates/serve/src/unread.rs
+++ b/crates/serve/src/unread.rs
@@ -8,9 +8,12 @@
 use crate::activity::Activity;
 use crate::handler::Limits;
 
-/// Interval at which a connection is checked.
+/// Interval at which a connection is checked while a write is pending.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The same while none is, so that a connection whose peer reads costs few wake-ups.
+const QUIET_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of the request for the bytes of the send queue that are not acknowledged (`SIOCOUTQ`).
 const SEND_QUEUE_OPCODE: ioctl::Opcode = 0x5411;
 
@@ -25,13 +28,16 @@
         return std::future::pending().await;
     };
     let mut progress = (send_queue(stream), Instant::now());
+    let mut interval = QUIET_CHECK_INTERVAL;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        tokio::time::sleep(interval).await;
         let now = Instant::now();
         let Some(blocked) = activity.blocked(now) else {
             progress = (None, now);
+            interval = QUIET_CHECK_INTERVAL;
             continue;
         };
+        interval = CHECK_INTERVAL;
         // A large send buffer reports room only after a third of it is free. The peer has read something as soon
         // as it has acknowledged it.
         let queued = send_queue(stream);
