--- a/crates/fleet/src/ranks.rs
+++ b/crates/fleet/src/ranks.rs
@@ -52,7 +52,11 @@
 
     /// Returns the shortest objective of the routes of the ranks before `position`, if there are any.
     pub fn objective_before(&self, position: u8) -> Option<Duration> {
-        self.objectives.values().take(position.into()).min().copied()
+        self.objectives
+            .values()
+            .take(position.into())
+            .min()
+            .copied()
     }
 }
 
