--- a/crates/route/src/direct/mod.rs
+++ b/crates/route/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod announcements;
 mod capacity;
+mod choice;
 mod correction;
 mod crash_record;
 mod ending;
