direct: ranks count only while requests of several ranks compete

The entry now counts the ranks of requests, and the part is active only while at least 5% are of another rank than most. Also the rank that engines get is the customer's or route's own unless it is active. New test several_ranks; shedding and admission pass.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -47,9 +47,10 @@
     pub(crate) engine: Option<EngineModel>,
     /// The customer whose key the request carries; `None` on a public route.
     pub(crate) customer: Option<CustomerId>,
-    /// Rank of the request; 0 is the highest. At an engine service that requests of different ranks can reach,
-    /// the number of ranks that are more urgent.
+    /// Rank of the customer or else of the route; 0 is the highest.
     pub(crate) rank: u8,
+    /// How many of the ranks of requests that can reach the service are more urgent.
+    pub(crate) urgency: u8,
     /// The beginnings of the prompt; empty if engines retain none.
     pub(crate) prefixes: Vec<PromptPrefix>,
     /// Regions that both the route and the customer allow.
@@ -100,11 +101,9 @@
     let model = engine.as_ref().map(|engine| engine.model.clone());
     let prefixes = prefixes(cx, engine.as_ref(), &parts.headers);
     let customer_rank = customer.and_then(|customer| customer.rank);
-    let ranks = directory.ranks(&service).filter(|it| it.differ());
-    let rank = match ranks.filter(|_| engine.is_some()) {
-        Some(ranks) => ranks.position(customer_rank, route.rank),
-        None => customer_rank.unwrap_or(route.rank),
-    };
+    let rank = customer_rank.unwrap_or(route.rank);
+    let ranks = directory.ranks(&service);
+    let urgency = ranks.map_or(0, |ranks| ranks.position(customer_rank, route.rank));
     Ok(Admitted {
         id,
         head,
@@ -113,6 +112,7 @@
         engine,
         customer: customer.map(|customer| customer.name.clone()),
         rank,
+        urgency,
         prefixes,
         regions,
         route,
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -362,7 +362,7 @@
             remaining,
             upstream: &pick.id,
             customer: self.admitted.customer.as_deref(),
-            rank: self.admitted.rank,
+            rank: self.dispatch_rank(),
             version: pick.version,
             last_event,
         };
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -53,6 +53,9 @@
     ///
     /// Returns the refusal to send to the caller.
     pub(crate) async fn choose_next(&self) -> Result<Pick, Refusal> {
+        if self.is_first_choice() {
+            self.count_rank();
+        }
         let is_shedding = self.is_first_choice() && self.is_admission_controlled();
         let admitted = if is_shedding { self.shed() } else { Ok(()) };
         let chosen = match admitted {
--- a/crates/direct/src/shedding.rs
+++ b/crates/direct/src/shedding.rs
@@ -25,9 +25,32 @@
 
     /// Returns whether admission control by rank is active at the service.
     pub(crate) fn is_admission_controlled(&self) -> bool {
-        let mode = self.cx.settings.admission;
+        let is_always = self.cx.settings.admission == AdmissionMode::Always;
         self.admitted.engine.is_some()
-            && (mode == AdmissionMode::Always || self.ranks().is_some_and(ServiceRanks::differ))
+            && (is_always || (self.may_differ() && self.service.admission().has_several_ranks()))
+    }
+
+    /// Returns whether requests of different ranks can reach the service.
+    fn may_differ(&self) -> bool {
+        self.ranks().is_some_and(ServiceRanks::differ)
+    }
+
+    /// Counts the rank of the request, if other ranks may compete with it.
+    pub(crate) fn count_rank(&self) {
+        if self.admitted.engine.is_some() && self.may_differ() {
+            let mut admission = self.service.admission();
+            admission.count_rank(self.admitted.urgency, Instant::now());
+        }
+    }
+
+    /// Returns the rank by which the upstream orders its queue: where requests of several ranks compete, that of
+    /// the route counts among customers of the same rank.
+    pub(crate) fn dispatch_rank(&self) -> u8 {
+        if self.may_differ() && self.is_admission_controlled() {
+            self.admitted.urgency
+        } else {
+            self.admitted.rank
+        }
     }
 
     fn ranks(&self) -> Option<&ServiceRanks> {
@@ -45,7 +68,7 @@
             return own;
         }
         let ranks = self.ranks();
-        let urgent = ranks.and_then(|ranks| ranks.objective_before(self.admitted.rank));
+        let urgent = ranks.and_then(|ranks| ranks.objective_before(self.admitted.urgency));
         choice_objective(own, urgent)
     }
 
@@ -67,7 +90,7 @@
         let head = &self.admitted.head;
         let offer = Offer {
             class: Class {
-                rank: self.admitted.rank,
+                rank: self.admitted.urgency,
                 is_late: first_event > route.objective,
             },
             engine_time: Prediction::engine_time(engine, head.prompt_tokens, head.answer_tokens),
@@ -85,7 +108,7 @@
             return Ok(());
         }
         let retry_in = decision.retry_after(rand::rng().random(), left);
-        let rank = self.admitted.rank.to_string();
+        let rank = self.admitted.urgency.to_string();
         let outcome = if decision.is_admitted {
             "admitted"
         } else {
@@ -118,6 +141,6 @@
             Some(_) => return,
         };
         let mut admission = self.service.admission();
-        admission.record_choice(self.admitted.rank, is_full, Instant::now());
+        admission.record_choice(self.admitted.urgency, is_full, Instant::now());
     }
 }
--- a/crates/route/src/direct/admission.rs
+++ b/crates/route/src/direct/admission.rs
@@ -74,6 +74,13 @@
 /// changes neither by more than 0.01.
 const PASSES: usize = 3;
 
+/// Time in which the count of requests of a rank fades to about a third.
+const RANK_TIME: Duration = Duration::from_secs(5);
+
+/// Share of the requests that have to be of another rank than most for ranks to matter. A few requests on a
+/// route that is configured with another rank, such as checks of operators, are none that compete.
+const OTHER_RANKS_SHARE: f64 = 0.05;
+
 /// Requests below which a class is forgotten.
 const MIN_COUNT: f64 = 0.01;
 
@@ -165,6 +172,9 @@
     /// The mean level of the entries that an agent heard of, and when it was received.
     mean: Option<(f64, Instant)>,
     decided_at: Option<Instant>,
+    /// Requests of each rank in the last seconds.
+    ranks: BTreeMap<u8, f64>,
+    ranks_at: Instant,
 }
 
 impl Admission {
@@ -180,6 +190,8 @@
             calm: Duration::ZERO,
             mean: None,
             decided_at: None,
+            ranks: BTreeMap::new(),
+            ranks_at: now,
         }
     }
 
@@ -189,6 +201,24 @@
         self.level
     }
 
+    /// Counts a request of `rank` that may be decided on.
+    pub fn count_rank(&mut self, rank: u8, now: Instant) {
+        let keep = kept(now.saturating_duration_since(self.ranks_at), RANK_TIME);
+        self.ranks_at = now;
+        self.ranks.retain(|_, count| {
+            *count *= keep;
+            *count > MIN_COUNT
+        });
+        *self.ranks.entry(rank).or_default() += 1.0;
+    }
+
+    /// Returns whether requests of several ranks compete for the service.
+    pub fn has_several_ranks(&self) -> bool {
+        let all: f64 = self.ranks.values().sum();
+        let most = self.ranks.values().copied().fold(0.0, f64::max);
+        self.ranks.len() > 1 && all - most >= OTHER_RANKS_SHARE * all
+    }
+
     /// Counts a request and decides whether it is admitted.
     pub fn decide(&mut self, offer: Offer, now: Instant) -> Decision {
         self.advance(now);
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -306,3 +306,22 @@
         "spread"
     );
 }
+
+/// A few requests on a route of another rank must not switch the admission control on.
+#[rstest]
+#[case::one_rank(&[1; 40], false)]
+#[case::one_check(&[&[0; 1][..], &[1; 39]].concat(), false)]
+#[case::competing(&[&[0; 8][..], &[1; 32]].concat(), true)]
+fn several_ranks(#[case] ranks: &[u8], #[case] competes: bool) {
+    let now = Instant::now();
+    let mut admission = Admission::new(now);
+    for rank in ranks {
+        admission.count_rank(*rank, now);
+    }
+    assert_eq!(admission.has_several_ranks(), competes);
+    let later = now + Duration::from_secs(60);
+    for _ in 0..40 {
+        admission.count_rank(1, later);
+    }
+    assert!(!admission.has_several_ranks(), "the others are over");
+}
