Test answers of upstreams that are silent for a moment

Callers saw requests end without an answer while their upstream was sound. The new test file holds a request at each step of its answer, with the upstream silent for 1.3 s, beside each kind of change of the configuration and with no other upstream that takes it.

--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -45,6 +45,8 @@
     DelayedEvents(u64, u64, u64),
     /// Sends nothing until the connection is closed.
     NoAnswer,
+    /// Sends the first text, is silent for the given number of milliseconds, and sends the second text.
+    Silence(String, u64, String),
     /// Answers, and sends a second answer directly after it.
     ExtraAnswer(&'static str),
 }
@@ -55,6 +57,7 @@
     next_acts: Mutex<Vec<(Arc<Inner>, Act)>>,
     seen: watch::Sender<Vec<String>>,
     aborted: watch::Sender<u32>,
+    silent: watch::Sender<u32>,
     crash: CancellationToken,
 }
 
@@ -80,6 +83,7 @@
             next_acts: Mutex::default(),
             seen: watch::Sender::default(),
             aborted: watch::Sender::default(),
+            silent: watch::Sender::default(),
             crash: CancellationToken::new(),
         });
         let upstream = Self {
@@ -116,6 +120,17 @@
         seen.wait_for(|seen| seen.len() >= count).await.unwrap();
     }
 
+    /// Waits until the upstream has become silent within an answer.
+    pub(crate) async fn until_silent(&self) {
+        let mut silent = self.inner.silent.subscribe();
+        silent.wait_for(|silent| *silent > 0).await.unwrap();
+    }
+
+    /// Returns how many requests in progress the entry has aborted.
+    pub(crate) fn aborted(&self) -> u32 {
+        *self.inner.aborted.borrow()
+    }
+
     /// Waits until the entry has closed a connection on which a request was in progress.
     pub(crate) async fn until_request_aborted(&self) {
         let mut aborted = self.inner.aborted.subscribe();
@@ -210,6 +225,21 @@
             wait_for_end(inner, stream).await
         }
         Act::NoAnswer => wait_for_end(inner, stream).await,
+        Act::Silence(before, ms, after) => {
+            if !write(stream, &before).await {
+                return false;
+            }
+            inner.silent.send_modify(|silent| *silent += 1);
+            let mut buf = [0; 64];
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(ms)) => write(stream, &after).await,
+                // Nothing but the end of the connection can come from the entry.
+                _ = stream.read(&mut buf) => {
+                    inner.aborted.send_modify(|aborted| *aborted += 1);
+                    false
+                }
+            }
+        }
     }
 }
 
@@ -220,7 +250,7 @@
     false
 }
 
-fn stream_head(id: &str) -> String {
+pub(crate) fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 X\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\
          transfer-encoding: chunked\r\n\r\n"
@@ -235,7 +265,7 @@
     format!("HTTP/1.1 200 X\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n")
 }
 
-fn chunk(text: &str) -> String {
+pub(crate) fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
@@ -246,7 +276,7 @@
         .collect()
 }
 
-fn events(from: u64, to: u64) -> String {
+pub(crate) fn events(from: u64, to: u64) -> String {
     (from..=to).map(|id| chunk(&body_of(id, id))).collect()
 }
 
--- /dev/null
+++ b/crates/direct/tests/silent_upstream.rs
@@ -0,0 +1,324 @@
+//! Requests whose upstream is silent for a moment and then goes on, at each step of the answer, beside a change
+//! of the configuration and without another upstream. Each gets its complete answer.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::caller::{Answer, call};
+use common::upstream::{Act, TestUpstream, body_of, chunk, events, stream_head};
+use common::{TestDialect, entry, register, registered, route, until_readiness, until_status};
+use futures::future::join_all;
+use rstest::rstest;
+use wagtailreel_direct::DirectEntry;
+use wagtailreel_fleet::{
+    AllowedRegions, Change, ClientLimits, Customer, Directory, Route, RouteKind, ServiceSpec,
+};
+use wagtailreel_standins::RegistryStandin;
+
+/// Time for which the upstream is silent: longer than the stall timeout of 1 s and the longest time of a head.
+const SILENCE_MS: u64 = 1300;
+
+/// Concurrent streams at silent upstreams: more than the retry budget allows to repeat.
+const CALLERS: usize = 48;
+
+/// Where in its answer the upstream is silent.
+#[derive(Clone, Copy, Debug)]
+enum Point {
+    BeforeHead,
+    InHead,
+    BeforeFirstEvent,
+    InEvent,
+    BetweenEvents,
+    BeforeEnd,
+}
+
+impl Point {
+    /// Returns the act of an upstream that is silent here in a stream of three events.
+    fn stream(self) -> Act {
+        let head = stream_head("r1");
+        let all = events(1, 3) + "0\r\n\r\n";
+        let (before, after) = match self {
+            Self::BeforeHead => (String::new(), head + &all),
+            Self::InHead => (head[..20].to_owned(), head[20..].to_owned() + &all),
+            Self::BeforeFirstEvent => (head, all),
+            Self::InEvent => {
+                let (half, rest) = ("id: 2\nda", "ta: piece 2\n\n");
+                let before = head + &events(1, 1) + &chunk(half);
+                (before, chunk(rest) + &events(3, 3) + "0\r\n\r\n")
+            }
+            Self::BetweenEvents => (head + &events(1, 1), events(2, 3) + "0\r\n\r\n"),
+            Self::BeforeEnd => (head + &events(1, 3), "0\r\n\r\n".to_owned()),
+        };
+        Act::Silence(before, SILENCE_MS, after)
+    }
+}
+
+/// Returns the act of an upstream that is silent in a plain answer after `sent` bytes.
+fn plain(sent: usize) -> Act {
+    let text = "HTTP/1.1 200 X\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok";
+    Act::Silence(text[..sent].to_owned(), SILENCE_MS, text[sent..].to_owned())
+}
+
+/// What changes while the upstream is silent.
+#[derive(Clone, Copy, Debug)]
+enum Edit {
+    Nothing,
+    IdleTime,
+    Timeout,
+    RouteMoved,
+    RouteRemoved,
+    KeyRevoked,
+    ServiceRemoved,
+}
+
+fn routes() -> Vec<Route> {
+    let stream = RouteKind::Stream {
+        resumable: true,
+        gap: Some(Duration::from_millis(100)),
+    };
+    vec![
+        route("/read/", RouteKind::Idempotent),
+        route("/order/", RouteKind::NonIdempotent),
+        route("/stream/", stream),
+    ]
+}
+
+/// Returns the configuration `version` with `edit`. Its path `/v2/` is known from version 2 on.
+fn directory(version: u64, edit: Edit) -> Directory {
+    let mut limits = ClientLimits {
+        header_bytes: 16384,
+        body_bytes: 1 << 16,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let mut routes = routes();
+    let mut keys = vec!["k1".to_owned()];
+    let mut services = vec!["desk", "other"];
+    match edit {
+        Edit::Nothing => {}
+        Edit::IdleTime => limits.idle_timeout = Duration::from_millis(100),
+        Edit::Timeout => routes
+            .iter_mut()
+            .for_each(|route| route.timeout = Duration::from_millis(400)),
+        Edit::RouteMoved => routes
+            .iter_mut()
+            .for_each(|route| route.services = vec![("other".to_owned(), 1)]),
+        Edit::RouteRemoved => routes.clear(),
+        Edit::KeyRevoked => keys = vec!["k2".to_owned()],
+        Edit::ServiceRemoved => {
+            routes.clear();
+            services.clear();
+        }
+    }
+    if version >= 2 {
+        let mut marker = route("/v2/", RouteKind::Idempotent);
+        marker.services = vec![("none".to_owned(), 1)];
+        marker.is_public = true;
+        routes.push(marker);
+    }
+    let services = services.into_iter().map(|name| ServiceSpec {
+        name: name.to_owned(),
+        max_connections: 100,
+        engine: None,
+        warmup_per_second: 0.0,
+        origin: None,
+    });
+    Directory::new(version, limits)
+        .with_routes(routes)
+        .with_services(services.collect())
+        .with_customers(vec![Customer {
+            name: "quay".to_owned(),
+            rank: None,
+            keys,
+            regions: AllowedRegions::default(),
+        }])
+}
+
+async fn start(registry: &RegistryStandin, directory: Directory) -> DirectEntry<TestDialect> {
+    registry.config(directory);
+    let entry = entry(registry, Duration::from_secs(4)).await;
+    until_readiness(&entry, 200).await;
+    entry
+}
+
+/// Sends `path` to the only upstream, which follows `act`, and applies `edit` while it is silent.
+async fn answer_beside(act: Act, method: &'static str, path: &'static str, edit: Edit) -> Answer {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[act]).await;
+    register(&registry, "a", upstream.addr);
+    let entry = start(&registry, directory(1, Edit::Nothing)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, method, path).await });
+    upstream.until_silent().await;
+    registry.config(directory(2, edit));
+    until_status(callers, "/v2/", 503).await;
+    let answer = waiting.await.unwrap();
+    assert_eq!(upstream.aborted(), 0, "the upstream was given up");
+    answer
+}
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.body, body_of(1, 3));
+}
+
+/// A stream is not given up at its only upstream because that is silent for a moment.
+#[rstest]
+#[tokio::test]
+async fn only_upstream(
+    #[values(
+        Point::BeforeHead,
+        Point::InHead,
+        Point::BeforeFirstEvent,
+        Point::InEvent,
+        Point::BetweenEvents,
+        Point::BeforeEnd
+    )]
+    point: Point,
+    #[values(
+        Edit::Nothing,
+        Edit::IdleTime,
+        Edit::Timeout,
+        Edit::RouteMoved,
+        Edit::RouteRemoved,
+        Edit::KeyRevoked,
+        Edit::ServiceRemoved
+    )]
+    edit: Edit,
+) {
+    let answer = answer_beside(point.stream(), "GET", "/stream/1", edit).await;
+    assert_whole(&answer);
+}
+
+/// A plain request waits for its silent upstream, before the head and within the body.
+#[rstest]
+#[tokio::test]
+async fn plain_answer(
+    #[values(0, 48)] sent: usize,
+    #[values(("GET", "/read/1"), ("POST", "/order/1"))] req: (&'static str, &'static str),
+    #[values(
+        Edit::Nothing,
+        Edit::IdleTime,
+        Edit::Timeout,
+        Edit::RouteMoved,
+        Edit::RouteRemoved,
+        Edit::KeyRevoked,
+        Edit::ServiceRemoved
+    )]
+    edit: Edit,
+) {
+    let answer = answer_beside(plain(sent), req.0, req.1, edit).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+}
+
+/// An upstream that is silent within a head is not taken for one that sends a head without end.
+#[rstest]
+#[tokio::test]
+async fn plain_half_head(
+    #[values(("GET", "/read/1"), ("POST", "/order/1"))] req: (&'static str, &'static str),
+    #[values(8, 20, 44)] sent: usize,
+) {
+    let answer = answer_beside(plain(sent), req.0, req.1, Edit::Nothing).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+}
+
+/// Why no other upstream takes the stream.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    /// All slots of the other one are taken.
+    Full,
+    /// The other one refuses.
+    Refuses,
+    /// The other one breaks off before its answer.
+    Breaks,
+    /// The other one is silent for longer.
+    SilentLonger,
+    /// The route allows one attempt.
+    OneAttempt,
+}
+
+/// A stream is not given up before another upstream has taken it.
+#[rstest]
+#[tokio::test]
+async fn untaken_stream(
+    #[values(
+        Point::BeforeHead,
+        Point::InHead,
+        Point::BeforeFirstEvent,
+        Point::InEvent,
+        Point::BetweenEvents,
+        Point::BeforeEnd
+    )]
+    point: Point,
+    #[values(
+        Obstacle::Full,
+        Obstacle::Refuses,
+        Obstacle::Breaks,
+        Obstacle::SilentLonger,
+        Obstacle::OneAttempt
+    )]
+    obstacle: Obstacle,
+) {
+    let registry = RegistryStandin::default();
+    let upstream = TestUpstream::start(&[point.stream()]).await;
+    let act = match obstacle {
+        Obstacle::Full | Obstacle::SilentLonger => Act::NoAnswer,
+        Obstacle::Refuses => Act::NotRun,
+        Obstacle::Breaks => Act::Close,
+        Obstacle::OneAttempt => Act::Events(1, 3),
+    };
+    let other = TestUpstream::start(&[act]).await;
+    let mut routes = routes();
+    if let Obstacle::OneAttempt = obstacle {
+        routes.iter_mut().for_each(|route| route.max_attempts = 1);
+    }
+    let directory = directory(1, Edit::Nothing).with_routes(routes);
+    let other_record = wagtailreel_fleet::Upstream {
+        slots: 1,
+        ..registered("b", other.addr)
+    };
+    let other_record = Change::Upstream(Box::new(other_record));
+    let entry = start(&registry, directory).await;
+    let callers = entry.callers();
+    if let Obstacle::Full = obstacle {
+        registry.upstream(other_record.clone());
+        tokio::spawn(async move { until_status(callers, "/read/1", 200).await });
+        other.until_seen(1).await;
+    }
+    register(&registry, "a", upstream.addr);
+    let waiting = tokio::spawn(async move { until_status(callers, "/stream/1", 200).await });
+    upstream.until_silent().await;
+    registry.upstream(other_record);
+    let answer = waiting.await.unwrap();
+    assert_whole(&answer);
+    assert_eq!(upstream.aborted(), 0, "the upstream was given up");
+    assert_eq!(upstream.seen().len(), 1);
+}
+
+/// Streams that stall together spend the retry budget. Those that are not repeated go on.
+#[tokio::test]
+async fn spent_budget() {
+    let registry = RegistryStandin::default();
+    let acts = vec![Point::BeforeFirstEvent.stream(); 2 * CALLERS];
+    let upstreams = [
+        TestUpstream::start(&acts).await,
+        TestUpstream::start(&acts).await,
+    ];
+    for (id, upstream) in ["a", "b"].into_iter().zip(&upstreams) {
+        let slots = u32::try_from(2 * CALLERS).unwrap();
+        let record = wagtailreel_fleet::Upstream {
+            slots,
+            ..registered(id, upstream.addr)
+        };
+        registry.upstream(Change::Upstream(Box::new(record)));
+    }
+    let entry = start(&registry, directory(1, Edit::Nothing)).await;
+    let callers = entry.callers();
+    let answers = (0..CALLERS).map(|_| call(callers, "GET", "/stream/1"));
+    for answer in join_all(answers).await {
+        assert_whole(&answer);
+    }
+}
