tests: a registry that comes back from an older copy

Callers saw entries that kept an old configuration for seconds after the registry came back from a copy, and upstreams that count as ready after they said that they leave. The stand-in can now be restored: it drops its newest records, gives their offsets out again, and refuses reads beyond its end as expired.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -104,6 +104,15 @@
         let _ = refused.wait_for(|now| count(now) > before).await;
     }
 
+    /// Comes back from an older copy that lacks the last `records` records; their offsets are given out again.
+    pub fn restore(&self, records: usize) {
+        let mut all = self.records();
+        let left = all.len().saturating_sub(records);
+        all.truncate(left);
+        drop(all);
+        self.inner.changed.notify_waiters();
+    }
+
     fn push(&self, topic: Topic, change: Change) {
         self.records().push((topic, change));
         self.inner.changed.notify_waiters();
@@ -190,6 +199,9 @@
             let changed = self.inner.changed.notified();
             self.check(topic)?;
             let (items, end) = self.from(topic, from);
+            if from > end {
+                return Err(RegistryError::Expired { first: 0 });
+            }
             if !items.is_empty() {
                 break (items, end, sent);
             }
