fleet: positions in the registry's log carry its era

Callers saw an old configuration in force for seconds, and upstreams that had said that they leave counted as ready, after the registry came back from an older copy. Cause: bare offsets were compared across the restoration. The follower skipped a record at a lower offset as older, and read on from an offset that the log had meanwhile grown past; the mirror dropped pages below its end, and made neighbours wait until the log had grown back.

Every position is now a pair of era and offset, ordered by era first. Older builds send no era and read as before.

Newer settings than the registry holds are kept as before, and said so by an event and a metric.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -29,7 +29,7 @@
 use crate::quarantine_sync::QuarantineSync;
 use crate::remote::{self, RemoteLoad};
 use crate::shared::Shared;
-use crate::view::{Bounds, View};
+use crate::view::{Bounds, RestorationMetrics, View};
 use crate::{events, load, status_page};
 
 /// How long the registry may hold a read of the settings (long poll). Each read has a cost, which favours a
@@ -145,6 +145,7 @@
         let metrics = Metrics::register(&prometheus).context(MetricsSnafu)?;
         let calls = CallCounters::register(&prometheus).context(MetricsSnafu)?;
         let counters = ConnectionCounters::register(&prometheus).context(MetricsSnafu)?;
+        let restorations = RestorationMetrics::register(&prometheus).context(MetricsSnafu)?;
         let bounds = Bounds {
             weights: NamingBounds {
                 begin: settings.bounds.weights,
@@ -161,7 +162,8 @@
         });
         let view = View::new(home.clone(), regions, bounds)
             .with_seeds(settings.seeds.clone())
-            .with_prompt_cache(prompt_cache);
+            .with_prompt_cache(prompt_cache)
+            .with_restoration_metrics(restorations);
         let view = Arc::new(view);
         let agent_port = settings.agent_port;
         let read_interval = settings.bounds.upstreams_pace;
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod naming;
+mod restoration;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -18,6 +19,7 @@
 
 use crate::events;
 use crate::pool::Pool;
+pub(crate) use restoration::RestorationMetrics;
 use wagtailreel_route::direct::{
     Admission, LoadReports, Naming, NamingBounds, Namings, PromptCacheConfig, RefusalRate,
     Upstreams,
@@ -77,6 +79,7 @@
     seeds: Vec<IpAddr>,
     bounds: Bounds,
     prompt_cache: Option<PromptCacheConfig>,
+    restoration_metrics: Option<RestorationMetrics>,
     directory: RwLock<Option<Arc<Directory>>>,
     confirmed: Mutex<BTreeMap<Topic, BootTime>>,
     services: RwLock<BTreeMap<ServiceName, Arc<Service>>>,
@@ -104,6 +107,7 @@
             seeds: Vec::new(),
             bounds,
             prompt_cache: None,
+            restoration_metrics: None,
             directory: RwLock::default(),
             confirmed: Mutex::default(),
             services: RwLock::default(),
@@ -129,6 +133,12 @@
         self
     }
 
+    /// Counts restorations of the registry in `metrics`.
+    pub(crate) fn with_restoration_metrics(mut self, metrics: RestorationMetrics) -> Self {
+        self.restoration_metrics = Some(metrics);
+        self
+    }
+
     pub(crate) fn seeds(&self) -> &[IpAddr] {
         &self.seeds
     }
@@ -333,6 +343,18 @@
         }
     }
 
+    fn restored(&self, topic: Topic) {
+        if let Some(metrics) = &self.restoration_metrics {
+            metrics.count(topic);
+        }
+    }
+
+    fn settings_kept(&self, count: usize) {
+        if let Some(metrics) = &self.restoration_metrics {
+            metrics.set_kept(count);
+        }
+    }
+
     async fn read_now_requested(&self, topic: Topic) {
         match topic {
             Topic::Settings => self.read_due.notified().await,
--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -29,5 +29,31 @@
     remedy: "Fix the record as the reason says.",
 };
 
+/// The registry came back from an older copy.
+pub const REGISTRY_RESTORED: Event = Event {
+    id: 6004,
+    name: "registry-restored",
+    level: Level::Warn,
+    meaning: "The registry came back from an older copy of its log: its era rose from `era_before` to `era`, and \
+              offsets are given out again. The topic was read from the start.",
+    remedy: "Write again what the registry lost; check the platform's store.",
+};
+
+/// A newer setting stays in force than a restored registry holds.
+pub const SETTING_KEPT: Event = Event {
+    id: 6005,
+    name: "setting-kept",
+    level: Level::Warn,
+    meaning: "After it was restored, the registry holds version `in_registry` of the setting `key`; the newer \
+              `version`, which was read before, stays in force. Processes that start now don't know it.",
+    remedy: "Write the newer version again.",
+};
+
 /// All events of this crate.
-pub const ALL: &[Event] = &[REGISTRY_AWAY, REGISTRY_BACK, RECORD_UNREADABLE];
+pub const ALL: &[Event] = &[
+    REGISTRY_AWAY,
+    REGISTRY_BACK,
+    RECORD_UNREADABLE,
+    REGISTRY_RESTORED,
+    SETTING_KEPT,
+];
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::{Applied, BootTime, Change, Follower, Registry, RegistryError, Step, Topic, events};
+use crate::{
+    Applied, BootTime, Change, Follower, Registry, RegistryError, Restoration, Step, Topic, events,
+};
 
 /// Shortest pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -34,7 +36,7 @@
     /// Longest pause after failed calls. Each call adds load to a registry that has trouble answering. A
     /// recovery is noticed within this time plus the time-out.
     pub max_backoff: Duration,
-    /// How long a removal is held back that is read just after the registry was unreachable.
+    /// How long a removal is held back that is read just after the registry was unreachable or restored.
     pub lapse_hold: Duration,
     /// Shortest outage of the registry in which the registration of a running upstream can lapse.
     pub lapse_after: Duration,
@@ -54,6 +56,16 @@
         let _ = (topic, unanswered);
     }
 
+    /// Records that the registry came back from an older copy of its log, before the changes are applied.
+    fn restored(&self, topic: Topic) {
+        let _ = topic;
+    }
+
+    /// Records the number of settings of which newer versions are known than the registry holds.
+    fn settings_kept(&self, count: usize) {
+        let _ = count;
+    }
+
     /// Completes when the sink wants the topic to be read at once, without the read interval and without
     /// waiting for new records.
     fn read_now_requested(&self, topic: Topic) -> impl Future<Output = ()> + Send {
@@ -88,7 +100,7 @@
                     Some(_) => cfg.read_interval.max((elapsed * 2).min(MAX_READ_INTERVAL)),
                 };
                 deliver(sink.as_ref(), &cfg, applied, unanswered.take());
-                let due = follower.next_removal_due(BootTime::now());
+                let due = follower.next_due(BootTime::now());
                 let remaining = read_interval.saturating_sub(BootTime::now().since(sent));
                 let read_requested = wait_until_due(sink.as_ref(), &cfg, remaining, due).await;
                 // A call that waits for new records would delay the requested answer.
@@ -107,13 +119,13 @@
                 if follower.note_failure(&err) {
                     emit(events::REGISTRY_AWAY, cfg.topic, &err.to_string());
                 }
-                if !matches!(err, RegistryError::Expired { .. }) {
+                if !err.needs_snapshot() {
                     tokio::time::sleep(backoff).await;
                     backoff = (backoff * 2).min(cfg.max_backoff);
                 }
             }
         }
-        for change in follower.due_removals(BootTime::now()) {
+        for change in follower.due_changes(BootTime::now()) {
             sink.apply(change);
         }
     }
@@ -132,12 +144,14 @@
         Step::Newest => {
             let timeout = cfg.timeout * SNAPSHOT_TIMEOUT_FACTOR;
             let snapshot = registry.newest(cfg.topic, timeout).await?;
+            follower.check_era(snapshot.end.era)?;
             Ok(follower.apply_snapshot(snapshot, BootTime::now()))
         }
         Step::Read(from) => {
             // An answer without a wait may be late too, so the total time allowed stays the same.
             let timeout = cfg.timeout + cfg.wait.saturating_sub(wait);
             let page = registry.read(cfg.topic, from, wait, timeout).await?;
+            follower.check_era(page.next.era)?;
             Ok(follower.apply_page(page, BootTime::now()))
         }
     }
@@ -151,6 +165,13 @@
         emit(events::REGISTRY_BACK, cfg.topic, "");
         sink.returned(cfg.topic, unanswered);
     }
+    if let Some(restored) = &applied.restored {
+        emit_restored(cfg.topic, restored);
+        sink.restored(cfg.topic);
+    }
+    if cfg.topic == Topic::Settings {
+        sink.settings_kept(applied.kept_settings);
+    }
     for change in applied.changes {
         let unreadable = match &change {
             Change::Unreadable { key, reason } => Some((key.clone(), reason)),
@@ -194,6 +215,30 @@
     }
 }
 
+fn emit_restored(topic: Topic, restored: &Restoration) {
+    let Restoration {
+        before,
+        after,
+        kept,
+    } = restored;
+    events::REGISTRY_RESTORED.emit(&[
+        ("topic", &topic.to_string()),
+        ("era_before", &before.era.to_string()),
+        ("era", &after.era.to_string()),
+        ("offset_before", &before.offset.to_string()),
+        ("offset", &after.offset.to_string()),
+    ]);
+    for setting in kept {
+        let in_registry = setting.in_registry;
+        let in_registry = in_registry.map_or_else(|| "none".to_owned(), |it| it.to_string());
+        events::SETTING_KEPT.emit(&[
+            ("key", &setting.key),
+            ("version", &setting.version.to_string()),
+            ("in_registry", &in_registry),
+        ]);
+    }
+}
+
 fn emit(event: wagtailreel_telemetry::Event, topic: Topic, reason: &str) {
     event.emit(&[("topic", &topic.to_string()), ("reason", reason)]);
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,11 +10,14 @@
 pub mod events;
 mod follow;
 mod follower;
+mod position;
 mod ranks;
 mod regions;
 mod registry;
+mod removed;
 mod status;
 mod upstream;
+mod versions;
 mod weights;
 
 pub use clock::BootTime;
@@ -23,7 +26,8 @@
     OriginSpec, Route, RouteKind, RouteName, ServiceSpec,
 };
 pub use follow::{FollowConfig, Sink, follow};
-pub use follower::{Applied, Follower, Step};
+pub use follower::{Applied, Follower, Restoration, Step};
+pub use position::{Era, Position};
 pub use ranks::ServiceRanks;
 pub use regions::AllowedRegions;
 pub use registry::{Change, Keyed, Page, Registry, RegistryError, Snapshot, Topic};
@@ -33,4 +37,5 @@
     WarmupPermitRequest,
 };
 pub use upstream::{LoadedModel, Upstream, UpstreamId, UpstreamStart, UpstreamState};
+pub use versions::KeptSetting;
 pub use weights::{ModelName, NamedWeights, NamingTimes, WeightsVersion};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 use wagtailreel_core::{DataCentre, Offset};
 
-use crate::{BootTime, Directory, NamedWeights, Upstream, UpstreamId};
+use crate::{BootTime, Directory, Era, NamedWeights, Position, Upstream, UpstreamId};
 
 /// A part of the registry.
 #[derive(
@@ -56,11 +56,12 @@
     },
 }
 
-/// A change with its offset in the log.
+/// A change with its position in the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Keyed {
-    /// Offset of the record.
-    pub offset: Offset,
+    /// Position of the record.
+    #[serde(flatten)]
+    pub position: Position,
     /// Content of the record.
     pub change: Change,
 }
@@ -71,7 +72,7 @@
     /// The records.
     pub items: Vec<Keyed>,
     /// End of the log when the snapshot was started.
-    pub end: Offset,
+    pub end: Position,
     /// The latest time at which this is known to have been the registry's state.
     pub as_of: BootTime,
     /// Whether a neighbour answered in place of the registry.
@@ -83,10 +84,10 @@
 pub struct Page {
     /// The records.
     pub items: Vec<Keyed>,
-    /// Offset of the next record to read.
-    pub next: Offset,
+    /// Position of the next record to read.
+    pub next: Position,
     /// End of the log; beyond `next` if more records follow the page.
-    pub end: Offset,
+    pub end: Position,
     /// The latest time at which this is known to have been the registry's state.
     pub as_of: BootTime,
     /// Whether a neighbour answered in place of the registry.
@@ -116,6 +117,22 @@
         /// Offset of the oldest record that is left.
         first: Offset,
     },
+    /// The registry came back from an older copy of its log, so that offsets of earlier eras say nothing.
+    #[snafu(display("the registry was restored (era {era}): read the newest of each key"))]
+    Restored {
+        /// The registry's era.
+        era: Era,
+    },
+    /// The answer is from before a restoration that is known.
+    #[snafu(display(
+        "the answer is of era {era}, before the known era {known}: check proxies between here and the registry"
+    ))]
+    Stale {
+        /// Era of the answer.
+        era: Era,
+        /// The newest era that is known.
+        known: Era,
+    },
     /// A neighbour is reading the topic for this process, and has not failed.
     #[snafu(display("a neighbour is still reading the topic: wait for its answer"))]
     Pending,
@@ -147,7 +164,15 @@
 impl RegistryError {
     /// Returns whether the registry was called and gave no valid answer.
     pub const fn is_unanswered(&self) -> bool {
-        matches!(self, Self::Refused { .. } | Self::Unreachable { .. })
+        matches!(
+            self,
+            Self::Refused { .. } | Self::Unreachable { .. } | Self::Stale { .. }
+        )
+    }
+
+    /// Returns whether the registry answered that the newest record of each key has to be read.
+    pub const fn needs_snapshot(&self) -> bool {
+        matches!(self, Self::Expired { .. } | Self::Restored { .. })
     }
 }
 
@@ -164,16 +189,17 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<Snapshot, RegistryError>> + Send;
 
-    /// Reads the records of `topic` from offset `from` on; waits up to `wait` for the first.
+    /// Reads the records of `topic` from position `from` on; waits up to `wait` for the first.
     ///
     /// # Errors
     ///
-    /// Returns [`RegistryError::Expired`] if the records were deleted, and another
-    /// [`RegistryError`] if no complete answer came within `wait` and `timeout` together.
+    /// Returns [`RegistryError::Expired`] if the records were deleted, [`RegistryError::Restored`] if the registry
+    /// is in a later era, and another [`RegistryError`] if no complete answer came within `wait` and `timeout`
+    /// together.
     fn read(
         &self,
         topic: Topic,
-        from: Offset,
+        from: Position,
         wait: Duration,
         timeout: Duration,
     ) -> impl Future<Output = Result<Page, RegistryError>> + Send;
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot};
+use wagtailreel_fleet::{
+    BootTime, Change, Follower, Keyed, Page, Position, RegistryError, Snapshot,
+};
 
 fn at() -> BootTime {
     BootTime::new(Duration::from_millis(1))
@@ -25,7 +27,10 @@
 }
 
 fn keyed(items: Vec<(u64, Change)>) -> Vec<Keyed> {
-    let keyed = |(offset, change)| Keyed { offset, change };
+    let keyed = |(offset, change)| Keyed {
+        position: Position::new(0, offset),
+        change,
+    };
     items.into_iter().map(keyed).collect()
 }
 
@@ -50,7 +55,7 @@
             Newest(end, items) => {
                 let snapshot = Snapshot {
                     items: keyed(items),
-                    end,
+                    end: Position::new(0, end),
                     as_of: at(),
                     is_relayed: false,
                 };
@@ -59,8 +64,8 @@
             Read(next, items) => {
                 let page = Page {
                     items: keyed(items),
-                    next,
-                    end: next,
+                    next: Position::new(0, next),
+                    end: Position::new(0, next),
                     as_of: at(),
                     is_relayed: false,
                 };
@@ -183,7 +188,7 @@
     });
     let snapshot = Snapshot {
         items: keyed(vec![(3, weights), (5, evacuation(true))]),
-        end: 6,
+        end: Position::new(0, 6),
         as_of: at(),
         is_relayed: true,
     };
@@ -191,5 +196,5 @@
     assert_eq!(changes[0], evacuation(true));
     let reason = "no answer".to_owned();
     follower.note_failure(&RegistryError::Unreachable { reason });
-    assert_eq!(follower.due_removals(at()), vec![]);
+    assert_eq!(follower.due_changes(at()), vec![]);
 }
--- a/crates/fleet/tests/follow.rs
+++ b/crates/fleet/tests/follow.rs
@@ -6,9 +6,9 @@
 
 use rstest::rstest;
 use tokio::sync::{Notify, watch};
-use wagtailreel_core::Offset;
 use wagtailreel_fleet::{
-    BootTime, Change, FollowConfig, Page, Registry, RegistryError, Sink, Snapshot, Topic, follow,
+    BootTime, Change, FollowConfig, Page, Position, Registry, RegistryError, Sink, Snapshot, Topic,
+    follow,
 };
 use wagtailreel_standins::{RegistryStandin, ready_upstream as upstream};
 
@@ -171,7 +171,7 @@
     async fn read(
         &self,
         topic: Topic,
-        from: Offset,
+        from: Position,
         wait: Duration,
         timeout: Duration,
     ) -> Result<Page, RegistryError> {
--- a/crates/fleet/tests/follower.rs
+++ b/crates/fleet/tests/follower.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot, Step};
+use wagtailreel_fleet::{
+    BootTime, Change, Follower, Keyed, Page, Position, RegistryError, Snapshot, Step,
+};
 use wagtailreel_standins::ready_upstream as upstream;
 
 const HOLD: Duration = Duration::from_millis(2300);
@@ -16,8 +18,13 @@
     BootTime::new(Duration::from_millis(ms))
 }
 
+fn place(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
 fn keyed(offset: u64, change: Change) -> Keyed {
-    Keyed { offset, change }
+    let position = place(offset);
+    Keyed { position, change }
 }
 
 fn gone(id: &str) -> Change {
@@ -36,7 +43,7 @@
     let items = ids.iter().zip(0..).map(|(id, at)| keyed(at, upstream(id)));
     let snapshot = Snapshot {
         items: items.collect(),
-        end: 10,
+        end: place(10),
         as_of: at(0),
         is_relayed: false,
     };
@@ -47,8 +54,8 @@
 fn page(items: Vec<Keyed>, next: u64) -> Page {
     Page {
         items,
-        next,
-        end: next,
+        next: place(next),
+        end: place(next),
         as_of: at(0),
         is_relayed: false,
     }
@@ -57,7 +64,7 @@
 #[rstest]
 fn first_step() {
     assert_eq!(Follower::new(HOLD, LAPSE).step(), Step::Newest);
-    assert_eq!(knows(&["a"]).step(), Step::Read(10));
+    assert_eq!(knows(&["a"]).step(), Step::Read(place(10)));
 }
 
 #[rstest]
@@ -82,14 +89,14 @@
     let mut full = page(vec![keyed(10, upstream("b"))], 11);
     full.as_of = as_of;
     assert_eq!(follower.apply_page(full, at(1400)).as_of, Some(at(1000)));
-    assert_eq!(follower.step(), Step::Read(11));
+    assert_eq!(follower.step(), Step::Read(place(11)));
 }
 
 #[rstest]
 fn more_records() {
     let mut follower = knows(&["a"]);
     let mut full = page(vec![keyed(10, upstream("b"))], 11);
-    full.end = 40;
+    full.end = place(40);
     let applied = follower.apply_page(full, at(1400));
     assert_eq!(applied.changes.len(), 1);
     assert_eq!(applied.as_of, None, "there is more to read");
@@ -123,9 +130,9 @@
     let items = vec![keyed(12, upstream("a"))];
     let applied = follower.apply_page(page(items, 13), at(6000));
     assert_eq!(applied.changes.len(), 1);
-    assert_eq!(follower.due_removals(at(7000)), vec![]);
-    assert_eq!(follower.due_removals(at(7300)), vec![gone("b")]);
-    assert_eq!(follower.due_removals(at(9000)), vec![]);
+    assert_eq!(follower.due_changes(at(7000)), vec![]);
+    assert_eq!(follower.due_changes(at(7300)), vec![gone("b")]);
+    assert_eq!(follower.due_changes(at(9000)), vec![]);
 }
 
 /// After an outage shorter than `LAPSE` removals are applied at once: no registration of a running upstream
@@ -151,17 +158,17 @@
     follower.apply_page(page(items, 11), at(5000));
     follower.note_failure(&unreachable_error());
     assert_eq!(
-        follower.due_removals(at(9000)),
+        follower.due_changes(at(9000)),
         vec![],
         "no removal is applied while the registry is unreachable"
     );
     follower.apply_page(page(vec![], 11), at(9500));
     assert_eq!(
-        follower.due_removals(at(11_000)),
+        follower.due_changes(at(11_000)),
         vec![],
         "the hold restarts"
     );
-    assert_eq!(follower.due_removals(at(11_800)), vec![gone("a")]);
+    assert_eq!(follower.due_changes(at(11_800)), vec![gone("a")]);
 }
 
 #[rstest]
@@ -172,13 +179,13 @@
     assert_eq!(follower.step(), Step::Newest);
     let snapshot = Snapshot {
         items: vec![keyed(45, upstream("b"))],
-        end: 50,
+        end: place(50),
         as_of: at(100),
         is_relayed: false,
     };
     let applied = follower.apply_snapshot(snapshot, at(101));
     assert!(applied.changes.contains(&gone("a")), "the snapshot lacks a");
-    assert_eq!(follower.step(), Step::Read(50));
+    assert_eq!(follower.step(), Step::Read(place(50)));
 }
 
 #[rstest]
@@ -186,7 +193,7 @@
     let mut follower = Follower::new(HOLD, LAPSE);
     let snapshot = Snapshot {
         items: vec![keyed(20, upstream("a"))],
-        end: 15,
+        end: place(15),
         as_of: at(0),
         is_relayed: false,
     };
--- a/crates/nearby/src/lib.rs
+++ b/crates/nearby/src/lib.rs
@@ -14,6 +14,7 @@
 mod calls;
 mod config;
 mod delays;
+mod era;
 pub mod events;
 mod fallback;
 mod mirror;
--- a/crates/nearby/src/mirror.rs
+++ b/crates/nearby/src/mirror.rs
@@ -6,9 +6,12 @@
 
 use tokio::sync::watch;
 use wagtailreel_core::{DataCentre, Offset};
-use wagtailreel_fleet::{BootTime, Change, Keyed, ModelName, Page, Snapshot, Topic, UpstreamId};
+use wagtailreel_fleet::{
+    BootTime, Change, Era, Keyed, ModelName, Page, Position, Snapshot, Topic, UpstreamId,
+};
 
 use crate::calls::CallState;
+use crate::era::KnownEra;
 use crate::packing::Packed;
 use crate::wire::KnownRecords;
 
@@ -64,14 +67,14 @@
 
 /// Records of one topic.
 ///
-/// Invariant: `newest` holds the newest record of each key with an offset below `end`; for settings it holds
+/// Invariant: `newest` holds the newest record of each key with a position before `end`; for settings it holds
 /// the record with the highest version. A write whose answer was lost may be applied after a later write, and
 /// a process that starts then would take the older version for the newest. A process that has read all
 /// records before `expired_before` lacks only records that are in `newest`.
 #[derive(Debug, Default)]
 struct TopicRecords {
-    expired_before: Offset,
-    end: Offset,
+    expired_before: Position,
+    end: Position,
     as_of: Option<BootTime>,
     newest: BTreeMap<Key, Keyed>,
     /// Encoded copies since the last new record, for neighbours that query the same range.
@@ -83,8 +86,8 @@
 enum RecordRange {
     /// The newest record of each key, without removed keys.
     Newest,
-    /// The records from this offset on.
-    Since(Offset),
+    /// The records from this position on.
+    Since(Position),
 }
 
 /// A copy of records, as sent to a neighbour.
@@ -101,18 +104,26 @@
             let known = self.newest.entry(Key::of(&item.change));
             let known = known.or_insert_with(|| item.clone());
             let is_older = version_of(&item.change) < version_of(&known.change);
-            if known.offset < item.offset && !is_older {
+            if known.position < item.position && !is_older {
                 *known = item.clone();
             }
         }
     }
 
+    /// Checks that the records are not of an earlier era than `era`, which a reader knows.
+    fn check_era(&self, era: Era) -> Result<(), CopyError> {
+        if self.as_of.is_some() && self.end.era < era {
+            return Err(CopyError::EarlierEra);
+        }
+        Ok(())
+    }
+
     fn confirm(&mut self, as_of: BootTime) {
         self.as_of = Some(self.as_of.map_or(as_of, |known| known.max(as_of)));
     }
 
     /// Records that all records before `end` were read.
-    fn advance(&mut self, end: Offset) {
+    fn advance(&mut self, end: Position) {
         self.end = end;
         self.copies.clear();
     }
@@ -121,10 +132,10 @@
     fn records(&self, range: RecordRange) -> KnownRecords {
         let is_wanted = |item: &&Keyed| match range {
             RecordRange::Newest => !matches!(item.change, Change::Gone(_)),
-            RecordRange::Since(from) => item.offset >= from,
+            RecordRange::Since(from) => item.position >= from,
         };
         let mut items: Vec<Keyed> = self.newest.values().filter(is_wanted).cloned().collect();
-        items.sort_by_key(|item| item.offset);
+        items.sort_by_key(|item| item.position);
         let next = match range {
             RecordRange::Newest => self.end,
             RecordRange::Since(from) => self.end.max(from),
@@ -162,7 +173,7 @@
 struct TopicState {
     records: Mutex<TopicRecords>,
     calls: Mutex<CallState>,
-    end: watch::Sender<Offset>,
+    end: watch::Sender<Position>,
 }
 
 impl TopicState {
@@ -178,6 +189,8 @@
     NothingRead,
     /// Of the records before this offset the mirror holds only the newest of each key.
     Expired(Offset),
+    /// The mirror's records are of an earlier era than the reader's.
+    EarlierEra,
 }
 
 /// The records that this process last read from the registry, stored for its neighbours.
@@ -185,6 +198,8 @@
 pub struct Mirror {
     settings: TopicState,
     upstreams: TopicState,
+    /// The newest era of which this process has heard.
+    era: KnownEra,
     last_query: Mutex<Option<BootTime>>,
 }
 
@@ -194,9 +209,16 @@
         let state = self.state(topic);
         {
             let mut records = state.lock();
+            if snapshot.end.era < records.end.era {
+                return;
+            }
+            if snapshot.end.era > records.end.era {
+                // The time confirmed before is that of another log.
+                records.as_of = None;
+            }
             records.newest.retain(|_, it| match &it.change {
                 Change::Evacuation { data_centre, .. } => {
-                    it.offset >= snapshot.end || has_unreadable_evacuation(snapshot, data_centre)
+                    it.position >= snapshot.end || has_unreadable_evacuation(snapshot, data_centre)
                 }
                 change => version_of(change).is_some(),
             });
@@ -208,13 +230,13 @@
         state.end.send_replace(snapshot.end);
     }
 
-    /// Stores the records from offset `from` on.
-    pub fn store_page(&self, topic: Topic, from: Offset, page: &Page) {
+    /// Stores the records from position `from` on.
+    pub fn store_page(&self, topic: Topic, from: Position, page: &Page) {
         let state = self.state(topic);
         {
             let mut records = state.lock();
             if from > records.end || page.next < records.end {
-                // The page would leave a gap, or contains nothing new.
+                // The page would leave a gap, contains nothing new, or is of an earlier era.
                 return;
             }
             if !page.items.is_empty() || page.next > records.end {
@@ -237,38 +259,60 @@
         last_query.is_some_and(|at| BootTime::now().since(at) <= span)
     }
 
-    /// Returns the newest record of each key; waits up to `wait` for the first read to end.
+    /// Returns the newest record of each key for a reader that knows `era`; waits up to `wait` for the first read to
+    /// end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CopyError::EarlierEra`] if the mirror's records are of an earlier era.
     pub(crate) async fn newest(
         &self,
         topic: Topic,
+        era: Era,
         wait: Duration,
     ) -> Result<RecordsCopy, CopyError> {
         self.note_query();
+        self.era.note(era);
         self.wait_for_first_read(topic, wait).await;
-        self.state(topic).lock().copy(RecordRange::Newest)
+        let mut records = self.state(topic).lock();
+        records.check_era(era)?;
+        records.copy(RecordRange::Newest)
     }
 
-    /// Returns the records from offset `from` on; waits up to `wait` for the first, unless the records of the
-    /// mirror are older than `age_limit`.
+    /// Returns the records from offset `from` of `era` on; waits up to `wait` for the first, unless the records of the
+    /// mirror are older than `age_limit`. A reader of an older build names no era and gets records of the mirror's.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CopyError`] at once if the mirror's records are of another era. Offsets of two eras can't be
+    /// compared: a reader that waited for the offset that it had read to would wait until the log has grown back.
     pub(crate) async fn read(
         &self,
         topic: Topic,
         from: Offset,
+        era: Option<Era>,
         wait: Duration,
         age_limit: Duration,
     ) -> Result<RecordsCopy, CopyError> {
         self.note_query();
         let state = self.state(topic);
         let now = BootTime::now();
-        let known_as_of = state.lock().as_of;
+        let (known_as_of, from) = {
+            let records = state.lock();
+            let era = era.unwrap_or(records.end.era);
+            self.era.note(era);
+            records.check_era(era)?;
+            (records.as_of, Position::new(era, from))
+        };
         let is_behind = known_as_of.is_some_and(|as_of| now.since(as_of) > age_limit);
         let wait = if is_behind { Duration::ZERO } else { wait };
         let mut end = state.end.subscribe();
         // The sender lives as long as the mirror; on a time-out the answer is empty.
         let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
         let mut records = state.lock();
+        records.check_era(from.era)?;
         if records.as_of.is_some() && from < records.expired_before {
-            return Err(CopyError::Expired(records.expired_before));
+            return Err(CopyError::Expired(records.expired_before.offset));
         }
         records.copy(RecordRange::Since(from))
     }
@@ -282,6 +326,11 @@
         let _ = tokio::time::timeout(wait, read).await;
     }
 
+    /// Returns the newest era of which this process has heard, also from neighbours that read here.
+    pub(crate) const fn era(&self) -> &KnownEra {
+        &self.era
+    }
+
     /// Returns whether a read that is expected to bring newer records is in progress.
     pub(crate) fn is_reading(&self, topic: Topic) -> bool {
         self.call_state(topic).is_reading()
--- a/crates/nearby/src/neighbour.rs
+++ b/crates/nearby/src/neighbour.rs
@@ -7,7 +7,7 @@
 use snafu::Snafu;
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
 use wagtailreel_core::Offset;
-use wagtailreel_fleet::{BootTime, Page, Topic};
+use wagtailreel_fleet::{BootTime, Era, Page, Topic};
 
 use crate::packing::{UnpackError, age_of, unpack};
 use crate::wire::{KnownRecords, READING_HEADER};
@@ -40,6 +40,10 @@
         /// The records, which may be used if there are none that are more recent.
         known: Box<RelayedRecords>,
     },
+    #[snafu(display(
+        "the neighbour's records are from before era {known}: check its link to the registry"
+    ))]
+    EarlierEra { known: Era },
     #[snafu(transparent)]
     Unreadable { source: UnpackError },
 }
@@ -49,7 +53,7 @@
     pub(crate) const fn is_reading(&self) -> bool {
         match self {
             Self::Refused { is_reading, .. } | Self::Stale { is_reading, .. } => *is_reading,
-            Self::Silent { .. } | Self::Unreadable { .. } => false,
+            Self::Silent { .. } | Self::EarlierEra { .. } | Self::Unreadable { .. } => false,
         }
     }
 }
@@ -59,6 +63,8 @@
 pub(crate) struct NeighbourQuery {
     pub(crate) topic: Topic,
     pub(crate) path: String,
+    /// The newest era that the reader knows.
+    pub(crate) era: Era,
     pub(crate) wait: Duration,
     /// Whether the neighbour waits for new records, so that an empty answer comes at the end of the wait.
     pub(crate) waits_for_records: bool,
@@ -95,16 +101,18 @@
     /// # Errors
     ///
     /// Returns a [`NeighbourError`] if the neighbour gives no valid answer, or if its records are older than
-    /// `age_limit`.
+    /// `age_limit` or of an earlier era than the reader knows.
     pub(crate) async fn ask(
         &self,
         neighbour: SocketAddr,
         query: &NeighbourQuery,
         age_limit: Duration,
     ) -> Result<NeighbourAnswer, NeighbourError> {
-        let NeighbourQuery { topic, wait, .. } = *query;
+        let NeighbourQuery {
+            topic, era, wait, ..
+        } = *query;
         let url = format!(
-            "http://{neighbour}/v1/registry/{topic}{}&oldest_ms={}",
+            "http://{neighbour}/v1/registry/{topic}{}&era={era}&oldest_ms={}",
             query.path,
             age_limit.as_millis()
         );
@@ -114,6 +122,9 @@
         let answer = self.0.request_within(req, wait + NEIGHBOUR_TIMEOUT);
         let answer = answer.await.map_err(|e| silent_error(&e))?;
         let status = answer.status();
+        if status == StatusCode::CONFLICT {
+            return EarlierEraSnafu { known: era }.fail();
+        }
         if !matches!(status, StatusCode::OK | StatusCode::GONE) {
             let status = status.as_u16();
             let is_reading = is_reading(answer.headers());
@@ -130,6 +141,9 @@
         }
         let age = age_of(&head.headers)?;
         let records: KnownRecords = unpack(&head.headers, &body)?;
+        if records.next.era < era {
+            return EarlierEraSnafu { known: era }.fail();
+        }
         let is_stale = age > age_limit;
         // A neighbour that is behind answers without waiting.
         let has_waited = query.waits_for_records && records.items.is_empty() && !is_stale;
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -1,16 +1,18 @@
 //! Registry client that reads through a neighbour if there is one.
 
+mod reads;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use wagtailreel_core::Offset;
-use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
+use wagtailreel_fleet::{BootTime, Registry, RegistryError, Topic};
 
 use crate::calls::Cause;
 use crate::config::READER_WAIT;
 use crate::delays::Delays;
+use crate::era::KnownEra;
 use crate::neighbour::{
     NeighbourAnswer, NeighbourClient, NeighbourError, NeighbourQuery, RelayedRecords,
 };
@@ -22,9 +24,6 @@
 /// How long after a neighbour's query this entry counts as a reader for others.
 const QUERY_TTL: Duration = Duration::from_secs(2);
 
-/// How long a query for a snapshot waits for a starting neighbour to read the registry.
-const FIRST_READ_WAIT: Duration = Duration::from_millis(1500);
-
 /// Pause after a stale answer from a neighbour that has a read in progress.
 const READING_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -47,6 +46,7 @@
     mirror: Option<Arc<Mirror>>,
     neighbours: Arc<Neighbours>,
     seeds: Seeds,
+    era: KnownEra,
     /// Source of the last answer, `None` for the registry; a change emits an event.
     reader: Arc<Mutex<Option<SocketAddr>>>,
     start: Arc<Mutex<Start>>,
@@ -71,6 +71,7 @@
             mirror: None,
             neighbours,
             seeds: Seeds::default(),
+            era: KnownEra::default(),
             reader: Arc::default(),
             start: Arc::default(),
             is_seed: false,
@@ -83,6 +84,7 @@
     /// Stores the records in `mirror`, for neighbours.
     #[must_use]
     pub fn with_mirror(mut self, mirror: Arc<Mirror>) -> Self {
+        self.era = mirror.era().clone();
         self.mirror = Some(mirror);
         self
     }
@@ -136,11 +138,14 @@
                 Err(err) => {
                     is_reading |= err.is_reading();
                     cause = self.note_unusable(*candidate, topic, &err);
-                    // A second time-out would use up the time in which a change has to be in force.
-                    let NeighbourError::Stale { known, .. } = err else {
-                        break;
-                    };
-                    stale = stale.into_iter().chain([*known]).max_by_key(|it| it.as_of);
+                    match err {
+                        NeighbourError::Stale { known, .. } => {
+                            stale = stale.into_iter().chain([*known]).max_by_key(|it| it.as_of);
+                        }
+                        NeighbourError::EarlierEra { .. } => {}
+                        // A second time-out would use up the time in which a change has to be in force.
+                        _ => break,
+                    }
                 }
             }
         }
@@ -180,6 +185,7 @@
         let query = NeighbourQuery {
             topic,
             path: "/newest?wait_ms=0".to_owned(),
+            era: self.era.get(),
             wait: Duration::ZERO,
             waits_for_records: false,
         };
@@ -212,7 +218,9 @@
         let now = BootTime::now();
         let (is_new, cause) = match err {
             // A neighbour that has read nothing yet refuses.
-            NeighbourError::Stale { .. } | NeighbourError::Refused { .. } => (
+            NeighbourError::Stale { .. }
+            | NeighbourError::EarlierEra { .. }
+            | NeighbourError::Refused { .. } => (
                 self.neighbours.note_behind(neighbour, now),
                 Cause::NeighbourOld,
             ),
@@ -250,15 +258,16 @@
         }
         let answer = call.await;
         let now = BootTime::now();
-        let outcome = match &answer {
-            Ok(_) | Err(RegistryError::Expired { .. }) => {
-                self.lock_backoff().note_answer();
-                "answered"
-            }
-            Err(_) => {
-                self.lock_backoff().note_failure(topic, now);
-                "failed"
-            }
+        let has_answered = answer
+            .as_ref()
+            .err()
+            .is_none_or(RegistryError::needs_snapshot);
+        let outcome = if has_answered {
+            self.lock_backoff().note_answer();
+            "answered"
+        } else {
+            self.lock_backoff().note_failure(topic, now);
+            "failed"
         };
         if let Some(mirror) = &self.mirror {
             mirror.call_ended(topic, outcome == "failed");
@@ -302,73 +311,3 @@
         }
     }
 }
-
-impl<R> Registry for SharedRegistry<R>
-where
-    R: Registry,
-{
-    async fn newest(&self, topic: Topic, timeout: Duration) -> Result<Snapshot, RegistryError> {
-        let query = NeighbourQuery {
-            topic,
-            path: format!("/newest?wait_ms={}", FIRST_READ_WAIT.as_millis()),
-            wait: FIRST_READ_WAIT,
-            waits_for_records: false,
-        };
-        let snapshot = match self.ask_neighbours(&query).await {
-            Ok(NeighbourAnswer::Known(RelayedRecords { records, as_of })) => Snapshot {
-                items: records.items,
-                end: records.next,
-                as_of,
-                is_relayed: true,
-            },
-            Ok(NeighbourAnswer::Expired(_)) => {
-                let call = self.registry.newest(topic, timeout);
-                self.call(topic, Cause::NeighbourOld, call).await?
-            }
-            Err(cause) => {
-                let call = self.registry.newest(topic, timeout);
-                self.call(topic, cause, call).await?
-            }
-        };
-        if let Some(mirror) = &self.mirror {
-            mirror.store_snapshot(topic, &snapshot);
-        }
-        Ok(snapshot)
-    }
-
-    async fn read(
-        &self,
-        topic: Topic,
-        from: Offset,
-        wait: Duration,
-        timeout: Duration,
-    ) -> Result<Page, RegistryError> {
-        let query = NeighbourQuery {
-            topic,
-            path: format!("?from={from}&wait_ms={}", self.cfg.wait.as_millis()),
-            wait: self.cfg.wait,
-            waits_for_records: true,
-        };
-        let page = match self.ask_neighbours(&query).await {
-            Ok(NeighbourAnswer::Known(RelayedRecords { records, as_of })) => Page {
-                items: records.items,
-                next: records.next,
-                end: records.next,
-                as_of,
-                is_relayed: true,
-            },
-            // In a burst the neighbour reads snapshots, so its single records expire again and again. A call
-            // to the registry here would make all its followers read the registry themselves.
-            Ok(NeighbourAnswer::Expired(first)) => return Err(RegistryError::Expired { first }),
-            Err(cause) => {
-                let wait = self.max_hold(wait);
-                let call = self.registry.read(topic, from, wait, timeout);
-                self.call(topic, cause, call).await?
-            }
-        };
-        if let Some(mirror) = &self.mirror {
-            mirror.store_page(topic, from, &page);
-        }
-        Ok(page)
-    }
-}
--- a/crates/nearby/src/serve.rs
+++ b/crates/nearby/src/serve.rs
@@ -10,7 +10,7 @@
 use http::{HeaderValue, StatusCode};
 use serde::Deserialize;
 use wagtailreel_core::Offset;
-use wagtailreel_fleet::Topic;
+use wagtailreel_fleet::{Era, Topic};
 
 use crate::Mirror;
 use crate::mirror::{CopyError, RecordsCopy};
@@ -25,6 +25,8 @@
     /// Offset of the first record.
     #[serde(default)]
     from: Offset,
+    /// The newest era that the reader knows; older builds name none.
+    era: Option<Era>,
     /// How long to wait for the first record, in milliseconds.
     #[serde(default)]
     wait_ms: u64,
@@ -55,7 +57,9 @@
     Path(topic): Path<Topic>,
     Query(params): Query<ReadParams>,
 ) -> Response {
-    let copy = mirror.newest(topic, params.wait()).await;
+    let copy = mirror
+        .newest(topic, params.era.unwrap_or_default(), params.wait())
+        .await;
     answer(copy, mirror.is_reading(topic))
 }
 
@@ -64,16 +68,20 @@
     Path(topic): Path<Topic>,
     Query(params): Query<ReadParams>,
 ) -> Response {
-    let read = mirror.read(topic, params.from, params.wait(), params.age_limit());
+    let (from, era) = (params.from, params.era);
+    let read = mirror.read(topic, from, era, params.wait(), params.age_limit());
     let copy = read.await;
     answer(copy, mirror.is_reading(topic))
 }
 
 /// Makes the answer, with a header if a read that is expected to bring newer records is in progress.
 fn answer(copy: Result<RecordsCopy, CopyError>, is_reading: bool) -> Response {
+    // Of a reader of a later era, a read that is in progress brings nothing for sure.
+    let is_reading = is_reading && !matches!(copy, Err(CopyError::EarlierEra));
     let mut response = match copy {
         Ok(copy) => copy.records.answer(copy.age),
         Err(CopyError::NothingRead) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Err(CopyError::EarlierEra) => StatusCode::CONFLICT.into_response(),
         Err(CopyError::Expired(first)) => (StatusCode::GONE, Json(first)).into_response(),
     };
     if is_reading {
--- a/crates/nearby/tests/copies.rs
+++ b/crates/nearby/tests/copies.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
 use wagtailreel_fleet::{
-    AllowedRegions, Change, ClientLimits, Directory, Registry as _, Route, RouteKind, Topic,
+    AllowedRegions, Change, ClientLimits, Directory, Position, Registry as _, Route, RouteKind,
+    Topic,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -104,7 +105,12 @@
     let read = |entry: &Entry, from| {
         let registry = entry.registry.clone();
         async move {
-            let page = registry.read(Topic::Settings, from, Duration::ZERO, TIMEOUT);
+            let page = registry.read(
+                Topic::Settings,
+                Position::new(0, from),
+                Duration::ZERO,
+                TIMEOUT,
+            );
             page.await.unwrap()
         }
     };
@@ -116,6 +122,6 @@
         let page = read(&second, 0).await;
         let newest = page.items.last().map(|item| item.change.clone());
         assert_eq!(newest, Some(Change::Config(Box::new(directory))));
-        assert_eq!(page.next, version - 6);
+        assert_eq!(page.next, Position::new(0, version - 6));
     }
 }
--- a/crates/nearby/tests/mirror.rs
+++ b/crates/nearby/tests/mirror.rs
@@ -8,20 +8,26 @@
 use common::{Entry, upstream};
 use rstest::rstest;
 use wagtailreel_fleet::{
-    BootTime, Change, Keyed, NamedWeights, Page, Registry as _, RegistryError, Snapshot, Topic,
+    BootTime, Change, Keyed, NamedWeights, Page, Position, Registry as _, RegistryError, Snapshot,
+    Topic,
 };
 
 const TOPIC: Topic = Topic::Upstreams;
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+fn place(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
 fn keyed(offset: u64, change: Change) -> Keyed {
-    Keyed { offset, change }
+    let position = place(offset);
+    Keyed { position, change }
 }
 
 fn snapshot(items: Vec<Keyed>, end: u64) -> Snapshot {
     Snapshot {
         items,
-        end,
+        end: place(end),
         as_of: BootTime::now(),
         is_relayed: false,
     }
@@ -30,8 +36,8 @@
 fn page(items: Vec<Keyed>, next: u64) -> Page {
     Page {
         items,
-        next,
-        end: next,
+        next: place(next),
+        end: place(next),
         as_of: BootTime::now(),
         is_relayed: false,
     }
@@ -50,15 +56,17 @@
         keyed(5, upstream("b")),
         keyed(6, Change::Gone("a".to_owned())),
     ];
-    first.mirror.store_page(TOPIC, 5, &page(items, 7));
+    first.mirror.store_page(TOPIC, place(5), &page(items, 7));
     let again = vec![keyed(7, upstream("b"))];
-    first.mirror.store_page(TOPIC, 7, &page(again, 8));
-    let read = second.registry.read(TOPIC, 5, Duration::ZERO, TIMEOUT);
+    first.mirror.store_page(TOPIC, place(7), &page(again, 8));
+    let read = second
+        .registry
+        .read(TOPIC, place(5), Duration::ZERO, TIMEOUT);
     let read = read.await.unwrap();
     assert!(read.is_relayed);
-    let offsets: Vec<u64> = read.items.iter().map(|item| item.offset).collect();
+    let offsets: Vec<u64> = read.items.iter().map(|item| item.position.offset).collect();
     assert_eq!(offsets, vec![6, 7]);
-    assert_eq!(read.next, 8);
+    assert_eq!(read.next, place(8));
     assert_eq!(second.store.calls(), 0);
 }
 
@@ -114,7 +122,9 @@
     first.mirror.store_snapshot(settings, &snapshot(vec![], 10));
     let items: Vec<Keyed> = records.iter().map(|it| keyed(it.0, it.1.clone())).collect();
     let next = records.last().unwrap().0 + 1;
-    first.mirror.store_page(settings, 10, &page(items, next));
+    first
+        .mirror
+        .store_page(settings, place(10), &page(items, next));
     if let Some(later) = later {
         let items = later.into_iter().map(|it| keyed(it.0, it.1)).collect();
         first.mirror.store_snapshot(settings, &snapshot(items, 20));
@@ -141,10 +151,10 @@
         keyed(5, upstream("b")),
         keyed(6, Change::Gone("a".to_owned())),
     ];
-    first.mirror.store_page(TOPIC, 5, &page(items, 7));
+    first.mirror.store_page(TOPIC, place(5), &page(items, 7));
     let newest = second.registry.newest(TOPIC, TIMEOUT).await.unwrap();
     assert_eq!(newest.items, vec![keyed(5, upstream("b"))]);
-    assert_eq!(newest.end, 7);
+    assert_eq!(newest.end, place(7));
 }
 
 /// If a neighbour no longer holds the single records that an entry lacks, the entry reads the neighbour's
@@ -156,7 +166,9 @@
     let second = Entry::with_neighbour(&first).await;
     let items = vec![keyed(3, upstream("a"))];
     first.mirror.store_snapshot(TOPIC, &snapshot(items, 5));
-    let read = second.registry.read(TOPIC, 0, Duration::ZERO, TIMEOUT);
+    let read = second
+        .registry
+        .read(TOPIC, place(0), Duration::ZERO, TIMEOUT);
     let read = read.await;
     assert!(
         matches!(read, Err(RegistryError::Expired { first: 5 })),
@@ -176,10 +188,12 @@
     first.mirror.store_snapshot(TOPIC, &snapshot(Vec::new(), 5));
     first
         .mirror
-        .store_page(TOPIC, 9, &page(vec![keyed(9, upstream("c"))], 10));
-    let read = second.registry.read(TOPIC, 5, Duration::ZERO, TIMEOUT);
+        .store_page(TOPIC, place(9), &page(vec![keyed(9, upstream("c"))], 10));
+    let read = second
+        .registry
+        .read(TOPIC, place(5), Duration::ZERO, TIMEOUT);
     let read = read.await.unwrap();
-    assert_eq!((read.items.len(), read.next), (0, 5));
+    assert_eq!((read.items.len(), read.next), (0, place(5)));
 }
 
 /// A page with more records to follow does not make the mirror look fresh.
@@ -193,10 +207,12 @@
     snapshot.as_of = old;
     first.mirror.store_snapshot(TOPIC, &snapshot);
     let mut partial = page(vec![keyed(5, upstream("c"))], 6);
-    partial.end = 90;
-    first.mirror.store_page(TOPIC, 5, &partial);
+    partial.end = place(90);
+    first.mirror.store_page(TOPIC, place(5), &partial);
     second.store.set_away(true);
-    let read = second.registry.read(TOPIC, 5, Duration::ZERO, TIMEOUT);
+    let read = second
+        .registry
+        .read(TOPIC, place(5), Duration::ZERO, TIMEOUT);
     let read = read.await;
     assert!(
         matches!(read, Err(RegistryError::Unreachable { .. })),
@@ -223,9 +239,9 @@
     if is_snapshot {
         first.mirror.store_snapshot(topic, &snapshot(late, 6));
     } else {
-        first.mirror.store_page(topic, 5, &page(late, 6));
+        first.mirror.store_page(topic, place(5), &page(late, 6));
     }
     let newest = second.registry.newest(topic, TIMEOUT).await.unwrap();
     assert_eq!(newest.items, vec![keyed(3, named(3))]);
-    assert_eq!(newest.end, 6);
+    assert_eq!(newest.end, place(6));
 }
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -8,13 +8,19 @@
 
 use tokio::sync::{Notify, watch};
 use wagtailreel_fleet::{
-    BootTime, Change, Directory, Keyed, NamedWeights, Page, Registry, RegistryError, Snapshot,
-    Topic, Upstream, UpstreamState,
+    BootTime, Change, Directory, Era, Keyed, NamedWeights, Page, Position, Registry, RegistryError,
+    Snapshot, Topic, Upstream, UpstreamState,
 };
 
+#[derive(Debug, Default)]
+struct Log {
+    era: Era,
+    records: Vec<(Topic, Change)>,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    records: Mutex<Vec<(Topic, Change)>>,
+    log: Mutex<Log>,
     is_away: AtomicBool,
     delay_ms: AtomicU64,
     page_len: AtomicUsize,
@@ -106,15 +112,16 @@
 
     /// Comes back from an older copy that lacks the last `records` records; their offsets are given out again.
     pub fn restore(&self, records: usize) {
-        let mut all = self.records();
-        let left = all.len().saturating_sub(records);
-        all.truncate(left);
-        drop(all);
+        let mut log = self.log();
+        let left = log.records.len().saturating_sub(records);
+        log.records.truncate(left);
+        log.era += 1;
+        drop(log);
         self.inner.changed.notify_waiters();
     }
 
     fn push(&self, topic: Topic, change: Change) {
-        self.records().push((topic, change));
+        self.log().records.push((topic, change));
         self.inner.changed.notify_waiters();
     }
 
@@ -128,18 +135,18 @@
         Ok(())
     }
 
-    fn records(&self) -> MutexGuard<'_, Vec<(Topic, Change)>> {
-        let records = self.inner.records.lock();
-        records.unwrap_or_else(PoisonError::into_inner)
+    fn log(&self) -> MutexGuard<'_, Log> {
+        let log = self.inner.log.lock();
+        log.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Cuts a page to what one answer holds.
-    fn page(&self, mut items: Vec<Keyed>, end: u64, as_of: BootTime) -> Page {
+    fn page(&self, mut items: Vec<Keyed>, end: Position, as_of: BootTime) -> Page {
         let most = self.inner.page_len.load(Ordering::SeqCst);
         let mut next = end;
         if most > 0 && items.len() > most {
             items.truncate(most);
-            next = items.last().map_or(end, |last| last.offset + 1);
+            next = items.last().map_or(end, |last| last.position.following());
         }
         self.note_handed(items.len());
         Page {
@@ -155,16 +162,19 @@
         self.inner.handed.fetch_add(records, Ordering::SeqCst);
     }
 
-    fn from(&self, topic: Topic, from: u64) -> (Vec<Keyed>, u64) {
-        let records = self.records();
-        let all = records.iter().zip(0..);
+    fn from(&self, topic: Topic, from: u64) -> (Vec<Keyed>, Position) {
+        let log = self.log();
+        let all = log.records.iter().zip(0..);
         let items = all
             .filter(|((of, _), offset)| *of == topic && *offset >= from)
             .map(|((_, change), offset)| Keyed {
-                offset,
+                position: Position::new(log.era, offset),
                 change: change.clone(),
             });
-        (items.collect(), records.len() as u64)
+        (
+            items.collect(),
+            Position::new(log.era, log.records.len() as u64),
+        )
     }
 }
 
@@ -188,7 +198,7 @@
     async fn read(
         &self,
         topic: Topic,
-        from: u64,
+        from: Position,
         wait: Duration,
         _timeout: Duration,
     ) -> Result<Page, RegistryError> {
@@ -198,7 +208,10 @@
         let (items, end, as_of) = loop {
             let changed = self.inner.changed.notified();
             self.check(topic)?;
-            let (items, end) = self.from(topic, from);
+            let (items, end) = self.from(topic, from.offset);
+            if from.era < end.era {
+                return Err(RegistryError::Restored { era: end.era });
+            }
             if from > end {
                 return Err(RegistryError::Expired { first: 0 });
             }
@@ -238,7 +251,7 @@
         );
         !is_deleted
     });
-    items.sort_by_key(|item| item.offset);
+    items.sort_by_key(|item| item.position);
     items
 }
 
