--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod event_splitter;
 pub mod events;
 mod exchange;
+mod following;
 mod front;
 mod head_scan;
 mod held;
@@ -45,6 +46,7 @@
 
 pub use dialect::{AnswerHead, Dialect, Dispatch, PromptPart, RequestHead, ServerLoad};
 pub use event_splitter::{EventSplitter, Split};
+pub use following::{follow_settings, follow_upstreams};
 pub use head_scan::{HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
 pub use held::Held;
 pub use process::{DirectEntry, DirectError};
