Tests: how late a change is heard through neighbours

Sums up the time limits of a data centre's readers against the bounds on changes (2 s with a sound registry, 3 s after an outage) and runs entries through each other with a reader or a registry in trouble.

The stand-in of the registry can hold or lose answers, and heeds the time-outs of its calls.

A new test of the follower shows that an upstream that leaves during an outage is not held back; it passes.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -40,6 +40,14 @@
     pub lapse_after: Duration,
 }
 
+impl FollowConfig {
+    /// Returns the time from one read of the registry to the next, if a read that found records took
+    /// `elapsed`.
+    pub fn interval_after_read(&self, elapsed: Duration) -> Duration {
+        self.read_interval.max((elapsed * 2).min(MAX_READ_INTERVAL))
+    }
+}
+
 /// Receives the changes of a topic.
 pub trait Sink: Send + Sync + 'static {
     /// Applies a change. Changes come in the order of the log.
@@ -85,7 +93,7 @@
                     Some(_) if applied.is_relayed => cfg.relayed_read_interval,
                     // The registry held the call, so its duration says nothing about the link.
                     Some(_) if applied.changes.is_empty() => cfg.read_interval,
-                    Some(_) => cfg.read_interval.max((elapsed * 2).min(MAX_READ_INTERVAL)),
+                    Some(_) => cfg.interval_after_read(elapsed),
                 };
                 deliver(sink.as_ref(), &cfg, applied, unanswered.take());
                 let due = follower.next_removal_due(BootTime::now());
--- a/crates/fleet/tests/follower.rs
+++ b/crates/fleet/tests/follower.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailreel_fleet::{BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot, Step};
+use wagtailreel_fleet::{
+    BootTime, Change, Follower, Keyed, Page, RegistryError, Snapshot, Step, UpstreamState,
+};
 use wagtailreel_standins::ready_upstream as upstream;
 
 const HOLD: Duration = Duration::from_millis(2300);
@@ -195,3 +197,32 @@
     let applied = follower.apply_page(page(items, 16), at(3));
     assert_eq!(applied.changes, vec![], "the snapshot has a newer record");
 }
+
+/// An upstream that leaves during an outage gets no requests while missing ones are kept.
+#[rstest]
+#[case::page(false)]
+#[case::snapshot(true)]
+fn leaving_not_held(#[case] is_snapshot: bool) {
+    let mut follower = knows(&["a", "b"]);
+    follower.note_failure(&unreachable_error());
+    let Change::Upstream(mut leaving) = upstream("a") else {
+        panic!("the record of an upstream");
+    };
+    leaving.state = UpstreamState::Draining;
+    let leaving = Change::Upstream(leaving);
+    let back = at(5_000);
+    let applied = if is_snapshot {
+        let snapshot = Snapshot {
+            items: vec![keyed(11, leaving.clone())],
+            end: 12,
+            as_of: back,
+            is_relayed: false,
+        };
+        follower.apply_snapshot(snapshot, back)
+    } else {
+        let items = vec![keyed(10, gone("b")), keyed(11, leaving.clone())];
+        follower.apply_page(page(items, 12), back)
+    };
+    assert!(applied.has_recovered);
+    assert_eq!(applied.changes, [leaving], "the removal of b is held back");
+}
--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -6,7 +6,7 @@
 
 /// How long a neighbour may wait for new records before it answers. Together with the time-out this stays
 /// well below the 2 s in which a change of the registry has to be in force.
-const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
+pub(crate) const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
 
 /// How long the registry may hold a read whose answer is relayed: until the answer, the age of the relayed
 /// records grows.
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Returns the longest backoff of any process after a failed call.
+    pub(crate) fn max_backoff(&self) -> Duration {
+        self.backoff + self.backoff / 2
+    }
+
     pub(crate) const fn max_age(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Settings => self.settings_age,
--- a/crates/nearby/src/delays.rs
+++ b/crates/nearby/src/delays.rs
@@ -20,7 +20,7 @@
     pub(crate) fn new(cfg: &SharedRegistryConfig, own: SocketAddr) -> Self {
         let share = share_of(own);
         Self {
-            backoff: cfg.backoff + cfg.backoff.mul_f64(share / 2.0),
+            backoff: cfg.backoff + (cfg.max_backoff() - cfg.backoff).mul_f64(share),
             fallback: cfg.fallback_after + cfg.fallback_spread.mul_f64(share),
         }
     }
--- a/crates/nearby/src/lib.rs
+++ b/crates/nearby/src/lib.rs
@@ -24,6 +24,7 @@
 mod seeds;
 mod serve;
 mod wire;
+mod worst_case;
 
 pub use backoff::RegistryBackoff;
 pub use calls::CallCounters;
@@ -34,3 +35,4 @@
 pub use registry::SharedRegistry;
 pub use seeds::Seeds;
 pub use serve::router;
+pub use worst_case::WorstCase;
--- a/crates/nearby/src/neighbour.rs
+++ b/crates/nearby/src/neighbour.rs
@@ -14,7 +14,7 @@
 
 /// How long a neighbour's answer may take in addition to its wait. Within a data centre an answer takes a
 /// few milliseconds, and a large configuration for a dozen neighbours 0.1 s.
-const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time-out for connecting to a neighbour.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -12,6 +12,17 @@
     Topic, Upstream, UpstreamState,
 };
 
+/// What happens to calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum CallFate {
+    #[default]
+    Answered,
+    /// Calls are answered once this ends.
+    Held,
+    /// Calls are never answered, also once this has ended.
+    Lost,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     records: Mutex<Vec<(Topic, Change)>>,
@@ -22,6 +33,7 @@
     calls: AtomicUsize,
     refused: watch::Sender<BTreeMap<Topic, u64>>,
     changed: Notify,
+    fate: watch::Sender<CallFate>,
 }
 
 /// A registry in memory.
@@ -67,6 +79,55 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Holds all answers back, or none.
+    pub fn set_holding(&self, is_holding: bool) {
+        self.set_fate(is_holding, CallFate::Held);
+    }
+
+    /// Loses all calls that are made or in progress, or answers new calls again.
+    pub fn set_losing(&self, is_losing: bool) {
+        self.set_fate(is_losing, CallFate::Lost);
+    }
+
+    fn set_fate(&self, is_set: bool, fate: CallFate) {
+        let fate = if is_set { fate } else { CallFate::Answered };
+        self.inner.fate.send_replace(fate);
+    }
+
+    /// Returns the answer of `call`. An answer that is held back for longer than `limit` after the call, or
+    /// lost, is a time-out; one that is only slow is not, as if its data kept arriving.
+    async fn answer_within<F, T>(&self, limit: Duration, call: F) -> Result<T, RegistryError>
+    where
+        F: Future<Output = Result<T, RegistryError>>,
+    {
+        let deadline = tokio::time::Instant::now() + limit;
+        let answer = async {
+            let answer = call.await;
+            let released = self.until_fate(|fate| *fate != CallFate::Held);
+            let released = tokio::time::timeout_at(deadline, released).await;
+            released.is_ok().then_some(answer)
+        };
+        let answer = tokio::select! {
+            biased;
+            () = self.until_fate(|fate| *fate == CallFate::Lost) => {
+                tokio::time::sleep_until(deadline).await;
+                None
+            }
+            answer = answer => answer,
+        };
+        let reason = "no answer in time".to_owned();
+        answer.unwrap_or(Err(RegistryError::Unreachable { reason }))
+    }
+
+    async fn until_fate<F>(&self, is_wanted: F)
+    where
+        F: FnMut(&CallFate) -> bool,
+    {
+        let mut fate = self.inner.fate.subscribe();
+        // The sender lives as long as the registry.
+        let _ = fate.wait_for(is_wanted).await;
+    }
+
     /// Makes every answer take `delay` longer.
     pub fn set_delay(&self, delay: Duration) {
         let ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
@@ -160,9 +221,27 @@
 }
 
 impl Registry for RegistryStandin {
-    async fn newest(&self, topic: Topic, _timeout: Duration) -> Result<Snapshot, RegistryError> {
-        let sent = BootTime::now();
+    async fn newest(&self, topic: Topic, timeout: Duration) -> Result<Snapshot, RegistryError> {
         self.inner.calls.fetch_add(1, Ordering::SeqCst);
+        self.answer_within(timeout, self.answer_newest(topic)).await
+    }
+
+    async fn read(
+        &self,
+        topic: Topic,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<Page, RegistryError> {
+        self.inner.calls.fetch_add(1, Ordering::SeqCst);
+        let answer = self.answer_read(topic, from, wait);
+        self.answer_within(wait + timeout, answer).await
+    }
+}
+
+impl RegistryStandin {
+    async fn answer_newest(&self, topic: Topic) -> Result<Snapshot, RegistryError> {
+        let sent = BootTime::now();
         self.delay().await;
         self.check(topic)?;
         let (items, end) = self.from(topic, 0);
@@ -176,14 +255,12 @@
         })
     }
 
-    async fn read(
+    async fn answer_read(
         &self,
         topic: Topic,
         from: u64,
         wait: Duration,
-        _timeout: Duration,
     ) -> Result<Page, RegistryError> {
-        self.inner.calls.fetch_add(1, Ordering::SeqCst);
         let sent = BootTime::now();
         let deadline = tokio::time::Instant::now() + wait;
         let (items, end, as_of) = loop {
