nearby: a read in an outage is held for less time

A change of the settings was in force 3.15 s after the end of an outage (bound 3 s) at an entry that reads alone: the registry may hold a read for 1.8 s, so that one that is sent just before the end and is lost takes 2.5 s to time out, and the backoff and a slow answer come on top. The limits sum up to 3.4 s, and to 3.0 s for an entry that reads copies, which does not query its neighbours meanwhile.

A read after a failed one, or beside neighbours that are silent or behind, may now be held for 1.2 s. Reads while all is well are held as before.

--- a/crates/nearby/src/backoff.rs
+++ b/crates/nearby/src/backoff.rs
@@ -36,6 +36,11 @@
         is_reader || self.failed_at.get(&topic).is_none_or(has_passed)
     }
 
+    /// Returns whether the last call for `topic` failed, and none was answered since.
+    pub fn has_failed(&self, topic: Topic) -> bool {
+        self.failed_at.contains_key(&topic)
+    }
+
     /// Records that the registry did not answer a call for `topic`.
     pub fn note_failure(&mut self, topic: Topic, now: BootTime) {
         self.failed_at.insert(topic, now);
--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -12,6 +12,11 @@
 /// records grows.
 pub(crate) const READER_WAIT: Duration = Duration::from_millis(600);
 
+/// How long the registry may hold a read after one that failed, or beside neighbours that failed. A read that
+/// is lost at the end of an outage delays the next one until it times out, and a change has to be in force
+/// 3 s after the outage.
+const RETRY_WAIT: Duration = Duration::from_millis(1200);
+
 /// How late a neighbour's read of the registry may be.
 const MAX_READ_DELAY: Duration = Duration::from_millis(300);
 
@@ -104,6 +109,23 @@
         }
     }
 
+    /// Returns how long the registry may hold a read that wants to wait for `wait`: less while neighbours read
+    /// from this process, and while the registry or neighbours are in trouble.
+    pub(crate) fn max_hold(
+        &self,
+        wait: Duration,
+        is_queried: bool,
+        is_in_trouble: bool,
+    ) -> Duration {
+        if is_queried {
+            wait.min(READER_WAIT)
+        } else if is_in_trouble {
+            wait.min(RETRY_WAIT)
+        } else {
+            wait
+        }
+    }
+
     /// Returns the longest backoff of any process after a failed call.
     pub(crate) fn max_backoff(&self) -> Duration {
         self.backoff + self.backoff / 2
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -9,7 +9,6 @@
 use wagtailreel_fleet::{BootTime, Page, Registry, RegistryError, Snapshot, Topic};
 
 use crate::calls::Cause;
-use crate::config::READER_WAIT;
 use crate::delays::Delays;
 use crate::neighbour::{
     NeighbourAnswer, NeighbourClient, NeighbourError, NeighbourQuery, RelayedRecords,
@@ -292,14 +291,12 @@
         }
     }
 
-    /// Returns how long the registry may hold a read: less while neighbours read from this process.
-    fn max_hold(&self, wait: Duration) -> Duration {
+    /// Returns how long the registry may hold a read of `topic` for `cause`.
+    fn max_hold(&self, topic: Topic, cause: Cause, wait: Duration) -> Duration {
         let mirror = self.mirror.as_ref();
-        if mirror.is_some_and(|mirror| mirror.was_queried_within(QUERY_TTL)) {
-            wait.min(READER_WAIT)
-        } else {
-            wait
-        }
+        let is_queried = mirror.is_some_and(|mirror| mirror.was_queried_within(QUERY_TTL));
+        let is_in_trouble = cause != Cause::First || self.lock_backoff().has_failed(topic);
+        self.cfg.max_hold(wait, is_queried, is_in_trouble)
     }
 }
 
@@ -361,7 +358,7 @@
             // to the registry here would make all its followers read the registry themselves.
             Ok(NeighbourAnswer::Expired(first)) => return Err(RegistryError::Expired { first }),
             Err(cause) => {
-                let wait = self.max_hold(wait);
+                let wait = self.max_hold(topic, cause, wait);
                 let call = self.registry.read(topic, from, wait, timeout);
                 self.call(topic, cause, call).await?
             }
--- a/crates/nearby/src/worst_case.rs
+++ b/crates/nearby/src/worst_case.rs
@@ -5,7 +5,7 @@
 use wagtailreel_fleet::FollowConfig;
 
 use crate::SharedRegistryConfig;
-use crate::config::{NEIGHBOUR_WAIT, READER_WAIT};
+use crate::config::NEIGHBOUR_WAIT;
 use crate::neighbour::NEIGHBOUR_TIMEOUT;
 
 /// Longest time that a sound but slow registry takes to answer.
@@ -50,34 +50,36 @@
     /// Returns the delay at an entry whose neighbour is cut off from the registry.
     pub fn cut_neighbour(&self) -> Duration {
         let until_stale = self.cfg.max_age(self.follow.topic) + NEIGHBOUR_WAIT;
-        until_stale.max(self.lost_call(READER_WAIT)) + SLOW_COPY + SLOW_ANSWER
+        until_stale.max(self.lost_call(true)) + SLOW_COPY + SLOW_ANSWER
     }
 
     /// Returns the delay after an outage at a reader from which others read copies.
     pub fn reader_after_outage(&self) -> Duration {
-        self.lost_call(READER_WAIT) + self.follow.max_backoff + self.read_after_outage()
+        self.lost_call(true) + self.follow.max_backoff + self.read_after_outage()
     }
 
     /// Returns the delay after an outage at a reader from which nobody reads copies.
     pub fn lone_reader_after_outage(&self) -> Duration {
-        self.lost_call(self.follow.wait) + self.follow.max_backoff + self.read_after_outage()
+        self.lost_call(false) + self.follow.max_backoff + self.read_after_outage()
     }
 
     /// Returns the delay after an outage at an entry that reads copies.
     pub fn relayed_after_outage(&self) -> Duration {
-        let own_call = self.lost_call(self.follow.wait);
+        let own_call = self.lost_call(false);
         own_call.max(self.reader_after_outage()) + self.follow.max_backoff + SLOW_COPY
     }
 
     /// Returns the delay after an outage at an entry whose readers stay cut off from the registry.
     pub fn cut_readers_after_outage(&self) -> Duration {
-        let until_due = self.lost_call(self.follow.wait) + self.cfg.max_backoff();
+        let until_due = self.lost_call(false) + self.cfg.max_backoff();
         until_due + self.follow.max_backoff + self.read_after_outage()
     }
 
-    /// Returns how long a call lasts that the registry may hold for `hold` and never answers.
-    fn lost_call(&self, hold: Duration) -> Duration {
-        self.follow.wait.min(hold) + self.follow.timeout
+    /// Returns how long a call lasts that is made in an outage and never answered; `is_queried` says whether
+    /// neighbours read from the process that makes it.
+    fn lost_call(&self, is_queried: bool) -> Duration {
+        let hold = self.cfg.max_hold(self.follow.wait, is_queried, true);
+        hold + self.follow.timeout
     }
 
     /// Returns the time of a read that is told that its records were deleted, and of the snapshot after it.
