nearby: the backoff after a failed call counts from its start

An entry whose readers are cut off from the registry heard of a change 5.23 s (settings) and 3.05 s (upstreams) after the end of an outage; the bound is 3 s. The last call in the outage is lost and times out up to 1.9 s later, and only then the backoff of up to 2.4 s began.

The backoff counts from the start of the failed call and is 1.35 to 2.03 s in place of 1.6 to 2.4 s, so that the pause of the follower and two slow answers fit into the bound.

The figure for the target is worked out anew from the pauses.

--- a/crates/nearby/src/backoff.rs
+++ b/crates/nearby/src/backoff.rs
@@ -17,37 +17,39 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistryBackoff {
     backoff: Duration,
-    failed_at: BTreeMap<Topic, BootTime>,
+    /// When the last failed call of each topic was sent. A call that is never answered fails seconds later, and
+    /// a backoff from then on outlasts the bound on a change after an outage.
+    failed: BTreeMap<Topic, BootTime>,
 }
 
 impl RegistryBackoff {
-    /// Makes the state of a process that waits for `backoff` after a failed call.
+    /// Makes the state of a process that makes no further call for `backoff` from the start of a failed one.
     pub const fn new(backoff: Duration) -> Self {
         Self {
             backoff,
-            failed_at: BTreeMap::new(),
+            failed: BTreeMap::new(),
         }
     }
 
     /// Returns whether a call for `topic` may be made at `now`. Readers, which relay the records to others,
     /// may always call.
     pub fn is_due(&self, topic: Topic, is_reader: bool, now: BootTime) -> bool {
-        let has_passed = |failed_at: &BootTime| now.since(*failed_at) >= self.backoff;
-        is_reader || self.failed_at.get(&topic).is_none_or(has_passed)
+        let has_passed = |sent: &BootTime| now.since(*sent) >= self.backoff;
+        is_reader || self.failed.get(&topic).is_none_or(has_passed)
     }
 
     /// Returns whether the last call for `topic` failed, and none was answered since.
     pub fn has_failed(&self, topic: Topic) -> bool {
-        self.failed_at.contains_key(&topic)
+        self.failed.contains_key(&topic)
     }
 
-    /// Records that the registry did not answer a call for `topic`.
-    pub fn note_failure(&mut self, topic: Topic, now: BootTime) {
-        self.failed_at.insert(topic, now);
+    /// Records that the registry did not answer the call for `topic` that was sent at `sent`.
+    pub fn note_failure(&mut self, topic: Topic, sent: BootTime) {
+        self.failed.insert(topic, sent);
     }
 
     /// Records that the registry answered, which ends the backoff of both topics.
     pub fn note_answer(&mut self) {
-        self.failed_at.clear();
+        self.failed.clear();
     }
 }
--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -37,8 +37,9 @@
 const READERS: usize = 2;
 
 /// Backoff of the other entries. A change has to be in force 3 s after an entry reaches the registry again
-/// at the earliest: the bound applies only after the entry has been connected for that long.
-const ENTRY_BACKOFF: Duration = Duration::from_millis(1600);
+/// at the earliest: the bound applies only after the entry has been connected for that long. The backoff, which
+/// is up to half as long again, leaves time for the pause of the follower and for two slow answers.
+const ENTRY_BACKOFF: Duration = Duration::from_millis(1350);
 
 /// How long an entry waits for slow readers whose records get no newer: longer than a read of the upstreams
 /// over a link that is half used.
@@ -63,7 +64,7 @@
     /// Number of entries, first in order, that keep calling a registry that does not answer. The others
     /// notice its recovery through them.
     pub readers: usize,
-    /// Minimum time after a failed call before the others call the registry again; each process waits up to
+    /// Minimum time from the start of a failed call before the others call the registry again; each process waits up to
     /// half as long in addition.
     pub backoff: Duration,
     /// Minimum time that a process waits for neighbours that are still reading before it reads the registry
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -255,7 +255,7 @@
                 "answered"
             }
             Err(_) => {
-                self.lock_backoff().note_failure(topic, now);
+                self.lock_backoff().note_failure(topic, sent);
                 "failed"
             }
         };
--- a/crates/nearby/src/worst_case.rs
+++ b/crates/nearby/src/worst_case.rs
@@ -71,7 +71,7 @@
 
     /// Returns the delay after an outage at an entry whose readers stay cut off from the registry.
     pub fn cut_readers_after_outage(&self) -> Duration {
-        let until_due = self.lost_call(false) + self.cfg.max_backoff();
+        let until_due = self.lost_call(false).max(self.cfg.max_backoff());
         until_due + self.follow.max_backoff + self.read_after_outage()
     }
 
