--- a/crates/direct/tests/chain/mod.rs
+++ b/crates/direct/tests/chain/mod.rs
@@ -146,18 +146,38 @@
         }
     }
 
-    /// Suspends the answers to neighbours, or resumes them.
-    pub(crate) fn set_suspended(&self, is_suspended: bool) {
-        self.is_suspended.send_replace(is_suspended);
+    /// Suspends the answers to neighbours.
+    pub(crate) fn suspended(self) -> Self {
+        self.is_suspended.send_replace(true);
+        self
     }
 
     /// Ends the entry with all its connections.
-    pub(crate) fn end(&mut self) {
+    pub(crate) fn ended(mut self) -> Self {
+        self.end();
+        self
+    }
+
+    fn end(&mut self) {
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
     }
 
+    /// Ends the entry and starts it again, as the first of its data centre.
+    pub(crate) fn restarted(mut self, topic: Topic, store: &RegistryStandin) -> Self {
+        let own = self.neighbours.own();
+        self.end();
+        let listener = loop {
+            // The listener of the ended entry is closed in the background.
+            match TcpListener::bind(own) {
+                Ok(listener) => break listener,
+                Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::AddrInUse, "{e}"),
+            }
+        };
+        Self::start_at(own, listener, topic, store, &[])
+    }
+
     /// Waits until record `number` is known.
     pub(crate) async fn until_known(&self, number: u64) {
         let mut last = self.last.0.subscribe();
--- a/crates/direct/tests/heard_late.rs
+++ b/crates/direct/tests/heard_late.rs
@@ -20,6 +20,7 @@
 enum Trouble {
     Suspended,
     Ended,
+    Restarted,
 }
 
 /// The entry that reads for two others falls silent just before a change.
@@ -27,24 +28,44 @@
 #[tokio::test]
 async fn reader_silent(
     #[values(Topic::Settings, Topic::Upstreams)] topic: Topic,
-    #[values(Trouble::Suspended, Trouble::Ended)] trouble: Trouble,
+    #[values(Trouble::Suspended, Trouble::Ended, Trouble::Restarted)] trouble: Trouble,
 ) {
     let store = RegistryStandin::default();
-    let mut first = Follower::start(1, topic, &store, &[]);
+    let first = Follower::start(1, topic, &store, &[]);
     let second = Follower::start(2, topic, &store, &[&first]);
     let third = Follower::start(3, topic, &store, &[&first, &second]);
     append(&store, topic, 1);
     time_until_known(&[&first, &second, &third], 1).await;
-    match trouble {
-        Trouble::Suspended => first.set_suspended(true),
-        Trouble::Ended => first.end(),
-    }
+    let _first = match trouble {
+        Trouble::Suspended => first.suspended(),
+        Trouble::Ended => first.ended(),
+        Trouble::Restarted => first.restarted(topic, &store),
+    };
     append(&store, topic, 2);
     let took = time_until_known(&[&second, &third], 2).await;
     println!("{took:?}");
     assert!(took < CHANGE_BOUND, "{took:?}");
 }
 
+/// The reads of both readers are lost, while the registry answers the third entry.
+#[rstest]
+#[tokio::test]
+async fn readers_cut(#[values(Topic::Settings, Topic::Upstreams)] topic: Topic) {
+    let (cut, store) = (RegistryStandin::default(), RegistryStandin::default());
+    let first = Follower::start(1, topic, &cut, &[]);
+    let second = Follower::start(2, topic, &cut, &[&first]);
+    let third = Follower::start(3, topic, &store, &[&first, &second]);
+    append(&store, topic, 1);
+    append(&cut, topic, 1);
+    time_until_known(&[&first, &second, &third], 1).await;
+    until_called(&cut).await;
+    cut.set_losing(true);
+    append(&store, topic, 2);
+    let took = time_until_known(&[&third], 2).await;
+    println!("{took:?}");
+    assert!(took < CHANGE_BOUND, "{took:?}");
+}
+
 /// The registry answers nothing for a second.
 #[rstest]
 #[tokio::test]
