nearby: log how late records were heard, and why

From the lines of one entry nobody could tell whether a record was late at its source, with a neighbour, or in the entry's own waits. records-heard names the source, the age of the answer, the time since the answer before, and counts what happened in between: silent, old or reading neighbours, calls that failed or were not made. It is written for all records of the settings, and for those of the upstreams after a gap of 1.5 s.

--- a/crates/nearby/src/events.rs
+++ b/crates/nearby/src/events.rs
@@ -31,5 +31,21 @@
     remedy: "Nothing; where `cause` is not `first` for long, check the neighbours that are avoided.",
 };
 
+/// Records were heard.
+pub const RECORDS_HEARD: Event = Event {
+    id: 6304,
+    name: "records-heard",
+    level: Level::Info,
+    meaning: "`records` records of `topic` before the offset `next` were heard from `source`, as of `age_ms` ago. \
+              The answer before held as of `gap_ms` ago, so that no record is heard later than this; \
+              `delays` counts what happened in between. Of the upstreams only late records are reported.",
+    remedy: "If `gap_ms` exceeds the bound on changes, look at `delays`: the neighbour or the registry.",
+};
+
 /// All events of this crate.
-pub const ALL: &[Event] = &[READER_CHANGED, NEIGHBOUR_AVOIDED, REGISTRY_CALLED];
+pub const ALL: &[Event] = &[
+    READER_CHANGED,
+    NEIGHBOUR_AVOIDED,
+    REGISTRY_CALLED,
+    RECORDS_HEARD,
+];
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -10,12 +10,13 @@
 
 use crate::calls::Cause;
 use crate::delays::Delays;
+use crate::heard::HeardEvents;
 use crate::neighbour::{
     NeighbourAnswer, NeighbourClient, NeighbourError, NeighbourQuery, RelayedRecords,
 };
 use crate::{
-    CallCounters, FallbackRead, Mirror, Neighbours, RegistryBackoff, Seeds, SharedRegistryConfig,
-    events,
+    CallCounters, Delay, FallbackRead, Mirror, Neighbours, RegistryBackoff, Seeds,
+    SharedRegistryConfig, events,
 };
 
 /// How long after a neighbour's query this entry counts as a reader for others.
@@ -53,6 +54,7 @@
     is_seed: bool,
     backoff: Arc<Mutex<RegistryBackoff>>,
     fallback: Arc<Mutex<FallbackRead>>,
+    heard: HeardEvents,
     counters: Option<CallCounters>,
 }
 
@@ -75,6 +77,7 @@
             is_seed: false,
             backoff: Arc::new(Mutex::new(RegistryBackoff::new(delays.backoff))),
             fallback: Arc::new(Mutex::new(FallbackRead::new(delays.fallback))),
+            heard: HeardEvents::default(),
             counters: None,
         }
     }
@@ -123,7 +126,7 @@
         let candidates = self.neighbours.candidates(BootTime::now());
         let mut cause = Cause::First;
         let mut is_reading = false;
-        let mut stale: Option<RelayedRecords> = None;
+        let mut stale: Option<(SocketAddr, RelayedRecords)> = None;
         let age_limit = self.cfg.max_age(topic);
         for candidate in &candidates {
             match self.client.ask(*candidate, query, age_limit).await {
@@ -139,19 +142,21 @@
                     let NeighbourError::Stale { known, .. } = err else {
                         break;
                     };
-                    stale = stale.into_iter().chain([*known]).max_by_key(|it| it.as_of);
+                    let known = (*candidate, *known);
+                    stale = stale.into_iter().chain([known]).max_by_key(|it| it.1.as_of);
                 }
             }
         }
-        let as_of = stale.as_ref().map(|known| known.as_of);
+        let as_of = stale.as_ref().map(|(_, known)| known.as_of);
         if !is_reading || !self.waits_for_reader(topic, as_of) {
             return Err(cause);
         }
         // The next answer is stale too until the neighbour's read ends.
         tokio::time::sleep(READING_POLL_INTERVAL).await;
-        stale
-            .map(NeighbourAnswer::Known)
-            .ok_or(Cause::NeighbourReads)
+        self.heard.note_delay(topic, Delay::NeighbourReads);
+        let (neighbour, known) = stale.ok_or(Cause::NeighbourReads)?;
+        self.heard.note_source(topic, Some(neighbour));
+        Ok(NeighbourAnswer::Known(known))
     }
 
     /// Returns how long the first read of `topic` waits for seeds and neighbours; `None` if there is nothing
@@ -209,17 +214,20 @@
     /// Records that a neighbour gave no usable answer; returns the cause for a call to the registry.
     fn note_unusable(&self, neighbour: SocketAddr, topic: Topic, err: &NeighbourError) -> Cause {
         let now = BootTime::now();
-        let (is_new, cause) = match err {
+        let (is_new, cause, delay) = match err {
             // A neighbour that has read nothing yet refuses.
             NeighbourError::Stale { .. } | NeighbourError::Refused { .. } => (
                 self.neighbours.note_behind(neighbour, now),
                 Cause::NeighbourOld,
+                Delay::NeighbourOld,
             ),
             NeighbourError::Silent { .. } | NeighbourError::Unreadable { .. } => (
                 self.neighbours.note_silent(neighbour, now),
                 Cause::NeighbourSilent,
+                Delay::NeighbourSilent,
             ),
         };
+        self.heard.note_delay(topic, delay);
         if is_new {
             events::NEIGHBOUR_AVOIDED.emit(&[
                 ("neighbour", &neighbour.to_string()),
@@ -241,6 +249,7 @@
         let sent = BootTime::now();
         let is_reader = self.neighbours.rank(sent) < self.cfg.readers;
         if !self.lock_backoff().is_due(topic, is_reader, sent) {
+            self.heard.note_delay(topic, Delay::NotCalled);
             return Err(RegistryError::NotCalled);
         }
         self.note_reader(topic, None);
@@ -256,6 +265,7 @@
             }
             Err(_) => {
                 self.lock_backoff().note_failure(topic, sent);
+                self.heard.note_delay(topic, Delay::CallFailed);
                 "failed"
             }
         };
@@ -280,6 +290,7 @@
 
     /// Emits an event if the settings come from a different source than before.
     fn note_reader(&self, topic: Topic, reader: Option<SocketAddr>) {
+        self.heard.note_source(topic, reader);
         if topic != Topic::Settings {
             return;
         }
@@ -330,6 +341,9 @@
         if let Some(mirror) = &self.mirror {
             mirror.store_snapshot(topic, &snapshot);
         }
+        let records = snapshot.items.len();
+        self.heard
+            .note_answer(topic, records, snapshot.end, snapshot.as_of);
         Ok(snapshot)
     }
 
@@ -366,6 +380,9 @@
         if let Some(mirror) = &self.mirror {
             mirror.store_page(topic, from, &page);
         }
+        let records = page.items.len();
+        self.heard
+            .note_answer(topic, records, page.next, page.as_of);
         Ok(page)
     }
 }
