--- a/crates/nearby/src/config.rs
+++ b/crates/nearby/src/config.rs
@@ -6,12 +6,17 @@
 
 /// How long a neighbour may wait for new records before it answers. Together with the time-out this stays
 /// well below the 2 s in which a change of the registry has to be in force.
-const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
+pub(crate) const NEIGHBOUR_WAIT: Duration = Duration::from_millis(400);
 
 /// How long the registry may hold a read whose answer is relayed: until the answer, the age of the relayed
 /// records grows.
 pub(crate) const READER_WAIT: Duration = Duration::from_millis(600);
 
+/// How long the registry may hold a read after one that failed, or beside neighbours that failed. A read that
+/// is lost at the end of an outage delays the next one until it times out, and a change has to be in force
+/// 3 s after the outage.
+const RETRY_WAIT: Duration = Duration::from_millis(1200);
+
 /// How late a neighbour's read of the registry may be.
 const MAX_READ_DELAY: Duration = Duration::from_millis(300);
 
@@ -32,8 +37,9 @@
 const READERS: usize = 2;
 
 /// Backoff of the other entries. A change has to be in force 3 s after an entry reaches the registry again
-/// at the earliest: the bound applies only after the entry has been connected for that long.
-const ENTRY_BACKOFF: Duration = Duration::from_millis(1600);
+/// at the earliest: the bound applies only after the entry has been connected for that long. The backoff, which
+/// is up to half as long again, leaves time for the pause of the follower and for two slow answers.
+const ENTRY_BACKOFF: Duration = Duration::from_millis(1350);
 
 /// How long an entry waits for slow readers whose records get no newer: longer than a read of the upstreams
 /// over a link that is half used.
@@ -58,7 +64,7 @@
     /// Number of entries, first in order, that keep calling a registry that does not answer. The others
     /// notice its recovery through them.
     pub readers: usize,
-    /// Minimum time after a failed call before the others call the registry again; each process waits up to
+    /// Minimum time from the start of a failed call before the others call the registry again; each process waits up to
     /// half as long in addition.
     pub backoff: Duration,
     /// Minimum time that a process waits for neighbours that are still reading before it reads the registry
@@ -104,6 +110,28 @@
         }
     }
 
+    /// Returns how long the registry may hold a read that wants to wait for `wait`: less while neighbours read
+    /// from this process, and while the registry or neighbours are in trouble.
+    pub(crate) fn max_hold(
+        &self,
+        wait: Duration,
+        is_queried: bool,
+        is_in_trouble: bool,
+    ) -> Duration {
+        if is_queried {
+            wait.min(READER_WAIT)
+        } else if is_in_trouble {
+            wait.min(RETRY_WAIT)
+        } else {
+            wait
+        }
+    }
+
+    /// Returns the longest backoff of any process after a failed call.
+    pub(crate) fn max_backoff(&self) -> Duration {
+        self.backoff + self.backoff / 2
+    }
+
     pub(crate) const fn max_age(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Settings => self.settings_age,
--- a/crates/nearby/src/registry.rs
+++ b/crates/nearby/src/registry.rs
@@ -10,15 +10,15 @@
 use wagtailreel_fleet::{BootTime, Registry, RegistryError, Topic};
 
 use crate::calls::Cause;
-use crate::config::READER_WAIT;
 use crate::delays::Delays;
 use crate::era::KnownEra;
+use crate::heard::HeardEvents;
 use crate::neighbour::{
     NeighbourAnswer, NeighbourClient, NeighbourError, NeighbourQuery, RelayedRecords,
 };
 use crate::{
-    CallCounters, FallbackRead, Mirror, Neighbours, RegistryBackoff, Seeds, SharedRegistryConfig,
-    events,
+    CallCounters, Delay, FallbackRead, Mirror, Neighbours, RegistryBackoff, Seeds,
+    SharedRegistryConfig, events,
 };
 
 /// How long after a neighbour's query this entry counts as a reader for others.
@@ -54,6 +54,7 @@
     is_seed: bool,
     backoff: Arc<Mutex<RegistryBackoff>>,
     fallback: Arc<Mutex<FallbackRead>>,
+    heard: HeardEvents,
     counters: Option<CallCounters>,
 }
 
@@ -77,6 +78,7 @@
             is_seed: false,
             backoff: Arc::new(Mutex::new(RegistryBackoff::new(delays.backoff))),
             fallback: Arc::new(Mutex::new(FallbackRead::new(delays.fallback))),
+            heard: HeardEvents::default(),
             counters: None,
         }
     }
@@ -126,7 +128,7 @@
         let candidates = self.neighbours.candidates(BootTime::now());
         let mut cause = Cause::First;
         let mut is_reading = false;
-        let mut stale: Option<RelayedRecords> = None;
+        let mut stale: Option<(SocketAddr, RelayedRecords)> = None;
         let age_limit = self.cfg.max_age(topic);
         for candidate in &candidates {
             match self.client.ask(*candidate, query, age_limit).await {
@@ -140,7 +142,8 @@
                     cause = self.note_unusable(*candidate, topic, &err);
                     match err {
                         NeighbourError::Stale { known, .. } => {
-                            stale = stale.into_iter().chain([*known]).max_by_key(|it| it.as_of);
+                            let known = (*candidate, *known);
+                            stale = stale.into_iter().chain([known]).max_by_key(|it| it.1.as_of);
                         }
                         NeighbourError::EarlierEra { .. } => {}
                         // A second time-out would use up the time in which a change has to be in force.
@@ -149,15 +152,16 @@
                 }
             }
         }
-        let as_of = stale.as_ref().map(|known| known.as_of);
+        let as_of = stale.as_ref().map(|(_, known)| known.as_of);
         if !is_reading || !self.waits_for_reader(topic, as_of) {
             return Err(cause);
         }
         // The next answer is stale too until the neighbour's read ends.
         tokio::time::sleep(READING_POLL_INTERVAL).await;
-        stale
-            .map(NeighbourAnswer::Known)
-            .ok_or(Cause::NeighbourReads)
+        self.heard.note_delay(topic, Delay::NeighbourReads);
+        let (neighbour, known) = stale.ok_or(Cause::NeighbourReads)?;
+        self.heard.note_source(topic, Some(neighbour));
+        Ok(NeighbourAnswer::Known(known))
     }
 
     /// Returns how long the first read of `topic` waits for seeds and neighbours; `None` if there is nothing
@@ -216,19 +220,22 @@
     /// Records that a neighbour gave no usable answer; returns the cause for a call to the registry.
     fn note_unusable(&self, neighbour: SocketAddr, topic: Topic, err: &NeighbourError) -> Cause {
         let now = BootTime::now();
-        let (is_new, cause) = match err {
+        let (is_new, cause, delay) = match err {
             // A neighbour that has read nothing yet refuses.
             NeighbourError::Stale { .. }
             | NeighbourError::EarlierEra { .. }
             | NeighbourError::Refused { .. } => (
                 self.neighbours.note_behind(neighbour, now),
                 Cause::NeighbourOld,
+                Delay::NeighbourOld,
             ),
             NeighbourError::Silent { .. } | NeighbourError::Unreadable { .. } => (
                 self.neighbours.note_silent(neighbour, now),
                 Cause::NeighbourSilent,
+                Delay::NeighbourSilent,
             ),
         };
+        self.heard.note_delay(topic, delay);
         if is_new {
             events::NEIGHBOUR_AVOIDED.emit(&[
                 ("neighbour", &neighbour.to_string()),
@@ -250,6 +257,7 @@
         let sent = BootTime::now();
         let is_reader = self.neighbours.rank(sent) < self.cfg.readers;
         if !self.lock_backoff().is_due(topic, is_reader, sent) {
+            self.heard.note_delay(topic, Delay::NotCalled);
             return Err(RegistryError::NotCalled);
         }
         self.note_reader(topic, None);
@@ -266,7 +274,8 @@
             self.lock_backoff().note_answer();
             "answered"
         } else {
-            self.lock_backoff().note_failure(topic, now);
+            self.lock_backoff().note_failure(topic, sent);
+            self.heard.note_delay(topic, Delay::CallFailed);
             "failed"
         };
         if let Some(mirror) = &self.mirror {
@@ -290,6 +299,7 @@
 
     /// Emits an event if the settings come from a different source than before.
     fn note_reader(&self, topic: Topic, reader: Option<SocketAddr>) {
+        self.heard.note_source(topic, reader);
         if topic != Topic::Settings {
             return;
         }
@@ -301,13 +311,11 @@
         }
     }
 
-    /// Returns how long the registry may hold a read: less while neighbours read from this process.
-    fn max_hold(&self, wait: Duration) -> Duration {
+    /// Returns how long the registry may hold a read of `topic` for `cause`.
+    fn max_hold(&self, topic: Topic, cause: Cause, wait: Duration) -> Duration {
         let mirror = self.mirror.as_ref();
-        if mirror.is_some_and(|mirror| mirror.was_queried_within(QUERY_TTL)) {
-            wait.min(READER_WAIT)
-        } else {
-            wait
-        }
+        let is_queried = mirror.is_some_and(|mirror| mirror.was_queried_within(QUERY_TTL));
+        let is_in_trouble = cause != Cause::First || self.lock_backoff().has_failed(topic);
+        self.cfg.max_hold(wait, is_queried, is_in_trouble)
     }
 }
--- a/crates/nearby/src/registry/reads.rs
+++ b/crates/nearby/src/registry/reads.rs
@@ -77,6 +77,8 @@
         if let Some(mirror) = &self.mirror {
             mirror.store_snapshot(topic, &snapshot);
         }
+        self.heard
+            .note_answer(topic, snapshot.items.len(), snapshot.end, snapshot.as_of);
         Ok(snapshot)
     }
 
@@ -115,7 +117,7 @@
             // to the registry here would make all its followers read the registry themselves.
             Ok(NeighbourAnswer::Expired(first)) => return Err(RegistryError::Expired { first }),
             Err(cause) => {
-                let wait = self.max_hold(wait);
+                let wait = self.max_hold(topic, cause, wait);
                 let call = self.read_from_registry(topic, from, wait, timeout);
                 self.call(topic, cause, call).await?
             }
@@ -128,6 +130,8 @@
         if let Some(mirror) = &self.mirror {
             mirror.store_page(topic, from, &page);
         }
+        self.heard
+            .note_answer(topic, page.items.len(), page.next, page.as_of);
         Ok(page)
     }
 }
