nearby: an answer that names no era counts as of the neighbours' era

A process that has read no era itself, but hears of one from its neighbours, would reject every answer of the registry that names none as stale, for good. The registry's client is now told of eras that were learned elsewhere.

Both new tests (era_from_neighbour, era_that_is_not_named) fail with the call switched off and pass with it; all tests of fleet, nearby, platform and standins pass in one run.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -203,4 +203,11 @@
         wait: Duration,
         timeout: Duration,
     ) -> impl Future<Output = Result<Page, RegistryError>> + Send;
+
+    /// Tells the client of an era that was learned elsewhere. An answer of the registry that names no era counts as of
+    /// the newest that the client knows; without this, such an answer would count as stale at a process that has read
+    /// none with an era.
+    fn note_era(&self, era: Era) {
+        let _ = era;
+    }
 }
--- a/crates/nearby/src/registry/reads.rs
+++ b/crates/nearby/src/registry/reads.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailreel_fleet::{Page, Position, Registry, RegistryError, Snapshot, Topic};
+use wagtailreel_fleet::{Era, Page, Position, Registry, RegistryError, Snapshot, Topic};
 
 use super::SharedRegistry;
 use crate::calls::Cause;
@@ -20,6 +20,7 @@
         topic: Topic,
         timeout: Duration,
     ) -> Result<Snapshot, RegistryError> {
+        self.registry.note_era(self.era.get());
         let snapshot = self.registry.newest(topic, timeout).await?;
         self.era.check(snapshot.end.era)?;
         Ok(snapshot)
@@ -49,6 +50,10 @@
 where
     R: Registry,
 {
+    fn note_era(&self, era: Era) {
+        self.era.note(era);
+    }
+
     async fn newest(&self, topic: Topic, timeout: Duration) -> Result<Snapshot, RegistryError> {
         let query = NeighbourQuery {
             topic,
--- a/crates/nearby/tests/restored.rs
+++ b/crates/nearby/tests/restored.rs
@@ -360,3 +360,22 @@
         task.abort();
     }
 }
+
+/// Guards against a first entry that never reads the registry again, as a neighbour knows an era that no answer to it
+/// names.
+#[rstest]
+#[tokio::test]
+async fn era_that_is_not_named() {
+    let store = RegistryStandin::default();
+    store.hide_era();
+    let first = Entry::at("127.0.0.1:0", store.clone()).await;
+    let second = Entry::with_neighbour(&first).await;
+    store.upstream(upstream("a"));
+    first.registry.newest(TOPIC, TIMEOUT).await.unwrap();
+    let read = second
+        .registry
+        .read(TOPIC, place(4, 0), Duration::ZERO, TIMEOUT);
+    let _ = read.await;
+    let newest = first.registry.newest(TOPIC, TIMEOUT).await.unwrap();
+    assert_eq!(newest.items, vec![keyed(4, 0, upstream("a"))]);
+}
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -24,6 +24,9 @@
     is_away: AtomicBool,
     delay_ms: AtomicU64,
     page_len: AtomicUsize,
+    hides_era: AtomicBool,
+    /// The newest era of which a client was told.
+    known_era: AtomicU64,
     handed: AtomicUsize,
     calls: AtomicUsize,
     refused: watch::Sender<BTreeMap<Topic, u64>>,
@@ -67,6 +70,11 @@
         self.push(Topic::Upstreams, change);
     }
 
+    /// Names no era in any answer, which then count as of the newest era of which a client was told.
+    pub fn hide_era(&self) {
+        self.inner.hides_era.store(true, Ordering::SeqCst);
+    }
+
     /// Makes every call fail, or none.
     pub fn set_away(&self, is_away: bool) {
         self.inner.is_away.store(is_away, Ordering::SeqCst);
@@ -164,16 +172,21 @@
 
     fn from(&self, topic: Topic, from: u64) -> (Vec<Keyed>, Position) {
         let log = self.log();
+        let era = if self.inner.hides_era.load(Ordering::SeqCst) {
+            self.inner.known_era.load(Ordering::SeqCst)
+        } else {
+            log.era
+        };
         let all = log.records.iter().zip(0..);
         let items = all
             .filter(|((of, _), offset)| *of == topic && *offset >= from)
             .map(|((_, change), offset)| Keyed {
-                position: Position::new(log.era, offset),
+                position: Position::new(era, offset),
                 change: change.clone(),
             });
         (
             items.collect(),
-            Position::new(log.era, log.records.len() as u64),
+            Position::new(era, log.records.len() as u64),
         )
     }
 }
@@ -204,6 +217,7 @@
     ) -> Result<Page, RegistryError> {
         self.inner.calls.fetch_add(1, Ordering::SeqCst);
         let sent = BootTime::now();
+        self.note_era(from.era);
         let deadline = tokio::time::Instant::now() + wait;
         let (items, end, as_of) = loop {
             let changed = self.inner.changed.notified();
@@ -225,6 +239,10 @@
         self.delay().await;
         Ok(self.page(items, end, as_of))
     }
+
+    fn note_era(&self, era: Era) {
+        self.inner.known_era.fetch_max(era, Ordering::SeqCst);
+    }
 }
 
 /// Keeps the newest record of each key.
