--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -35,6 +35,9 @@
     is_away: AtomicBool,
     delay_ms: AtomicU64,
     page_len: AtomicUsize,
+    hides_era: AtomicBool,
+    /// The newest era of which a client was told.
+    known_era: AtomicU64,
     handed: AtomicUsize,
     calls: AtomicUsize,
     refused: watch::Sender<BTreeMap<Topic, u64>>,
@@ -79,6 +82,11 @@
         self.push(Topic::Upstreams, change);
     }
 
+    /// Names no era in any answer, which then count as of the newest era of which a client was told.
+    pub fn hide_era(&self) {
+        self.inner.hides_era.store(true, Ordering::SeqCst);
+    }
+
     /// Makes every call fail, or none.
     pub fn set_away(&self, is_away: bool) {
         self.inner.is_away.store(is_away, Ordering::SeqCst);
@@ -225,16 +233,21 @@
 
     fn from(&self, topic: Topic, from: u64) -> (Vec<Keyed>, Position) {
         let log = self.log();
+        let era = if self.inner.hides_era.load(Ordering::SeqCst) {
+            self.inner.known_era.load(Ordering::SeqCst)
+        } else {
+            log.era
+        };
         let all = log.records.iter().zip(0..);
         let items = all
             .filter(|((of, _), offset)| *of == topic && *offset >= from)
             .map(|((_, change), offset)| Keyed {
-                position: Position::new(log.era, offset),
+                position: Position::new(era, offset),
                 change: change.clone(),
             });
         (
             items.collect(),
-            Position::new(log.era, log.records.len() as u64),
+            Position::new(era, log.records.len() as u64),
         )
     }
 }
@@ -281,6 +294,7 @@
         wait: Duration,
     ) -> Result<Page, RegistryError> {
         let sent = BootTime::now();
+        self.note_era(from.era);
         let deadline = tokio::time::Instant::now() + wait;
         let (items, end, as_of) = loop {
             let changed = self.inner.changed.notified();
@@ -302,6 +316,10 @@
         self.delay().await;
         Ok(self.page(items, end, as_of))
     }
+
+    fn note_era(&self, era: Era) {
+        self.inner.known_era.fetch_max(era, Ordering::SeqCst);
+    }
 }
 
 /// Keeps the newest record of each key.
