nearby: a reader of a later era waits for a neighbour that is reading

Entries learn of an era by whichever topic they read first. Where the first entry is still reading the other topic, it holds records of the earlier era, and each entry beside it would read a large configuration for itself over one link. A neighbour that is reading now says so in its refusal, and the reader waits for it as for any slow reader: bounded, and one after the other. A neighbour whose last read failed is not waited for.

--- a/crates/nearby/src/neighbour.rs
+++ b/crates/nearby/src/neighbour.rs
@@ -43,7 +43,7 @@
     #[snafu(display(
         "the neighbour's records are from before era {known}: check its link to the registry"
     ))]
-    EarlierEra { known: Era },
+    EarlierEra { known: Era, is_reading: bool },
     #[snafu(transparent)]
     Unreadable { source: UnpackError },
 }
@@ -52,8 +52,10 @@
     /// Returns whether the neighbour has a read in progress that will bring newer records.
     pub(crate) const fn is_reading(&self) -> bool {
         match self {
-            Self::Refused { is_reading, .. } | Self::Stale { is_reading, .. } => *is_reading,
-            Self::Silent { .. } | Self::EarlierEra { .. } | Self::Unreadable { .. } => false,
+            Self::Refused { is_reading, .. }
+            | Self::EarlierEra { is_reading, .. }
+            | Self::Stale { is_reading, .. } => *is_reading,
+            Self::Silent { .. } | Self::Unreadable { .. } => false,
         }
     }
 }
@@ -123,7 +125,12 @@
         let answer = answer.await.map_err(|e| silent_error(&e))?;
         let status = answer.status();
         if status == StatusCode::CONFLICT {
-            return EarlierEraSnafu { known: era }.fail();
+            let is_reading = is_reading(answer.headers());
+            return EarlierEraSnafu {
+                known: era,
+                is_reading,
+            }
+            .fail();
         }
         if !matches!(status, StatusCode::OK | StatusCode::GONE) {
             let status = status.as_u16();
@@ -142,7 +149,12 @@
         let age = age_of(&head.headers)?;
         let records: KnownRecords = unpack(&head.headers, &body)?;
         if records.next.era < era {
-            return EarlierEraSnafu { known: era }.fail();
+            // An older build, which never names an era.
+            return EarlierEraSnafu {
+                known: era,
+                is_reading: false,
+            }
+            .fail();
         }
         let is_stale = age > age_limit;
         // A neighbour that is behind answers without waiting.
--- a/crates/nearby/src/serve.rs
+++ b/crates/nearby/src/serve.rs
@@ -76,8 +76,6 @@
 
 /// Makes the answer, with a header if a read that is expected to bring newer records is in progress.
 fn answer(copy: Result<RecordsCopy, CopyError>, is_reading: bool) -> Response {
-    // Of a reader of a later era, a read that is in progress brings nothing for sure.
-    let is_reading = is_reading && !matches!(copy, Err(CopyError::EarlierEra));
     let mut response = match copy {
         Ok(copy) => copy.records.answer(copy.age),
         Err(CopyError::NothingRead) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
