--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -269,6 +269,10 @@
         let answer = self.answer_read(topic, from, wait);
         self.answer_within(wait + timeout, answer).await
     }
+
+    fn note_era(&self, era: Era) {
+        self.inner.known_era.fetch_max(era, Ordering::SeqCst);
+    }
 }
 
 impl RegistryStandin {
@@ -316,10 +320,6 @@
         self.delay().await;
         Ok(self.page(items, end, as_of))
     }
-
-    fn note_era(&self, era: Era) {
-        self.inner.known_era.fetch_max(era, Ordering::SeqCst);
-    }
 }
 
 /// Keeps the newest record of each key.
