Keep a stalled stream's upstream until another one has answered

Callers saw streams cut, or a 502, while their upstream was sound and only silent for a second. A stalled stream dropped its upstream first and looked for another one then. With the retry budget spent, the attempts used up, or no other upstream that takes it, nothing was left to go on with.

Now the next upstream is asked while the current one is still read. The first of both to send goes on. Without another one the stream waits until its deadline. The retry budget and the number of attempts are charged when another one is asked, as before. A stream still leaves at once where no request may begin on its weights any more, or if it is quarantined. The event stream-stalled and the metric wagtailreel_stalls_total tell how each stall ended, how long the upstream was silent, and why it was not replaced.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -34,7 +34,7 @@
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// An admitted request.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Admitted {
     pub(crate) id: RequestId,
     pub(crate) head: RequestHead,
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request at upstreams.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use crate::lost::Probe;
 use crate::pool::{Connection, SendError};
 use crate::refusal::Refusal;
+use crate::replacement::Replaced;
 use crate::response::{Lease, UpstreamResponse};
 use crate::shared::Shared;
 use crate::view::Service;
@@ -26,18 +28,14 @@
 /// Minimum time before the deadline with which another attempt is still made.
 pub(crate) const MIN_TIME_FOR_RETRY: Duration = Duration::from_millis(60);
 
-/// Maximum time between two checks of the weights bound of a request that has no first event yet: newer
-/// weights with an earlier bound may be named meanwhile.
-const WEIGHTS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Reason in the log for an attempt that is abandoned because its answer stalls.
 pub(crate) const STALLED: &str = "stalled";
 
 /// Reason in the log for an attempt that is abandoned because its request is quarantined.
-const QUARANTINED: &str = "quarantined";
+pub(crate) const QUARANTINED: &str = "quarantined";
 
 /// The request as each upstream receives it, before the dialect adds its headers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Template {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -58,14 +56,16 @@
     /// The upstream of the current attempt, with the load that the choice was based on.
     pub(crate) last_pick: Option<Pick>,
     pub(crate) sent_at: Instant,
-    stall_policy: StallPolicy,
+    pub(crate) stall_policy: StallPolicy,
     pub(crate) service: Arc<Service>,
     pub(crate) tried: BTreeSet<UpstreamId>,
-    unreached: u32,
+    pub(crate) unreached: u32,
     pub(crate) may_have_run: bool,
     /// Whether the request is sent to see whether a quarantined suspect completes.
     pub(crate) is_retry: bool,
     pub(crate) suspects: OnceLock<Vec<Fingerprint>>,
+    /// Attempts that were made while the current upstream had the request.
+    pub(crate) sent_beside: AtomicU32,
 }
 
 impl<D> Call<D>
@@ -91,6 +91,7 @@
             may_have_run: false,
             is_retry: false,
             suspects: OnceLock::new(),
+            sent_beside: AtomicU32::new(0),
         }
     }
 
@@ -156,7 +157,7 @@
         let mut next = next_step(Attempt {
             kind: self.admitted.route.kind,
             ending,
-            sent: self.sent,
+            sent: self.sent_in_all(),
             max_attempts: self.admitted.route.max_attempts,
             unreached: self.unreached,
             may_have_run: self.may_have_run,
@@ -173,6 +174,21 @@
             next = self.next_without_budget(ending);
         }
         self.record_failure(upstream, ending, now);
+        self.log_ended(upstream, ending, why, next, budget, probe);
+        next
+    }
+
+    /// Logs the end of an attempt; `budget` is what was left of the retry budget before it.
+    pub(crate) fn log_ended(
+        &self,
+        upstream: &str,
+        ending: Ending,
+        why: &'static str,
+        next: Next,
+        budget: f64,
+        probe: Probe,
+    ) {
+        let left = self.time_left();
         let end = ending.to_string();
         self.cx.metrics.attempts.with_label_values(&[&end]).inc();
         events::ATTEMPT_ENDED.emit(&[
@@ -188,7 +204,6 @@
             ("fingerprint", &self.logged_fingerprint(ending)),
             ("parts", &self.logged_parts(ending)),
         ]);
-        next
     }
 
     /// Returns the next step for a request that may not be repeated because the retry budget is spent.
@@ -249,7 +264,8 @@
         self.sent_at = Instant::now();
         self.may_have_run = true;
         self.sent += 1;
-        let (conn, answer) = self.exchange(conn, req).await;
+        let (conn, answer) = self.exchange(conn, req, last_event).await;
+        let may_have_run_before = may_have_run_before || self.may_have_run_beside();
         let response = match answer {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
@@ -258,8 +274,19 @@
                 return AttemptOutcome::Ended(Ending::NotSent, "connection-closed");
             }
             Ok(Err(err)) => return AttemptOutcome::Ended(Ending::Lost, err.why()),
-            Err(Abandoned::Stalled) => return AttemptOutcome::Ended(Ending::Lost, STALLED),
-            Err(Abandoned::Quarantined) => return AttemptOutcome::Ended(Ending::Lost, QUARANTINED),
+            Err(Abandoned::Ended(why)) => return AttemptOutcome::Ended(Ending::Lost, why),
+            Err(Abandoned::Replaced(other)) => {
+                return match other.answer {
+                    Ok(resp) => {
+                        self.take_over(other.call, self.sent_at);
+                        AttemptOutcome::Answer(Box::new(resp))
+                    }
+                    Err(_) => {
+                        self.count_failed(&other.call);
+                        AttemptOutcome::Ended(Ending::Lost, STALLED)
+                    }
+                };
+            }
         };
         let (head, body) = response.into_parts();
         let meta = self.cx.dialect.answer(head.status, &head.headers);
@@ -293,67 +320,22 @@
     }
 
     /// Sends the request and waits for the head of the answer, until the request is quarantined or, for a
-    /// stream that can be resumed at another upstream, until it stalls.
+    /// stream that stalls, until another upstream has answered.
     async fn exchange(
         &self,
         mut conn: Connection,
         req: Request<Full<Bytes>>,
-    ) -> (Connection, ExchangeResult) {
+        last_event: Option<u64>,
+    ) -> (Connection, ExchangeResult<D>) {
         let answer = tokio::select! {
-            answer = self.exchange_until_stalled(&mut conn, req) => answer,
+            answer = self.exchange_or_replace(&mut conn, req, last_event) => answer,
             () = self.cx.quarantine.until_quarantined(|| self.suspects()) => {
-                Err(Abandoned::Quarantined)
+                Err(Abandoned::Ended(QUARANTINED))
             }
         };
         (conn, answer)
     }
 
-    async fn exchange_until_stalled(
-        &self,
-        conn: &mut Connection,
-        req: Request<Full<Bytes>>,
-    ) -> ExchangeResult {
-        let kind = self.admitted.route.kind;
-        if !kind.is_stream() || !kind.repeatable() {
-            return Ok(conn.send(req).await);
-        }
-        let mut sending = std::pin::pin!(conn.send(req));
-        loop {
-            let Some(wait) = self.next_check(self.sent_at, false) else {
-                return Err(Abandoned::Stalled);
-            };
-            if let Ok(answer) = tokio::time::timeout(wait, &mut sending).await {
-                return Ok(answer);
-            }
-        }
-    }
-
-    /// Returns the time until the next stall check of a stream that has waited for its next event since
-    /// `since`. Returns `None` if the stream is to be abandoned at its upstream.
-    ///
-    /// A stream without a first event is also abandoned when the bound passes after which no request may
-    /// begin on its weights.
-    pub(crate) fn next_check(&self, since: Instant, has_first_event: bool) -> Option<Duration> {
-        let now = Instant::now();
-        let pick = self.last_pick.as_ref()?;
-        let liveness = self.service.upstreams().liveness(pick, now);
-        let waited = now.saturating_duration_since(since);
-        let wait = self.stall_policy.next_check(waited, liveness)?;
-        if has_first_event || pick.version.is_none() {
-            return Some(wait);
-        }
-        let within = self.begin_within(pick).unwrap_or(WEIGHTS_CHECK_INTERVAL);
-        (!within.is_zero()).then(|| wait.min(within).min(WEIGHTS_CHECK_INTERVAL))
-    }
-
-    /// Returns the time left in which the request may begin on the weights of `pick`. Returns `None` if no
-    /// newer weights are named.
-    fn begin_within(&self, pick: &Pick) -> Option<Duration> {
-        let model = self.admitted.model.as_deref();
-        let (model, version) = model.zip(pick.version)?;
-        self.cx.view.begin_within(model, version)
-    }
-
     fn request(&self, pick: &Pick, last_event: Option<u64>) -> Option<Request<Full<Bytes>>> {
         let now = Instant::now();
         let remaining = self.admitted.deadline.saturating_duration_since(now);
@@ -376,12 +358,13 @@
 }
 
 /// Why an attempt is abandoned before the head of its answer.
-enum Abandoned {
-    /// The stall timeout has passed.
-    Stalled,
-    /// The request was quarantined because upstreams crashed while they ran it.
-    Quarantined,
+pub(crate) enum Abandoned<D> {
+    /// The attempt is lost, for this reason.
+    Ended(&'static str),
+    /// Another upstream was asked, and the current one did not go on before.
+    Replaced(Box<Replaced<D>>),
 }
 
 /// Result of sending a request: a response, a send error, or why the attempt was abandoned.
-type ExchangeResult = Result<Result<http::Response<Incoming>, SendError>, Abandoned>;
+pub(crate) type ExchangeResult<D> =
+    Result<Result<http::Response<Incoming>, SendError>, Abandoned<D>>;
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -245,6 +245,18 @@
     remedy: "Check the agent and the link to it.",
 };
 
+/// A stream stalled at its upstream.
+pub const STREAM_STALLED: Event = Event {
+    id: 6128,
+    name: "stream-stalled",
+    level: Level::Info,
+    meaning: "The upstream of a stream sent no event for `silent_ms`. `outcome` is replaced if the upstream \
+              `other` answered first, went-on if the current one did, kept if the stream may not be sent to \
+              another one now (`sent`, `budget` and `left_ms` tell why) and goes on waiting, and timeout if \
+              neither answered until the deadline.",
+    remedy: "If it is frequent, check the upstreams and the links to them.",
+};
+
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -272,4 +284,5 @@
     EVACUATION_WITHDRAWN,
     WARMUP_LIMITED,
     WARMUP_UNANSWERED,
+    STREAM_STALLED,
 ];
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -12,9 +12,10 @@
 
 use crate::admit::{admit, strip_hop_by_hop};
 use crate::attempt::{Call, Template};
+use crate::collect::{Collected, collect};
 use crate::dialect::Dialect;
 use crate::refusal::{LONG_RETRY_AFTER, Refusal};
-use crate::relay::{Collected, Relay, collect};
+use crate::relay::Relay;
 use crate::request_log::RequestLog;
 use crate::response::UpstreamResponse;
 use crate::shared::Shared;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts that brought no answer, by how they ended.
     pub(crate) attempts: IntCounterVec,
+    /// Stalls of streams, by outcome.
+    pub(crate) stalls: IntCounterVec,
     /// Admission level by service, where admission control by rank is active.
     pub(crate) admission_level: GaugeVec,
     /// Requests that were shed by the admission level, by rank.
@@ -61,6 +63,7 @@
                 "Failed attempts",
                 "end",
             )?,
+            stalls: counters("wagtailreel_stalls_total", "Stalls of streams", "outcome")?,
             admission_level: GaugeVec::new(
                 Opts::new(
                     "wagtailreel_admission_level",
@@ -95,6 +98,7 @@
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.stalls.clone()))?;
         registry.register(Box::new(metrics.admission_level.clone()))?;
         registry.register(Box::new(metrics.shed.clone()))?;
         registry.register(Box::new(metrics.warmup_permits.clone()))?;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -4,24 +4,22 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use futures::future::{Fuse, FusedFuture as _, FutureExt as _};
 use futures::stream::unfold;
 use http_body::Frame;
 use http_body_util::BodyExt as _;
 use snafu::Snafu;
 
-use crate::attempt::{Call, STALLED};
+use crate::attempt::{Call, QUARANTINED, STALLED};
 use crate::dialect::Dialect;
 use crate::event_splitter::{EventSplitter, Split};
 use crate::front::MAX_UNREAD;
 use crate::refusal::Refusal;
+use crate::replacement::{REPLACE_INTERVAL, Replaced, StallCheck};
 use crate::request_log::RequestLog;
 use crate::response::UpstreamResponse;
 use wagtailreel_route::direct::{Ending, Next};
 
-/// Maximum body that is buffered before it is relayed, for answers that are not streams. If a buffered body
-/// breaks off, the request can still be repeated or answered with an error status.
-const MAX_BUFFERED_BODY: usize = 256 * 1024;
-
 /// Maximum bytes of an answer, in case that it has no end. They take 9 s on a link of 60 Mbit/s, which is longer
 /// than any deadline.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -36,40 +34,6 @@
 #[snafu(display("the answer broke off: resume it after its last event or send the request again"))]
 pub(crate) struct BrokenOff;
 
-/// Outcome of buffering a body.
-#[derive(Debug)]
-pub(crate) enum Collected {
-    /// The complete body.
-    Whole(Bytes),
-    /// The body is too long to be buffered: its first part, and the answer with the rest.
-    Long(Bytes, Box<UpstreamResponse>),
-    /// The body broke off.
-    Broken,
-}
-
-/// Buffers the body of an answer, up to the maximum.
-pub(crate) async fn collect(mut resp: UpstreamResponse) -> Collected {
-    let mut buf: Vec<u8> = Vec::new();
-    loop {
-        match resp.body.frame().await {
-            None => {
-                resp.finish();
-                return Collected::Whole(Bytes::from(buf));
-            }
-            Some(Err(_)) => return Collected::Broken,
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                buf.extend_from_slice(&data);
-                if buf.len() > MAX_BUFFERED_BODY {
-                    return Collected::Long(Bytes::from(buf), Box::new(resp));
-                }
-            }
-        }
-    }
-}
-
 /// How the bytes of an answer are relayed.
 #[derive(Debug)]
 enum Mode {
@@ -160,8 +124,21 @@
         }
         // Bytes that complete no event are no progress.
         let mut since = Instant::now();
+        let mut replacement = std::pin::pin!(Fuse::terminated());
+        let mut held_until = None;
         loop {
-            let ending = match self.read(since).await {
+            let is_replacing = !replacement.is_terminated();
+            let read = tokio::select! {
+                biased;
+                read = self.read(since, is_replacing, held_until) => read,
+                other = &mut replacement, if is_replacing => {
+                    if self.take_over(other, since) {
+                        since = Instant::now();
+                    }
+                    continue;
+                }
+            };
+            let ending = match read {
                 Read::Data(data) => match self.split(&data) {
                     Some(out) if out.is_empty() => {
                         if self.is_complete() {
@@ -170,6 +147,7 @@
                         continue;
                     }
                     Some(out) => {
+                        self.went_on(is_replacing, since);
                         self.on_event();
                         self.log.first_byte();
                         return Ok(Some(self.call.cx.held.hold(out)));
@@ -179,23 +157,80 @@
                 Read::End if !self.is_complete() => "cut",
                 Read::End => {
                     if self.finish().await {
+                        self.went_on(is_replacing, since);
                         return Ok(None);
                     }
                     "ended-with-upstream"
                 }
                 Read::Broken => "broken",
                 Read::TooLong => "endless-body",
-                Read::Stalled => STALLED,
+                Read::Stalled if self.call.is_quarantined() => QUARANTINED,
+                Read::Stalled => {
+                    if let Some(call) = self.call.begin_replacement() {
+                        replacement.set(call.replace(self.last_event()).fuse());
+                    } else if held_until.is_none() {
+                        self.call.record_stall("kept", since, None);
+                    }
+                    held_until = Some(Instant::now() + REPLACE_INTERVAL);
+                    continue;
+                }
+                Read::Outdated => STALLED,
                 Read::TimedOut => {
+                    if is_replacing || held_until.is_some() {
+                        self.call.record_stall("timeout", since, None);
+                    }
                     self.log.finish("timeout");
                     return Err(BrokenOff);
                 }
             };
+            if is_replacing && self.resp.take().is_some() {
+                let other = replacement.as_mut().await;
+                if self.take_over(other, since) {
+                    since = Instant::now();
+                    continue;
+                }
+                self.log.finish(ending);
+                return Err(BrokenOff);
+            }
             self.resume(ending).await?;
             since = Instant::now();
         }
     }
 
+    /// Logs that the stalled upstream went on before another one answered.
+    fn went_on(&self, is_replacing: bool, since: Instant) {
+        if is_replacing {
+            self.call.record_stall("went-on", since, None);
+        }
+    }
+
+    /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
+    fn take_over(&mut self, other: Replaced<D>, since: Instant) -> bool {
+        if !other.is_success() {
+            self.call.count_failed(&other.call);
+            return false;
+        }
+        let Ok(resp) = other.answer else {
+            return false;
+        };
+        if let Mode::Events(splitter) = &mut self.mode {
+            splitter.restart();
+        }
+        self.call.take_over(other.call, since);
+        self.log.resumed(resp.upstream());
+        self.resp = Some(Box::new(resp));
+        self.has_first_event = false;
+        true
+    }
+
+    /// Returns the last event that was passed on.
+    fn last_event(&self) -> Option<u64> {
+        match &self.mode {
+            Mode::Events(splitter) => splitter.last(),
+            Mode::Bytes => None,
+        }
+    }
+
     /// Ends the answer of the current upstream, unless it ended because the upstream crashed. Returns whether
     /// it is complete.
     async fn finish(&mut self) -> bool {
@@ -220,23 +255,35 @@
         }
     }
 
-    /// Reads the next bytes of the answer, whose last event came at `since`.
-    async fn read(&mut self, since: Instant) -> Read {
+    /// Reads the next bytes of the answer, whose last event came at `since`. A stall is not reported while a
+    /// replacement is looked for, and before `held_until`.
+    async fn read(
+        &mut self,
+        since: Instant,
+        is_replacing: bool,
+        held_until: Option<Instant>,
+    ) -> Read {
         let Some(resp) = &mut self.resp else {
             return Read::Broken;
         };
-        let is_repeatable = self.call.admitted.route.kind.repeatable();
+        let is_resumable =
+            self.call.admitted.route.kind.repeatable() && matches!(self.mode, Mode::Events(_));
         loop {
             let now = Instant::now();
             let left = self.call.admitted.deadline.saturating_duration_since(now);
-            let wait = if is_repeatable {
-                self.call.next_check(since, self.has_first_event)
+            let check = if is_resumable {
+                self.call.check_stall(since, self.has_first_event)
             } else {
-                Some(left)
+                StallCheck::Wait(left)
             };
-            let Some(wait) = wait.map(|wait| wait.min(left)) else {
-                return Read::Stalled;
+            let is_held = is_replacing || held_until.is_some_and(|until| now < until);
+            let wait = match check {
+                StallCheck::Wait(wait) => wait,
+                StallCheck::Stalled if is_held => REPLACE_INTERVAL,
+                StallCheck::Stalled => return Read::Stalled,
+                StallCheck::Outdated => return Read::Outdated,
             };
+            let wait = wait.min(left);
             match tokio::time::timeout(wait, resp.body.frame()).await {
                 Ok(None) => return Read::End,
                 Ok(Some(Ok(frame))) => {
@@ -337,6 +384,8 @@
     TooLong,
     /// The stall timeout has passed, and another upstream may resume the stream.
     Stalled,
+    /// The stream may not begin at its upstream any more.
+    Outdated,
     /// The deadline of the request has passed.
     TimedOut,
 }
--- /dev/null
+++ b/crates/direct/src/replacement.rs
@@ -0,0 +1,274 @@
+//! Replacement of an upstream at which a stream stalls.
+//!
+//! The upstream may be sound and go on after a moment, and another one may not be available. So the stream keeps
+//! its upstream until another one has answered.
+
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use futures::FutureExt as _;
+use futures::future::{Fuse, FusedFuture as _};
+use wagtailreel_route::direct::{Attempt, Ending, Next, Pick, Suspicion, next_step};
+
+use crate::attempt::{Abandoned, Call, ExchangeResult, MIN_TIME_FOR_RETRY, STALLED};
+use crate::dialect::Dialect;
+use crate::events;
+use crate::lost::Probe;
+use crate::pool::Connection;
+use crate::refusal::Refusal;
+use crate::response::UpstreamResponse;
+
+/// Maximum time between two checks of the weights bound of a request that has no first event yet: newer
+/// weights with an earlier bound may be named meanwhile.
+const WEIGHTS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval at which a stalled stream that can't be replaced checks whether it can.
+pub(crate) const REPLACE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// State of a stream that waits for its next event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StallCheck {
+    /// The next check is due after this time.
+    Wait(Duration),
+    /// The stream stalls, and another upstream may replace the current one.
+    Stalled,
+    /// The stream has to leave the upstream, as no request may begin on its weights any more.
+    Outdated,
+}
+
+/// An answer of another upstream, with the state of the request after it.
+#[derive(Debug)]
+pub(crate) struct Replaced<D> {
+    pub(crate) call: Call<D>,
+    pub(crate) answer: Result<UpstreamResponse, Refusal>,
+}
+
+impl<D> Replaced<D> {
+    /// Returns whether the other upstream goes on with the stream.
+    pub(crate) fn is_success(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_ok_and(|resp| resp.head.status.is_success())
+    }
+}
+
+impl<D> Call<D>
+where
+    D: Dialect,
+{
+    /// Checks a stream that has waited for its next event since `since`.
+    ///
+    /// A stream without a first event also has to leave when the bound passes after which no request may begin
+    /// on its weights.
+    pub(crate) fn check_stall(&self, since: Instant, has_first_event: bool) -> StallCheck {
+        let now = Instant::now();
+        let Some(pick) = self.last_pick.as_ref() else {
+            return StallCheck::Outdated;
+        };
+        let bound = if has_first_event || pick.version.is_none() {
+            Duration::MAX
+        } else {
+            let within = self.begin_within(pick).unwrap_or(WEIGHTS_CHECK_INTERVAL);
+            within.min(WEIGHTS_CHECK_INTERVAL)
+        };
+        if bound.is_zero() {
+            return StallCheck::Outdated;
+        }
+        let liveness = self.service.upstreams().liveness(pick, now);
+        let waited = now.saturating_duration_since(since);
+        let wait = self.stall_policy.next_check(waited, liveness);
+        wait.map_or(StallCheck::Stalled, |wait| {
+            StallCheck::Wait(wait.min(bound))
+        })
+    }
+
+    /// Returns the time left in which the request may begin on the weights of `pick`. Returns `None` if no
+    /// newer weights are named.
+    fn begin_within(&self, pick: &Pick) -> Option<Duration> {
+        let model = self.admitted.model.as_deref();
+        let (model, version) = model.zip(pick.version)?;
+        self.cx.view.begin_within(model, version)
+    }
+
+    /// Returns the state with which another upstream is looked for, or `None` if the request may not be sent
+    /// again now. The retry budget is charged.
+    pub(crate) fn begin_replacement(&self) -> Option<Self> {
+        let left = self.time_left();
+        let sent = self.sent_in_all();
+        let next = next_step(Attempt {
+            kind: self.admitted.route.kind,
+            ending: Ending::Lost,
+            sent,
+            max_attempts: self.admitted.route.max_attempts,
+            unreached: self.unreached,
+            may_have_run: true,
+            has_time: left > MIN_TIME_FOR_RETRY,
+        });
+        if next != Next::Again || !self.service.budget().retry() {
+            return None;
+        }
+        self.sent_beside.fetch_add(1, Ordering::AcqRel);
+        Some(Self {
+            cx: self.cx.clone(),
+            admitted: self.admitted.clone(),
+            template: self.template.clone(),
+            sent,
+            last_pick: None,
+            sent_at: Instant::now(),
+            stall_policy: self.stall_policy,
+            service: self.service.clone(),
+            tried: self.tried.clone(),
+            unreached: self.unreached,
+            may_have_run: true,
+            is_retry: false,
+            suspects: self.suspects.clone(),
+            sent_beside: AtomicU32::new(0),
+        })
+    }
+
+    /// Returns whether the request was quarantined after it was sent.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        let quarantine = &self.cx.quarantine;
+        !quarantine.is_empty()
+            && matches!(
+                quarantine.suspicion(self.suspects()),
+                Suspicion::Quarantined(_)
+            )
+    }
+
+    /// Looks for an upstream until the deadline of the request.
+    pub(crate) async fn replace(mut self, last_event: Option<u64>) -> Replaced<D> {
+        let deadline = self.admitted.deadline;
+        let obtained = tokio::time::timeout_at(deadline.into(), self.obtain(last_event)).await;
+        Replaced {
+            answer: obtained.unwrap_or(Err(Refusal::Timeout)),
+            call: self,
+        }
+    }
+
+    /// Takes over the state of `other`, whose upstream replaces the current one.
+    /// The current one was silent since `since`.
+    pub(crate) fn take_over(&mut self, other: Self, since: Instant) {
+        self.record_stall("replaced", since, other.last_pick.as_ref());
+        if let Some(pick) = &self.last_pick {
+            let budget = self.service.budget().left();
+            self.record_failure(&pick.id, Ending::Lost, Instant::now());
+            self.log_ended(
+                &pick.id,
+                Ending::Lost,
+                STALLED,
+                Next::Again,
+                budget,
+                Probe::Unknown,
+            );
+        }
+        *self = other;
+    }
+
+    /// Counts the attempts of `other`, which found no upstream that answers.
+    pub(crate) fn count_failed(&self, other: &Self) {
+        let beside = other.sent_in_all().saturating_sub(self.sent);
+        self.sent_beside.fetch_max(beside, Ordering::AcqRel);
+    }
+
+    /// Returns the number of attempts, with those beside the current one.
+    pub(crate) fn sent_in_all(&self) -> u32 {
+        self.sent + self.sent_beside.load(Ordering::Acquire)
+    }
+
+    /// Returns whether another upstream may have got the request while the current one had it.
+    pub(crate) fn may_have_run_beside(&self) -> bool {
+        self.sent_beside.load(Ordering::Acquire) > 0
+    }
+
+    /// Logs the outcome of a stall at the current upstream, which sent its last event at `since`.
+    pub(crate) fn record_stall(&self, outcome: &str, since: Instant, other: Option<&Pick>) {
+        let metric = &self.cx.metrics.stalls;
+        metric.with_label_values(&[outcome]).inc();
+        events::STREAM_STALLED.emit(&[
+            ("id", &self.admitted.id),
+            ("upstream", self.last_pick.as_ref().map_or("", |it| &it.id)),
+            ("outcome", outcome),
+            ("silent_ms", &since.elapsed().as_millis().to_string()),
+            ("other", other.map_or("", |pick| &pick.id)),
+            ("sent", &self.sent_in_all().to_string()),
+            ("budget", &format!("{:.1}", self.service.budget().left())),
+            ("left_ms", &self.time_left().as_millis().to_string()),
+        ]);
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        let deadline = self.admitted.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Sends a request and waits for the head of the answer. If the stream stalls, another upstream is looked
+    /// for meanwhile, and the first of both to answer has it.
+    pub(crate) async fn exchange_or_replace(
+        &self,
+        conn: &mut Connection,
+        req: http::Request<http_body_util::Full<bytes::Bytes>>,
+        last_event: Option<u64>,
+    ) -> ExchangeResult<D> {
+        let kind = self.admitted.route.kind;
+        if !kind.is_stream() || !kind.repeatable() {
+            return Ok(conn.send(req).await);
+        }
+        let mut sending = std::pin::pin!(conn.send(req));
+        let mut replacement: Fuse<Pin<Box<_>>> = Fuse::terminated();
+        let mut wait_until = None;
+        loop {
+            let is_replacing = !replacement.is_terminated();
+            let now = Instant::now();
+            let wait = match self.check_stall(self.sent_at, false) {
+                StallCheck::Outdated if is_replacing => return Err(replaced(replacement.await)),
+                StallCheck::Outdated => return Err(Abandoned::Ended(STALLED)),
+                StallCheck::Wait(wait) => wait,
+                StallCheck::Stalled
+                    if is_replacing || wait_until.is_some_and(|until| now < until) =>
+                {
+                    REPLACE_INTERVAL
+                }
+                StallCheck::Stalled => {
+                    if let Some(call) = self.begin_replacement() {
+                        // Boxed, as the replacement may stall as well.
+                        replacement = Box::pin(call.replace(last_event)).fuse();
+                    } else if wait_until.is_none() {
+                        self.record_stall("kept", self.sent_at, None);
+                    }
+                    wait_until = Some(now + REPLACE_INTERVAL);
+                    continue;
+                }
+            };
+            tokio::select! {
+                biased;
+                answer = &mut sending => {
+                    return match answer {
+                        Err(_) if is_replacing => Err(replaced(replacement.await)),
+                        // Without the replacement the request would end by the refusal of one upstream.
+                        Ok(resp) if is_replacing && resp.status().is_server_error() => {
+                            Err(replaced(replacement.await))
+                        }
+                        answer => {
+                            if is_replacing {
+                                self.record_stall("went-on", self.sent_at, None);
+                            }
+                            Ok(answer)
+                        }
+                    };
+                }
+                other = &mut replacement, if is_replacing => {
+                    if other.is_success() {
+                        return Err(replaced(other));
+                    }
+                    self.count_failed(&other.call);
+                }
+                () = tokio::time::sleep(wait) => {}
+            }
+        }
+    }
+}
+
+fn replaced<D>(other: Replaced<D>) -> Abandoned<D> {
+    Abandoned::Replaced(Box::new(other))
+}
--- a/crates/direct/tests/silent_upstream.rs
+++ b/crates/direct/tests/silent_upstream.rs
@@ -23,6 +23,9 @@
 /// Concurrent streams at silent upstreams: more than the retry budget allows to repeat.
 const CALLERS: usize = 48;
 
+/// Requests that fill an upstream of a plain service with one slot, with those that wait for it.
+const PLACES: usize = 2;
+
 /// Where in its answer the upstream is silent.
 #[derive(Clone, Copy, Debug)]
 enum Point {
@@ -225,6 +228,18 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
 }
 
+/// A body that is too long to be buffered, and so can't be taken over, is waited for.
+#[tokio::test]
+async fn long_body() {
+    let body = "x".repeat(512 * 1024);
+    let head = format!("HTTP/1.1 200 X\r\ncontent-length: {}\r\n\r\n", body.len());
+    let (first, rest) = body.split_at(400 * 1024);
+    let act = Act::Silence(head + first, SILENCE_MS, rest.to_owned());
+    let answer = answer_beside(act, "GET", "/read/1", Edit::Nothing).await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole, "{} bytes", answer.body.len());
+}
+
 /// Why no other upstream takes the stream.
 #[derive(Clone, Copy, Debug)]
 enum Obstacle {
@@ -270,7 +285,7 @@
         Obstacle::Breaks => Act::Close,
         Obstacle::OneAttempt => Act::Events(1, 3),
     };
-    let other = TestUpstream::start(&[act]).await;
+    let other = TestUpstream::start(&vec![act; PLACES]).await;
     let mut routes = routes();
     if let Obstacle::OneAttempt = obstacle {
         routes.iter_mut().for_each(|route| route.max_attempts = 1);
@@ -285,8 +300,10 @@
     let callers = entry.callers();
     if let Obstacle::Full = obstacle {
         registry.upstream(other_record.clone());
-        tokio::spawn(async move { until_status(callers, "/read/1", 200).await });
-        other.until_seen(1).await;
+        for _ in 0..PLACES {
+            tokio::spawn(async move { until_status(callers, "/read/1", 200).await });
+        }
+        other.until_seen(PLACES).await;
     }
     register(&registry, "a", upstream.addr);
     let waiting = tokio::spawn(async move { until_status(callers, "/stream/1", 200).await });
@@ -298,6 +315,34 @@
     assert_eq!(upstream.seen().len(), 1);
 }
 
+/// A stream whose upstream sends nothing more, or breaks off while another one is asked, is resumed there, also if
+/// that is silent for a moment.
+#[rstest]
+#[tokio::test]
+async fn resumed_stream(
+    #[values(
+        Act::EventsThenStall(1, 1),
+        Act::Silence(stream_head("r1") + &events(1, 1), SILENCE_MS, "X\r\n".to_owned())
+    )]
+    act: Act,
+    #[values(0, SILENCE_MS)] silence_ms: u64,
+) {
+    let registry = RegistryStandin::default();
+    let rest = stream_head("r1") + &events(2, 3) + "0\r\n\r\n";
+    let next = Act::Silence(String::new(), silence_ms, rest);
+    let first = TestUpstream::start(&[act]).await;
+    let other = TestUpstream::start(&[next]).await;
+    register(&registry, "a", first.addr);
+    let entry = start(&registry, directory(1, Edit::Nothing)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
+    first.until_seen(1).await;
+    register(&registry, "b", other.addr);
+    let answer = waiting.await.unwrap();
+    assert_whole(&answer);
+    assert_eq!((first.seen().len(), other.seen().len()), (1, 1));
+}
+
 /// Streams that stall together spend the retry budget. Those that are not repeated go on.
 #[tokio::test]
 async fn spent_budget() {
