Don't count an upstream's silence as a head without end

Callers saw a 502 where a sound upstream was silent for a second within the head of its answer: the second for a head ran from its first byte, silent or not, and the request ended as lost.

Now a gap between two reads counts at most 300 ms, and only a read can end the head, so that silence alone never does; bytes that keep coming still do after a second of arrival, and the size and the deadline bound the rest. The decision is a plain type that takes the time of a read (HeadPace), and the timer beside the exchange is gone.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,15 +3,9 @@
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use tokio::sync::watch;
-
-use crate::head_scan::{HeadProgress, HeadScan};
-
-/// Maximum time from the first byte of a head to its last. A head fits a few packets, and a lost packet is sent
-/// again within a second.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::head_scan::{HeadPace, HeadProgress, HeadScan};
 
 /// The exchange in progress on a connection.
 #[derive(Clone, Debug, Default)]
@@ -25,16 +19,13 @@
     awaits_head: AtomicBool,
     /// The upstream sends bytes that are no answer.
     is_endless: AtomicBool,
-    scan: Mutex<HeadScan>,
-    /// Since when a part of a head has arrived.
-    partial_since: watch::Sender<Option<Instant>>,
+    head: Mutex<(HeadScan, HeadPace)>,
 }
 
 impl Exchange {
     /// Records that the first byte of a request is about to be sent.
     pub(crate) fn begin(&self) {
-        *self.0.scan.lock().unwrap_or_else(PoisonError::into_inner) = HeadScan::default();
-        self.0.partial_since.send_replace(None);
+        *self.0.head.lock().unwrap_or_else(PoisonError::into_inner) = Default::default();
         self.0.awaits_head.store(true, Ordering::Release);
         self.0.is_active.store(true, Ordering::Release);
     }
@@ -58,53 +49,28 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the head of the answer is too long.
+    /// Returns an error if the head of the answer is too long, or arrives for too long.
     pub(crate) fn on_read(&self, data: &[u8]) -> io::Result<()> {
         if !self.0.awaits_head.load(Ordering::Acquire) {
             return Ok(());
         }
-        let progress = {
-            let mut scan = self.0.scan.lock().unwrap_or_else(PoisonError::into_inner);
-            scan.push(data)
-        };
-        let Ok(progress) = progress else {
-            self.0.is_endless.store(true, Ordering::Release);
-            let reason = "the head of the answer is too long";
-            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        let (progress, is_slow) = {
+            let mut head = self.0.head.lock().unwrap_or_else(PoisonError::into_inner);
+            let (scan, pace) = &mut *head;
+            let progress = scan.push(data);
+            let is_partial = progress == Ok(HeadProgress::Partial);
+            (progress, pace.on_read(is_partial, Instant::now()))
         };
-        if progress == HeadProgress::Complete {
-            self.0.awaits_head.store(false, Ordering::Release);
-        }
-        let is_partial = progress == HeadProgress::Partial;
-        self.0.partial_since.send_if_modified(|since| {
-            let is_changed = since.is_some() != is_partial;
-            if is_changed {
-                *since = is_partial.then(Instant::now);
+        let reason = match progress {
+            Ok(HeadProgress::Complete) => {
+                self.0.awaits_head.store(false, Ordering::Release);
+                return Ok(());
             }
-            is_changed
-        });
-        Ok(())
-    }
-
-    /// Waits until a head has been arriving for longer than it may.
-    pub(crate) async fn head_timeout(&self) {
-        let mut partial_since = self.0.partial_since.subscribe();
-        loop {
-            let since = *partial_since.borrow_and_update();
-            let late = async {
-                match since {
-                    Some(since) => tokio::time::sleep_until((since + HEAD_TIMEOUT).into()).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                // The sender lives as long as `self`.
-                _ = partial_since.changed() => {}
-                () = late => {
-                    self.0.is_endless.store(true, Ordering::Release);
-                    return;
-                }
-            }
-        }
+            Ok(_) if !is_slow => return Ok(()),
+            Ok(_) => "the head of the answer arrives for too long",
+            Err(_) => "the head of the answer is too long",
+        };
+        self.0.is_endless.store(true, Ordering::Release);
+        Err(io::Error::new(io::ErrorKind::InvalidData, reason))
     }
 }
--- a/crates/direct/src/head_scan.rs
+++ b/crates/direct/src/head_scan.rs
@@ -1,5 +1,14 @@
 //! Follows the bytes of an answer's head, so that one without an end is noticed.
 
+use std::time::{Duration, Instant};
+
+/// Maximum time for which a head may arrive. A head fits a few packets.
+const MAX_ARRIVAL: Duration = Duration::from_secs(1);
+
+/// Longest part of a gap between two reads that counts as arrival. A sound upstream may be silent for a second or
+/// two within a head, and a lost packet is sent again within a second.
+const MAX_COUNTED_GAP: Duration = Duration::from_millis(300);
+
 /// Maximum bytes of the head of an answer, together with the interim answers before it. Heads hold some hundred
 /// bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -89,3 +98,24 @@
         self.at_line_start = false;
     }
 }
+
+/// Measures for how long the head of an answer arrives, without the time for which its upstream is silent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeadPace {
+    last_read: Option<Instant>,
+    arrival: Duration,
+}
+
+impl HeadPace {
+    /// Records a read at `now`, after which the head `is_partial`. Returns whether it arrives for too long.
+    pub fn on_read(&mut self, is_partial: bool, now: Instant) -> bool {
+        if !is_partial {
+            *self = Self::default();
+            return false;
+        }
+        if let Some(last) = self.last_read.replace(now) {
+            self.arrival += now.saturating_duration_since(last).min(MAX_COUNTED_GAP);
+        }
+        self.arrival >= MAX_ARRIVAL
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -47,7 +47,7 @@
 
 pub use dialect::{AnswerHead, Dialect, Dispatch, PromptPart, RequestHead, ServerLoad};
 pub use event_splitter::{EventSplitter, Split};
-pub use head_scan::{HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
+pub use head_scan::{HeadPace, HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
 pub use held::Held;
 pub use process::{DirectEntry, DirectError};
 pub use refusal::Refusal;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -126,11 +126,7 @@
             return Err(SendError::NotSent);
         }
         self.exchange.begin();
-        let sent = tokio::select! {
-            sent = self.sender.try_send_request(req) => sent,
-            () = self.exchange.head_timeout() => return Err(SendError::NoAnswer),
-        };
-        match sent {
+        match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
             // hyper returns a request only if no byte of it was written.
             Err(mut err) => match err.take_message() {
--- a/crates/direct/tests/head_scan.rs
+++ b/crates/direct/tests/head_scan.rs
@@ -1,8 +1,10 @@
 //! Heads of answers: interim answers, and heads that are too long.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
-use wagtailreel_direct::{HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
+use wagtailreel_direct::{HeadPace, HeadProgress, HeadScan, HeadTooLong, MAX_HEAD_BYTES};
 
 const INTERIM: &str = "HTTP/1.1 100 X\r\n\r\n";
 const FINAL: &str = "HTTP/1.1 200 X\r\na: b\r\n\r\n";
@@ -47,3 +49,29 @@
     let body = vec![b'a'; 2 * MAX_HEAD_BYTES];
     assert_eq!(scan.push(&body), Ok(HeadProgress::Complete));
 }
+
+/// A head of which a byte comes now and then ends; silence alone does not end it.
+#[rstest]
+#[case::slow_bytes(100, 10)]
+#[case::slower_bytes(250, 4)]
+#[case::rare_bytes(2000, 4)]
+fn slow_head(#[case] gap_ms: u64, #[case] last: u32) {
+    let start = Instant::now();
+    let mut pace = HeadPace::default();
+    for read in 0..last {
+        let now = start + Duration::from_millis(gap_ms) * read;
+        assert!(!pace.on_read(true, now), "read {read}");
+    }
+    assert!(pace.on_read(true, start + Duration::from_millis(gap_ms) * last));
+}
+
+/// The time between two heads of one answer does not count.
+#[test]
+fn interim_heads() {
+    let start = Instant::now();
+    let mut pace = HeadPace::default();
+    for read in 0..100 {
+        let now = start + Duration::from_millis(100) * read;
+        assert!(!pace.on_read(read % 2 == 0, now));
+    }
+}
