--- a/crates/direct/tests/silent_upstream.rs
+++ b/crates/direct/tests/silent_upstream.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 
 use common::caller::{Answer, call};
+use common::edits::{Edit, directory, routes};
 use common::upstream::{Act, TestUpstream, body_of, chunk, events, stream_head};
-use common::{TestDialect, entry, register, registered, route, until_readiness, until_status};
+use common::{TestDialect, entry, register, registered, until_readiness, until_status};
 use futures::future::join_all;
 use rstest::rstest;
 use wagtailreel_direct::DirectEntry;
-use wagtailreel_fleet::{
-    AllowedRegions, Change, ClientLimits, Customer, Directory, Route, RouteKind, ServiceSpec,
-};
+use wagtailreel_fleet::{Change, Directory};
 use wagtailreel_standins::RegistryStandin;
 
 /// Time for which the upstream is silent: longer than the stall timeout of 1 s and the longest time of a head.
@@ -64,81 +63,6 @@
     Act::Silence(text[..sent].to_owned(), SILENCE_MS, text[sent..].to_owned())
 }
 
-/// What changes while the upstream is silent.
-#[derive(Clone, Copy, Debug)]
-enum Edit {
-    Nothing,
-    IdleTime,
-    Timeout,
-    RouteMoved,
-    RouteRemoved,
-    KeyRevoked,
-    ServiceRemoved,
-}
-
-fn routes() -> Vec<Route> {
-    let stream = RouteKind::Stream {
-        resumable: true,
-        gap: Some(Duration::from_millis(100)),
-    };
-    vec![
-        route("/read/", RouteKind::Idempotent),
-        route("/order/", RouteKind::NonIdempotent),
-        route("/stream/", stream),
-    ]
-}
-
-/// Returns the configuration `version` with `edit`. Its path `/v2/` is known from version 2 on.
-fn directory(version: u64, edit: Edit) -> Directory {
-    let mut limits = ClientLimits {
-        header_bytes: 16384,
-        body_bytes: 1 << 16,
-        header_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    let mut routes = routes();
-    let mut keys = vec!["k1".to_owned()];
-    let mut services = vec!["desk", "other"];
-    match edit {
-        Edit::Nothing => {}
-        Edit::IdleTime => limits.idle_timeout = Duration::from_millis(100),
-        Edit::Timeout => routes
-            .iter_mut()
-            .for_each(|route| route.timeout = Duration::from_millis(400)),
-        Edit::RouteMoved => routes
-            .iter_mut()
-            .for_each(|route| route.services = vec![("other".to_owned(), 1)]),
-        Edit::RouteRemoved => routes.clear(),
-        Edit::KeyRevoked => keys = vec!["k2".to_owned()],
-        Edit::ServiceRemoved => {
-            routes.clear();
-            services.clear();
-        }
-    }
-    if version >= 2 {
-        let mut marker = route("/v2/", RouteKind::Idempotent);
-        marker.services = vec![("none".to_owned(), 1)];
-        marker.is_public = true;
-        routes.push(marker);
-    }
-    let services = services.into_iter().map(|name| ServiceSpec {
-        name: name.to_owned(),
-        max_connections: 100,
-        engine: None,
-        warmup_per_second: 0.0,
-        origin: None,
-    });
-    Directory::new(version, limits)
-        .with_routes(routes)
-        .with_services(services.collect())
-        .with_customers(vec![Customer {
-            name: "quay".to_owned(),
-            rank: None,
-            keys,
-            regions: AllowedRegions::default(),
-        }])
-}
-
 async fn start(registry: &RegistryStandin, directory: Directory) -> DirectEntry<TestDialect> {
     registry.config(directory);
     let entry = entry(registry, Duration::from_secs(4)).await;
