--- a/crates/nearby/tests/common/mod.rs
+++ b/crates/nearby/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Entries reduced to their registry client and mirror, which read through each other.
 #![allow(dead_code, reason = "each test program uses a part")]
 
+pub(crate) mod records;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/nearby/tests/older_builds.rs
+++ b/crates/nearby/tests/older_builds.rs
@@ -7,6 +7,7 @@
 
 use axum::Router;
 use axum::routing::get;
+use common::records::{keyed, page, place, snapshot};
 use common::{Entry, upstream};
 use http::Request;
 use rstest::rstest;
@@ -14,43 +15,13 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use wagtailreel_adapters::{Body, HttpClient, collect_body};
-use wagtailreel_fleet::{
-    BootTime, Change, Era, Keyed, Page, Position, Registry as _, Snapshot, Topic,
-};
+use wagtailreel_fleet::{BootTime, Change, Era, Registry as _, Topic};
 use wagtailreel_standins::RegistryStandin;
 
 const TOPIC: Topic = Topic::Upstreams;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-fn place(era: Era, offset: u64) -> Position {
-    Position::new(era, offset)
-}
-
-fn keyed(era: Era, offset: u64, change: Change) -> Keyed {
-    let position = place(era, offset);
-    Keyed { position, change }
-}
-
-fn snapshot(items: Vec<Keyed>, end: Position) -> Snapshot {
-    Snapshot {
-        items,
-        end,
-        as_of: BootTime::now(),
-        is_relayed: false,
-    }
-}
-
-fn page(items: Vec<Keyed>, next: Position) -> Page {
-    Page {
-        items,
-        next,
-        end: next,
-        as_of: BootTime::now(),
-        is_relayed: false,
-    }
-}
-
 /// Guards against an entry of an older build, which names no era, that is refused or can't read the answer.
 #[rstest]
 #[tokio::test]
--- a/crates/nearby/tests/restored.rs
+++ b/crates/nearby/tests/restored.rs
@@ -5,12 +5,10 @@
 
 use std::time::Duration;
 
+use common::records::{keyed, page, place, snapshot};
 use common::{Entry, following, report_regularly, upstream};
 use rstest::rstest;
-use wagtailreel_fleet::{
-    BootTime, Change, Era, Keyed, NamedWeights, Page, Position, Registry as _, RegistryError,
-    Snapshot, Topic,
-};
+use wagtailreel_fleet::{BootTime, Change, NamedWeights, Registry as _, RegistryError, Topic};
 use wagtailreel_standins::RegistryStandin;
 
 const TOPIC: Topic = Topic::Upstreams;
@@ -42,34 +40,6 @@
     }
 }
 
-fn place(era: Era, offset: u64) -> Position {
-    Position::new(era, offset)
-}
-
-fn keyed(era: Era, offset: u64, change: Change) -> Keyed {
-    let position = place(era, offset);
-    Keyed { position, change }
-}
-
-fn snapshot(items: Vec<Keyed>, end: Position) -> Snapshot {
-    Snapshot {
-        items,
-        end,
-        as_of: BootTime::now(),
-        is_relayed: false,
-    }
-}
-
-fn page(items: Vec<Keyed>, next: Position) -> Page {
-    Page {
-        items,
-        next,
-        end: next,
-        as_of: BootTime::now(),
-        is_relayed: false,
-    }
-}
-
 /// Guards against a reader that waits for an offset of a log that is gone: it is answered at once, although no record
 /// comes, and reads the neighbour's snapshot.
 #[rstest]
