Count attempts beside a stalled stream once, when they are sent

A stream that had paused at its only upstream and went on was not resumed when its upstream broke off later: looking for another upstream already counted as an attempt. 48 streams that paused together also spent the retry budget, and later reads of others got 502. A replacement that stalled as well kept its own count, so that a route with three attempts made four.

The calls of one request now share its attempts and the upstreams that it tried. An attempt counts, and the retry budget is charged, when its first byte is about to be sent. No replacement is looked for while the request is suspected of ending upstreams, as it would be turned away each time.

--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{Call, MIN_TIME_FOR_RETRY};
 use crate::dialect::Dialect;
+use crate::refusal::Refusal;
 use crate::response::UpstreamResponse;
 
 /// Outcome of an attempt that had a connection.
@@ -16,6 +17,8 @@
     Answer(Box<UpstreamResponse>),
     /// No answer came; with the reason for the log.
     Ended(Ending, &'static str),
+    /// The attempt was not made, and no further one follows.
+    Refused(Refusal),
 }
 
 impl<D> Call<D>
@@ -24,11 +27,7 @@
 {
     /// Decides from the head of an answer whether the attempt succeeded, and records what it says of the
     /// upstream.
-    pub(crate) fn on_answer_head(
-        &mut self,
-        resp: UpstreamResponse,
-        may_have_run_before: bool,
-    ) -> AttemptOutcome {
+    pub(crate) fn on_answer_head(&mut self, resp: UpstreamResponse) -> AttemptOutcome {
         let now = Instant::now();
         let is_same_request = resp
             .meta
@@ -48,7 +47,7 @@
             upstreams.record_pace(id, load.pace, now);
         }
         if resp.meta.not_run {
-            self.may_have_run = may_have_run_before;
+            self.attempts.not_run();
             let mut upstreams = self.service.upstreams();
             if resp.meta.misdirected {
                 upstreams.misdirected(id, now);
@@ -85,7 +84,7 @@
             .admitted
             .deadline
             .saturating_duration_since(Instant::now());
-        let may_repeat = self.sent < self.admitted.route.max_attempts
+        let may_repeat = self.attempts.sent() < self.admitted.route.max_attempts
             && left > MIN_TIME_FOR_RETRY
             && self.service.budget().left() >= 1.0;
         if may_repeat {
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,7 +1,5 @@
 //! The attempts of one request at upstreams.
 
-use std::collections::BTreeSet;
-use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -9,10 +7,11 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use wagtailreel_fleet::{Fingerprint, UpstreamId};
+use wagtailreel_fleet::Fingerprint;
 
 use crate::admit::Admitted;
 use crate::answered::AttemptOutcome;
+use crate::attempts::Attempts;
 use crate::dialect::{Dialect, Dispatch};
 use crate::events;
 use crate::lost::Probe;
@@ -43,29 +42,24 @@
     pub(crate) body: Bytes,
 }
 
-/// One request and its attempts.
-///
-/// Invariant: `may_have_run` is set before the first byte of an attempt is sent, and cleared only if no
-/// byte was sent or the upstream states that it did not run the request.
+/// One request at its current upstream, and its attempts.
 #[derive(Debug)]
 pub(crate) struct Call<D> {
     pub(crate) cx: Arc<Shared<D>>,
     pub(crate) admitted: Admitted,
     pub(crate) template: Template,
-    pub(crate) sent: u32,
+    pub(crate) attempts: Arc<Attempts>,
     /// The upstream of the current attempt, with the load that the choice was based on.
     pub(crate) last_pick: Option<Pick>,
     pub(crate) sent_at: Instant,
     pub(crate) stall_policy: StallPolicy,
     pub(crate) service: Arc<Service>,
-    pub(crate) tried: BTreeSet<UpstreamId>,
     pub(crate) unreached: u32,
-    pub(crate) may_have_run: bool,
+    /// Whether the retry budget is still to be charged for the next attempt.
+    pub(crate) is_uncharged: bool,
     /// Whether the request is sent to see whether a quarantined suspect completes.
     pub(crate) is_retry: bool,
     pub(crate) suspects: OnceLock<Vec<Fingerprint>>,
-    /// Attempts that were made while the current upstream had the request.
-    pub(crate) sent_beside: AtomicU32,
 }
 
 impl<D> Call<D>
@@ -81,17 +75,15 @@
             cx,
             admitted,
             template,
-            sent: 0,
+            attempts: Arc::default(),
             last_pick: None,
             sent_at: Instant::now(),
             stall_policy,
             service,
-            tried: BTreeSet::new(),
             unreached: 0,
-            may_have_run: false,
+            is_uncharged: false,
             is_retry: false,
             suspects: OnceLock::new(),
-            sent_beside: AtomicU32::new(0),
         }
     }
 
@@ -117,6 +109,7 @@
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
                     AttemptOutcome::Answer(resp) => return Ok(*resp),
                     AttemptOutcome::Ended(ending, why) => (ending, why),
+                    AttemptOutcome::Refused(refusal) => return Err(refusal),
                 },
                 Err(ending) => (ending, "no-connection"),
             };
@@ -129,8 +122,8 @@
     }
 
     /// Returns the refusal for a request whose deadline has passed.
-    pub(crate) const fn out_of_time(&self) -> Refusal {
-        if self.may_have_run {
+    pub(crate) fn out_of_time(&self) -> Refusal {
+        if self.attempts.may_have_run() {
             Refusal::Timeout
         } else {
             Refusal::Deadline
@@ -157,10 +150,10 @@
         let mut next = next_step(Attempt {
             kind: self.admitted.route.kind,
             ending,
-            sent: self.sent_in_all(),
+            sent: self.attempts.sent(),
             max_attempts: self.admitted.route.max_attempts,
             unreached: self.unreached,
-            may_have_run: self.may_have_run,
+            may_have_run: self.attempts.may_have_run(),
             has_time: left > MIN_TIME_FOR_RETRY,
         });
         let suspicion = self.record_crash(probe);
@@ -168,9 +161,9 @@
             next = Next::Unknown;
         }
         // An attempt that reached no upstream adds no load, so the retry budget does not count it.
-        let is_repeat = self.sent > 0;
+        let is_repeat = self.attempts.sent() > 0;
         let budget = self.service.budget().left();
-        if next == Next::Again && is_repeat && !self.service.budget().retry() {
+        if next == Next::Again && is_repeat && !self.charge() {
             next = self.next_without_budget(ending);
         }
         self.record_failure(upstream, ending, now);
@@ -198,7 +191,7 @@
             ("why", why),
             ("next", &next.to_string()),
             ("budget", &format!("{budget:.1}")),
-            ("sent", &self.sent.to_string()),
+            ("sent", &self.attempts.sent().to_string()),
             ("left_ms", &left.as_millis().to_string()),
             ("seen", &probe.to_string()),
             ("fingerprint", &self.logged_fingerprint(ending)),
@@ -211,7 +204,7 @@
         match ending {
             Ending::Failed => Next::PassOn,
             Ending::Lost => Next::Unknown,
-            Ending::NotSent | Ending::NotRun if self.may_have_run => Next::Unknown,
+            Ending::NotSent | Ending::NotRun if self.attempts.may_have_run() => Next::Unknown,
             Ending::NotSent | Ending::NotRun => Next::Refuse,
         }
     }
@@ -232,8 +225,8 @@
         }
     }
 
-    async fn connect(&mut self, pick: &Pick) -> Result<Connection, Ending> {
-        self.tried.insert(pick.id.clone());
+    async fn connect(&self, pick: &Pick) -> Result<Connection, Ending> {
+        self.attempts.tries(&pick.id);
         let repeatable = self.admitted.route.kind.repeatable();
         if let Some(conn) = self
             .service
@@ -259,18 +252,17 @@
         let Some(req) = self.request(pick, last_event) else {
             return AttemptOutcome::Ended(Ending::NotSent, "no-time");
         };
-        let may_have_run_before = self.may_have_run;
+        if self.is_uncharged && !self.charge() {
+            return AttemptOutcome::Refused(self.refused_by_upstreams());
+        }
         let lease = self.count_in_flight(pick);
         self.sent_at = Instant::now();
-        self.may_have_run = true;
-        self.sent += 1;
+        self.attempts.begin();
         let (conn, answer) = self.exchange(conn, req, last_event).await;
-        let may_have_run_before = may_have_run_before || self.may_have_run_beside();
         let response = match answer {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
-                self.may_have_run = may_have_run_before;
-                self.sent -= 1;
+                self.attempts.not_sent();
                 return AttemptOutcome::Ended(Ending::NotSent, "connection-closed");
             }
             Ok(Err(err)) => return AttemptOutcome::Ended(Ending::Lost, err.why()),
@@ -281,10 +273,7 @@
                         self.take_over(other.call, self.sent_at);
                         AttemptOutcome::Answer(Box::new(resp))
                     }
-                    Err(_) => {
-                        self.count_failed(&other.call);
-                        AttemptOutcome::Ended(Ending::Lost, STALLED)
-                    }
+                    Err(_) => AttemptOutcome::Ended(Ending::Lost, STALLED),
                 };
             }
         };
@@ -297,7 +286,14 @@
             conn,
             lease,
         };
-        self.on_answer_head(resp, may_have_run_before)
+        self.on_answer_head(resp)
+    }
+
+    /// Charges the retry budget for the next attempt. Returns `false` if the budget is spent.
+    fn charge(&mut self) -> bool {
+        let is_charged = self.service.budget().retry();
+        self.is_uncharged &= !is_charged;
+        is_charged
     }
 
     /// Counts the request as in flight at its upstream, and announces it to the engine's agent.
--- a/crates/direct/src/choosing.rs
+++ b/crates/direct/src/choosing.rs
@@ -67,7 +67,7 @@
         }
         self.record_choice(chosen.is_err());
         match chosen {
-            Err(refusal) if self.may_have_run => self.await_upstream(refusal).await,
+            Err(refusal) if self.attempts.may_have_run() => self.await_upstream(refusal).await,
             chosen => chosen,
         }
     }
@@ -183,7 +183,7 @@
         Requirements {
             model,
             least_version: model.and_then(|model| self.cx.view.least_version(model)),
-            tried: self.tried.clone(),
+            tried: self.attempts.tried(),
             engine: self.admitted.engine.as_ref(),
             prompt: self.admitted.head.prompt_tokens,
             objective: self.objective(),
@@ -238,8 +238,8 @@
 
     /// Returns `refusal`, or [`Refusal::Unknown`] for a request that may have run and must not be refused
     /// as not run.
-    pub(crate) const fn refuse_or_unknown(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
+    pub(crate) fn refuse_or_unknown(&self, refusal: Refusal) -> Refusal {
+        if self.attempts.may_have_run() {
             Refusal::Unknown
         } else {
             refusal
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod announced;
 mod answered;
 mod attempt;
+mod attempts;
 mod choosing;
 mod collect;
 mod dialect;
--- a/crates/direct/src/lost.rs
+++ b/crates/direct/src/lost.rs
@@ -103,7 +103,7 @@
     /// Returns the refusal to send to the caller.
     pub(crate) fn check_quarantine(&self) -> Result<bool, Refusal> {
         let quarantine = &self.cx.quarantine;
-        let is_unsent_retry = self.is_retry && !self.may_have_run;
+        let is_unsent_retry = self.is_retry && !self.attempts.may_have_run();
         if is_unsent_retry || quarantine.is_empty() {
             return Ok(is_unsent_retry);
         }
@@ -112,14 +112,15 @@
                 quarantine.record_repeat(suspect);
                 Err(self.refuse_or_unknown(Refusal::Quarantined { retry_in, suspect }))
             }
-            Admission::Accepted if self.may_have_run && self.is_suspected() => {
+            Admission::Accepted if self.attempts.may_have_run() && self.is_suspected() => {
                 Err(Refusal::Unknown)
             }
             admission => Ok(admission == Admission::Retry),
         }
     }
 
-    fn is_suspected(&self) -> bool {
+    /// Returns whether upstreams ended while they ran the request or a part of its prompt.
+    pub(crate) fn is_suspected(&self) -> bool {
         self.cx.quarantine.suspicion(self.suspects()) != Suspicion::None
     }
 
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -207,7 +207,6 @@
     /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
     fn take_over(&mut self, other: Replaced<D>, since: Instant) -> bool {
         if !other.is_success() {
-            self.call.count_failed(&other.call);
             return false;
         }
         let Ok(resp) = other.answer else {
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -4,7 +4,7 @@
 //! its upstream until another one has answered.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures::FutureExt as _;
@@ -91,38 +91,34 @@
     }
 
     /// Returns the state with which another upstream is looked for, or `None` if the request may not be sent
-    /// again now. The retry budget is charged.
+    /// again now. The retry budget is charged once the request is sent there.
     pub(crate) fn begin_replacement(&self) -> Option<Self> {
         let left = self.time_left();
-        let sent = self.sent_in_all();
         let next = next_step(Attempt {
             kind: self.admitted.route.kind,
             ending: Ending::Lost,
-            sent,
+            sent: self.attempts.sent(),
             max_attempts: self.admitted.route.max_attempts,
             unreached: self.unreached,
             may_have_run: true,
             has_time: left > MIN_TIME_FOR_RETRY,
         });
-        if next != Next::Again || !self.service.budget().retry() {
+        if next != Next::Again || self.service.budget().left() < 1.0 || self.is_suspected() {
             return None;
         }
-        self.sent_beside.fetch_add(1, Ordering::AcqRel);
         Some(Self {
             cx: self.cx.clone(),
             admitted: self.admitted.clone(),
             template: self.template.clone(),
-            sent,
+            attempts: Arc::clone(&self.attempts),
             last_pick: None,
             sent_at: Instant::now(),
             stall_policy: self.stall_policy,
             service: self.service.clone(),
-            tried: self.tried.clone(),
             unreached: self.unreached,
-            may_have_run: true,
+            is_uncharged: true,
             is_retry: false,
             suspects: self.suspects.clone(),
-            sent_beside: AtomicU32::new(0),
         })
     }
 
@@ -165,22 +161,6 @@
         *self = other;
     }
 
-    /// Counts the attempts of `other`, which found no upstream that answers.
-    pub(crate) fn count_failed(&self, other: &Self) {
-        let beside = other.sent_in_all().saturating_sub(self.sent);
-        self.sent_beside.fetch_max(beside, Ordering::AcqRel);
-    }
-
-    /// Returns the number of attempts, with those beside the current one.
-    pub(crate) fn sent_in_all(&self) -> u32 {
-        self.sent + self.sent_beside.load(Ordering::Acquire)
-    }
-
-    /// Returns whether another upstream may have got the request while the current one had it.
-    pub(crate) fn may_have_run_beside(&self) -> bool {
-        self.sent_beside.load(Ordering::Acquire) > 0
-    }
-
     /// Logs the outcome of a stall at the current upstream, which sent its last event at `since`.
     pub(crate) fn record_stall(&self, outcome: &str, since: Instant, other: Option<&Pick>) {
         let metric = &self.cx.metrics.stalls;
@@ -191,7 +171,7 @@
             ("outcome", outcome),
             ("silent_ms", &since.elapsed().as_millis().to_string()),
             ("other", other.map_or("", |pick| &pick.id)),
-            ("sent", &self.sent_in_all().to_string()),
+            ("sent", &self.attempts.sent().to_string()),
             ("budget", &format!("{:.1}", self.service.budget().left())),
             ("left_ms", &self.time_left().as_millis().to_string()),
         ]);
@@ -261,7 +241,6 @@
                     if other.is_success() {
                         return Err(replaced(other));
                     }
-                    self.count_failed(&other.call);
                 }
                 () = tokio::time::sleep(wait) => {}
             }
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -78,7 +78,7 @@
 
     /// Records the upstream that answered, its status, and the number of attempts so far.
     pub(crate) fn record_upstream<D>(&mut self, call: &Call<D>, status: u16) {
-        self.attempts = call.sent;
+        self.attempts = call.attempts.sent();
         self.status = status;
         self.pick.clone_from(&call.last_pick);
     }
--- a/crates/direct/src/shedding.rs
+++ b/crates/direct/src/shedding.rs
@@ -20,7 +20,7 @@
     /// resumes, elsewhere.
     pub(crate) fn is_first_choice(&self) -> bool {
         let is_resumed = self.admitted.head.last_event.is_some();
-        !self.may_have_run && self.tried.is_empty() && !is_resumed
+        !self.attempts.may_have_run() && self.attempts.tried().is_empty() && !is_resumed
     }
 
     /// Returns whether admission control by rank is active at the service.
--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -47,6 +47,8 @@
     NoAnswer,
     /// Sends the first text, is silent for the given number of milliseconds, and sends the second text.
     Silence(String, u64, String),
+    /// Sends each text and is silent for its number of milliseconds, then closes the connection.
+    Steps(Vec<(String, u64)>),
     /// Answers, and sends a second answer directly after it.
     ExtraAnswer(&'static str),
 }
@@ -126,6 +128,12 @@
         silent.wait_for(|silent| *silent > 0).await.unwrap();
     }
 
+    /// Waits until the upstream has begun `steps` silences.
+    pub(crate) async fn until_steps(&self, steps: u32) {
+        let mut silent = self.inner.silent.subscribe();
+        silent.wait_for(|silent| *silent >= steps).await.unwrap();
+    }
+
     /// Returns how many requests in progress the entry has aborted.
     pub(crate) fn aborted(&self) -> u32 {
         *self.inner.aborted.borrow()
@@ -225,6 +233,23 @@
             wait_for_end(inner, stream).await
         }
         Act::NoAnswer => wait_for_end(inner, stream).await,
+        Act::Steps(steps) => {
+            let mut buf = [0; 64];
+            for (text, ms) in steps {
+                if !write(stream, &text).await {
+                    return false;
+                }
+                inner.silent.send_modify(|silent| *silent += 1);
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_millis(ms)) => {}
+                    _ = stream.read(&mut buf) => {
+                        inner.aborted.send_modify(|aborted| *aborted += 1);
+                        return false;
+                    }
+                }
+            }
+            false
+        }
         Act::Silence(before, ms, after) => {
             if !write(stream, &before).await {
                 return false;
--- /dev/null
+++ b/crates/direct/tests/replaced_upstream.rs
@@ -0,0 +1,123 @@
+//! Streams that stall at their upstream while another one is asked, and what both do meanwhile.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::caller::{Answer, call};
+use common::upstream::{Act, TestUpstream, body_of, events, stream_head};
+use common::{
+    TestDialect, directory, engine_record, entry, register, until_readiness, until_status,
+};
+use futures::future::join_all;
+use wagtailreel_direct::DirectEntry;
+use wagtailreel_fleet::Directory;
+use wagtailreel_standins::RegistryStandin;
+
+const END: &str = "0\r\n\r\n";
+
+/// Time for which an upstream is silent: longer than the stall timeout of 1 s before a head.
+const SILENCE_MS: u64 = 1300;
+
+/// Concurrent streams: more than the retry budget allows to repeat.
+const CALLERS: usize = 48;
+
+/// Reads after the streams. With a spent retry budget they earn less than two retries.
+const READS: usize = 8;
+
+async fn start(registry: &RegistryStandin, directory: Directory) -> DirectEntry<TestDialect> {
+    registry.config(directory);
+    let entry = entry(registry, Duration::from_secs(4)).await;
+    until_readiness(&entry, 200).await;
+    entry
+}
+
+fn with_attempts(max_attempts: u32) -> Directory {
+    let base = directory(1);
+    let mut routes = base.routes().to_vec();
+    for route in &mut routes {
+        route.max_attempts = max_attempts;
+    }
+    base.with_routes(routes)
+}
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.body, body_of(1, 3));
+}
+
+/// Looking for another upstream is no attempt: a stream that went on is still resumed once it breaks off.
+#[tokio::test]
+async fn unsent_attempt() {
+    let registry = RegistryStandin::default();
+    let first = TestUpstream::start(&[Act::Steps(vec![
+        (stream_head("r1") + &events(1, 1), SILENCE_MS),
+        (events(2, 2), 600),
+    ])])
+    .await;
+    let other = TestUpstream::start(&[Act::Events(3, 3)]).await;
+    register(&registry, "a", first.addr);
+    let entry = start(&registry, directory(1)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
+    first.until_steps(2).await;
+    register(&registry, "b", other.addr);
+    assert_whole(&waiting.await.unwrap());
+}
+
+/// Streams that stall at their only upstream leave the retry budget to others.
+#[tokio::test]
+async fn unsent_budget() {
+    let registry = RegistryStandin::default();
+    let before = stream_head("r1") + &events(1, 1);
+    let act = Act::Silence(before, SILENCE_MS, events(2, 3) + END);
+    let first = TestUpstream::start(&vec![act; CALLERS]).await;
+    let other = TestUpstream::start(&vec![Act::Close; CALLERS]).await;
+    register(&registry, "a", first.addr);
+    let entry = start(&registry, directory(1)).await;
+    let callers = entry.callers();
+    let streams = (0..CALLERS).map(|_| call(callers, "GET", "/stream/1"));
+    for answer in join_all(streams).await {
+        assert_whole(&answer);
+    }
+    register(&registry, "b", other.addr);
+    // Once the entry knows an upstream that was registered later, it knows this one.
+    let writer = TestUpstream::start(&[]).await;
+    registry.upstream(engine_record("c", &writer, 1));
+    until_status(callers, "/written/1", 200).await;
+    for _ in 0..READS {
+        let answer = call(callers, "GET", "/read/1").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert!(!other.seen().is_empty(), "no read had to be repeated");
+}
+
+/// A replacement that stalls as well makes no more attempts than the route allows.
+#[tokio::test]
+async fn nested_attempts() {
+    let registry = RegistryStandin::default();
+    let first = TestUpstream::start(&[Act::Steps(vec![
+        (stream_head("r1") + &events(1, 1), 2600),
+        (events(2, 2), 400),
+    ])])
+    .await;
+    let second = TestUpstream::start(&[Act::NoAnswer]).await;
+    let third = TestUpstream::start(&[Act::NoAnswer]).await;
+    let fourth = TestUpstream::start(&[Act::Events(3, 3)]).await;
+    register(&registry, "a", first.addr);
+    let entry = start(&registry, with_attempts(3)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
+    first.until_silent().await;
+    register(&registry, "b", second.addr);
+    second.until_seen(1).await;
+    register(&registry, "c", third.addr);
+    third.until_seen(1).await;
+    first.until_steps(2).await;
+    register(&registry, "d", fourth.addr);
+    waiting.await.unwrap();
+    let seen = [&first, &second, &third, &fourth].map(|it| it.seen().len());
+    assert_eq!(seen, [1, 1, 1, 0]);
+}
