Keep a running replacement when the stalled upstream refuses

A stream whose stalled upstream at last refused it as not run (429, 421 or 408) got 502, although another upstream had the request and was about to answer: only server errors waited for the other one. If the other one failed as well, a refusal by both, or a server error, was reported as 502 unknown.

The head of the stalled upstream's answer is now evaluated and recorded when it arrives, also while another one is asked. Whether it ran the request is what the dialect says. Its refusal or server error waits for the other upstream, and counts if that one has no answer.

--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -27,7 +27,14 @@
 {
     /// Decides from the head of an answer whether the attempt succeeded, and records what it says of the
     /// upstream.
-    pub(crate) fn on_answer_head(&mut self, resp: UpstreamResponse) -> AttemptOutcome {
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended without an answer for the caller, with the reason for the log.
+    pub(crate) fn check_head(
+        &self,
+        resp: UpstreamResponse,
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let now = Instant::now();
         let is_same_request = resp
             .meta
@@ -35,7 +42,7 @@
             .as_ref()
             .is_none_or(|id| *id == self.admitted.id);
         if !is_same_request {
-            return AttemptOutcome::Ended(Ending::Lost, "answers-another-request");
+            return Err((Ending::Lost, "answers-another-request"));
         }
         self.record_limit(&resp);
         self.record_announcement(&resp);
@@ -51,10 +58,10 @@
             let mut upstreams = self.service.upstreams();
             if resp.meta.misdirected {
                 upstreams.misdirected(id, now);
-                return AttemptOutcome::Ended(Ending::NotRun, "another-instance-or-weights");
+                return Err((Ending::NotRun, "another-instance-or-weights"));
             }
             upstreams.full(id, now);
-            return AttemptOutcome::Ended(Ending::NotRun, "refused");
+            return Err((Ending::NotRun, "refused"));
         }
         if resp.head.status.is_server_error() && self.admitted.route.kind == RouteKind::Idempotent {
             return self.on_server_error(resp);
@@ -62,7 +69,7 @@
         if resp.head.status != StatusCode::INTERNAL_SERVER_ERROR {
             self.service.upstreams().answered(id);
         }
-        AttemptOutcome::Answer(Box::new(resp))
+        Ok(resp)
     }
 
     /// Records how long the first event of an attempt took.
@@ -78,7 +85,10 @@
     }
 
     /// Handles a server error: the request is repeated if that is possible, else the caller gets the error.
-    fn on_server_error(&mut self, resp: UpstreamResponse) -> AttemptOutcome {
+    fn on_server_error(
+        &self,
+        resp: UpstreamResponse,
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let id = resp.upstream().to_owned();
         let left = self
             .admitted
@@ -88,9 +98,9 @@
             && left > MIN_TIME_FOR_RETRY
             && self.service.budget().left() >= 1.0;
         if may_repeat {
-            return AttemptOutcome::Ended(Ending::Failed, "own-failure");
+            return Err((Ending::Failed, "own-failure"));
         }
         self.record_failure(&id, Ending::Failed, Instant::now());
-        AttemptOutcome::Answer(Box::new(resp))
+        Ok(resp)
     }
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use wagtailreel_fleet::Fingerprint;
 
 use crate::admit::Admitted;
@@ -258,35 +257,17 @@
         let lease = self.count_in_flight(pick);
         self.sent_at = Instant::now();
         self.attempts.begin();
-        let (conn, answer) = self.exchange(conn, req, last_event).await;
-        let response = match answer {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent)) => {
-                self.attempts.not_sent();
-                return AttemptOutcome::Ended(Ending::NotSent, "connection-closed");
-            }
-            Ok(Err(err)) => return AttemptOutcome::Ended(Ending::Lost, err.why()),
-            Err(Abandoned::Ended(why)) => return AttemptOutcome::Ended(Ending::Lost, why),
-            Err(Abandoned::Replaced(other)) => {
-                return match other.answer {
-                    Ok(resp) => {
-                        self.take_over(other.call, self.sent_at);
-                        AttemptOutcome::Answer(Box::new(resp))
-                    }
-                    Err(_) => AttemptOutcome::Ended(Ending::Lost, STALLED),
-                };
-            }
-        };
-        let (head, body) = response.into_parts();
-        let meta = self.cx.dialect.answer(head.status, &head.headers);
-        let resp = UpstreamResponse {
-            head,
-            body,
-            meta,
-            conn,
-            lease,
-        };
-        self.on_answer_head(resp)
+        match self.exchange(conn, lease, req, last_event).await {
+            Ok(resp) => AttemptOutcome::Answer(Box::new(resp)),
+            Err(Abandoned::Ended(ending, why)) => AttemptOutcome::Ended(ending, why),
+            Err(Abandoned::Replaced(other, ending, why)) => match other.answer {
+                Ok(resp) => {
+                    self.take_over(other.call, self.sent_at, ending, why);
+                    AttemptOutcome::Answer(Box::new(resp))
+                }
+                Err(_) => AttemptOutcome::Ended(ending, why),
+            },
+        }
     }
 
     /// Charges the retry budget for the next attempt. Returns `false` if the budget is spent.
@@ -319,17 +300,48 @@
     /// stream that stalls, until another upstream has answered.
     async fn exchange(
         &self,
-        mut conn: Connection,
+        conn: Connection,
+        lease: Lease,
         req: Request<Full<Bytes>>,
         last_event: Option<u64>,
-    ) -> (Connection, ExchangeResult<D>) {
-        let answer = tokio::select! {
-            answer = self.exchange_or_replace(&mut conn, req, last_event) => answer,
+    ) -> ExchangeResult<D> {
+        tokio::select! {
+            answer = self.exchange_or_replace(conn, lease, req, last_event) => answer,
             () = self.cx.quarantine.until_quarantined(|| self.suspects()) => {
-                Err(Abandoned::Ended(QUARANTINED))
+                Err(Abandoned::Ended(Ending::Lost, QUARANTINED))
             }
-        };
-        (conn, answer)
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended without an answer, with the reason for the log.
+    pub(crate) async fn exchange_head(
+        &self,
+        mut conn: Connection,
+        lease: Lease,
+        req: Request<Full<Bytes>>,
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
+        match conn.send(req).await {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                let meta = self.cx.dialect.answer(head.status, &head.headers);
+                self.check_head(UpstreamResponse {
+                    head,
+                    body,
+                    meta,
+                    conn,
+                    lease,
+                })
+            }
+            Err(SendError::NotSent) => {
+                self.attempts.not_sent();
+                Err((Ending::NotSent, "connection-closed"))
+            }
+            Err(err) => Err((Ending::Lost, err.why())),
+        }
     }
 
     fn request(&self, pick: &Pick, last_event: Option<u64>) -> Option<Request<Full<Bytes>>> {
@@ -353,14 +365,13 @@
     }
 }
 
-/// Why an attempt is abandoned before the head of its answer.
+/// Why an attempt has no answer of its own upstream.
 pub(crate) enum Abandoned<D> {
-    /// The attempt is lost, for this reason.
-    Ended(&'static str),
-    /// Another upstream was asked, and the current one did not go on before.
-    Replaced(Box<Replaced<D>>),
+    /// The attempt ended so, for this reason.
+    Ended(Ending, &'static str),
+    /// Another upstream has answered; the attempt ended so, for this reason.
+    Replaced(Box<Replaced<D>>, Ending, &'static str),
 }
 
-/// Result of sending a request: a response, a send error, or why the attempt was abandoned.
-pub(crate) type ExchangeResult<D> =
-    Result<Result<http::Response<Incoming>, SendError>, Abandoned<D>>;
+/// Result of sending a request: a response, or why the attempt was abandoned.
+pub(crate) type ExchangeResult<D> = Result<UpstreamResponse, Abandoned<D>>;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -215,7 +215,8 @@
         if let Mode::Events(splitter) = &mut self.mode {
             splitter.restart();
         }
-        self.call.take_over(other.call, since);
+        self.call
+            .take_over(other.call, since, Ending::Lost, STALLED);
         self.log.resumed(resp.upstream());
         self.resp = Some(Box::new(resp));
         self.has_first_event = false;
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -7,8 +7,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures::FutureExt as _;
 use futures::future::{Fuse, FusedFuture as _};
+use http::Request;
+use http_body_util::Full;
 use wagtailreel_route::direct::{Attempt, Ending, Next, Pick, Suspicion, next_step};
 
 use crate::attempt::{Abandoned, Call, ExchangeResult, MIN_TIME_FOR_RETRY, STALLED};
@@ -17,7 +20,7 @@
 use crate::lost::Probe;
 use crate::pool::Connection;
 use crate::refusal::Refusal;
-use crate::response::UpstreamResponse;
+use crate::response::{Lease, UpstreamResponse};
 
 /// Maximum time between two checks of the weights bound of a request that has no first event yet: newer
 /// weights with an earlier bound may be named meanwhile.
@@ -143,20 +146,20 @@
     }
 
     /// Takes over the state of `other`, whose upstream replaces the current one.
-    /// The current one was silent since `since`.
-    pub(crate) fn take_over(&mut self, other: Self, since: Instant) {
+    /// The current one was silent since `since`; its attempt ended as `ending` says, and `why` is the reason for
+    /// the log.
+    pub(crate) fn take_over(
+        &mut self,
+        other: Self,
+        since: Instant,
+        ending: Ending,
+        why: &'static str,
+    ) {
         self.record_stall("replaced", since, other.last_pick.as_ref());
         if let Some(pick) = &self.last_pick {
             let budget = self.service.budget().left();
-            self.record_failure(&pick.id, Ending::Lost, Instant::now());
-            self.log_ended(
-                &pick.id,
-                Ending::Lost,
-                STALLED,
-                Next::Again,
-                budget,
-                Probe::Unknown,
-            );
+            self.record_failure(&pick.id, ending, Instant::now());
+            self.log_ended(&pick.id, ending, why, Next::Again, budget, Probe::Unknown);
         }
         *self = other;
     }
@@ -186,23 +189,28 @@
     /// for meanwhile, and the first of both to answer has it.
     pub(crate) async fn exchange_or_replace(
         &self,
-        conn: &mut Connection,
-        req: http::Request<http_body_util::Full<bytes::Bytes>>,
+        conn: Connection,
+        lease: Lease,
+        req: Request<Full<Bytes>>,
         last_event: Option<u64>,
     ) -> ExchangeResult<D> {
         let kind = self.admitted.route.kind;
         if !kind.is_stream() || !kind.repeatable() {
-            return Ok(conn.send(req).await);
+            let answer = self.exchange_head(conn, lease, req).await;
+            return answer.map_err(|(ending, why)| Abandoned::Ended(ending, why));
         }
-        let mut sending = std::pin::pin!(conn.send(req));
+        let mut sending = Box::pin(self.exchange_head(conn, lease, req));
         let mut replacement: Fuse<Pin<Box<_>>> = Fuse::terminated();
         let mut wait_until = None;
+        let mut sent_before = 0;
         loop {
             let is_replacing = !replacement.is_terminated();
             let now = Instant::now();
             let wait = match self.check_stall(self.sent_at, false) {
-                StallCheck::Outdated if is_replacing => return Err(replaced(replacement.await)),
-                StallCheck::Outdated => return Err(Abandoned::Ended(STALLED)),
+                StallCheck::Outdated if is_replacing => {
+                    return Err(replaced(replacement.await, Ending::Lost, STALLED));
+                }
+                StallCheck::Outdated => return Err(Abandoned::Ended(Ending::Lost, STALLED)),
                 StallCheck::Wait(wait) => wait,
                 StallCheck::Stalled
                     if is_replacing || wait_until.is_some_and(|until| now < until) =>
@@ -211,6 +219,7 @@
                 }
                 StallCheck::Stalled => {
                     if let Some(call) = self.begin_replacement() {
+                        sent_before = self.attempts.sent();
                         // Boxed, as the replacement may stall as well.
                         replacement = Box::pin(call.replace(last_event)).fuse();
                     } else if wait_until.is_none() {
@@ -223,31 +232,60 @@
             tokio::select! {
                 biased;
                 answer = &mut sending => {
-                    return match answer {
-                        Err(_) if is_replacing => Err(replaced(replacement.await)),
-                        // Without the replacement the request would end by the refusal of one upstream.
-                        Ok(resp) if is_replacing && resp.status().is_server_error() => {
-                            Err(replaced(replacement.await))
-                        }
-                        answer => {
-                            if is_replacing {
-                                self.record_stall("went-on", self.sent_at, None);
-                            }
-                            Ok(answer)
-                        }
-                    };
+                    if !is_replacing {
+                        return answer.map_err(|(ending, why)| Abandoned::Ended(ending, why));
+                    }
+                    let is_sent = self.attempts.sent() > sent_before;
+                    return self.answered_beside(answer, replacement, is_sent).await;
                 }
                 other = &mut replacement, if is_replacing => {
                     if other.is_success() {
-                        return Err(replaced(other));
+                        return Err(replaced(other, Ending::Lost, STALLED));
                     }
                 }
                 () = tokio::time::sleep(wait) => {}
             }
         }
     }
+
+    /// Decides between the answer of the stalled upstream, which came first, and `other`, which has sent the
+    /// request if `is_sent`.
+    ///
+    /// An answer that does not serve the request waits for the other upstream's, and counts if that has none.
+    async fn answered_beside<F>(
+        &self,
+        answer: Result<UpstreamResponse, (Ending, &'static str)>,
+        other: F,
+        is_sent: bool,
+    ) -> ExchangeResult<D>
+    where
+        F: Future<Output = Replaced<D>>,
+    {
+        match answer {
+            Ok(resp) if is_sent && resp.head.status.is_server_error() => {
+                let deadline = self.admitted.deadline;
+                // Later the caller would get no answer.
+                let until = deadline.checked_sub(MIN_TIME_FOR_RETRY).unwrap_or(deadline);
+                match tokio::time::timeout_at(until.into(), other).await {
+                    Ok(other) if other.is_success() => {
+                        Err(replaced(other, Ending::Failed, "own-failure"))
+                    }
+                    _ => Ok(resp),
+                }
+            }
+            Ok(resp) => {
+                self.record_stall("went-on", self.sent_at, None);
+                Ok(resp)
+            }
+            // Nothing has run the request, so that it is chosen for anew, or refused.
+            Err((ending, why)) if !is_sent && ending != Ending::Lost => {
+                Err(Abandoned::Ended(ending, why))
+            }
+            Err((ending, why)) => Err(replaced(other.await, ending, why)),
+        }
+    }
 }
 
-fn replaced<D>(other: Replaced<D>) -> Abandoned<D> {
-    Abandoned::Replaced(Box::new(other))
+fn replaced<D>(other: Replaced<D>, ending: Ending, why: &'static str) -> Abandoned<D> {
+    Abandoned::Replaced(Box::new(other), ending, why)
 }
--- a/crates/direct/tests/replaced_upstream.rs
+++ b/crates/direct/tests/replaced_upstream.rs
@@ -11,6 +11,7 @@
     TestDialect, directory, engine_record, entry, register, until_readiness, until_status,
 };
 use futures::future::join_all;
+use rstest::rstest;
 use wagtailreel_direct::DirectEntry;
 use wagtailreel_fleet::Directory;
 use wagtailreel_standins::RegistryStandin;
@@ -48,6 +49,52 @@
     assert_eq!(answer.body, body_of(1, 3));
 }
 
+/// Returns an answer with `status`, after the silence.
+fn late_answer(status: u16, header: &str) -> Act {
+    let text = format!("HTTP/1.1 {status} X\r\n{header}content-length: 0\r\n\r\n");
+    Act::Silence(String::new(), SILENCE_MS, text)
+}
+
+/// Sends a stream to an upstream that follows `first`, beside which one that follows `other` comes up.
+async fn answer_of_two(first: Act, other: Act) -> Answer {
+    let registry = RegistryStandin::default();
+    let first = TestUpstream::start(&[first]).await;
+    let other = TestUpstream::start(&[other.clone(), other]).await;
+    register(&registry, "a", first.addr);
+    let entry = start(&registry, directory(1)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
+    first.until_seen(1).await;
+    register(&registry, "b", other.addr);
+    waiting.await.unwrap()
+}
+
+/// A refusal of the stalled upstream does not end the other one's attempt.
+#[rstest]
+#[tokio::test]
+async fn refused_late(#[values(429, 421, 408, 503)] status: u16) {
+    let refusal = late_answer(status, "x-not-run: 1\r\n");
+    let answer = answer_of_two(refusal, Act::DelayedEvents(600, 1, 3)).await;
+    assert_whole(&answer);
+}
+
+/// A request that both upstreams refuse as not run is not reported as one that may have run.
+#[tokio::test]
+async fn refused_twice() {
+    let refusal = late_answer(429, "x-not-run: 1\r\n");
+    let other = Act::DelayedAnswerWith(600, 429, "x-not-run: 1\r\n");
+    let answer = answer_of_two(refusal, other).await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
+
+/// A server error is passed on if the other upstream does not answer.
+#[tokio::test]
+async fn error_late() {
+    let other = Act::DelayedAnswerWith(600, 429, "x-not-run: 1\r\n");
+    let answer = answer_of_two(late_answer(500, ""), other).await;
+    assert_eq!(answer.status, 500, "{answer:?}");
+}
+
 /// Looking for another upstream is no attempt: a stream that went on is still resumed once it breaks off.
 #[tokio::test]
 async fn unsent_attempt() {
