Keep a stalled stream's upstream until another one has sent an event

A stream was cut, or got 502, if the other upstream broke off after the head of its answer, although the stalled one would have gone on: it was given up at that head.

The other upstream's answer is now read to its first complete event, or its end, while the stalled one is still read. If the answer breaks off before, that attempt is lost, and the next one follows as the route, the attempts and the retry budget allow.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -330,6 +330,7 @@
                 let meta = self.cx.dialect.answer(head.status, &head.headers);
                 self.check_head(UpstreamResponse {
                     head,
+                    read_ahead: None,
                     body,
                     meta,
                     conn,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod event_splitter;
 pub mod events;
 mod exchange;
+mod first_event;
 mod front;
 mod head_scan;
 mod held;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -22,7 +22,7 @@
 
 /// Maximum bytes of an answer, in case that it has no end. They take 9 s on a link of 60 Mbit/s, which is longer
 /// than any deadline.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+pub(crate) const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Maximum bytes that are relayed after the deadline, as long as they have arrived already. The receive buffer
 /// of a socket holds no more for an answer that its upstream has sent in time.
@@ -266,6 +266,10 @@
         let Some(resp) = &mut self.resp else {
             return Read::Broken;
         };
+        if let Some(data) = resp.read_ahead.take() {
+            self.received = self.received.saturating_add(data.len());
+            return Read::Data(data);
+        }
         let is_resumable =
             self.call.admitted.route.kind.repeatable() && matches!(self.mode, Mode::Events(_));
         loop {
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -1,7 +1,7 @@
 //! Replacement of an upstream at which a stream stalls.
 //!
 //! The upstream may be sound and go on after a moment, and another one may not be available. So the stream keeps
-//! its upstream until another one has answered.
+//! its upstream until another one has sent an event.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -135,16 +135,41 @@
             )
     }
 
-    /// Looks for an upstream until the deadline of the request.
+    /// Looks for an upstream that sends an event after `last_event`, until the deadline of the request.
     pub(crate) async fn replace(mut self, last_event: Option<u64>) -> Replaced<D> {
         let deadline = self.admitted.deadline;
-        let obtained = tokio::time::timeout_at(deadline.into(), self.obtain(last_event)).await;
+        let begun = tokio::time::timeout_at(deadline.into(), self.begin_stream(last_event)).await;
         Replaced {
-            answer: obtained.unwrap_or(Err(Refusal::Timeout)),
+            answer: begun.unwrap_or(Err(Refusal::Timeout)),
             call: self,
         }
     }
 
+    /// Sends the request to upstreams until one has sent an event, or an answer that is no stream.
+    async fn begin_stream(&mut self, last_event: Option<u64>) -> Result<UpstreamResponse, Refusal> {
+        loop {
+            let resp = self.obtain(last_event).await?;
+            if !resp.head.status.is_success() {
+                return Ok(resp);
+            }
+            let upstream = resp.upstream().to_owned();
+            let (ending, why) = match self.read_first_event(resp, last_event).await {
+                Ok(resp) => return Ok(resp),
+                Err(Abandoned::Ended(ending, why)) => (ending, why),
+                Err(Abandoned::Replaced(other, ending, why)) => match other.answer {
+                    Ok(resp) => {
+                        self.take_over(other.call, self.sent_at, ending, why);
+                        return Ok(resp);
+                    }
+                    Err(_) => (ending, why),
+                },
+            };
+            if self.ended(&upstream, ending, why).await != Next::Again {
+                return Err(Refusal::Unknown);
+            }
+        }
+    }
+
     /// Takes over the state of `other`, whose upstream replaces the current one.
     /// The current one was silent since `since`; its attempt ended as `ending` says, and `why` is the reason for
     /// the log.
@@ -286,6 +311,7 @@
     }
 }
 
-fn replaced<D>(other: Replaced<D>, ending: Ending, why: &'static str) -> Abandoned<D> {
+/// Returns that `other` replaces an attempt, which ended so for the reason `why`.
+pub(crate) fn replaced<D>(other: Replaced<D>, ending: Ending, why: &'static str) -> Abandoned<D> {
     Abandoned::Replaced(Box::new(other), ending, why)
 }
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::header;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -55,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub(crate) head: Parts,
+    /// Bytes that were read of the body already.
+    pub(crate) read_ahead: Option<Bytes>,
     pub(crate) body: Incoming,
     pub(crate) meta: AnswerHead,
     pub(crate) conn: Connection,
--- a/crates/direct/tests/replaced_upstream.rs
+++ b/crates/direct/tests/replaced_upstream.rs
@@ -57,11 +57,16 @@
 
 /// Sends a stream to an upstream that follows `first`, beside which one that follows `other` comes up.
 async fn answer_of_two(first: Act, other: Act) -> Answer {
+    answer_with_attempts(first, other, 2).await
+}
+
+/// As [`answer_of_two`], with as many attempts at most.
+async fn answer_with_attempts(first: Act, other: Act, max_attempts: u32) -> Answer {
     let registry = RegistryStandin::default();
     let first = TestUpstream::start(&[first]).await;
     let other = TestUpstream::start(&[other.clone(), other]).await;
     register(&registry, "a", first.addr);
-    let entry = start(&registry, directory(1)).await;
+    let entry = start(&registry, with_attempts(max_attempts)).await;
     let callers = entry.callers();
     let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
     first.until_seen(1).await;
@@ -95,6 +100,20 @@
     assert_eq!(answer.status, 500, "{answer:?}");
 }
 
+/// A stream is not lost to an upstream that breaks off after the head of its answer.
+#[rstest]
+#[tokio::test]
+async fn head_alone(#[values(0, 1)] events_before: u64, #[values(2, 3)] max_attempts: u32) {
+    let (before, rest) = match events_before {
+        0 => (String::new(), stream_head("r1") + &events(1, 3)),
+        _ => (stream_head("r1") + &events(1, 1), events(2, 3)),
+    };
+    let first = Act::Silence(before, SILENCE_MS, rest + END);
+    let other = Act::Steps(vec![(stream_head("r1"), 150)]);
+    let answer = answer_with_attempts(first, other, max_attempts).await;
+    assert_whole(&answer);
+}
+
 /// Looking for another upstream is no attempt: a stream that went on is still resumed once it breaks off.
 #[tokio::test]
 async fn unsent_attempt() {
