Leave a stalled upstream at the weights bound while another one is asked

A stream whose weights became outdated while another upstream was asked kept its old connection, and its slot there, until the other one had answered or failed. The request to the old upstream now ends at once. An upstream that has answered with a server error gives its slot back at once as well; only its answer is kept.

The slot after a server error has no test of its own.

--- a/crates/direct/src/first_event.rs
+++ b/crates/direct/src/first_event.rs
@@ -38,6 +38,11 @@
             let is_replacing = !replacement.is_terminated();
             let now = Instant::now();
             let wait = match self.check_stall(since, false) {
+                StallCheck::Outdated if is_replacing => {
+                    // Ends the work at the stalled upstream.
+                    drop(resp);
+                    return Err(replaced(replacement.await, Ending::Lost, STALLED));
+                }
                 StallCheck::Outdated => return Err(Abandoned::Ended(Ending::Lost, STALLED)),
                 StallCheck::Wait(wait) => wait,
                 StallCheck::Stalled if self.is_quarantined() => {
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -233,6 +233,8 @@
             let now = Instant::now();
             let wait = match self.check_stall(self.sent_at, false) {
                 StallCheck::Outdated if is_replacing => {
+                    // Ends the work at the stalled upstream.
+                    drop(sending);
                     return Err(replaced(replacement.await, Ending::Lost, STALLED));
                 }
                 StallCheck::Outdated => return Err(Abandoned::Ended(Ending::Lost, STALLED)),
@@ -287,7 +289,8 @@
         F: Future<Output = Replaced<D>>,
     {
         match answer {
-            Ok(resp) if is_sent && resp.head.status.is_server_error() => {
+            Ok(mut resp) if is_sent && resp.head.status.is_server_error() => {
+                resp.lease.end();
                 let deadline = self.admitted.deadline;
                 // Later the caller would get no answer.
                 let until = deadline.checked_sub(MIN_TIME_FOR_RETRY).unwrap_or(deadline);
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -20,6 +20,7 @@
     start: UpstreamStart,
     /// Prompt tokens that the upstream has still to read; 0 once the answer has started.
     prompt_tokens: u32,
+    is_ended: bool,
 }
 
 impl Lease {
@@ -31,6 +32,15 @@
             id: id.to_owned(),
             start,
             prompt_tokens,
+            is_ended: false,
+        }
+    }
+
+    /// Records that the upstream has ended the request.
+    pub(crate) fn end(&mut self) {
+        self.answer_started();
+        if !std::mem::replace(&mut self.is_ended, true) {
+            self.service.upstreams().finished(&self.id, self.start);
         }
     }
 
@@ -47,8 +57,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.answer_started();
-        self.service.upstreams().finished(&self.id, self.start);
+        self.end();
     }
 }
 
--- a/crates/direct/tests/replaced_upstream.rs
+++ b/crates/direct/tests/replaced_upstream.rs
@@ -7,13 +7,14 @@
 
 use common::caller::{Answer, call};
 use common::upstream::{Act, TestUpstream, body_of, events, stream_head};
+use common::weights::{WRITTEN, name};
 use common::{
-    TestDialect, directory, engine_record, entry, register, until_readiness, until_status,
+    TestDialect, directory, engine_record, entry, register, route, until_readiness, until_status,
 };
 use futures::future::join_all;
 use rstest::rstest;
 use wagtailreel_direct::DirectEntry;
-use wagtailreel_fleet::Directory;
+use wagtailreel_fleet::{Directory, RouteKind};
 use wagtailreel_standins::RegistryStandin;
 
 const END: &str = "0\r\n\r\n";
@@ -187,3 +188,30 @@
     let seen = [&first, &second, &third, &fourth].map(|it| it.seen().len());
     assert_eq!(seen, [1, 1, 1, 0]);
 }
+
+/// A stream leaves an upstream with outdated weights at their bound, also while another one is asked.
+#[tokio::test]
+async fn outdated_weights() {
+    let registry = RegistryStandin::default();
+    let old = TestUpstream::start(&[Act::Events(1, 1), Act::NoAnswer]).await;
+    let other = TestUpstream::start(&[Act::NoAnswer]).await;
+    let stream = RouteKind::Stream {
+        resumable: true,
+        gap: Some(Duration::from_millis(100)),
+    };
+    let mut written = route(WRITTEN, stream);
+    written.services = vec![("writers".to_owned(), 1)];
+    written.max_attempts = 4;
+    registry.config(directory(1).with_routes(vec![written]));
+    let entry = entry(&registry, Duration::from_secs(4)).await;
+    registry.upstream(engine_record("old", &old, 1));
+    let callers = entry.callers();
+    until_status(callers, WRITTEN, 200).await;
+    let waiting = tokio::spawn(async move { call(callers, "GET", WRITTEN).await });
+    old.until_seen(2).await;
+    registry.upstream(engine_record("other", &other, 1));
+    other.until_seen(1).await;
+    name(&registry, 2);
+    old.until_request_aborted().await;
+    assert!(!waiting.is_finished(), "the stream ended before");
+}
