Probe an upstream that breaks off while another one is asked

An attempt that broke off while another upstream was asked was logged as stalled. Its upstream was not probed, so that a request that crashed it was not counted against the request.

The loss is now probed and recorded while the other upstream is awaited, once for each attempt, and the log has the real reason.

broken_beside failed before (no probe came within 2 s) and passes now; silent_upstream and stall pass. It checks the probe; that the crash is counted and the reason logged has no test of its own.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -59,6 +59,8 @@
     /// Whether the request is sent to see whether a quarantined suspect completes.
     pub(crate) is_retry: bool,
     pub(crate) suspects: OnceLock<Vec<Fingerprint>>,
+    /// What is known of the loss of the current attempt.
+    pub(crate) loss: OnceLock<(Probe, Suspicion)>,
 }
 
 impl<D> Call<D>
@@ -83,6 +85,7 @@
             is_uncharged: false,
             is_retry: false,
             suspects: OnceLock::new(),
+            loss: OnceLock::new(),
         }
     }
 
@@ -140,10 +143,13 @@
         if ending == Ending::NotSent {
             self.unreached += 1;
         }
-        let probe = match ending {
-            Ending::Lost if why != STALLED && why != QUARANTINED => self.probe_upstream().await,
-            _ => Probe::Unknown,
-        };
+        if ending == Ending::Lost {
+            self.record_loss(why).await;
+        }
+        let (probe, suspicion) = self
+            .loss
+            .take()
+            .unwrap_or((Probe::Unknown, Suspicion::None));
         let now = Instant::now();
         let left = self.admitted.deadline.saturating_duration_since(now);
         let mut next = next_step(Attempt {
@@ -155,7 +161,6 @@
             may_have_run: self.attempts.may_have_run(),
             has_time: left > MIN_TIME_FOR_RETRY,
         });
-        let suspicion = self.record_crash(probe);
         if next == Next::Again && ending == Ending::Lost && suspicion != Suspicion::None {
             next = Next::Unknown;
         }
--- a/crates/direct/src/first_event.rs
+++ b/crates/direct/src/first_event.rs
@@ -91,7 +91,8 @@
             };
             drop(resp);
             if is_replacing {
-                return Err(replaced(replacement.await, Ending::Lost, why));
+                let ((), other) = tokio::join!(self.record_loss(why), replacement);
+                return Err(replaced(other, Ending::Lost, why));
             }
             return Err(Abandoned::Ended(Ending::Lost, why));
         }
--- a/crates/direct/src/lost.rs
+++ b/crates/direct/src/lost.rs
@@ -9,7 +9,7 @@
 use wagtailreel_fleet::Fingerprint;
 use wagtailreel_route::direct::{Ending, Suspicion};
 
-use crate::attempt::Call;
+use crate::attempt::{Call, QUARANTINED, STALLED};
 use crate::dialect::Dialect;
 use crate::pool::Connection;
 use crate::quarantine_sync::Admission;
@@ -124,11 +124,20 @@
         self.cx.quarantine.suspicion(self.suspects()) != Suspicion::None
     }
 
+    /// Probes the upstream that lost the current attempt for the reason `why`, and records its end, once for each
+    /// attempt. One that was given up by this entry is not probed.
+    pub(crate) async fn record_loss(&self, why: &str) {
+        if why != STALLED && why != QUARANTINED && self.loss.get().is_none() {
+            let probe = self.probe_upstream().await;
+            self.loss.get_or_init(|| (probe, self.record_crash(probe)));
+        }
+    }
+
     /// Records the end of the upstream if the probe shows that it ended; returns the suspicion against the
     /// request.
     ///
     /// An upstream that was draining ended for a reason of its own, and is not counted against the request.
-    pub(crate) fn record_crash(&self, probe: Probe) -> Suspicion {
+    fn record_crash(&self, probe: Probe) -> Suspicion {
         let pick = self.last_pick.as_ref().filter(|_| probe == Probe::Ended);
         match pick.filter(|pick| self.service.upstreams().may_send(&pick.id)) {
             Some(pick) => self.cx.quarantine.ended(self.suspects(), pick),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -132,7 +132,7 @@
                 biased;
                 read = self.read(since, is_replacing, held_until) => read,
                 other = &mut replacement, if is_replacing => {
-                    if self.take_over(other, since) {
+                    if self.take_over(other, since, STALLED) {
                         since = Instant::now();
                     }
                     continue;
@@ -184,8 +184,8 @@
                 }
             };
             if is_replacing && self.resp.take().is_some() {
-                let other = replacement.as_mut().await;
-                if self.take_over(other, since) {
+                let ((), other) = tokio::join!(self.call.record_loss(ending), &mut replacement);
+                if self.take_over(other, since, ending) {
                     since = Instant::now();
                     continue;
                 }
@@ -205,7 +205,7 @@
     }
 
     /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
-    fn take_over(&mut self, other: Replaced<D>, since: Instant) -> bool {
+    fn take_over(&mut self, other: Replaced<D>, since: Instant, why: &'static str) -> bool {
         if !other.is_success() {
             return false;
         }
@@ -215,8 +215,7 @@
         if let Mode::Events(splitter) = &mut self.mode {
             splitter.restart();
         }
-        self.call
-            .take_over(other.call, since, Ending::Lost, STALLED);
+        self.call.take_over(other.call, since, Ending::Lost, why);
         self.log.resumed(resp.upstream());
         self.resp = Some(Box::new(resp));
         self.has_first_event = false;
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -4,7 +4,7 @@
 //! its upstream until another one has sent an event.
 
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -122,6 +122,7 @@
             is_uncharged: true,
             is_retry: false,
             suspects: self.suspects.clone(),
+            loss: OnceLock::new(),
         })
     }
 
@@ -183,8 +184,9 @@
         self.record_stall("replaced", since, other.last_pick.as_ref());
         if let Some(pick) = &self.last_pick {
             let budget = self.service.budget().left();
+            let probe = self.loss.get().map_or(Probe::Unknown, |(probe, _)| *probe);
             self.record_failure(&pick.id, ending, Instant::now());
-            self.log_ended(&pick.id, ending, why, Next::Again, budget, Probe::Unknown);
+            self.log_ended(&pick.id, ending, why, Next::Again, budget, probe);
         }
         *self = other;
     }
@@ -309,6 +311,10 @@
             Err((ending, why)) if !is_sent && ending != Ending::Lost => {
                 Err(Abandoned::Ended(ending, why))
             }
+            Err((Ending::Lost, why)) => {
+                let ((), other) = tokio::join!(self.record_loss(why), other);
+                Err(replaced(other, Ending::Lost, why))
+            }
             Err((ending, why)) => Err(replaced(other.await, ending, why)),
         }
     }
--- a/crates/direct/tests/replaced_upstream.rs
+++ b/crates/direct/tests/replaced_upstream.rs
@@ -13,6 +13,8 @@
 };
 use futures::future::join_all;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 use wagtailreel_direct::DirectEntry;
 use wagtailreel_fleet::{Directory, RouteKind};
 use wagtailreel_standins::RegistryStandin;
@@ -28,6 +30,9 @@
 /// Reads after the streams. With a spent retry budget they earn less than two retries.
 const READS: usize = 8;
 
+/// Time within which a lost upstream has been probed.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
 async fn start(registry: &RegistryStandin, directory: Directory) -> DirectEntry<TestDialect> {
     registry.config(directory);
     let entry = entry(registry, Duration::from_secs(4)).await;
@@ -215,3 +220,24 @@
     old.until_request_aborted().await;
     assert!(!waiting.is_finished(), "the stream ended before");
 }
+
+/// An upstream that breaks off while another one is asked is probed, as it may have crashed.
+#[tokio::test]
+async fn broken_beside() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let registry = RegistryStandin::default();
+    let other = TestUpstream::start(&[Act::DelayedEvents(600, 1, 3)]).await;
+    register(&registry, "a", listener.local_addr().unwrap());
+    let entry = start(&registry, directory(1)).await;
+    let callers = entry.callers();
+    let waiting = tokio::spawn(async move { call(callers, "GET", "/stream/1").await });
+    let (mut first, _) = listener.accept().await.unwrap();
+    let begin = stream_head("r1") + &events(1, 1);
+    first.write_all(begin.as_bytes()).await.unwrap();
+    register(&registry, "b", other.addr);
+    other.until_seen(1).await;
+    drop(first);
+    let probed = tokio::time::timeout(PROBE_TIMEOUT, listener.accept()).await;
+    assert_whole(&waiting.await.unwrap());
+    assert!(probed.is_ok(), "the upstream was not probed");
+}
