--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{Call, MIN_TIME_FOR_RETRY};
 use crate::dialect::Dialect;
+use crate::refusal::Refusal;
 use crate::response::UpstreamResponse;
 
 /// Outcome of an attempt that had a connection.
@@ -16,6 +17,8 @@
     Answer(Box<UpstreamResponse>),
     /// No answer came; with the reason for the log.
     Ended(Ending, &'static str),
+    /// The attempt was not made, and no further one follows.
+    Refused(Refusal),
 }
 
 impl<D> Call<D>
@@ -24,11 +27,14 @@
 {
     /// Decides from the head of an answer whether the attempt succeeded, and records what it says of the
     /// upstream.
-    pub(crate) fn on_answer_head(
-        &mut self,
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended without an answer for the caller, with the reason for the log.
+    pub(crate) fn check_head(
+        &self,
         resp: UpstreamResponse,
-        may_have_run_before: bool,
-    ) -> AttemptOutcome {
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let now = Instant::now();
         let is_same_request = resp
             .meta
@@ -36,7 +42,7 @@
             .as_ref()
             .is_none_or(|id| *id == self.admitted.id);
         if !is_same_request {
-            return AttemptOutcome::Ended(Ending::Lost, "answers-another-request");
+            return Err((Ending::Lost, "answers-another-request"));
         }
         self.record_limit(&resp);
         self.record_announcement(&resp);
@@ -48,14 +54,14 @@
             upstreams.record_pace(id, load.pace, now);
         }
         if resp.meta.not_run {
-            self.may_have_run = may_have_run_before;
+            self.attempts.not_run();
             let mut upstreams = self.service.upstreams();
             if resp.meta.misdirected {
                 upstreams.misdirected(id, now);
-                return AttemptOutcome::Ended(Ending::NotRun, "another-instance-or-weights");
+                return Err((Ending::NotRun, "another-instance-or-weights"));
             }
             upstreams.full(id, now);
-            return AttemptOutcome::Ended(Ending::NotRun, "refused");
+            return Err((Ending::NotRun, "refused"));
         }
         if resp.head.status.is_server_error() && self.admitted.route.kind == RouteKind::Idempotent {
             return self.on_server_error(resp);
@@ -63,7 +69,7 @@
         if resp.head.status != StatusCode::INTERNAL_SERVER_ERROR {
             self.service.upstreams().answered(id);
         }
-        AttemptOutcome::Answer(Box::new(resp))
+        Ok(resp)
     }
 
     /// Records how long the first event of an attempt took.
@@ -79,19 +85,22 @@
     }
 
     /// Handles a server error: the request is repeated if that is possible, else the caller gets the error.
-    fn on_server_error(&mut self, resp: UpstreamResponse) -> AttemptOutcome {
+    fn on_server_error(
+        &self,
+        resp: UpstreamResponse,
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let id = resp.upstream().to_owned();
         let left = self
             .admitted
             .deadline
             .saturating_duration_since(Instant::now());
-        let may_repeat = self.sent < self.admitted.route.max_attempts
+        let may_repeat = self.attempts.sent() < self.admitted.route.max_attempts
             && left > MIN_TIME_FOR_RETRY
             && self.service.budget().left() >= 1.0;
         if may_repeat {
-            return AttemptOutcome::Ended(Ending::Failed, "own-failure");
+            return Err((Ending::Failed, "own-failure"));
         }
         self.record_failure(&id, Ending::Failed, Instant::now());
-        AttemptOutcome::Answer(Box::new(resp))
+        Ok(resp)
     }
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,18 +1,16 @@
 //! The attempts of one request at upstreams.
 
-use std::collections::BTreeSet;
-use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use wagtailreel_fleet::{Fingerprint, UpstreamId};
+use wagtailreel_fleet::Fingerprint;
 
 use crate::admit::Admitted;
 use crate::answered::AttemptOutcome;
+use crate::attempts::Attempts;
 use crate::dialect::{Dialect, Dispatch};
 use crate::events;
 use crate::lost::Probe;
@@ -43,29 +41,26 @@
     pub(crate) body: Bytes,
 }
 
-/// One request and its attempts.
-///
-/// Invariant: `may_have_run` is set before the first byte of an attempt is sent, and cleared only if no
-/// byte was sent or the upstream states that it did not run the request.
+/// One request at its current upstream, and its attempts.
 #[derive(Debug)]
 pub(crate) struct Call<D> {
     pub(crate) cx: Arc<Shared<D>>,
     pub(crate) admitted: Admitted,
     pub(crate) template: Template,
-    pub(crate) sent: u32,
+    pub(crate) attempts: Arc<Attempts>,
     /// The upstream of the current attempt, with the load that the choice was based on.
     pub(crate) last_pick: Option<Pick>,
     pub(crate) sent_at: Instant,
     pub(crate) stall_policy: StallPolicy,
     pub(crate) service: Arc<Service>,
-    pub(crate) tried: BTreeSet<UpstreamId>,
     pub(crate) unreached: u32,
-    pub(crate) may_have_run: bool,
+    /// Whether the retry budget is still to be charged for the next attempt.
+    pub(crate) is_uncharged: bool,
     /// Whether the request is sent to see whether a quarantined suspect completes.
     pub(crate) is_retry: bool,
     pub(crate) suspects: OnceLock<Vec<Fingerprint>>,
-    /// Attempts that were made while the current upstream had the request.
-    pub(crate) sent_beside: AtomicU32,
+    /// What is known of the loss of the current attempt.
+    pub(crate) loss: OnceLock<(Probe, Suspicion)>,
 }
 
 impl<D> Call<D>
@@ -81,17 +76,16 @@
             cx,
             admitted,
             template,
-            sent: 0,
+            attempts: Arc::default(),
             last_pick: None,
             sent_at: Instant::now(),
             stall_policy,
             service,
-            tried: BTreeSet::new(),
             unreached: 0,
-            may_have_run: false,
+            is_uncharged: false,
             is_retry: false,
             suspects: OnceLock::new(),
-            sent_beside: AtomicU32::new(0),
+            loss: OnceLock::new(),
         }
     }
 
@@ -117,6 +111,7 @@
                 Ok(conn) => match self.send(&pick, conn, last_event).await {
                     AttemptOutcome::Answer(resp) => return Ok(*resp),
                     AttemptOutcome::Ended(ending, why) => (ending, why),
+                    AttemptOutcome::Refused(refusal) => return Err(refusal),
                 },
                 Err(ending) => (ending, "no-connection"),
             };
@@ -129,8 +124,8 @@
     }
 
     /// Returns the refusal for a request whose deadline has passed.
-    pub(crate) const fn out_of_time(&self) -> Refusal {
-        if self.may_have_run {
+    pub(crate) fn out_of_time(&self) -> Refusal {
+        if self.attempts.may_have_run() {
             Refusal::Timeout
         } else {
             Refusal::Deadline
@@ -148,29 +143,31 @@
         if ending == Ending::NotSent {
             self.unreached += 1;
         }
-        let probe = match ending {
-            Ending::Lost if why != STALLED && why != QUARANTINED => self.probe_upstream().await,
-            _ => Probe::Unknown,
-        };
+        if ending == Ending::Lost {
+            self.record_loss(why).await;
+        }
+        let (probe, suspicion) = self
+            .loss
+            .take()
+            .unwrap_or((Probe::Unknown, Suspicion::None));
         let now = Instant::now();
         let left = self.admitted.deadline.saturating_duration_since(now);
         let mut next = next_step(Attempt {
             kind: self.admitted.route.kind,
             ending,
-            sent: self.sent_in_all(),
+            sent: self.attempts.sent(),
             max_attempts: self.admitted.route.max_attempts,
             unreached: self.unreached,
-            may_have_run: self.may_have_run,
+            may_have_run: self.attempts.may_have_run(),
             has_time: left > MIN_TIME_FOR_RETRY,
         });
-        let suspicion = self.record_crash(probe);
         if next == Next::Again && ending == Ending::Lost && suspicion != Suspicion::None {
             next = Next::Unknown;
         }
         // An attempt that reached no upstream adds no load, so the retry budget does not count it.
-        let is_repeat = self.sent > 0;
+        let is_repeat = self.attempts.sent() > 0;
         let budget = self.service.budget().left();
-        if next == Next::Again && is_repeat && !self.service.budget().retry() {
+        if next == Next::Again && is_repeat && !self.charge() {
             next = self.next_without_budget(ending);
         }
         self.record_failure(upstream, ending, now);
@@ -198,7 +195,7 @@
             ("why", why),
             ("next", &next.to_string()),
             ("budget", &format!("{budget:.1}")),
-            ("sent", &self.sent.to_string()),
+            ("sent", &self.attempts.sent().to_string()),
             ("left_ms", &left.as_millis().to_string()),
             ("seen", &probe.to_string()),
             ("fingerprint", &self.logged_fingerprint(ending)),
@@ -211,7 +208,7 @@
         match ending {
             Ending::Failed => Next::PassOn,
             Ending::Lost => Next::Unknown,
-            Ending::NotSent | Ending::NotRun if self.may_have_run => Next::Unknown,
+            Ending::NotSent | Ending::NotRun if self.attempts.may_have_run() => Next::Unknown,
             Ending::NotSent | Ending::NotRun => Next::Refuse,
         }
     }
@@ -232,8 +229,8 @@
         }
     }
 
-    async fn connect(&mut self, pick: &Pick) -> Result<Connection, Ending> {
-        self.tried.insert(pick.id.clone());
+    async fn connect(&self, pick: &Pick) -> Result<Connection, Ending> {
+        self.attempts.tries(&pick.id);
         let repeatable = self.admitted.route.kind.repeatable();
         if let Some(conn) = self
             .service
@@ -259,45 +256,30 @@
         let Some(req) = self.request(pick, last_event) else {
             return AttemptOutcome::Ended(Ending::NotSent, "no-time");
         };
-        let may_have_run_before = self.may_have_run;
+        if self.is_uncharged && !self.charge() {
+            return AttemptOutcome::Refused(self.refused_by_upstreams());
+        }
         let lease = self.count_in_flight(pick);
         self.sent_at = Instant::now();
-        self.may_have_run = true;
-        self.sent += 1;
-        let (conn, answer) = self.exchange(conn, req, last_event).await;
-        let may_have_run_before = may_have_run_before || self.may_have_run_beside();
-        let response = match answer {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent)) => {
-                self.may_have_run = may_have_run_before;
-                self.sent -= 1;
-                return AttemptOutcome::Ended(Ending::NotSent, "connection-closed");
-            }
-            Ok(Err(err)) => return AttemptOutcome::Ended(Ending::Lost, err.why()),
-            Err(Abandoned::Ended(why)) => return AttemptOutcome::Ended(Ending::Lost, why),
-            Err(Abandoned::Replaced(other)) => {
-                return match other.answer {
-                    Ok(resp) => {
-                        self.take_over(other.call, self.sent_at);
-                        AttemptOutcome::Answer(Box::new(resp))
-                    }
-                    Err(_) => {
-                        self.count_failed(&other.call);
-                        AttemptOutcome::Ended(Ending::Lost, STALLED)
-                    }
-                };
-            }
-        };
-        let (head, body) = response.into_parts();
-        let meta = self.cx.dialect.answer(head.status, &head.headers);
-        let resp = UpstreamResponse {
-            head,
-            body,
-            meta,
-            conn,
-            lease,
-        };
-        self.on_answer_head(resp, may_have_run_before)
+        self.attempts.begin();
+        match self.exchange(conn, lease, req, last_event).await {
+            Ok(resp) => AttemptOutcome::Answer(Box::new(resp)),
+            Err(Abandoned::Ended(ending, why)) => AttemptOutcome::Ended(ending, why),
+            Err(Abandoned::Replaced(other, ending, why)) => match other.answer {
+                Ok(resp) => {
+                    self.take_over(other.call, self.sent_at, ending, why);
+                    AttemptOutcome::Answer(Box::new(resp))
+                }
+                Err(_) => AttemptOutcome::Ended(ending, why),
+            },
+        }
+    }
+
+    /// Charges the retry budget for the next attempt. Returns `false` if the budget is spent.
+    fn charge(&mut self) -> bool {
+        let is_charged = self.service.budget().retry();
+        self.is_uncharged &= !is_charged;
+        is_charged
     }
 
     /// Counts the request as in flight at its upstream, and announces it to the engine's agent.
@@ -323,17 +305,49 @@
     /// stream that stalls, until another upstream has answered.
     async fn exchange(
         &self,
-        mut conn: Connection,
+        conn: Connection,
+        lease: Lease,
         req: Request<Full<Bytes>>,
         last_event: Option<u64>,
-    ) -> (Connection, ExchangeResult<D>) {
-        let answer = tokio::select! {
-            answer = self.exchange_or_replace(&mut conn, req, last_event) => answer,
+    ) -> ExchangeResult<D> {
+        tokio::select! {
+            answer = self.exchange_or_replace(conn, lease, req, last_event) => answer,
             () = self.cx.quarantine.until_quarantined(|| self.suspects()) => {
-                Err(Abandoned::Ended(QUARANTINED))
+                Err(Abandoned::Ended(Ending::Lost, QUARANTINED))
             }
-        };
-        (conn, answer)
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended without an answer, with the reason for the log.
+    pub(crate) async fn exchange_head(
+        &self,
+        mut conn: Connection,
+        lease: Lease,
+        req: Request<Full<Bytes>>,
+    ) -> Result<UpstreamResponse, (Ending, &'static str)> {
+        match conn.send(req).await {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                let meta = self.cx.dialect.answer(head.status, &head.headers);
+                self.check_head(UpstreamResponse {
+                    head,
+                    read_ahead: None,
+                    body,
+                    meta,
+                    conn,
+                    lease,
+                })
+            }
+            Err(SendError::NotSent) => {
+                self.attempts.not_sent();
+                Err((Ending::NotSent, "connection-closed"))
+            }
+            Err(err) => Err((Ending::Lost, err.why())),
+        }
     }
 
     fn request(&self, pick: &Pick, last_event: Option<u64>) -> Option<Request<Full<Bytes>>> {
@@ -357,14 +371,13 @@
     }
 }
 
-/// Why an attempt is abandoned before the head of its answer.
+/// Why an attempt has no answer of its own upstream.
 pub(crate) enum Abandoned<D> {
-    /// The attempt is lost, for this reason.
-    Ended(&'static str),
-    /// Another upstream was asked, and the current one did not go on before.
-    Replaced(Box<Replaced<D>>),
+    /// The attempt ended so, for this reason.
+    Ended(Ending, &'static str),
+    /// Another upstream has answered; the attempt ended so, for this reason.
+    Replaced(Box<Replaced<D>>, Ending, &'static str),
 }
 
-/// Result of sending a request: a response, a send error, or why the attempt was abandoned.
-pub(crate) type ExchangeResult<D> =
-    Result<Result<http::Response<Incoming>, SendError>, Abandoned<D>>;
+/// Result of sending a request: a response, or why the attempt was abandoned.
+pub(crate) type ExchangeResult<D> = Result<UpstreamResponse, Abandoned<D>>;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -22,7 +22,7 @@
 
 /// Maximum bytes of an answer, in case that it has no end. They take 9 s on a link of 60 Mbit/s, which is longer
 /// than any deadline.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+pub(crate) const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Maximum bytes that are relayed after the deadline, as long as they have arrived already. The receive buffer
 /// of a socket holds no more for an answer that its upstream has sent in time.
@@ -132,7 +132,7 @@
                 biased;
                 read = self.read(since, is_replacing, held_until) => read,
                 other = &mut replacement, if is_replacing => {
-                    if self.take_over(other, since) {
+                    if self.take_over(other, since, STALLED) {
                         since = Instant::now();
                     }
                     continue;
@@ -184,8 +184,8 @@
                 }
             };
             if is_replacing && self.resp.take().is_some() {
-                let other = replacement.as_mut().await;
-                if self.take_over(other, since) {
+                let ((), other) = tokio::join!(self.call.record_loss(ending), &mut replacement);
+                if self.take_over(other, since, ending) {
                     since = Instant::now();
                     continue;
                 }
@@ -205,9 +205,8 @@
     }
 
     /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
-    fn take_over(&mut self, other: Replaced<D>, since: Instant) -> bool {
+    fn take_over(&mut self, other: Replaced<D>, since: Instant, why: &'static str) -> bool {
         if !other.is_success() {
-            self.call.count_failed(&other.call);
             return false;
         }
         let Ok(resp) = other.answer else {
@@ -216,7 +215,7 @@
         if let Mode::Events(splitter) = &mut self.mode {
             splitter.restart();
         }
-        self.call.take_over(other.call, since);
+        self.call.take_over(other.call, since, Ending::Lost, why);
         self.log.resumed(resp.upstream());
         self.resp = Some(Box::new(resp));
         self.has_first_event = false;
@@ -266,6 +265,10 @@
         let Some(resp) = &mut self.resp else {
             return Read::Broken;
         };
+        if let Some(data) = resp.read_ahead.take() {
+            self.received = self.received.saturating_add(data.len());
+            return Read::Data(data);
+        }
         let is_resumable =
             self.call.admitted.route.kind.repeatable() && matches!(self.mode, Mode::Events(_));
         loop {
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -1,14 +1,17 @@
 //! Replacement of an upstream at which a stream stalls.
 //!
 //! The upstream may be sound and go on after a moment, and another one may not be available. So the stream keeps
-//! its upstream until another one has answered.
+//! its upstream until another one has sent an event.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures::FutureExt as _;
 use futures::future::{Fuse, FusedFuture as _};
+use http::Request;
+use http_body_util::Full;
 use wagtailreel_route::direct::{Attempt, Ending, Next, Pick, Suspicion, next_step};
 
 use crate::attempt::{Abandoned, Call, ExchangeResult, MIN_TIME_FOR_RETRY, STALLED};
@@ -17,7 +20,7 @@
 use crate::lost::Probe;
 use crate::pool::Connection;
 use crate::refusal::Refusal;
-use crate::response::UpstreamResponse;
+use crate::response::{Lease, UpstreamResponse};
 
 /// Maximum time between two checks of the weights bound of a request that has no first event yet: newer
 /// weights with an earlier bound may be named meanwhile.
@@ -91,38 +94,35 @@
     }
 
     /// Returns the state with which another upstream is looked for, or `None` if the request may not be sent
-    /// again now. The retry budget is charged.
+    /// again now. The retry budget is charged once the request is sent there.
     pub(crate) fn begin_replacement(&self) -> Option<Self> {
         let left = self.time_left();
-        let sent = self.sent_in_all();
         let next = next_step(Attempt {
             kind: self.admitted.route.kind,
             ending: Ending::Lost,
-            sent,
+            sent: self.attempts.sent(),
             max_attempts: self.admitted.route.max_attempts,
             unreached: self.unreached,
             may_have_run: true,
             has_time: left > MIN_TIME_FOR_RETRY,
         });
-        if next != Next::Again || !self.service.budget().retry() {
+        if next != Next::Again || self.service.budget().left() < 1.0 || self.is_suspected() {
             return None;
         }
-        self.sent_beside.fetch_add(1, Ordering::AcqRel);
         Some(Self {
             cx: self.cx.clone(),
             admitted: self.admitted.clone(),
             template: self.template.clone(),
-            sent,
+            attempts: Arc::clone(&self.attempts),
             last_pick: None,
             sent_at: Instant::now(),
             stall_policy: self.stall_policy,
             service: self.service.clone(),
-            tried: self.tried.clone(),
             unreached: self.unreached,
-            may_have_run: true,
+            is_uncharged: true,
             is_retry: false,
             suspects: self.suspects.clone(),
-            sent_beside: AtomicU32::new(0),
+            loss: OnceLock::new(),
         })
     }
 
@@ -136,51 +136,61 @@
             )
     }
 
-    /// Looks for an upstream until the deadline of the request.
+    /// Looks for an upstream that sends an event after `last_event`, until the deadline of the request.
     pub(crate) async fn replace(mut self, last_event: Option<u64>) -> Replaced<D> {
         let deadline = self.admitted.deadline;
-        let obtained = tokio::time::timeout_at(deadline.into(), self.obtain(last_event)).await;
+        let begun = tokio::time::timeout_at(deadline.into(), self.begin_stream(last_event)).await;
         Replaced {
-            answer: obtained.unwrap_or(Err(Refusal::Timeout)),
+            answer: begun.unwrap_or(Err(Refusal::Timeout)),
             call: self,
         }
     }
 
+    /// Sends the request to upstreams until one has sent an event, or an answer that is no stream.
+    async fn begin_stream(&mut self, last_event: Option<u64>) -> Result<UpstreamResponse, Refusal> {
+        loop {
+            let resp = self.obtain(last_event).await?;
+            if !resp.head.status.is_success() {
+                return Ok(resp);
+            }
+            let upstream = resp.upstream().to_owned();
+            let (ending, why) = match self.read_first_event(resp, last_event).await {
+                Ok(resp) => return Ok(resp),
+                Err(Abandoned::Ended(ending, why)) => (ending, why),
+                Err(Abandoned::Replaced(other, ending, why)) => match other.answer {
+                    Ok(resp) => {
+                        self.take_over(other.call, self.sent_at, ending, why);
+                        return Ok(resp);
+                    }
+                    Err(_) => (ending, why),
+                },
+            };
+            if self.ended(&upstream, ending, why).await != Next::Again {
+                return Err(Refusal::Unknown);
+            }
+        }
+    }
+
     /// Takes over the state of `other`, whose upstream replaces the current one.
-    /// The current one was silent since `since`.
-    pub(crate) fn take_over(&mut self, other: Self, since: Instant) {
+    /// The current one was silent since `since`; its attempt ended as `ending` says, and `why` is the reason for
+    /// the log.
+    pub(crate) fn take_over(
+        &mut self,
+        other: Self,
+        since: Instant,
+        ending: Ending,
+        why: &'static str,
+    ) {
         self.record_stall("replaced", since, other.last_pick.as_ref());
         if let Some(pick) = &self.last_pick {
             let budget = self.service.budget().left();
-            self.record_failure(&pick.id, Ending::Lost, Instant::now());
-            self.log_ended(
-                &pick.id,
-                Ending::Lost,
-                STALLED,
-                Next::Again,
-                budget,
-                Probe::Unknown,
-            );
+            let probe = self.loss.get().map_or(Probe::Unknown, |(probe, _)| *probe);
+            self.record_failure(&pick.id, ending, Instant::now());
+            self.log_ended(&pick.id, ending, why, Next::Again, budget, probe);
         }
         *self = other;
     }
 
-    /// Counts the attempts of `other`, which found no upstream that answers.
-    pub(crate) fn count_failed(&self, other: &Self) {
-        let beside = other.sent_in_all().saturating_sub(self.sent);
-        self.sent_beside.fetch_max(beside, Ordering::AcqRel);
-    }
-
-    /// Returns the number of attempts, with those beside the current one.
-    pub(crate) fn sent_in_all(&self) -> u32 {
-        self.sent + self.sent_beside.load(Ordering::Acquire)
-    }
-
-    /// Returns whether another upstream may have got the request while the current one had it.
-    pub(crate) fn may_have_run_beside(&self) -> bool {
-        self.sent_beside.load(Ordering::Acquire) > 0
-    }
-
     /// Logs the outcome of a stall at the current upstream, which sent its last event at `since`.
     pub(crate) fn record_stall(&self, outcome: &str, since: Instant, other: Option<&Pick>) {
         let metric = &self.cx.metrics.stalls;
@@ -191,7 +201,7 @@
             ("outcome", outcome),
             ("silent_ms", &since.elapsed().as_millis().to_string()),
             ("other", other.map_or("", |pick| &pick.id)),
-            ("sent", &self.sent_in_all().to_string()),
+            ("sent", &self.attempts.sent().to_string()),
             ("budget", &format!("{:.1}", self.service.budget().left())),
             ("left_ms", &self.time_left().as_millis().to_string()),
         ]);
@@ -206,23 +216,30 @@
     /// for meanwhile, and the first of both to answer has it.
     pub(crate) async fn exchange_or_replace(
         &self,
-        conn: &mut Connection,
-        req: http::Request<http_body_util::Full<bytes::Bytes>>,
+        conn: Connection,
+        lease: Lease,
+        req: Request<Full<Bytes>>,
         last_event: Option<u64>,
     ) -> ExchangeResult<D> {
         let kind = self.admitted.route.kind;
         if !kind.is_stream() || !kind.repeatable() {
-            return Ok(conn.send(req).await);
+            let answer = self.exchange_head(conn, lease, req).await;
+            return answer.map_err(|(ending, why)| Abandoned::Ended(ending, why));
         }
-        let mut sending = std::pin::pin!(conn.send(req));
+        let mut sending = Box::pin(self.exchange_head(conn, lease, req));
         let mut replacement: Fuse<Pin<Box<_>>> = Fuse::terminated();
         let mut wait_until = None;
+        let mut sent_before = 0;
         loop {
             let is_replacing = !replacement.is_terminated();
             let now = Instant::now();
             let wait = match self.check_stall(self.sent_at, false) {
-                StallCheck::Outdated if is_replacing => return Err(replaced(replacement.await)),
-                StallCheck::Outdated => return Err(Abandoned::Ended(STALLED)),
+                StallCheck::Outdated if is_replacing => {
+                    // Ends the work at the stalled upstream.
+                    drop(sending);
+                    return Err(replaced(replacement.await, Ending::Lost, STALLED));
+                }
+                StallCheck::Outdated => return Err(Abandoned::Ended(Ending::Lost, STALLED)),
                 StallCheck::Wait(wait) => wait,
                 StallCheck::Stalled
                     if is_replacing || wait_until.is_some_and(|until| now < until) =>
@@ -231,6 +248,7 @@
                 }
                 StallCheck::Stalled => {
                     if let Some(call) = self.begin_replacement() {
+                        sent_before = self.attempts.sent();
                         // Boxed, as the replacement may stall as well.
                         replacement = Box::pin(call.replace(last_event)).fuse();
                     } else if wait_until.is_none() {
@@ -243,32 +261,66 @@
             tokio::select! {
                 biased;
                 answer = &mut sending => {
-                    return match answer {
-                        Err(_) if is_replacing => Err(replaced(replacement.await)),
-                        // Without the replacement the request would end by the refusal of one upstream.
-                        Ok(resp) if is_replacing && resp.status().is_server_error() => {
-                            Err(replaced(replacement.await))
-                        }
-                        answer => {
-                            if is_replacing {
-                                self.record_stall("went-on", self.sent_at, None);
-                            }
-                            Ok(answer)
-                        }
-                    };
+                    if !is_replacing {
+                        return answer.map_err(|(ending, why)| Abandoned::Ended(ending, why));
+                    }
+                    let is_sent = self.attempts.sent() > sent_before;
+                    return self.answered_beside(answer, replacement, is_sent).await;
                 }
                 other = &mut replacement, if is_replacing => {
                     if other.is_success() {
-                        return Err(replaced(other));
+                        return Err(replaced(other, Ending::Lost, STALLED));
                     }
-                    self.count_failed(&other.call);
                 }
                 () = tokio::time::sleep(wait) => {}
             }
         }
     }
+
+    /// Decides between the answer of the stalled upstream, which came first, and `other`, which has sent the
+    /// request if `is_sent`.
+    ///
+    /// An answer that does not serve the request waits for the other upstream's, and counts if that has none.
+    async fn answered_beside<F>(
+        &self,
+        answer: Result<UpstreamResponse, (Ending, &'static str)>,
+        other: F,
+        is_sent: bool,
+    ) -> ExchangeResult<D>
+    where
+        F: Future<Output = Replaced<D>>,
+    {
+        match answer {
+            Ok(mut resp) if is_sent && resp.head.status.is_server_error() => {
+                resp.lease.end();
+                let deadline = self.admitted.deadline;
+                // Later the caller would get no answer.
+                let until = deadline.checked_sub(MIN_TIME_FOR_RETRY).unwrap_or(deadline);
+                match tokio::time::timeout_at(until.into(), other).await {
+                    Ok(other) if other.is_success() => {
+                        Err(replaced(other, Ending::Failed, "own-failure"))
+                    }
+                    _ => Ok(resp),
+                }
+            }
+            Ok(resp) => {
+                self.record_stall("went-on", self.sent_at, None);
+                Ok(resp)
+            }
+            // Nothing has run the request, so that it is chosen for anew, or refused.
+            Err((ending, why)) if !is_sent && ending != Ending::Lost => {
+                Err(Abandoned::Ended(ending, why))
+            }
+            Err((Ending::Lost, why)) => {
+                let ((), other) = tokio::join!(self.record_loss(why), other);
+                Err(replaced(other, Ending::Lost, why))
+            }
+            Err((ending, why)) => Err(replaced(other.await, ending, why)),
+        }
+    }
 }
 
-fn replaced<D>(other: Replaced<D>) -> Abandoned<D> {
-    Abandoned::Replaced(Box::new(other))
+/// Returns that `other` replaces an attempt, which ended so for the reason `why`.
+pub(crate) fn replaced<D>(other: Replaced<D>, ending: Ending, why: &'static str) -> Abandoned<D> {
+    Abandoned::Replaced(Box::new(other), ending, why)
 }
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::header;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -19,6 +20,7 @@
     start: UpstreamStart,
     /// Prompt tokens that the upstream has still to read; 0 once the answer has started.
     prompt_tokens: u32,
+    is_ended: bool,
 }
 
 impl Lease {
@@ -30,6 +32,15 @@
             id: id.to_owned(),
             start,
             prompt_tokens,
+            is_ended: false,
+        }
+    }
+
+    /// Records that the upstream has ended the request.
+    pub(crate) fn end(&mut self) {
+        self.answer_started();
+        if !std::mem::replace(&mut self.is_ended, true) {
+            self.service.upstreams().finished(&self.id, self.start);
         }
     }
 
@@ -46,8 +57,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.answer_started();
-        self.service.upstreams().finished(&self.id, self.start);
+        self.end();
     }
 }
 
@@ -55,6 +65,8 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub(crate) head: Parts,
+    /// Bytes that were read of the body already.
+    pub(crate) read_ahead: Option<Bytes>,
     pub(crate) body: Incoming,
     pub(crate) meta: AnswerHead,
     pub(crate) conn: Connection,
