Raise the user timeout of upstream connections to 4 s

Requests ended on a VM that was silent for about a second and lost the one keep-alive probe of that time. With a user timeout Linux ignores the number of probes, and closes the connection once the timeout has passed since the last received byte while a probe is open.

Now three probes have to be lost, which a compile-time assertion on the constants keeps so. A dead VM that no other signal reports is given up 2 s later than before.

--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -23,8 +23,25 @@
 /// after a second, and by then another upstream has answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Time for which sent data or a keep-alive probe may stay unacknowledged before the kernel closes the
+/// connection. With 2 s, one lost probe ended the requests of a VM that was silent for 1 s.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time after the last received byte at which the kernel sends the first keep-alive probe.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time between two keep-alive probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of keep-alive probes that have to be lost.
+const PROBES: u32 = 3;
+
+// Linux ignores the number of probes if there is a user timeout, and counts that from the last received byte.
+const _: () = assert!(
+    TCP_USER_TIMEOUT.as_millis()
+        >= PROBE_IDLE.as_millis() + PROBE_INTERVAL.as_millis() * PROBES as u128,
+    "the user timeout ends before all keep-alive probes are lost"
+);
 
 /// Keep-alive time of an idle connection if the upstream announces none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
@@ -150,9 +167,9 @@
     let timeout_ms = u32::try_from(TCP_USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
     let _ = sockopt::set_tcp_user_timeout(stream, timeout_ms);
     let _ = sockopt::set_socket_keepalive(stream, true);
-    let _ = sockopt::set_tcp_keepidle(stream, Duration::from_secs(1));
-    let _ = sockopt::set_tcp_keepintvl(stream, Duration::from_secs(1));
-    let _ = sockopt::set_tcp_keepcnt(stream, 2);
+    let _ = sockopt::set_tcp_keepidle(stream, PROBE_IDLE);
+    let _ = sockopt::set_tcp_keepintvl(stream, PROBE_INTERVAL);
+    let _ = sockopt::set_tcp_keepcnt(stream, PROBES);
 }
 
 #[derive(Debug)]
