Show that a resumed stream can end early and look complete

The head of a relayed stream keeps the length that its first engine stated. When the engine crashes and another one resumes the stream with a longer text, the caller's answer ends inside an event and is complete by HTTP.

--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -23,7 +23,7 @@
 /// Time to load staged weights.
 const WARM: Duration = Duration::from_millis(300);
 /// Events of a stream, and the time between them.
-const EVENTS: u32 = 12;
+pub const EVENTS: u32 = 12;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// A piece of version `version`.
@@ -99,6 +99,9 @@
     addr: SocketAddr,
     state: Mutex<State>,
     is_dark: AtomicBool,
+    /// Answers have a length, and not chunks.
+    pub states_lengths: AtomicBool,
+    starts: AtomicU32,
     runs: AtomicU32,
     store: Store,
     record: Arc<Record>,
@@ -117,8 +120,10 @@
             name: name.to_owned(),
             service: service.to_owned(),
             addr,
-            state: Mutex::new(State::new(format!("{name}-a"), Some(1))),
+            state: Mutex::new(State::new(format!("{name}-0"), Some(1))),
             is_dark: AtomicBool::new(false),
+            states_lengths: AtomicBool::new(false),
+            starts: AtomicU32::new(0),
             runs: AtomicU32::new(0),
             store: store.clone(),
             record: Arc::clone(record),
@@ -155,9 +160,34 @@
 
     /// Starts again, as another incarnation that holds nothing.
     pub fn power_on(&self) {
-        *self.state.lock().unwrap() = State::new(format!("{}-b", self.name), None);
+        self.start_with(BTreeMap::new());
+    }
+
+    /// Crashes: its connections end, and new ones as well.
+    pub fn crash(&self) {
+        self.is_dark.store(true, Ordering::Relaxed);
+        self.record.say(&format!("{} crashes", self.name));
+    }
+
+    /// Starts again after a crash, as another incarnation. What was staged has survived.
+    pub fn start_again(&self) {
+        let staged = std::mem::take(&mut self.state.lock().unwrap().staged);
+        self.start_with(staged);
+    }
+
+    fn start_with(&self, staged: BTreeMap<usize, Vec<u8>>) {
+        let start = self.starts.fetch_add(1, Ordering::Relaxed) + 1;
+        let id = format!("{}-{start}", self.name);
+        let before = {
+            let mut state = self.state.lock().unwrap();
+            let next = State {
+                staged,
+                ..State::new(id, None)
+            };
+            std::mem::replace(&mut *state, next).id
+        };
         self.is_dark.store(false, Ordering::Relaxed);
-        self.store.put(SERVERS, &format!("{}-a", self.name), "");
+        self.store.put(SERVERS, &before, "");
         self.register(1);
     }
 
@@ -282,33 +312,59 @@
         self.runs.fetch_add(1, Ordering::Relaxed);
         self.record.line(&format!("{} runs {attempt} on version {version}", self.name));
         let born = self.state.lock().unwrap().born;
-        let sent = self.events(conn, &attempt, version);
+        let last = head.get("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let sent = self.events(conn, &attempt, version, last);
         let mut state = self.state.lock().unwrap();
         if state.born == born {
-            state.running -= 1;
+            state.running = state.running.saturating_sub(1);
         }
         sent
     }
 
-    fn events(&self, conn: &mut Conn, attempt: &str, version: u64) -> io::Result<()> {
+    /// Writes the events after the last one that the client has.
+    fn events(&self, conn: &mut Conn, attempt: &str, version: u64, last: u32) -> io::Result<()> {
+        let events: Vec<String> = (last + 1..=EVENTS)
+            .map(|event| format!("id: {event}\ndata: {}\n\n", self.text(attempt, event)))
+            .collect();
+        let length: usize = events.iter().map(String::len).sum();
+        let is_chunked = !self.states_lengths.load(Ordering::Relaxed);
+        let framing = if is_chunked {
+            "Transfer-Encoding: chunked".to_owned()
+        } else {
+            format!("Content-Length: {length}")
+        };
         conn.write(
             format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Stamp: {}.{attempt}\r\n\
-                 Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n\
-                 Transfer-Encoding: chunked\r\n\r\n",
+                 Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n",
                 self.name
             )
             .as_bytes(),
         )?;
-        for event in 1..=EVENTS {
+        for event in events {
             thread::sleep(EVENT_INTERVAL);
             if self.is_dark.load(Ordering::Relaxed) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            let text = format!("id: {event}\ndata: {}\n\n", self.name);
-            conn.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            if is_chunked {
+                conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            } else {
+                conn.write(event.as_bytes())?;
+            }
         }
-        conn.write(b"0\r\n\r\n")
+        if is_chunked {
+            conn.write(b"0\r\n\r\n")?;
+        }
+        Ok(())
+    }
+
+    /// The tokens of an event. Two runs of a request needn't write the same text.
+    fn text(&self, attempt: &str, event: u32) -> String {
+        let key = format!("{} {attempt} {event}", self.name);
+        let digest = sha256::hex(key.as_bytes());
+        let words = 3 + usize::from_str_radix(&digest[..2], 16).unwrap_or(0) % 8;
+        let words: Vec<&str> = (0..words).map(|word| &digest[4 * word..4 * word + 4]).collect();
+        words.join(" ")
     }
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,10 @@
 mod extra;
 mod fleet;
 mod http;
+mod keepalive;
+mod lengths;
+mod model;
+mod plain;
 mod record;
 mod server;
 mod sha256;
@@ -38,6 +42,8 @@
             match case.as_str() {
                 "digests" => digests::run(&temp, &record, has_trouble),
                 "extra" => extra::run(&temp, &record, has_trouble),
+                "keepalive" => keepalive::run(&temp, &record, has_trouble),
+                "lengths" => lengths::run(&temp, &record, has_trouble),
                 "uploads" => uploads::run(&temp, &record, has_trouble),
                 _ => Err(std::io::Error::other("no such case")),
             }
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -21,14 +21,34 @@
 /// Bytes that a faulty server sends after a complete answer, at the point where the next one is expected.
 pub type Extra = fn(request: u64) -> Option<&'static [u8]>;
 
+/// How a server answers.
+#[derive(Clone, Copy)]
+pub struct Behaviour {
+    /// Time for which a request runs.
+    pub work: Duration,
+    pub extra: Extra,
+    /// Seconds for which the server keeps an idle connection.
+    pub keep_alive: u64,
+}
+
+impl Behaviour {
+    /// A sound server whose requests run for `work`.
+    pub fn sound(work: Duration) -> Self {
+        Self {
+            work,
+            extra: |_| None,
+            keep_alive: 5,
+        }
+    }
+}
+
 /// A server of a plain service.
 pub struct Server {
     pub id: String,
     /// Runs by the id of the request, with the time of the last.
     runs: Mutex<BTreeMap<String, (u32, Instant)>>,
     served: Mutex<u64>,
-    work: Duration,
-    extra: Extra,
+    behaviour: Behaviour,
     record: Arc<Record>,
 }
 
@@ -37,8 +57,7 @@
         id: &str,
         service: &str,
         addr: SocketAddr,
-        work: Duration,
-        extra: Extra,
+        behaviour: Behaviour,
         store: &Store,
         record: &Arc<Record>,
     ) -> io::Result<Arc<Self>> {
@@ -46,8 +65,7 @@
             id: id.to_owned(),
             runs: Mutex::default(),
             served: Mutex::default(),
-            work,
-            extra,
+            behaviour,
             record: Arc::clone(record),
         });
         let answering = Arc::clone(&server);
@@ -89,7 +107,7 @@
             };
             // What comes after a complete answer belongs to no request.
             if on_connection > 0
-                && let Some(extra) = (self.extra)(number)
+                && let Some(extra) = (self.behaviour.extra)(number)
             {
                 self.record.line(&format!("{} sends extra bytes before the answer to {id}", self.id));
                 conn.write(extra)?;
@@ -100,10 +118,10 @@
             *run = (run.0 + 1, Instant::now());
             drop(runs);
             self.record.line(&format!("{} runs {id} with {} bytes", self.id, body.len()));
-            thread::sleep(self.work);
+            thread::sleep(self.behaviour.work);
             let headers = format!(
-                "Attempt-Id: {id}\r\nResponse-Stamp: {}.{id}\r\nKeep-Alive: timeout=5\r\n",
-                self.id
+                "Attempt-Id: {id}\r\nResponse-Stamp: {}.{id}\r\nKeep-Alive: timeout={}\r\n",
+                self.id, self.behaviour.keep_alive
             );
             let text = format!("{id} {}", self.id);
             conn.answer("200 OK", &headers, text.as_bytes())?;
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{Net, Process, wait_until};
 use crate::http::Conn;
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Behaviour, Server};
 use crate::store::{OPERATOR, Store};
 
 /// `memoryMb` of a small deployment's edge machine: a process that exceeds it is killed.
@@ -54,7 +54,7 @@
     let servers: io::Result<Vec<Arc<Server>>> = (0..3)
         .map(|number| {
             let (id, addr) = (format!("i-{number}"), net.at(20 + number, net.app));
-            Server::start(&id, "proof-desk", addr, Duration::from_millis(300), |_| None, &store, record)
+            Server::start(&id, "proof-desk", addr, Behaviour::sound(Duration::from_millis(300)), &store, record)
         })
         .collect();
     let servers = servers?;
