Send streams that may be resumed without the length of one upstream

Cause: the head for the caller kept Content-Length of the first engine. A resumed stream has the bytes of several, and the HTTP library cuts it at the first length; with a shorter text the connection breaks early. A take-over after a stall went the same way.

Change: a stream that another upstream may resume is sent in chunks, and without the digests and the entity tag of one run. A coding or a range can't be left out: such an answer is passed on as it comes and is never resumed, and it doesn't resume another one. Streams that may not be resumed and plain answers keep their length, which shows a break there. The signature and all other headers stay those of the first engine.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -11,13 +11,13 @@
 use wagtailreel_serve::{Handler, Limits, RequestBody, ResponseBody};
 
 use crate::admit::{admit, strip_hop_by_hop};
+use crate::answer_head::answer_head;
 use crate::attempt::{Call, Template};
 use crate::collect::{Collected, collect};
 use crate::dialect::Dialect;
 use crate::refusal::{LONG_RETRY_AFTER, Refusal};
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
-use crate::response::UpstreamResponse;
 use crate::shared::Shared;
 
 /// Timeout of an idle connection, and of reading a request head, before a configuration is in force.
@@ -140,14 +140,21 @@
         };
         let resp = result?;
         log.record_upstream(&call, resp.head.status.as_u16());
-        let head = answer_head(&resp);
         let status = resp.head.status;
         let is_framed = resp.is_framed();
         let upstream = resp.upstream().to_owned();
-        if call.admitted.route.kind.is_stream() && resp.head.status.is_success() {
-            let relay = Relay::events(call, resp, log.transfer());
+        let kind = call.admitted.route.kind;
+        if kind.is_stream() && status.is_success() {
+            let has_events = resp.has_plain_text();
+            let head = answer_head(&resp, has_events && kind.repeatable());
+            let relay = if has_events {
+                Relay::events(call, resp, log.transfer())
+            } else {
+                Relay::bytes(call, Bytes::new(), Box::new(resp), log.transfer())
+            };
             return Ok(Answer::Relayed(head, Box::new(relay)));
         }
+        let head = answer_head(&resp, false);
         let Some(collected) = before_deadline(&cx, deadline, collect(resp)).await else {
             return Err(call.out_of_time());
         };
@@ -184,15 +191,6 @@
     }
 }
 
-/// Returns the head of the response for the caller, without hop-by-hop headers.
-fn answer_head(resp: &UpstreamResponse) -> http::response::Parts {
-    let mut response = Response::new(());
-    *response.status_mut() = resp.head.status;
-    *response.headers_mut() = resp.head.headers.clone();
-    strip_hop_by_hop(response.headers_mut());
-    response.into_parts().0
-}
-
 /// Returns the request for upstreams: without hop-by-hop headers, and with the length of the body that was
 /// read.
 fn template(parts: http::request::Parts, body: Bytes) -> Template {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod agents;
 mod announced;
+mod answer_head;
 mod answered;
 mod attempt;
 mod attempts;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Creates the relay of a long body whose first part `first` was buffered.
+    /// Creates the relay of a body that is passed on as it comes, whose first part `first` was buffered.
     pub(crate) fn bytes(
         call: Call<D>,
         first: Bytes,
@@ -206,12 +206,12 @@
 
     /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
     fn take_over(&mut self, other: Replaced<D>, since: Instant, why: &'static str) -> bool {
-        if !other.is_success() {
-            return false;
-        }
         let Ok(resp) = other.answer else {
             return false;
         };
+        if !resp.has_plain_text() {
+            return false;
+        }
         if let Mode::Events(splitter) = &mut self.mode {
             splitter.restart();
         }
@@ -351,7 +351,7 @@
         splitter.restart();
         let last = splitter.last();
         match self.obtain(last).await {
-            Ok(resp) if resp.head.status.is_success() => {
+            Ok(resp) if resp.has_plain_text() => {
                 self.log.resumed(resp.upstream());
                 self.resp = Some(Box::new(resp));
                 self.has_first_event = false;
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header;
 use http::response::Parts;
+use http::{StatusCode, header};
 use hyper::body::Incoming;
 use wagtailreel_fleet::{UpstreamId, UpstreamStart};
 
@@ -95,6 +95,15 @@
             || self.head.headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Returns whether the answer is a success whose body is the whole text of the upstream, neither coded nor a
+    /// range of it, so that it can be split into events.
+    pub(crate) fn has_plain_text(&self) -> bool {
+        let status = self.head.status;
+        status.is_success()
+            && status != StatusCode::PARTIAL_CONTENT
+            && !self.head.headers.contains_key(header::CONTENT_ENCODING)
+    }
+
     /// Returns the start of the upstream that the request was counted for.
     pub(crate) fn start(&self) -> UpstreamStart {
         self.lease.start
