serve: reset a connection whose unframed response breaks off

Callers would see: an HTTP/1.0 caller, whose answers have no chunks, could not tell an answer that the entry gave up, or whose process ended, from a complete one. It matters more since resumable streams have no length.

Cause: each connection was closed in order, which ends a body without length.

Change: while such a response is written its socket is set to be reset on close, and set back once the whole body is written. Framed responses are closed as before.

--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -29,6 +29,8 @@
     is_blocked: bool,
     /// The server has the rest of the response.
     has_whole_response: bool,
+    /// The body of the response ends with the connection.
+    ends_with_connection: bool,
     /// The peer has shut down its writing side or reset the connection.
     has_ended: bool,
 }
@@ -44,6 +46,7 @@
                 empty_line_bytes: 0,
                 is_blocked: false,
                 has_whole_response: false,
+                ends_with_connection: false,
                 has_ended: false,
             }),
         }
@@ -120,6 +123,16 @@
         self.lock().has_whole_response
     }
 
+    /// Records that the body of the response has neither a length nor chunks, and so ends with the connection.
+    pub(crate) fn on_unframed_response(&self) {
+        self.lock().ends_with_connection = true;
+    }
+
+    /// Returns whether the body of the response ends with the connection, as that of no later one can.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.lock().ends_with_connection
+    }
+
     /// Returns how many requests the connection has received.
     pub(crate) fn requests(&self) -> u64 {
         self.lock().requests
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderName, HeaderValue, Request, Response, Version, header};
+use http::{HeaderName, HeaderValue, Method, Request, Response, Version, header};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,7 +20,7 @@
 use crate::options::connection_options;
 use crate::phase::{Phase, PhaseWatch};
 use crate::server::Shared;
-use crate::socket::{Socket, linger, refuse, unread};
+use crate::socket::{Socket, close_in_order, linger, refuse, reset_on_close, unread};
 use crate::unread::unread as unread_response;
 
 /// Smallest buffer size that the HTTP library accepts, in bytes.
@@ -46,13 +47,10 @@
     let keep_alive = keep_alive(limits.idle);
     let service = service_fn(|req| {
         let keep_alive = keep_alive.clone();
-        answer(
-            Arc::clone(&cx),
-            Arc::clone(&activity),
-            number,
-            keep_alive,
-            req,
-        )
+        let cx = Arc::clone(&cx);
+        let activity = Arc::clone(&activity);
+        let stream = Arc::clone(&stream);
+        answer(cx, stream, activity, number, keep_alive, req)
     });
     let socket = Socket::new(Arc::clone(&stream), Arc::clone(&activity));
     let conn = http1::Builder::new()
@@ -71,11 +69,18 @@
         why = closable(&cx.phase, &activity, unread_len) => (Some(why), Ok(())),
         why = unread_response(&stream, &activity, limits) => {
             // An orderly close could let a response look complete that ends with its connection.
-            let _ = stream.set_zero_linger();
+            reset_on_close(&stream);
             is_reset = true;
             (Some(why), Ok(()))
         }
     };
+    if activity.ends_with_connection() {
+        if activity.has_whole_response() {
+            close_in_order(&stream);
+        } else {
+            is_reset = true;
+        }
+    }
     let failure = ended.err().map(|e| e.to_string());
     let why = match closing {
         Some(why) => why,
@@ -98,6 +103,7 @@
 /// Answers one request of a connection.
 async fn answer<F>(
     cx: Arc<Shared<F>>,
+    stream: Arc<TcpStream>,
     activity: Arc<Activity>,
     number: ConnectionNumber,
     keep_alive: Option<HeaderValue>,
@@ -108,6 +114,7 @@
 {
     let open = activity.on_request();
     let is_keep_alive = allows_keep_alive(&req);
+    let is_framed = req.version() >= Version::HTTP_11 || req.method() == Method::HEAD;
     let (mut parts, body) = req.into_parts();
     parts.extensions.insert(number);
     let body = RequestBody::new(body, Arc::clone(&open));
@@ -120,9 +127,22 @@
     } else if let Some(keep_alive) = keep_alive.filter(|_| is_keep_alive) {
         headers.insert(KEEP_ALIVE, keep_alive);
     }
+    if !is_framed && !has_length(&response) {
+        activity.on_unframed_response();
+        reset_on_close(&stream);
+    }
     Ok(response.map(|body| TrackedBody::new(body, open)))
 }
 
+/// Returns whether a response states the length of its body, or the HTTP library does so.
+fn has_length<B>(response: &Response<B>) -> bool
+where
+    B: Body,
+{
+    response.headers().contains_key(header::CONTENT_LENGTH)
+        || response.body().size_hint().exact().is_some()
+}
+
 /// Returns the value of the `Keep-Alive` header, or `None` if the idle time is under one second.
 fn keep_alive(idle: Duration) -> Option<HeaderValue> {
     let seconds = KEEP_ALIVE_TIMEOUT.min(idle).as_secs();
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use rustix::net::Shutdown;
+use rustix::net::{Shutdown, sockopt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -132,6 +132,18 @@
     let _ = stream.try_write(REFUSAL);
 }
 
+/// Makes the kernel reset the connection when it is closed, also if the process ends.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    // If the option can't be set, the socket is closed in order; there is no other way to reset it.
+    let _ = stream.set_zero_linger();
+}
+
+/// Reverts [`reset_on_close`].
+pub(crate) fn close_in_order(stream: &TcpStream) {
+    // An error means that the peer has reset the connection.
+    let _ = sockopt::set_socket_linger(stream, None);
+}
+
 /// Shuts down the writing side, and reads until the peer closes its side. Adds the bytes read to `received`.
 ///
 /// Closing a socket with unread bytes resets the connection, and the peer may lose a response that it has not
