Leave out the length of answers that are sent in chunks

Callers would see: an answer that ends at a length which its engine did not keep to, or one whose end stands in front of the next answer (MIXED).

Cause: an answer with both a transfer coding and a length lost the coding in the head for the caller and kept the length, which the coding overrides. The same in the agent of a plain service.

Change: neither passes on a length beside a transfer coding.

--- a/crates/agent/src/plain_app.rs
+++ b/crates/agent/src/plain_app.rs
@@ -136,7 +136,10 @@
 /// Builds the response that forwards the service's answer.
 fn forward_response(response: http::Response<Incoming>, run: CallRun) -> Response {
     let (mut head, inner) = response.into_parts();
-    let length = head.headers.get(CONTENT_LENGTH).cloned();
+    let is_coded = head.headers.contains_key(TRANSFER_ENCODING);
+    // A length beside a transfer coding holds for nothing.
+    let length = head.headers.get(CONTENT_LENGTH).filter(|_| !is_coded);
+    let length = length.cloned();
     head.headers = strip_headers(head.headers);
     if let Some(length) = length {
         head.headers.insert(CONTENT_LENGTH, length);
--- a/crates/direct/src/answer_head.rs
+++ b/crates/direct/src/answer_head.rs
@@ -28,6 +28,11 @@
     let mut response = Response::new(());
     *response.status_mut() = resp.head.status;
     let mut headers = resp.head.headers.clone();
+    // A length beside a transfer coding holds for nothing (RFC 9112, section 6.3), and the HTTP library would send
+    // it with the decoded body.
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        headers.remove(header::CONTENT_LENGTH);
+    }
     strip_hop_by_hop(&mut headers);
     if may_be_resumed {
         for name in BYTE_HEADERS {
