Don't take a stream that ends behind its head for complete

Callers would see: a complete 200 without an event, from an engine that sent a head without a length or chunks, closed in order and lived on.

Cause: an answer that ends with its connection counts as complete unless its engine refuses a new connection, also where no event came at all.

Change: such a stream is lost (no-event), so that another engine resumes it or it breaks off. A resumed stream may have no event left. The relay's resumption moves to a file of its own.

--- a/crates/adapters/tests/effect.rs
+++ b/crates/adapters/tests/effect.rs
@@ -83,6 +83,21 @@
     assert_eq!(err.took_effect(), Effect::Maybe);
 }
 
+/// A head that is cut after any of its bytes is no answer, whether or not it says a length.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n")]
+#[case::connection("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n")]
+#[case::after_interim("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")]
+#[tokio::test]
+async fn cut_head(#[case] head: &'static str) {
+    for at in 0..head.len() {
+        let err = append(serve(Manner::Answer(&head[..at])).await, LONG).await;
+        let err = err.unwrap_err();
+        assert!(matches!(err, PlatformError::Lost { .. }), "{at}: {err}");
+        assert_eq!(err.took_effect(), Effect::Maybe, "{at}");
+    }
+}
+
 #[tokio::test]
 async fn silent_server() {
     let err = append(serve(Manner::Silence).await, CONNECT)
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays answers of upstreams to callers.
 
-use std::time::{Duration, Instant};
+mod resume;
+
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -14,11 +16,9 @@
 use crate::dialect::Dialect;
 use crate::event_splitter::{EventSplitter, Split};
 use crate::front::MAX_UNREAD;
-use crate::refusal::Refusal;
-use crate::replacement::{REPLACE_INTERVAL, Replaced, StallCheck};
+use crate::replacement::{REPLACE_INTERVAL, StallCheck};
 use crate::request_log::RequestLog;
 use crate::response::UpstreamResponse;
-use wagtailreel_route::direct::{Ending, Next};
 
 /// Maximum bytes of an answer, in case that it has no end. They take 9 s on a link of 60 Mbit/s, which is longer
 /// than any deadline.
@@ -155,6 +155,7 @@
                     None => "gap",
                 },
                 Read::End if !self.is_complete() => "cut",
+                Read::End if self.is_unframed_without_event() => "no-event",
                 Read::End => {
                     if self.finish().await {
                         self.went_on(is_replacing, since);
@@ -204,24 +205,6 @@
         }
     }
 
-    /// Goes on at the other upstream if it answered with the rest of the stream. Returns whether it did.
-    fn take_over(&mut self, other: Replaced<D>, since: Instant, why: &'static str) -> bool {
-        let Ok(resp) = other.answer else {
-            return false;
-        };
-        if !resp.has_plain_text() {
-            return false;
-        }
-        if let Mode::Events(splitter) = &mut self.mode {
-            splitter.restart();
-        }
-        self.call.take_over(other.call, since, Ending::Lost, why);
-        self.log.resumed(resp.upstream());
-        self.resp = Some(Box::new(resp));
-        self.has_first_event = false;
-        true
-    }
-
     /// Returns the last event that was passed on.
     fn last_event(&self) -> Option<u64> {
         match &self.mode {
@@ -331,48 +314,12 @@
         }
     }
 
-    /// Resumes the stream at another upstream if the route and the retry budget allow it.
-    async fn resume(&mut self, why: &'static str) -> Result<(), BrokenOff> {
-        let Some(resp) = self.resp.take() else {
-            return Err(BrokenOff);
-        };
-        let upstream = resp.upstream().to_owned();
-        // Ends the work at the lost upstream before another one starts it.
-        drop(resp);
-        let next = self.call.ended(&upstream, Ending::Lost, why).await;
-        let Mode::Events(splitter) = &mut self.mode else {
-            self.log.finish(why);
-            return Err(BrokenOff);
-        };
-        if next != Next::Again {
-            self.log.finish(why);
-            return Err(BrokenOff);
-        }
-        splitter.restart();
-        let last = splitter.last();
-        match self.obtain(last).await {
-            Ok(resp) if resp.has_plain_text() => {
-                self.log.resumed(resp.upstream());
-                self.resp = Some(Box::new(resp));
-                self.has_first_event = false;
-                Ok(())
-            }
-            Ok(_) => {
-                self.log.finish("resume-failed");
-                Err(BrokenOff)
-            }
-            Err(refusal) => {
-                self.log.finish_refused(refusal);
-                Err(BrokenOff)
-            }
-        }
-    }
-
-    async fn obtain(&mut self, last: Option<u64>) -> Result<UpstreamResponse, Refusal> {
-        let now = Instant::now();
-        let left: Duration = self.call.admitted.deadline.saturating_duration_since(now);
-        let obtained = tokio::time::timeout(left, self.call.obtain(last)).await;
-        obtained.unwrap_or(Err(Refusal::Timeout))
+    /// Returns whether a stream has no event at all and ends with the connection, so that it may have been cut off
+    /// behind its head. A resumed stream may have none left.
+    fn is_unframed_without_event(&self) -> bool {
+        let is_unframed = self.resp.as_ref().is_some_and(|resp| !resp.is_framed());
+        let has_event = self.has_first_event || self.last_event().is_some();
+        is_unframed && matches!(self.mode, Mode::Events(_)) && !has_event
     }
 }
 
--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -49,6 +49,8 @@
     Silence(String, u64, String),
     /// Sends each text and is silent for its number of milliseconds, then closes the connection.
     Steps(Vec<(String, u64)>),
+    /// Sends a text and resets the connection.
+    Reset(String),
     /// Answers, and sends a second answer directly after it.
     ExtraAnswer(&'static str),
 }
@@ -186,6 +188,11 @@
             write(stream, &(text.clone() + &plain(200, "other", "late"))).await
         }
         Act::Close => false,
+        Act::Reset(text) => {
+            write(stream, &text).await;
+            stream.set_zero_linger().unwrap();
+            false
+        }
         Act::CutBody => {
             let text = "HTTP/1.1 200 X\r\ncontent-length: 10\r\n\r\nhalf";
             write(stream, text).await;
