Refuse answers that name no request

Cause: an answer without an id counted as that of the request, although upstreams name the request in every answer but refusals.

--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -36,14 +36,13 @@
         resp: UpstreamResponse,
     ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let now = Instant::now();
-        let is_same_request = resp
-            .meta
-            .id
-            .as_ref()
-            .is_none_or(|id| *id == self.admitted.id);
-        if !is_same_request {
+        let id = resp.meta.id.as_ref();
+        if id.is_some_and(|id| *id != self.admitted.id) {
             return Err((Ending::Lost, "answers-another-request"));
         }
+        if resp.meta.is_unnamed {
+            return Err((Ending::Lost, "answers-no-request"));
+        }
         self.record_limit(&resp);
         self.record_announcement(&resp);
         let id = resp.upstream();
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -62,6 +62,8 @@
 pub struct AnswerHead {
     /// Id of the request that is answered. The entry discards an answer with another id than it sent.
     pub id: Option<RequestId>,
+    /// Upstreams name the request in such an answer, and this one does not. It belongs to no request.
+    pub is_unnamed: bool,
     /// The upstream has not run the request, and will not run it.
     pub not_run: bool,
     /// The upstream is not the intended one, or holds other weights.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -85,6 +85,7 @@
     fn answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerHead {
         AnswerHead {
             id: text(headers, "x-id"),
+            is_unnamed: headers.contains_key("x-unnamed"),
             not_run: headers.contains_key("x-not-run"),
             misdirected: headers.contains_key("x-misdirected"),
             is_leaving: headers.contains_key("x-leaving"),
