stage: correct a manifest that came with a wrong digest

Cause: agents kept the manifest and gave it to each other, discarded the right chunk again and again, and never asked for the manifest once more.

Change: if the same bytes of a chunk are rejected twice, the digest is in doubt. Copies of the manifest are read from other agents and the origin, and the digest is corrected if one of them has that of these bytes. The part of the fetch that follows other agents moves to a file of its own.

--- a/crates/stage/src/chunk_store.rs
+++ b/crates/stage/src/chunk_store.rs
@@ -50,6 +50,27 @@
         }
     }
 
+    /// Replaces the manifest of a version by `manifest`, and drops the chunks whose digests differ.
+    pub fn replace_manifest(&self, manifest: &Arc<ChunkManifest>) {
+        let mut stored = self.lock();
+        let key = (manifest.model.clone(), manifest.version);
+        let Some(stored) = stored.get_mut(&key) else {
+            return;
+        };
+        let before = std::mem::replace(&mut stored.manifest, Arc::clone(manifest));
+        stored.chunks.resize(manifest.digests.len(), None);
+        stored.have = ChunkSet::new(manifest.count());
+        for (chunk, data) in (0..).zip(&mut stored.chunks) {
+            let index = chunk as usize;
+            if before.digests.get(index) != manifest.digests.get(index) {
+                *data = None;
+            }
+            if data.is_some() {
+                stored.have.insert(chunk);
+            }
+        }
+    }
+
     /// Verifies a chunk and stores it if its version was added.
     ///
     /// Returns whether the chunk has the digest that the manifest gives for it.
--- a/crates/stage/src/events.rs
+++ b/crates/stage/src/events.rs
@@ -56,6 +56,16 @@
     remedy: "If it recurs, check the memory and links of the sender.",
 };
 
+/// A digest of a manifest was wrong.
+pub const MANIFEST_CORRECTED: Event = Event {
+    id: 6224,
+    name: "manifest-corrected",
+    level: Level::Warn,
+    meaning: "The same bytes of chunk `chunk` were rejected twice, and the copy of the manifest from `giver` has their \
+              digest; the manifest of `model`, `version` was corrected.",
+    remedy: "If it recurs, check the origin and its link: a manifest came with a wrong digest.",
+};
+
 /// A manifest is not available.
 pub const MANIFEST_MISSING: Event = Event {
     id: 6214,
@@ -119,6 +129,7 @@
     FETCH_BEGUN,
     FETCH_DONE,
     CHUNK_CORRUPT,
+    MANIFEST_CORRECTED,
     MANIFEST_MISSING,
     CHUNK_DRAWN,
     LOAD_ORDERED,
--- a/crates/stage/src/fetch.rs
+++ b/crates/stage/src/fetch.rs
@@ -1,5 +1,7 @@
 //! Fetches the chunks of one version into the chunk store.
 
+mod holders;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,32 +12,26 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
 use wagtailreel_adapters::HttpClient;
-use wagtailreel_core::{SpreadGoal, SpreadSettings, VmEntry, VmId, rank_score};
+use wagtailreel_core::{ChunkIndex, SpreadGoal, SpreadSettings, VmEntry, VmId, rank_score};
 use wagtailreel_fleet::Registry;
 use wagtailreel_spread::{
     Action, ChunkSet, Event, Failure, Fetch, FetchId, Planner, PlannerConfig, Site, Source, Tuning,
 };
 
-use crate::listing::list_peers;
+use crate::correction::{RejectedChunks, correct};
 use crate::manifest::ChunkManifest;
 use crate::origin::ChunkOrigin;
 use crate::process::AgentContext;
-use crate::status::{ALL_CHUNKS, PeerChunks};
+use crate::status::PeerChunks;
 use crate::{StagedEngine, events, origin_fetch, peers};
 
 /// Time between two polls of other agents for their chunks. A chunk takes 42 ms over a link of
 /// 9.4 Mbit/s.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Agents of other data centres are included in one of this many polls, since their links are narrow.
-const REMOTE_POLL_DIVISOR: u32 = 3;
-
 /// Time between two checks by the planner for slow fetches.
 const PLANNER_TICK: Duration = Duration::from_millis(25);
 
-/// An agent that has not answered for this long counts as lost until it answers.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time between two reads of the registry for added and removed agents.
 const PEER_LIST_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -88,6 +84,24 @@
     if restores_staged {
         restore_staged(&cx, &manifest).await;
     }
+    let mut manifest = manifest;
+    while let Some(corrected) = fetch_chunks(&cx, &manifest, from).await {
+        cx.chunk_store.replace_manifest(&corrected);
+        manifest = corrected;
+    }
+}
+
+/// Fetches the chunks of `manifest` that are not stored. Returns the corrected manifest if a digest in it is wrong.
+async fn fetch_chunks<R, E, O>(
+    cx: &Arc<AgentContext<R, E, O>>,
+    manifest: &Arc<ChunkManifest>,
+    from: OriginSource,
+) -> Option<Arc<ChunkManifest>>
+where
+    R: Registry,
+    E: StagedEngine,
+    O: ChunkOrigin,
+{
     let have = cx.chunk_store.have(&manifest.model, manifest.version);
     let have = have.unwrap_or_else(|| ChunkSet::new(manifest.count()));
     events::FETCH_BEGUN.emit(&[
@@ -96,8 +110,8 @@
         ("have", &have.count().to_string()),
         ("chunks", &manifest.count().to_string()),
     ]);
-    let mut fetcher = ChunkFetcher::new(cx, manifest, from, have);
-    fetcher.run().await;
+    let mut fetcher = ChunkFetcher::new(Arc::clone(cx), Arc::clone(manifest), from, have);
+    fetcher.run().await
 }
 
 /// Stores the chunks that the engine has staged and that match their digests.
@@ -128,6 +142,9 @@
     /// The running read of the registry, if any.
     list_reads: JoinSet<Option<Vec<VmEntry>>>,
     running: BTreeMap<FetchId, AbortHandle>,
+    rejected: RejectedChunks,
+    /// The running correction of the manifest, if any.
+    corrections: JoinSet<Option<Arc<ChunkManifest>>>,
     client: HttpClient,
     started: Instant,
     from_origin: u32,
@@ -179,6 +196,8 @@
             fetches: JoinSet::new(),
             list_reads: JoinSet::new(),
             running: BTreeMap::new(),
+            rejected: RejectedChunks::default(),
+            corrections: JoinSet::new(),
             client: HttpClient::new(),
             started: now,
             from_origin: 0,
@@ -187,7 +206,8 @@
         }
     }
 
-    async fn run(&mut self) {
+    /// Returns once all chunks are stored, or with the corrected manifest if a digest is wrong.
+    async fn run(&mut self) -> Option<Arc<ChunkManifest>> {
         let cx = Arc::clone(&self.cx);
         let mut chunks = cx.peer_chunks.lock().await;
         // Reports from before this fetch are about another version or out of date.
@@ -210,6 +230,11 @@
                 _ = polls.tick() => self.poll_peers(),
                 _ = ticks.tick() => self.apply(Event::Tick),
                 Some(report) = recv(&mut chunks) => self.apply_held_chunks(&report),
+                Some(corrected) = self.corrections.join_next() => {
+                    if let Ok(Some(corrected)) = corrected {
+                        return Some(corrected);
+                    }
+                }
                 Some(finished) = self.fetches.join_next() => {
                     // An aborted fetch has no result.
                     if let Ok(finished) = finished {
@@ -226,69 +251,7 @@
             ("peers", &self.peers.len().to_string()),
             ("ms", &self.started.elapsed().as_millis().to_string()),
         ]);
-    }
-
-    /// Starts a read of the list of other agents in the background, unless one is running.
-    ///
-    /// Chunks are transferred meanwhile. With a slow registry, a fetch that waited for each read would
-    /// stall for 0.6 s of every 1.5 s.
-    fn read_peers(&mut self) {
-        if self.list_reads.is_empty() {
-            let cx = Arc::clone(&self.cx);
-            self.list_reads.spawn(async move { list_peers(&cx).await });
-        }
-    }
-
-    /// Applies a new list of the other agents. If a read fails, the previous list stays.
-    fn apply_peers(&mut self, peers: Vec<VmEntry>) {
-        self.peers = peers.iter().map(|it| (it.vm.clone(), it.data)).collect();
-        self.apply(Event::Peers(peers));
-        self.poll_peers();
-    }
-
-    /// Polls the other agents for the chunks that they hold, and reports unresponsive ones as lost.
-    fn poll_peers(&mut self) {
-        let now = Instant::now();
-        self.poll_count = self.poll_count.wrapping_add(1);
-        let includes_remote = self.poll_count.is_multiple_of(REMOTE_POLL_DIVISOR);
-        let watched: Vec<VmId> = self.planner.watched().iter().cloned().collect();
-        for vm in watched {
-            if !includes_remote && self.is_remote(&Source::Peer(vm.clone())) {
-                continue;
-            }
-            let Some(addr) = self.peers.get(&vm) else {
-                continue;
-            };
-            let (model, version) = (&self.manifest.model, self.manifest.version);
-            self.cx.board.request_chunks(*addr, model, version);
-            let last_answer = *self.last_answers.entry(vm.clone()).or_insert(now);
-            if now.saturating_duration_since(last_answer) > PEER_TIMEOUT {
-                self.apply(Event::Lost { vm });
-            }
-        }
-    }
-
-    fn apply_held_chunks(&mut self, report: &PeerChunks) {
-        let vm = report.ip.to_string();
-        self.last_answers.insert(vm.clone(), Instant::now());
-        let is_wanted = report.held.model == self.manifest.model
-            && report.held.version == self.manifest.version;
-        if !is_wanted {
-            return;
-        }
-        let count = self.manifest.count();
-        let have = if report.held.chunks == ALL_CHUNKS {
-            let mut all = ChunkSet::new(count);
-            for chunk in 0..count {
-                all.insert(chunk);
-            }
-            Some(all)
-        } else {
-            ChunkSet::from_hex(&report.held.chunks, count)
-        };
-        if let Some(have) = have {
-            self.apply(Event::Have { vm, have });
-        }
+        None
     }
 
     fn finish_fetch(&mut self, finished: FinishedFetch) {
@@ -309,19 +272,13 @@
         self.apply(event);
     }
 
-    /// Returns whether a source is an agent in another data centre.
-    fn is_remote(&self, from: &Source) -> bool {
-        let Source::Peer(vm) = from else {
-            return false;
-        };
-        let peers = self.cx.peers.borrow();
-        let peer = peers.iter().find(|peer| peer.vm == *vm);
-        peer.is_some_and(|peer| peer.data_centre != self.cx.settings.data_centre)
-    }
-
     /// Stores a chunk if it matches its digest; returns the event for the planner.
     fn store_chunk(&mut self, fetch: &Fetch, data: Bytes) -> Event {
-        if self.cx.chunk_store.put(&self.manifest, fetch.chunk, data) {
+        if self
+            .cx
+            .chunk_store
+            .put(&self.manifest, fetch.chunk, data.clone())
+        {
             let is_remote = self.is_remote(&fetch.from);
             let from = match fetch.from {
                 Source::Origin => "origin",
@@ -340,12 +297,26 @@
             ("giver", &fetch.from.to_string()),
             ("chunk", &fetch.chunk.to_string()),
         ]);
+        self.reject(fetch.chunk, &data);
         Event::Failed {
             id: fetch.id,
             failure: Failure::Corrupt,
         }
     }
 
+    /// Records bytes that do not match their digest, and has the digest checked if they have come before.
+    fn reject(&mut self, chunk: ChunkIndex, data: &Bytes) {
+        let digest = self.manifest.kind.of(data);
+        if !self.rejected.record(chunk, digest) || !self.corrections.is_empty() {
+            return;
+        }
+        let cx = Arc::clone(&self.cx);
+        let manifest = Arc::clone(&self.manifest);
+        let agents = self.peers.values().copied().collect();
+        let correction = correct(cx, manifest, chunk, digest, agents, self.origin);
+        self.corrections.spawn(correction);
+    }
+
     fn apply(&mut self, event: Event) {
         for action in self.planner.apply(event, Instant::now()) {
             match action {
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -7,6 +7,7 @@
 //! agents, by datagrams. [`Rollout`] decides the agent's next step and uses no sockets.
 
 mod chunk_store;
+mod correction;
 mod engine;
 pub mod events;
 mod fetch;
--- a/crates/stage/src/manifest.rs
+++ b/crates/stage/src/manifest.rs
@@ -45,6 +45,24 @@
         digest.is_some_and(|digest| *digest == self.kind.of(data))
     }
 
+    /// Returns whether `other` is a copy of this manifest that has `digest` for a chunk.
+    pub(crate) fn is_corrected_by(&self, other: &Self, chunk: ChunkIndex, digest: Digest) -> bool {
+        let is_copy = other.model == self.model
+            && other.version == self.version
+            && other.kind == self.kind
+            && other.digests.len() == self.digests.len();
+        is_copy && other.digests.get(chunk as usize) == Some(&digest)
+    }
+
+    /// Returns this manifest with `digest` for a chunk.
+    pub(crate) fn with_digest(&self, chunk: ChunkIndex, digest: Digest) -> Self {
+        let mut manifest = self.clone();
+        if let Some(of_chunk) = manifest.digests.get_mut(chunk as usize) {
+            *of_chunk = digest;
+        }
+        manifest
+    }
+
     /// Returns the number of chunks.
     pub fn count(&self) -> u32 {
         u32::try_from(self.digests.len()).unwrap_or(u32::MAX)
--- a/crates/stage/tests/common/origin.rs
+++ b/crates/stage/tests/common/origin.rs
@@ -1,6 +1,6 @@
 //! Origin of weights in memory.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -16,6 +16,8 @@
     newest: u64,
     served: u32,
     corrupt_chunks_left: u32,
+    /// Chunks whose digests the next manifests have wrong, one manifest each.
+    spoilt_digests: VecDeque<ChunkIndex>,
     is_unreachable: bool,
     requested: BTreeSet<u64>,
     manifests: u32,
@@ -33,6 +35,7 @@
             newest: 1,
             served: 0,
             corrupt_chunks_left: 0,
+            spoilt_digests: VecDeque::new(),
             is_unreachable: false,
             requested: BTreeSet::new(),
             manifests: 0,
@@ -69,6 +72,11 @@
         self.lock().corrupt_chunks_left = count;
     }
 
+    /// Has each of the next manifests give a wrong digest for one of `chunks`.
+    pub(crate) fn spoil_digests(&self, chunks: &[ChunkIndex]) {
+        self.lock().spoilt_digests = chunks.iter().copied().collect();
+    }
+
     /// Returns whether the manifest of `version` was requested.
     pub(crate) fn was_requested(&self, version: u64) -> bool {
         self.lock().requested.contains(&version)
@@ -96,17 +104,22 @@
     ) -> Result<ChunkManifest, OriginError> {
         self.check()?;
         let version = version.unwrap_or(self.lock().newest);
-        {
+        let spoilt = {
             let mut state = self.lock();
             state.requested.insert(version);
             state.manifests += 1;
-        }
+            state.spoilt_digests.pop_front()
+        };
         let kind = DigestKind::Sha256;
+        let mut digests: Vec<_> = (0..CHUNKS).map(|it| kind.of(&chunk(version, it))).collect();
+        if let Some(spoilt) = spoilt {
+            digests[spoilt as usize] = kind.of(b"spoilt");
+        }
         Ok(ChunkManifest {
             model: model.clone(),
             version,
             kind,
-            digests: (0..CHUNKS).map(|it| kind.of(&chunk(version, it))).collect(),
+            digests,
         })
     }
 
--- a/crates/stage/tests/distribution.rs
+++ b/crates/stage/tests/distribution.rs
@@ -180,6 +180,35 @@
     assert!(served <= 4, "{served}");
 }
 
+/// Guards against a wrong digest in a manifest that keeps all agents from a version, since they hand it on.
+#[rstest]
+#[case::one_manifest(20, &[3])]
+#[case::same_digest_twice(21, &[3, 3])]
+#[case::two_digests(22, &[3, 5])]
+#[case::each_another(23, &[0, 1, 2, 3])]
+#[tokio::test]
+async fn spoilt_digests(#[case] net: u8, #[case] chunks: &[u32]) {
+    let fleet = Fleet::start(net, 3, Some(1)).await;
+    fleet.until_manifest_requested(1).await;
+    fleet.origin.spoil_digests(chunks);
+    fleet.name(2);
+    until_version(&fleet, 2).await;
+}
+
+/// The same where no engine holds weights.
+#[rstest]
+#[case::one_manifest(24, &[3])]
+#[case::two_digests(25, &[3, 5])]
+#[tokio::test]
+async fn spoilt_digests_at_start(#[case] net: u8, #[case] chunks: &[u32]) {
+    let fleet = Fleet::start(net, 0, None).await;
+    fleet.origin.spoil_digests(chunks);
+    for _ in 0..3 {
+        fleet.add(None).await;
+    }
+    until_version(&fleet, 1).await;
+}
+
 /// A read of the registry that never ends does not delay chunks.
 #[tokio::test]
 async fn registry_without_answer() {
