Bound the keep-alive time that an upstream states

Callers saw: no answer to requests that had run, from an upstream that stated a keep-alive time of 2^63 s (review_keep_alive).

Cause: the time was added to the current one, and the addition panicked in the task of the caller.

Change: an idle connection is kept for an hour at most.

Evidence: keep_alive, 4 of 8 cases failed before, 8 pass.

--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -46,6 +46,10 @@
 /// Keep-alive time of an idle connection if the upstream announces none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
 
+/// Longest keep-alive time of an idle connection, whatever the upstream states. A time that no clock reaches can't be
+/// added to the current one.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
+
 /// Time before the upstream's keep-alive timeout at which the entry stops reusing a connection. Of a request
 /// that is sent while the upstream closes the connection, the entry can't tell whether it ran.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
@@ -217,6 +221,7 @@
         let now = Instant::now();
         let keep_alive = keep_alive
             .unwrap_or(DEFAULT_KEEP_ALIVE)
+            .min(MAX_KEEP_ALIVE)
             .saturating_sub(KEEP_ALIVE_MARGIN);
         if keep_alive.is_zero() || conn.sender.is_closed() {
             return;
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -88,6 +88,9 @@
             is_unnamed: headers.contains_key("x-unnamed"),
             not_run: headers.contains_key("x-not-run"),
             misdirected: headers.contains_key("x-misdirected"),
+            keep_alive: text(headers, "x-keep-alive")
+                .and_then(|seconds| seconds.parse().ok())
+                .map(Duration::from_secs),
             is_leaving: headers.contains_key("x-leaving"),
             rest: text(headers, "x-rest")
                 .and_then(|seconds| wagtailreel_direct::rest_from_secs(seconds.parse().ok()?)),
