Count bodies of requests as held while they are received

Cause: a body counted after its last byte, and room was asked for before its first, so that any number was received side by side.

Change: bytes count as they come. A body of 64 KiB or more takes a place before it is read; all places hold 64 MiB, or the limit of held bytes if that is lower. The upstream of the tests reads long bodies in linear time.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Either, Full, StreamBody};
+use http_body_util::{Either, Full, StreamBody};
 use wagtailreel_adapters::discard;
 use wagtailreel_route::direct::{Ending, Next};
 use wagtailreel_serve::{Handler, Limits, RequestBody, ResponseBody};
@@ -15,7 +15,8 @@
 use crate::attempt::{Call, Template};
 use crate::collect::{Collected, collect};
 use crate::dialect::Dialect;
-use crate::refusal::{LONG_RETRY_AFTER, Refusal};
+use crate::receive::read_body;
+use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request_log::RequestLog;
 use crate::shared::Shared;
@@ -26,9 +27,6 @@
 /// Maximum size of a request head before a configuration is in force.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 
-/// Maximum size of a request body before a configuration is in force.
-const DEFAULT_BODY_BYTES: usize = 4 << 20;
-
 /// Time for which an idle connection is kept beyond the configured timeout. A request that arrives while the
 /// connection is closed is lost.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -210,44 +208,3 @@
         body,
     }
 }
-
-/// Reads the complete body of a request, up to the configured limit, or until the deadline of the request or
-/// the grace period of the entry ends. The rest may arrive only after the process has ended, and the kernel would
-/// then reset the connection. A body that arrives slowly enough would otherwise be read for days.
-async fn read_body<D>(
-    cx: &Shared<D>,
-    body: RequestBody,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let reading = tokio::time::timeout_at(deadline.into(), read_whole(cx, body));
-    let read = cx.ending.run_until_cancelled(reading).await;
-    read.map_or(Err(Refusal::Leaving), |read| {
-        read.unwrap_or(Err(Refusal::Deadline))
-    })
-}
-
-/// Reads the complete body of a request, up to the configured limit.
-async fn read_whole<D>(cx: &Shared<D>, body: RequestBody) -> Result<Bytes, Refusal> {
-    let limits = cx.view.directory().map(|directory| directory.limits());
-    let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
-    if !cx.held.room(MAX_UNREAD).await {
-        let retry_in = LONG_RETRY_AFTER;
-        return Err(Refusal::Full { retry_in });
-    }
-    let mut body = body;
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(Refusal::BodyBroken);
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buf.len() + data.len() > limit {
-            discard(body).await;
-            return Err(Refusal::BodyTooLarge);
-        }
-        buf.extend_from_slice(&data);
-    }
-    Ok(cx.held.hold(buf.freeze()))
-}
--- a/crates/direct/src/held.rs
+++ b/crates/direct/src/held.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use prometheus::IntGauge;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Part of the VM's memory that bytes held for callers may take, as a divisor. The smallest VM has 112 MB, of which
 /// 28 MB hold 2,870 requests (its descriptors) of 4 KB twice.
@@ -15,6 +15,12 @@
 /// Bytes that may be held where the VM's memory is not known: those of the smallest VM.
 const DEFAULT_LIMIT: usize = 28 << 20;
 
+/// Bytes of long bodies that are received at the same time, as far as the limit allows: 16 of the usual maximum size.
+const RECEIVED_BYTES: usize = 64 << 20;
+
+/// Bytes by which the place of a long body is taken. A shorter body needs none.
+const PLACE_BYTES: usize = 64 * 1024;
+
 /// Bytes that an entry holds for all callers: bodies of requests, and answers that are not written yet.
 #[derive(Debug)]
 pub struct Held {
@@ -22,6 +28,8 @@
     used: AtomicUsize,
     gauge: IntGauge,
     freed: Notify,
+    /// Places for long bodies that are being received.
+    places: Arc<Semaphore>,
 }
 
 impl Held {
@@ -32,6 +40,7 @@
             used: AtomicUsize::new(0),
             gauge,
             freed: Notify::new(),
+            places: Arc::new(Semaphore::new(places(limit))),
         })
     }
 
@@ -97,6 +106,83 @@
     }
 }
 
+/// Returns the number of places for long bodies under a limit of held bytes.
+fn places(limit: usize) -> usize {
+    (limit.min(RECEIVED_BYTES) / PLACE_BYTES).max(1)
+}
+
+/// The body of a request while it is received. Its bytes count as held as they come.
+pub(crate) struct HeldBuf {
+    buf: BytesMut,
+    held: Arc<Held>,
+    place: Option<OwnedSemaphorePermit>,
+}
+
+impl HeldBuf {
+    /// Creates an empty buffer.
+    pub(crate) fn new(held: &Arc<Held>) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            held: Arc::clone(held),
+            place: None,
+        }
+    }
+
+    /// Returns the number of bytes that have come.
+    pub(crate) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Waits for a place for `bytes` in all, for at most `timeout`. Returns whether there is one.
+    pub(crate) async fn reserve(&mut self, bytes: usize, timeout: Duration) -> bool {
+        let taken = self
+            .place
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits);
+        let needed = (bytes / PLACE_BYTES).min(places(self.held.limit));
+        // A place has fewer than 2^32 blocks, since the bytes of all fit the limit above.
+        let Ok(more @ 1..) = u32::try_from(needed.saturating_sub(taken)) else {
+            return true;
+        };
+        let taking = Arc::clone(&self.held.places).acquire_many_owned(more);
+        let Ok(Ok(more)) = tokio::time::timeout(timeout, taking).await else {
+            return false;
+        };
+        match &mut self.place {
+            Some(place) => place.merge(more),
+            None => self.place = Some(more),
+        }
+        self.buf.reserve(bytes.saturating_sub(self.buf.len()));
+        true
+    }
+
+    /// Adds the next bytes.
+    pub(crate) fn push(&mut self, data: &[u8]) {
+        self.held.add(data.len());
+        self.buf.extend_from_slice(data);
+    }
+
+    /// Returns the whole body, which stays counted until its last copy is dropped.
+    pub(crate) fn freeze(mut self) -> Bytes {
+        let data = std::mem::take(&mut self.buf).freeze();
+        if data.is_empty() {
+            return data;
+        }
+        Bytes::from_owner(HeldBytes {
+            data,
+            held: Arc::clone(&self.held),
+        })
+    }
+}
+
+impl Drop for HeldBuf {
+    fn drop(&mut self) {
+        if !self.buf.is_empty() {
+            self.held.free(self.buf.len());
+        }
+    }
+}
+
 /// Bytes that count as held until they are dropped.
 struct HeldBytes {
     data: Bytes,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,6 +35,7 @@
 mod precheck;
 mod process;
 mod quarantine_sync;
+mod receive;
 mod refusal;
 mod relay;
 mod remote;
--- a/crates/direct/tests/common/upstream.rs
+++ b/crates/direct/tests/common/upstream.rs
@@ -318,24 +318,29 @@
 
 /// Reads the next request and returns its head, or `None` if the connection is closed.
 async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<String> {
-    loop {
-        let text = String::from_utf8_lossy(buf).into_owned();
-        if let Some((head, _)) = text.split_once("\r\n\r\n") {
-            let head = head.to_ascii_lowercase();
-            let length = head
-                .lines()
-                .find_map(|line| line.strip_prefix("content-length: "));
-            let length: usize = length.and_then(|it| it.parse().ok()).unwrap_or(0);
-            let all = head.len() + 4 + length;
-            if buf.len() >= all {
-                buf.drain(..all);
-                return Some(head);
-            }
-        }
-        let mut part = [0; 4096];
-        match stream.read(&mut part).await {
-            Ok(read @ 1..) => buf.extend_from_slice(&part[..read]),
-            _ => return None,
+    let end = loop {
+        if let Some(end) = buf.windows(4).position(|it| it == b"\r\n\r\n") {
+            break end;
         }
+        read_more(stream, buf).await?;
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|it| it.parse().ok()).unwrap_or(0);
+    let all = end + 4 + length;
+    while buf.len() < all {
+        read_more(stream, buf).await?;
+    }
+    buf.drain(..all);
+    Some(head)
+}
+
+/// Reads the next bytes of a connection, or returns `None` at its end.
+async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<()> {
+    match stream.read_buf(buf).await {
+        Ok(1..) => Some(()),
+        _ => None,
     }
 }
