direct tests: one arrangement of an entry with two upstreams

Three test files started the pair, used its connections and set the second act each in their own way.

--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod caller;
 pub(crate) mod crashing_fleet;
 pub(crate) mod edits;
+pub(crate) mod pair;
 pub(crate) mod upstream;
 pub(crate) mod weights;
 
--- a/crates/direct/tests/cut_heads.rs
+++ b/crates/direct/tests/cut_heads.rs
@@ -5,11 +5,10 @@
 mod common;
 
 use common::caller::{Answer, call};
-use common::ready_entry;
-use common::upstream::{Act, TestUpstream, body_of, chunk};
+use common::pair::Pair;
+use common::upstream::{Act, body_of, chunk};
 use futures::StreamExt as _;
 use rstest::rstest;
-use wagtailreel_standins::RegistryStandin;
 
 /// Entries with upstreams of their own that are tested at the same time.
 const PLAYS_AT_ONCE: usize = 12;
@@ -61,28 +60,15 @@
     } else {
         Act::Steps(vec![(cut.to_owned(), 0)])
     };
-    let mut acts = vec![act.clone()];
-    if is_kept {
-        acts.insert(0, Act::Answer(200, "first"));
-    }
-    let (a, b) = (
-        TestUpstream::start(&acts).await,
-        TestUpstream::start(&acts).await,
-    );
-    let registry = RegistryStandin::default();
-    let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
-    if is_kept {
-        while a.seen().is_empty() || b.seen().is_empty() {
-            assert_eq!(call(entry.callers(), "GET", "/read/0").await.body, "first");
-        }
-    }
+    let pair = if is_kept {
+        Pair::with_kept_connections(&[act]).await
+    } else {
+        Pair::start(&[act]).await
+    };
     if faulty == Faulty::First {
-        let next = Act::Steps(vec![(whole.to_owned(), 0)]);
-        for upstream in [&a, &b] {
-            upstream.set_next_act(&a, &b, next.clone());
-        }
+        pair.set_second_act(&Act::Steps(vec![(whole.to_owned(), 0)]));
     }
-    call(entry.callers(), "GET", path).await
+    call(pair.entry.callers(), "GET", path).await
 }
 
 /// Calls `play` with the start of `head` up to each `step`th byte, some at a time.
--- a/crates/direct/tests/extra_answers.rs
+++ b/crates/direct/tests/extra_answers.rs
@@ -4,10 +4,9 @@
 mod common;
 
 use common::caller::call;
-use common::ready_entry;
-use common::upstream::{Act, TestUpstream, body_of};
+use common::pair::Pair;
+use common::upstream::{Act, body_of};
 use rstest::rstest;
-use wagtailreel_standins::RegistryStandin;
 
 /// Returns an answer that names no request.
 fn extra(status: u16) -> String {
@@ -36,25 +35,14 @@
     };
     let length = body.len();
     let sound = format!("HTTP/1.1 200 X\r\nx-id: r1\r\ncontent-length: {length}\r\n\r\n{body}");
-    let mut acts = vec![Act::Steps(vec![(extra(of_extra) + &sound, 0)])];
-    if is_kept {
-        acts.insert(0, Act::Answer(200, "first"));
-    }
-    let (a, b) = (
-        TestUpstream::start(&acts).await,
-        TestUpstream::start(&acts).await,
-    );
-    let registry = RegistryStandin::default();
-    let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
-    if is_kept {
-        while a.seen().is_empty() || b.seen().is_empty() {
-            assert_eq!(call(entry.callers(), "GET", "/read/0").await.body, "first");
-        }
-    }
-    for upstream in [&a, &b] {
-        upstream.set_next_act(&a, &b, Act::Steps(vec![(sound.clone(), 0)]));
-    }
-    let answer = call(entry.callers(), "GET", path).await;
+    let first = Act::Steps(vec![(extra(of_extra) + &sound, 0)]);
+    let pair = if is_kept {
+        Pair::with_kept_connections(&[first]).await
+    } else {
+        Pair::start(&[first]).await
+    };
+    pair.set_second_act(&Act::Steps(vec![(sound, 0)]));
+    let answer = call(pair.entry.callers(), "GET", path).await;
     assert_eq!(answer.status, status, "{answer:?}");
     assert!(answer.is_whole);
     if status == 200 {
--- a/crates/direct/tests/stated_length.rs
+++ b/crates/direct/tests/stated_length.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::caller::{Answer, call, request};
+use common::pair::Pair;
 use common::upstream::{Act, TestUpstream, body_of, chunk};
 use common::{directory, entry, ready_entry, register, route, until_readiness};
 use rstest::rstest;
@@ -69,19 +70,12 @@
         .collect()
 }
 
-/// Starts two upstreams: the one that is chosen first sends `first`, is silent for `silence_ms` and closes the
-/// connection, the other one sends `second`. Each sends `second` once more to a further request.
-async fn two_upstreams(first: String, silence_ms: u64, second: &str) -> [TestUpstream; 2] {
-    let first = [Act::Steps(vec![(first, silence_ms)])];
-    let both = [
-        TestUpstream::start(&first).await,
-        TestUpstream::start(&first).await,
-    ];
-    for upstream in &both {
-        let second = Act::Steps(vec![(second.to_owned(), 0)]);
-        upstream.set_next_act(&both[0], &both[1], second);
-    }
-    both
+/// Starts an entry with two upstreams: the one that is chosen first sends `first`, is silent for `silence_ms` and
+/// closes the connection, the other one sends `second`. Each sends `second` to a further request.
+async fn pair(first: String, silence_ms: u64, second: &str) -> Pair {
+    let pair = Pair::start(&[Act::Steps(vec![(first, silence_ms)])]).await;
+    pair.set_second_act(&Act::Steps(vec![(second.to_owned(), 0)]));
+    pair
 }
 
 /// Sends the stream `path` through an entry with two upstreams. The one that is chosen first answers with
@@ -93,10 +87,8 @@
         Loss::Cut => 0,
         Loss::Stall => SILENCE_MS,
     };
-    let [a, b] = two_upstreams(first, silence_ms, second).await;
-    let registry = RegistryStandin::default();
-    let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
-    call(entry.callers(), "GET", path).await
+    let pair = pair(first, silence_ms, second).await;
+    call(pair.entry.callers(), "GET", path).await
 }
 
 /// Guards against a resumed stream that is cut at the length of the first upstream and looks complete.
@@ -212,13 +204,11 @@
     let first = Framing::Length.answer("", &body_of(1, 3), body_of(1, 2).len());
     let rest = "id: 3\ndata: a text that is longer than the first one\n\n";
     let second = Framing::Length.answer("", rest, rest.len());
-    let [a, b] = two_upstreams(first, 0, &second).await;
-    let registry = RegistryStandin::default();
-    let entry = ready_entry(&registry, &[("a", a.addr), ("b", b.addr)]).await;
+    let pair = pair(first, 0, &second).await;
     let headers = [("x-id", "r1"), ("x-key", "k1")];
     let close = "connection: close\r\n";
     let kept_open = request("GET", "/stream/1", &headers, "").replace(close, "");
-    let mut stream = TcpStream::connect(entry.callers()).await.unwrap();
+    let mut stream = TcpStream::connect(pair.entry.callers()).await.unwrap();
     stream.write_all(kept_open.as_bytes()).await.unwrap();
     let mut buf = Vec::new();
     while !buf.ends_with(b"0\r\n\r\n") {
