direct tests: give long requests an upstream with a slot for each

Traced by the answers: the missing ones were refused a second after the others, with the pause of an upstream without a free slot; the test's upstream had four. Each body had got its place.

--- a/crates/direct/tests/long_requests.rs
+++ b/crates/direct/tests/long_requests.rs
@@ -8,13 +8,13 @@
 
 use common::caller::{self, Answer, get};
 use common::upstream::TestUpstream;
-use common::{directory, entry, register, route, until_readiness};
+use common::{directory, entry, registered, route, until_readiness};
 use futures::future::join_all;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use wagtailreel_fleet::{ClientLimits, Directory, RouteKind};
+use wagtailreel_fleet::{Change, ClientLimits, Directory, RouteKind, Upstream};
 use wagtailreel_standins::RegistryStandin;
 
 /// Length of a long body.
@@ -96,7 +96,12 @@
     let upstream = TestUpstream::start(&[]).await;
     let registry = RegistryStandin::default();
     registry.config(long_bodies());
-    register(&registry, "a", upstream.addr);
+    // Whoever has a place for the body gets a slot.
+    let record = Upstream {
+        slots: u32::try_from(CALLERS).unwrap(),
+        ..registered("a", upstream.addr)
+    };
+    registry.upstream(Change::Upstream(Box::new(record)));
     let entry = entry(&registry, Duration::from_secs(4)).await;
     until_readiness(&entry, 200).await;
     let (callers, status) = (entry.callers(), entry.status());
