Number the review's cases anew: a crash beside unframed streams becomes case 6

Case 8 (a leaving engine) gives its place to the new case 6, which is in the same function and needs only the most ordinary disruption: an engine crashes, and streams without a length end as complete answers. Engines of the lab can now start again, hold files open, and keep their ports from other worlds.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -11,4 +11,4 @@
         exit 2
     fi
 done
-TROUBLE="${TROUBLE:-1}" exec "$lab" spot review/8
+TROUBLE="${TROUBLE:-1}" exec "$lab" gap review/8
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -11,4 +11,4 @@
         exit 2
     fi
 done
-TROUBLE="${TROUBLE:-1}" exec "$lab" gap review/9
+TROUBLE="${TROUBLE:-1}" exec "$lab" tenants review/9
--- a/review/lab-2/engine.rs
+++ b/review/lab-2/engine.rs
@@ -56,6 +56,8 @@
     pub addr: SocketAddr,
     pub is_model: bool,
     pub born: u64,
+    /// The version of the weights that it holds as it starts, 0 for none.
+    pub version: u64,
     pub slots: u32,
     /// How long a plain engine works on a request.
     pub work: Duration,
@@ -69,6 +71,7 @@
     pub setup: Setup,
     pub faults: Mutex<Faults>,
     pub version: AtomicU64,
+    pub born: AtomicU64,
     orders: AtomicU64,
     running: AtomicU32,
     staged: Mutex<BTreeMap<u32, Staged>>,
@@ -98,9 +101,10 @@
         };
         let seed = u64::from(std::process::id()) << 20 ^ setup.born << 1;
         Arc::new(Self {
+            version: AtomicU64::new(setup.version),
+            born: AtomicU64::new(setup.born),
             setup,
             faults: Mutex::default(),
-            version: AtomicU64::new(1),
             orders: AtomicU64::new(0),
             running: AtomicU32::new(0),
             staged: Mutex::new(staged),
@@ -163,6 +167,9 @@
 
     fn models(&self) -> String {
         let version = self.version.load(Ordering::SeqCst);
+        if version == 0 {
+            return "\"models\":[],\"layers\":[]".to_owned();
+        }
         format!(
             "\"models\":[{{\"name\":\"{MODEL}\",\"version\":{version},\"adapters\":[]}}],\
              \"layers\":[{{\"from\":0,\"target\":{LAYERS},\"version\":{version}}}]"
@@ -170,10 +177,9 @@
     }
 
     /// Returns the engine's entry in the store.
-    pub fn beat(&self, service: &str, zone: &str, state: &str, sequence: u64) -> String {
-        let Setup {
-            addr, slots, born, ..
-        } = self.setup;
+    pub fn beat(&self, service: &str, zone: &str, sequence: u64) -> String {
+        let Setup { addr, slots, .. } = self.setup;
+        let born = self.born.load(Ordering::SeqCst);
         let models = if self.setup.is_model {
             format!("\"stage\":\"both\",{},", self.models())
         } else {
@@ -181,7 +187,7 @@
         };
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"{state}\",\"warmupLeftMs\":0,{models}\"sequence\":{sequence},\
+             \"slots\":{slots},\"state\":\"ready\",\"warmupLeftMs\":0,{models}\"sequence\":{sequence},\
              \"born\":{born}}}"
         )
     }
@@ -202,7 +208,7 @@
                 self.models(),
                 self.orders.load(Ordering::SeqCst),
                 self.running.load(Ordering::SeqCst),
-                self.setup.born,
+                self.born.load(Ordering::SeqCst),
             );
             conn.answer("200 OK", json, body.as_bytes())
         } else if target == "/healthz" {
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -2,13 +2,13 @@
 //! programs in `target/release`, and `lab engine ...` is one engine in a process of its own.
 
 mod client;
+mod crash;
 mod engine;
 mod extra;
 mod gap;
 mod http;
 mod record;
 mod rot;
-mod spot;
 mod store;
 mod streams;
 mod tenants;
@@ -23,6 +23,9 @@
 use engine::{Engine, Setup};
 use record::Record;
 
+/// Files that an engine in a process of its own holds open.
+const ENGINE_FILES: usize = 800;
+
 /// How a case ended.
 pub enum Verdict {
     Broken(String),
@@ -34,9 +37,7 @@
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let code = match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        ["engine", id, addr, born, is_unframed, batch] => {
-            run_engine(id, addr, born, is_unframed, batch)
-        }
+        ["engine", id, addr, ref figures @ ..] => run_engine(id, addr, figures),
         [case, folder] => play(case, folder),
         _ => {
             eprintln!("usage: lab CASE FOLDER");
@@ -59,9 +60,9 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     record.note(&format!("case={case} trouble={has_trouble}"));
     let outcome = match case {
+        "crash" => crash::play(&record, has_trouble),
         "extra" => extra::play(&record, has_trouble),
         "rot" => rot::play(&record, has_trouble),
-        "spot" => spot::play(&record, has_trouble),
         "gap" => gap::play(&record, has_trouble),
         "tenants" => tenants::play(&record, has_trouble),
         _ => Err("no such case".to_owned()),
@@ -76,16 +77,20 @@
     code
 }
 
-fn run_engine(id: &str, addr: &str, born: &str, is_unframed: &str, batch: &str) -> i32 {
+fn run_engine(id: &str, addr: &str, figures: &[&str]) -> i32 {
     let setup = (|| {
+        let [born, version, is_unframed, batch] = figures else {
+            return None;
+        };
         Some(Setup {
             id: id.to_owned(),
             addr: addr.parse().ok()?,
             is_model: true,
             born: born.parse().ok()?,
+            version: version.parse().ok()?,
             slots: 16,
             work: Duration::ZERO,
-            is_unframed: is_unframed == "true",
+            is_unframed: *is_unframed == "true",
             batch: batch.parse().ok()?,
         })
     })();
@@ -96,6 +101,9 @@
     match Engine::start(setup, record) {
         // Ended by a signal of the process that started it, or after the longest case.
         Ok(_) => {
+            // An engine holds files open: its weights, logs, devices.
+            let files = (0..ENGINE_FILES).map(|_| File::open("/dev/null"));
+            let _open: Vec<File> = files.map_while(Result::ok).collect();
             std::thread::sleep(Duration::from_secs(120));
             0
         }
--- a/review/lab-2/world.rs
+++ b/review/lab-2/world.rs
@@ -7,8 +7,8 @@
 use std::os::unix::process::CommandExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::engine::{Engine, MODEL, Setup};
@@ -42,8 +42,6 @@
 }
 
 pub const SIGKILL: i32 = 9;
-#[allow(dead_code)]
-pub const SIGTERM: i32 = 15;
 
 /// Sends a signal to a process that the lab started.
 pub fn signal(child: &Child, signal: i32) {
@@ -57,28 +55,16 @@
     pub engine: Arc<Engine>,
     service: &'static str,
     zone: &'static str,
-    state: Mutex<(&'static str, u64)>,
+    sequence: AtomicU64,
     pub is_alive: AtomicBool,
 }
 
 impl Registration {
     pub fn write(&self, store: &Store) {
-        let mut state = self.state.lock().unwrap();
-        state.1 += 1;
-        let beat = self.engine.beat(self.service, self.zone, state.0, state.1);
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let beat = self.engine.beat(self.service, self.zone, sequence);
         store.put("keyed.servers", &self.engine.setup.id, &beat);
     }
-
-    pub fn set_state(&self, store: &Store, to: &'static str) {
-        self.state.lock().unwrap().0 = to;
-        self.write(store);
-    }
-
-    /// Ends the entry, as the platform does when the engine has left.
-    pub fn remove(&self, store: &Store) {
-        self.is_alive.store(false, Ordering::SeqCst);
-        store.put("keyed.servers", &self.engine.setup.id, "");
-    }
 }
 
 pub struct World {
@@ -91,25 +77,33 @@
     pub apart: Vec<Child>,
     tmp: PathBuf,
     entry_count: u8,
+    _reserved: TcpListener,
 }
 
 fn ip(kind: u8, number: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 0, kind, number))
 }
 
-/// Finds a port from which ten are free on loopback addresses.
-fn free_port() -> u16 {
+/// Finds a port from which ten are free on the loopback addresses that a world uses. The listener keeps other worlds
+/// from the same ports.
+fn free_port() -> Result<(u16, TcpListener), String> {
     let seed = std::process::id() as u16 % 500;
-    for step in 0..1000 {
-        let port = 21_000 + (seed + step) % 1000 * 10;
-        let all = ip(0, 1);
-        let is_free = (port..port + 10)
-            .all(|it| TcpListener::bind((all, it)).is_ok() && UdpSocket::bind((all, it)).is_ok());
-        if is_free {
-            return port;
+    for step in 0..500 {
+        let port = 21_000 + (seed + step) % 500 * 20;
+        let Ok(reserved) = TcpListener::bind((ip(0, 1), port)) else {
+            continue;
+        };
+        let used = [ip(1, 1), ip(2, 1), ip(3, 1), ip(9, 1), ip(9, 2)];
+        let is_free = |port: u16| {
+            used.iter().all(|it| {
+                TcpListener::bind((*it, port)).is_ok() && UdpSocket::bind((*it, port)).is_ok()
+            })
+        };
+        if (port..port + 10).all(is_free) {
+            return Ok((port, reserved));
         }
     }
-    21_000
+    Err("no free ports".to_owned())
 }
 
 pub fn unix_ms() -> u64 {
@@ -147,7 +141,7 @@
 
 impl World {
     pub fn start(record: Arc<Record>, plan: &Plan) -> Result<Self, String> {
-        let port = free_port();
+        let (port, reserved) = free_port()?;
         let text = |e: std::io::Error| e.to_string();
         let tmp = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&tmp).map_err(text)?;
@@ -163,6 +157,7 @@
             apart: Vec::new(),
             tmp,
             entry_count: plan.entries,
+            _reserved: reserved,
         };
         world.start_engines(plan)?;
         let config = config(1, port, plan.order_attempts, &[KEY]);
@@ -186,6 +181,7 @@
                 addr: SocketAddr::new(ip(2, position), self.port + 1),
                 is_model: true,
                 born: unix_ms(),
+                version: 1,
                 slots: 16,
                 work: Duration::ZERO,
                 is_unframed: shape.is_unframed,
@@ -199,6 +195,7 @@
                 addr: SocketAddr::new(ip(3, position), self.port + 1),
                 is_model: false,
                 born: unix_ms(),
+                version: 1,
                 slots: 6,
                 work: plan.work,
                 is_unframed: false,
@@ -229,18 +226,20 @@
         is_apart: bool,
     ) -> Result<(), String> {
         let zone = ZONES[usize::from(position - 1) % ZONES.len()].0;
+        let record = Arc::clone(&self.record);
         let engine = if is_apart {
-            self.spawn_engine(&setup)?;
             // Only for the entry in the store.
-            Engine::new(setup, Arc::clone(&self.record))
+            let engine = Engine::new(setup.clone(), record);
+            self.spawn_engine(&setup, Arc::clone(&engine))?;
+            engine
         } else {
-            Engine::start(setup, Arc::clone(&self.record)).map_err(|e| e.to_string())?
+            Engine::start(setup, record).map_err(|e| e.to_string())?
         };
         let registration = Arc::new(Registration {
             engine,
             service,
             zone,
-            state: Mutex::new(("ready", 0)),
+            sequence: AtomicU64::new(0),
             is_alive: AtomicBool::new(true),
         });
         registration.write(&self.store);
@@ -249,17 +248,13 @@
     }
 
     /// Starts an engine in a process of its own, whose lines go into the record.
-    fn spawn_engine(&mut self, setup: &Setup) -> Result<(), String> {
+    fn spawn_engine(&mut self, setup: &Setup, engine: Arc<Engine>) -> Result<(), String> {
         let exe = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut command = Command::new(exe);
         end_with_parent(&mut command);
         let mut child = command
-            .args([
-                "engine",
-                &setup.id,
-                &setup.addr.to_string(),
-                &setup.born.to_string(),
-            ])
+            .args(["engine", &setup.id, &setup.addr.to_string()])
+            .args([setup.born.to_string(), setup.version.to_string()])
             .args([setup.is_unframed.to_string(), setup.batch.to_string()])
             .stdout(Stdio::piped())
             .spawn()
@@ -274,12 +269,34 @@
             {
                 let (_, text) = line.trim_start().split_once(' ').unwrap_or(("", &line));
                 record.note(text);
+                // What the engine's own entry in the store tells of its weights.
+                let loaded = text.split_once("order to load version ");
+                if let Some(version) = loaded.and_then(|(_, version)| version.parse().ok()) {
+                    engine.version.store(version, Ordering::SeqCst);
+                }
             }
         });
         self.apart.push(child);
         Ok(())
     }
 
+    /// Starts an engine again that ran in a process of its own; it is a new start under the same id.
+    pub fn start_again(&mut self, number: usize) -> Result<(), String> {
+        let registration = Arc::clone(&self.engines[number]);
+        let engine = &registration.engine;
+        let mut setup = engine.setup.clone();
+        setup.born = unix_ms();
+        setup.version = 0;
+        engine.born.store(setup.born, Ordering::SeqCst);
+        engine.version.store(0, Ordering::SeqCst);
+        self.spawn_engine(&setup, Arc::clone(engine))?;
+        let child = self.apart.pop().ok_or("no process")?;
+        self.apart[number] = child;
+        registration.is_alive.store(true, Ordering::SeqCst);
+        registration.write(&self.store);
+        Ok(())
+    }
+
     pub fn callers(&self, entry: u8) -> SocketAddr {
         SocketAddr::new(ip(1, entry), self.port + 5)
     }
