Extend review case 8 by the last event of a stream, which is dropped

A second kind of spoilt id breaks the same rule by another line of the same file: an event whose id isn't above the last one is skipped also within the run of one engine. If it is the last event, the stream ends as complete without it.

--- a/review/lab-2/engine.rs
+++ b/review/lab-2/engine.rs
@@ -18,14 +18,18 @@
 pub const PASS: Duration = Duration::from_millis(50);
 const PREFILL: Duration = Duration::from_millis(60);
 const QUEUE: u32 = 24;
+/// What the id of a spoilt last event reads.
+const REPEATED_ID: u32 = 2;
 
 /// What is wrong with an engine at the moment. Nothing is by default.
 #[derive(Clone, Copy, Default)]
 pub struct Faults {
     /// Share of the answers behind which a second answer comes late: a refusal that names no request.
     pub extra_refusal: f64,
-    /// Share of the streams of which the id of one event is spoilt.
+    /// Share of the streams of which the id of the last event in the second write is spoilt: it is 1 too high.
     pub spoilt_id: f64,
+    /// Share of the streams of which the id of the very last event is spoilt: it repeats an earlier one.
+    pub spoilt_last: f64,
     /// The engine does nothing until then.
     pub silent_until: Option<Instant>,
     /// Time that the engine takes to store a chunk.
@@ -441,17 +445,25 @@
         );
         conn.write(text.as_bytes())?;
         let batch = self.setup.batch;
-        let is_spoilt = self.happens(self.faults().spoilt_id);
+        let faults = self.faults();
+        let is_spoilt = self.happens(faults.spoilt_id);
+        let is_last_spoilt = self.happens(faults.spoilt_last);
         let mut next = last + 1;
         while next <= count {
             let end = (next + batch - 1).min(count);
-            let mut text: String = (next..=end).map(|it| event(subject, it)).collect();
-            // The second write of a spoilt stream: the id of its last event reads 1 too high.
-            if is_spoilt && next == last + 1 + batch {
-                text = (next..end).map(|it| event(subject, it)).collect();
-                text += &format!("id: {}\ndata: {subject}-{end}\n\n", end + 1);
-                self.record
-                    .note(&format!("spoilt engine={id} attempt={attempt} event={end}"));
+            let spoilt = if is_spoilt && next == last + 1 + batch {
+                Some(end + 1)
+            } else {
+                (is_last_spoilt && end == count).then_some(REPEATED_ID)
+            };
+            let mut text: String = (next..end).map(|it| event(subject, it)).collect();
+            if let Some(spoilt) = spoilt {
+                text += &format!("id: {spoilt}\ndata: {subject}-{end}\n\n");
+                self.record.note(&format!(
+                    "spoilt engine={id} attempt={attempt} event={end} reads={spoilt}"
+                ));
+            } else {
+                text += &event(subject, end);
             }
             if self.setup.is_unframed {
                 conn.write(text.as_bytes())?;
