direct: pass on the events before a gap

Where several events came with one read and a later one was out of order, the splitter dropped the sound ones before it, but had counted them as passed on: the stream was resumed after an event that the caller did not have. The same held where an event without end came behind sound ones.

The splitter now returns the events before the break, and reports the break with the next call, so that the relay passes on all that its last id counts before it resumes the stream. Delivered is better for the caller than not counted: the next upstream has less to do, and the events come earlier.

events_before_break (batch, gap) failed before: the caller got 6 to 8 alone. sound_before_break tests the bound on a pending event too.

--- a/crates/direct/src/event_splitter.rs
+++ b/crates/direct/src/event_splitter.rs
@@ -18,13 +18,15 @@
 /// Splits the event stream of one answer, across all upstreams that send a part of the answer.
 ///
 /// Invariant: the output consists of complete events, each once and without a gap in the ids, wherever an
-/// upstream breaks off.
+/// upstream breaks off. It contains each event up to [`last`](Self::last).
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
     /// Bytes of `pending` in which no event ends.
     scanned: usize,
     last: Option<u64>,
+    /// The current upstream broke the order of its events.
+    is_broken: bool,
     events: u64,
 }
 
@@ -32,10 +34,8 @@
     /// Creates a splitter for a caller that has the events up to the id `last`.
     pub fn new(last: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
-            scanned: 0,
             last,
-            events: 0,
+            ..Self::default()
         }
     }
 
@@ -54,20 +54,30 @@
         !self.pending.is_empty()
     }
 
-    /// Discards the incomplete event, which another upstream will send again from its start.
+    /// Returns whether the current upstream broke the order of its events. The events that [`push`](Self::push)
+    /// returned before are sound.
+    pub const fn is_broken(&self) -> bool {
+        self.is_broken
+    }
+
+    /// Begins the part of another upstream, and discards the incomplete event, which it sends from its start.
     pub fn restart(&mut self) {
         self.pending.clear();
         self.scanned = 0;
+        self.is_broken = false;
     }
 
-    /// Adds the next bytes, and returns the events that they complete.
+    /// Adds the next bytes, and returns the events that they complete, up to the first one out of order.
     pub fn push(&mut self, data: &Bytes) -> Split {
+        if self.is_broken {
+            return Split::Broken;
+        }
         // The usual frame is one complete event, which is passed on without a copy.
         if self.pending.is_empty() && end_of_event(data) == Some(data.len()) {
             return match self.check_order(data) {
                 Order::Pass => Split::Events(data.clone()),
                 Order::Skip => Split::Events(Bytes::new()),
-                Order::Gap => Split::Broken,
+                Order::Gap => self.broken_after(BytesMut::new()),
             };
         }
         self.pending.extend_from_slice(data);
@@ -79,16 +89,27 @@
             match self.check_order(&event) {
                 Order::Pass => out.extend_from_slice(&event),
                 Order::Skip => {}
-                Order::Gap => return Split::Broken,
+                Order::Gap => return self.broken_after(out),
             }
         }
         self.scanned = last_line_start(&self.pending);
         if self.pending.len() > MAX_PENDING {
-            return Split::Broken;
+            return self.broken_after(out);
         }
         Split::Events(out.freeze())
     }
 
+    /// Records that the events are out of order. Those in `out` came before and are still passed on, since `last`
+    /// counts them.
+    fn broken_after(&mut self, out: BytesMut) -> Split {
+        self.is_broken = true;
+        if out.is_empty() {
+            Split::Broken
+        } else {
+            Split::Events(out.freeze())
+        }
+    }
+
     /// Compares the id of an event with the last id, and advances the last id if the event comes next.
     fn check_order(&mut self, event: &[u8]) -> Order {
         let Some(id) = id_of(event) else {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -154,6 +154,7 @@
                     }
                     None => "gap",
                 },
+                Read::Gap => "gap",
                 Read::End if !self.is_complete() => "cut",
                 Read::End if self.is_unframed_without_event() => "no-event",
                 Read::End => {
@@ -245,6 +246,9 @@
         is_replacing: bool,
         held_until: Option<Instant>,
     ) -> Read {
+        if matches!(&self.mode, Mode::Events(splitter) if splitter.is_broken()) {
+            return Read::Gap;
+        }
         let Some(resp) = &mut self.resp else {
             return Read::Broken;
         };
@@ -326,6 +330,8 @@
 /// Outcome of one read of an answer's body.
 enum Read {
     Data(Bytes),
+    /// What follows the events that were passed on is out of order.
+    Gap,
     /// The end of the body.
     End,
     /// The connection broke.
--- /dev/null
+++ b/crates/direct/tests/event_order.rs
@@ -0,0 +1,63 @@
+//! Streams with a spoilt event, which another upstream goes on with.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use common::caller::{Answer, call};
+use common::pair::Pair;
+use common::upstream::{Act, body_of, chunk, stream_head};
+use rstest::rstest;
+
+/// How the bytes of the first upstream are cut into writes.
+#[derive(Clone, Copy, Debug)]
+enum Writes {
+    /// Several events in one chunk.
+    Batch,
+    /// A chunk for each event.
+    Each,
+}
+
+impl Writes {
+    /// Returns the chunks of an answer with `events`.
+    fn chunks(self, events: &[String]) -> String {
+        match self {
+            Self::Batch => chunk(&events.concat()),
+            Self::Each => events.iter().map(|event| chunk(event)).collect(),
+        }
+    }
+}
+
+/// Returns an event with the text of the piece `piece` under the id `id`.
+fn event(id: &str, piece: u64) -> String {
+    format!("id: {id}\ndata: piece {piece}\n\n")
+}
+
+/// Returns the events of a range, one by one.
+fn sound(from: u64, to: u64) -> Vec<String> {
+    (from..=to).map(|id| body_of(id, id)).collect()
+}
+
+/// Calls an entry with two upstreams: the one that is chosen first sends `chunks`, the other one the events from
+/// `from` to `to`.
+async fn resume(chunks: &str, from: u64, to: u64) -> Answer {
+    let first = stream_head("r1") + chunks + "0\r\n\r\n";
+    let pair = Pair::start(&[Act::Steps(vec![(first, 0)])]).await;
+    pair.set_second_act(&Act::Events(from, to));
+    call(pair.entry.callers(), "GET", "/stream/1").await
+}
+
+/// Guards against a resumption that takes events for passed on that came with a spoilt one and were dropped.
+#[rstest]
+#[case::gap(&event("7", 6))]
+#[case::endless(&"data: x".repeat(1 << 14))]
+#[tokio::test]
+async fn events_before_break(
+    #[case] spoilt: &str,
+    #[values(Writes::Batch, Writes::Each)] writes: Writes,
+) {
+    let mut events = sound(1, 5);
+    events.push(spoilt.to_owned());
+    let answer = resume(&writes.chunks(&events), 6, 8).await;
+    assert_eq!(answer.body, body_of(1, 8));
+    assert!(answer.is_whole);
+}
--- a/crates/direct/tests/event_splitter.rs
+++ b/crates/direct/tests/event_splitter.rs
@@ -77,6 +77,20 @@
     let ends = (0..8).any(|_| push(&mut splitter, &line).is_none());
     assert!(ends, "memory is bounded");
 }
+/// Guards against sound events that count as passed on and are not returned, since a break came with them.
+#[rstest]
+#[case::gap(&event(4))]
+#[case::endless(&"data: x".repeat(1 << 16))]
+fn sound_before_break(#[case] spoilt: &str) {
+    let mut splitter = EventSplitter::new(None);
+    let text = event(1) + &event(2) + spoilt;
+    assert_eq!(push(&mut splitter, &text), Some(event(1) + &event(2)));
+    assert_eq!(splitter.last(), Some(2));
+    assert!(splitter.is_broken());
+    assert_eq!(push(&mut splitter, &event(3)), None, "of a broken run");
+    splitter.restart();
+    assert_eq!(push(&mut splitter, &event(3)), Some(event(3)));
+}
 
 proptest! {
     /// The caller gets each event once, for any frames and wherever upstreams break off.
