direct: take an id that does not increase within a run for a break

The splitter dropped each event whose id was not above the last one, as one that a resuming upstream sends again, and did so within the run of one upstream as well. There an id that does not increase shows a broken stream as a gap does. It also took any id for the first of a stream, so that an event under the id 7 made it drop the events 2 to 7 of the same run.

The splitter now follows each run: it goes on after the last event that was passed on, or starts anew with the first one (0 or 1), its ids increase by one, and it is complete only if it reaches the last event that was passed on. All else breaks the run, and the stream is resumed at another upstream. An id at the limit of its type overflowed, too.

--- a/crates/direct/src/event_splitter.rs
+++ b/crates/direct/src/event_splitter.rs
@@ -6,6 +6,9 @@
 /// keeps a stream without event ends from filling the memory.
 const MAX_PENDING: usize = 64 * 1024;
 
+/// Highest id of the first event of a stream. Upstreams number events from 0 or 1.
+const MAX_FIRST_ID: u64 = 1;
+
 /// Result of one frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Split {
@@ -17,6 +20,9 @@
 
 /// Splits the event stream of one answer, across all upstreams that send a part of the answer.
 ///
+/// The part of one upstream is a run. It goes on after the last event that was passed on, or starts anew with the
+/// first event of the stream, and its ids increase by one.
+///
 /// Invariant: the output consists of complete events, each once and without a gap in the ids, wherever an
 /// upstream breaks off. It contains each event up to [`last`](Self::last).
 #[derive(Clone, Debug, Default)]
@@ -25,7 +31,9 @@
     /// Bytes of `pending` in which no event ends.
     scanned: usize,
     last: Option<u64>,
-    /// The current upstream broke the order of its events.
+    /// Id of the last event of the current run.
+    run_last: Option<u64>,
+    /// The current run broke the order of its events.
     is_broken: bool,
     events: u64,
 }
@@ -54,16 +62,23 @@
         !self.pending.is_empty()
     }
 
-    /// Returns whether the current upstream broke the order of its events. The events that [`push`](Self::push)
-    /// returned before are sound.
+    /// Returns whether the current run broke the order of its events. The events that [`push`](Self::push) returned
+    /// before are sound.
     pub const fn is_broken(&self) -> bool {
         self.is_broken
     }
 
-    /// Begins the part of another upstream, and discards the incomplete event, which it sends from its start.
+    /// Returns whether the current run may end here. One that started anew and ends before the last event that was
+    /// passed on is incomplete.
+    pub fn is_complete(&self) -> bool {
+        !self.is_mid_event() && (self.run_last.is_none() || self.run_last >= self.last)
+    }
+
+    /// Begins the run of another upstream, and discards the incomplete event, which it sends from its start.
     pub fn restart(&mut self) {
         self.pending.clear();
         self.scanned = 0;
+        self.run_last = None;
         self.is_broken = false;
     }
 
@@ -77,7 +92,7 @@
             return match self.check_order(data) {
                 Order::Pass => Split::Events(data.clone()),
                 Order::Skip => Split::Events(Bytes::new()),
-                Order::Gap => self.broken_after(BytesMut::new()),
+                Order::Broken => self.broken_after(BytesMut::new()),
             };
         }
         self.pending.extend_from_slice(data);
@@ -89,7 +104,7 @@
             match self.check_order(&event) {
                 Order::Pass => out.extend_from_slice(&event),
                 Order::Skip => {}
-                Order::Gap => return self.broken_after(out),
+                Order::Broken => return self.broken_after(out),
             }
         }
         self.scanned = last_line_start(&self.pending);
@@ -110,15 +125,21 @@
         }
     }
 
-    /// Compares the id of an event with the last id, and advances the last id if the event comes next.
+    /// Compares the id of an event with those before it, and advances the last id if the event comes next.
     fn check_order(&mut self, event: &[u8]) -> Order {
         let Some(id) = id_of(event) else {
             return Order::Pass;
         };
-        match self.last {
-            Some(last) if id <= last => return Order::Skip,
-            Some(last) if id > last + 1 => return Order::Gap,
-            _ => {}
+        let is_next = match self.run_last {
+            Some(before) => follows(id, before),
+            None => id <= MAX_FIRST_ID || self.last.is_some_and(|last| follows(id, last)),
+        };
+        if !is_next {
+            return Order::Broken;
+        }
+        self.run_last = Some(id);
+        if self.last.is_some_and(|last| id <= last) {
+            return Order::Skip;
         }
         self.last = Some(id);
         self.events += 1;
@@ -126,13 +147,17 @@
     }
 }
 
+fn follows(id: u64, before: u64) -> bool {
+    before.checked_add(1) == Some(id)
+}
+
 enum Order {
     /// The event is the next one, or has no id.
     Pass,
     /// The caller already has the event.
     Skip,
-    /// An event before it is missing.
-    Gap,
+    /// The event is not the next one of its run.
+    Broken,
 }
 
 /// Returns the length of the first event, including the empty line at its end.
--- a/crates/direct/src/first_event.rs
+++ b/crates/direct/src/first_event.rs
@@ -74,7 +74,7 @@
                             }
                         }
                     }
-                    None if !splitter.is_mid_event() => {
+                    None if splitter.is_complete() => {
                         resp.read_ahead = Some(read.freeze());
                         return Ok(resp);
                     }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -141,7 +141,7 @@
             let ending = match read {
                 Read::Data(data) => match self.split(&data) {
                     Some(out) if out.is_empty() => {
-                        if self.is_complete() {
+                        if !self.is_mid_event() {
                             since = Instant::now();
                         }
                         continue;
@@ -314,10 +314,14 @@
     fn is_complete(&self) -> bool {
         match &self.mode {
             Mode::Bytes => true,
-            Mode::Events(splitter) => !splitter.is_mid_event(),
+            Mode::Events(splitter) => splitter.is_complete(),
         }
     }
 
+    fn is_mid_event(&self) -> bool {
+        matches!(&self.mode, Mode::Events(splitter) if splitter.is_mid_event())
+    }
+
     /// Returns whether a stream has no event at all and ends with the connection, so that it may have been cut off
     /// behind its head. A resumed stream may have none left.
     fn is_unframed_without_event(&self) -> bool {
--- a/crates/direct/tests/event_order.rs
+++ b/crates/direct/tests/event_order.rs
@@ -61,3 +61,58 @@
     assert_eq!(answer.body, body_of(1, 8));
     assert!(answer.is_whole);
 }
+
+/// Guards against an event that is dropped as a repeat since its id is too low, and a stream that ends as complete
+/// without it.
+#[rstest]
+#[case::first(0)]
+#[case::before(7)]
+#[case::within(2)]
+#[tokio::test]
+async fn last_id_too_low(#[case] id: u64, #[values(Writes::Batch, Writes::Each)] writes: Writes) {
+    let mut events = sound(1, 7);
+    events.push(event(&id.to_string(), 8));
+    let answer = resume(&writes.chunks(&events), 8, 8).await;
+    assert_eq!(answer.body, body_of(1, 8));
+    assert!(answer.is_whole);
+}
+
+/// Guards against a stream whose first id is too high, so that the events after it are dropped as repeats.
+#[rstest]
+#[tokio::test]
+async fn first_id_too_high(#[values(Writes::Batch, Writes::Each)] writes: Writes) {
+    let mut events = vec![event("7", 1)];
+    events.extend(sound(2, 8));
+    let answer = resume(&writes.chunks(&events), 1, 8).await;
+    assert_eq!(answer.body, body_of(1, 8));
+    assert!(answer.is_whole);
+}
+
+/// Calls an entry whose first upstream breaks off after five events, and whose second one sends `events`.
+async fn second_run(events: &[String]) -> Answer {
+    let pair = Pair::start(&[Act::CutEvents(1, 5)]).await;
+    let second = stream_head("r1") + &Writes::Each.chunks(events) + "0\r\n\r\n";
+    pair.set_second_act(&Act::Steps(vec![(second, 0)]));
+    call(pair.entry.callers(), "GET", "/stream/1").await
+}
+
+/// A run that starts anew repeats what the caller has.
+#[tokio::test]
+async fn repeated_events() {
+    let answer = second_run(&sound(1, 8)).await;
+    assert_eq!(answer.body, body_of(1, 8));
+    assert!(answer.is_whole);
+}
+
+/// Guards against a resumed stream that ends as complete without its rest: all that the second run sent was
+/// dropped as repeats.
+#[rstest]
+#[case::starts_anew(sound(1, 3))]
+#[case::spoilt(vec![event("4", 6)])]
+#[case::spoilt_as_last(vec![event("5", 6)])]
+#[tokio::test]
+async fn second_run_falls_short(#[case] events: Vec<String>) {
+    let answer = second_run(&events).await;
+    assert_eq!(answer.body, body_of(1, 5));
+    assert!(!answer.is_whole, "{answer:?}");
+}
--- a/crates/direct/tests/event_splitter.rs
+++ b/crates/direct/tests/event_splitter.rs
@@ -91,6 +91,24 @@
     splitter.restart();
     assert_eq!(push(&mut splitter, &event(3)), Some(event(3)));
 }
+/// Guards against an overflow at the last id that a caller may name.
+#[rstest]
+fn highest_id() {
+    let mut splitter = EventSplitter::new(Some(u64::MAX));
+    assert_eq!(push(&mut splitter, &event(u64::MAX)), None);
+    assert!(splitter.is_broken());
+}
+
+/// Guards against an event that is taken for a repeat although its run has passed it.
+#[rstest]
+#[case::same(5)]
+#[case::lower(2)]
+#[case::first(1)]
+fn id_not_increasing(#[case] id: u64) {
+    let mut splitter = EventSplitter::new(Some(3));
+    push(&mut splitter, &(event(4) + &event(5)));
+    assert_eq!(push(&mut splitter, &event(id)), None);
+}
 
 proptest! {
     /// The caller gets each event once, for any frames and wherever upstreams break off.
