direct: take an event whose id can't be read for a break

An event whose id line held no number passed as one without an id. Inside a stream the next event then broke the order, the stream was resumed, and the caller got the piece twice; at the end the stream was complete with its last piece under no id.

Such an event, and one with several ids that differ, breaks its run now. An event that has data and no id at all still passes, since some upstreams end a stream so, but another upstream would repeat it: until the next id shows that it stood in its place, the stream is not resumed and ends as cut. A run that repeats what the caller has repeats such events, too, and they are dropped.

--- a/crates/direct/src/event_splitter.rs
+++ b/crates/direct/src/event_splitter.rs
@@ -35,6 +35,8 @@
     run_last: Option<u64>,
     /// The current run broke the order of its events.
     is_broken: bool,
+    /// An event without an id was passed on after the one with the id `last`.
+    ends_without_id: bool,
     events: u64,
 }
 
@@ -74,6 +76,12 @@
         !self.is_mid_event() && (self.run_last.is_none() || self.run_last >= self.last)
     }
 
+    /// Returns whether another upstream may go on after [`last`](Self::last). It would repeat the events without an
+    /// id that were passed on after it.
+    pub const fn is_resumable(&self) -> bool {
+        !self.ends_without_id
+    }
+
     /// Begins the run of another upstream, and discards the incomplete event, which it sends from its start.
     pub fn restart(&mut self) {
         self.pending.clear();
@@ -127,8 +135,14 @@
 
     /// Compares the id of an event with those before it, and advances the last id if the event comes next.
     fn check_order(&mut self, event: &[u8]) -> Order {
-        let Some(id) = id_of(event) else {
-            return Order::Pass;
+        let id = match id_of(event) {
+            EventId::Number(id) => id,
+            EventId::Unreadable => return Order::Broken,
+            EventId::None if self.is_repeating() => return Order::Skip,
+            EventId::None => {
+                self.ends_without_id |= has_data(event);
+                return Order::Pass;
+            }
         };
         let is_next = match self.run_last {
             Some(before) => follows(id, before),
@@ -142,9 +156,15 @@
             return Order::Skip;
         }
         self.last = Some(id);
+        self.ends_without_id = false;
         self.events += 1;
         Order::Pass
     }
+
+    /// Returns whether the current run repeats events that were passed on.
+    fn is_repeating(&self) -> bool {
+        self.run_last.is_some() && self.run_last < self.last
+    }
 }
 
 fn follows(id: u64, before: u64) -> bool {
@@ -156,10 +176,19 @@
     Pass,
     /// The caller already has the event.
     Skip,
-    /// The event is not the next one of its run.
+    /// The event is not the next one of its run, or its id can't be read.
     Broken,
 }
 
+/// The id of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EventId {
+    Number(u64),
+    /// The id is no number, or there are several that differ.
+    Unreadable,
+    None,
+}
+
 /// Returns the length of the first event, including the empty line at its end.
 fn end_of_event(buf: &[u8]) -> Option<usize> {
     let mut at_line_start = false;
@@ -182,10 +211,40 @@
         .unwrap_or(buf.len())
 }
 
-/// Returns the id of an event, if it has one.
-fn id_of(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+/// Returns the id of an event.
+fn id_of(event: &[u8]) -> EventId {
+    let mut ids = values_of(event, b"id").map(number);
+    let Some(first) = ids.next() else {
+        return EventId::None;
+    };
+    match first {
+        Some(id) if ids.all(|other| other == first) => EventId::Number(id),
+        _ => EventId::Unreadable,
+    }
+}
+
+fn number(value: &[u8]) -> Option<u64> {
+    let digits = value.trim_ascii();
+    // The parser accepts a sign.
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(digits).ok()?.parse().ok()
+}
+
+/// Returns whether an event is more than comments and settings of the stream.
+fn has_data(event: &[u8]) -> bool {
+    values_of(event, b"data").next().is_some()
+}
+
+/// Returns the values of an event's field `name`. A line without a colon has an empty value.
+fn values_of<'a>(event: &'a [u8], name: &'a [u8]) -> impl Iterator<Item = &'a [u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.filter_map(
+        move |line| match line.strip_prefix(name)?.trim_ascii_end() {
+            [] => Some(&[][..]),
+            [b':', value @ ..] => Some(value),
+            _ => None,
+        },
+    )
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -246,6 +246,7 @@
         is_replacing: bool,
         held_until: Option<Instant>,
     ) -> Read {
+        let is_resumable = self.is_resumable();
         if matches!(&self.mode, Mode::Events(splitter) if splitter.is_broken()) {
             return Read::Gap;
         }
@@ -256,8 +257,6 @@
             self.received = self.received.saturating_add(data.len());
             return Read::Data(data);
         }
-        let is_resumable =
-            self.call.admitted.route.kind.repeatable() && matches!(self.mode, Mode::Events(_));
         loop {
             let now = Instant::now();
             let left = self.call.admitted.deadline.saturating_duration_since(now);
@@ -318,6 +317,12 @@
         }
     }
 
+    /// Returns whether another upstream may go on after the last event that was passed on.
+    fn is_resumable(&self) -> bool {
+        let is_repeatable = self.call.admitted.route.kind.repeatable();
+        is_repeatable && matches!(&self.mode, Mode::Events(splitter) if splitter.is_resumable())
+    }
+
     fn is_mid_event(&self) -> bool {
         matches!(&self.mode, Mode::Events(splitter) if splitter.is_mid_event())
     }
--- a/crates/direct/src/relay/resume.rs
+++ b/crates/direct/src/relay/resume.rs
@@ -50,7 +50,7 @@
             self.log.finish(why);
             return Err(BrokenOff);
         };
-        if next != Next::Again {
+        if next != Next::Again || !splitter.is_resumable() {
             self.log.finish(why);
             return Err(BrokenOff);
         }
--- a/crates/direct/tests/event_order.rs
+++ b/crates/direct/tests/event_order.rs
@@ -116,3 +116,51 @@
     assert_eq!(answer.body, body_of(1, 5));
     assert!(!answer.is_whole, "{answer:?}");
 }
+
+/// Guards against an event that passes as one without an id since its id can't be read, so that its piece comes
+/// twice or is missing under its id.
+#[rstest]
+#[case::text("x")]
+#[case::sign("+4")]
+#[case::negative("-4")]
+#[case::empty("")]
+#[case::too_large("99999999999999999999")]
+#[case::two_ids("4\nid: 5")]
+#[tokio::test]
+async fn unreadable_id(
+    #[case] id: &str,
+    #[values(Writes::Batch, Writes::Each)] writes: Writes,
+    #[values(4, 8)] piece: u64,
+) {
+    let mut events = sound(1, piece - 1);
+    events.push(event(id, piece));
+    events.extend(sound(piece + 1, 8));
+    let answer = resume(&writes.chunks(&events), piece, 8).await;
+    assert_eq!(answer.body, body_of(1, 8));
+    assert!(answer.is_whole);
+}
+
+/// Guards against a resumption that repeats a piece that was passed on without its id: the answer ends as cut.
+#[rstest]
+#[tokio::test]
+async fn missing_id(#[values(Writes::Batch, Writes::Each)] writes: Writes) {
+    let mut events = sound(1, 3);
+    events.push("data: piece 4\n\n".to_owned());
+    events.extend(sound(5, 8));
+    let answer = resume(&writes.chunks(&events), 4, 8).await;
+    assert!(!answer.is_whole, "{answer:?}");
+    assert_eq!(answer.body, body_of(1, 3) + "data: piece 4\n\n");
+}
+
+/// Comments and settings of a stream have no id, and do not keep it from being resumed.
+#[rstest]
+#[tokio::test]
+async fn comment_before_break(#[values(Writes::Batch, Writes::Each)] writes: Writes) {
+    let mut events = sound(1, 5);
+    events.push(": waiting\nretry: 100\n\n".to_owned());
+    events.push(event("7", 6));
+    let answer = resume(&writes.chunks(&events), 6, 8).await;
+    let comment = ": waiting\nretry: 100\n\n";
+    assert_eq!(answer.body, body_of(1, 5) + comment + &body_of(6, 8));
+    assert!(answer.is_whole);
+}
