fleet: keep that keys are needed once the last customer is gone

Whether requests need a key was asked as whether there is a customer, and the platform's decoder took a list that is empty for one that is missing. Now the configuration says it: a list that is present, empty or null, needs keys, and with no key in it all requests are refused with 401. Directory::new without customers stays open.

The difference goes along where processes send configurations to each other, in a field of its own. A process of the version before reads a customer without keys in place of the empty list, so that it needs keys, too. What it sends with an empty list can't be told apart; such a copy is not taken, and the registry is read.

replaced_customers asserted that no keys are needed where the list was set empty.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,6 +8,7 @@
 use serde_with::{DurationNanoSeconds, serde_as};
 use wagtailreel_core::{CustomerId, DataCentre, ServiceName};
 
+use crate::directory_parts::DirectoryParts;
 use crate::ranks::ServiceRanks;
 use crate::{AllowedRegions, ModelName};
 
@@ -204,12 +205,13 @@
 /// Invariant: the indexes hold positions in `routes` and `customers`, and the routes of one host are sorted
 /// by descending length of the prefix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(from = "DirectoryParts", into = "DirectoryParts")]
+#[serde(try_from = "DirectoryParts", into = "DirectoryParts")]
 pub struct Directory {
     version: ConfigVersion,
     routes: Vec<Route>,
     services: BTreeMap<ServiceName, ServiceSpec>,
     customers: Vec<Customer>,
+    needs_keys: bool,
     limits: ClientLimits,
     by_host: BTreeMap<String, Vec<usize>>,
     by_key: BTreeMap<ApiKey, usize>,
@@ -217,13 +219,14 @@
 }
 
 impl Directory {
-    /// Makes an empty configuration with the given version.
+    /// Makes an empty configuration with the given version, without customers: requests need no key.
     pub fn new(version: ConfigVersion, limits: ClientLimits) -> Self {
         Self {
             version,
             routes: Vec::new(),
             services: BTreeMap::new(),
             customers: Vec::new(),
+            needs_keys: false,
             limits,
             by_host: BTreeMap::new(),
             by_key: BTreeMap::new(),
@@ -257,7 +260,7 @@
         self
     }
 
-    /// Sets the customers.
+    /// Sets the customers. From then on requests need a key of one of them, also if there are none.
     #[must_use]
     pub fn with_customers(mut self, customers: Vec<Customer>) -> Self {
         self.by_key.clear();
@@ -267,6 +270,7 @@
             }
         }
         self.customers = customers;
+        self.needs_keys = true;
         self.ranks = ServiceRanks::collect(&self.routes, &self.customers);
         self
     }
@@ -298,8 +302,8 @@
     }
 
     /// Returns whether requests on routes that are not public need a key.
-    pub fn needs_keys(&self) -> bool {
-        !self.customers.is_empty()
+    pub const fn needs_keys(&self) -> bool {
+        self.needs_keys
     }
 
     /// Returns the service with the given name.
@@ -339,35 +343,10 @@
     pub fn routes(&self) -> &[Route] {
         &self.routes
     }
-}
-
-/// A configuration without its indexes, as processes send it to each other.
-#[derive(Debug, Serialize, Deserialize)]
-struct DirectoryParts {
-    version: ConfigVersion,
-    limits: ClientLimits,
-    routes: Vec<Route>,
-    services: Vec<ServiceSpec>,
-    customers: Vec<Customer>,
-}
-
-impl From<DirectoryParts> for Directory {
-    fn from(parts: DirectoryParts) -> Self {
-        Self::new(parts.version, parts.limits)
-            .with_routes(parts.routes)
-            .with_services(parts.services)
-            .with_customers(parts.customers)
-    }
-}
 
-impl From<Directory> for DirectoryParts {
-    fn from(directory: Directory) -> Self {
-        Self {
-            version: directory.version,
-            limits: directory.limits,
-            routes: directory.routes,
-            services: directory.services.into_values().collect(),
-            customers: directory.customers,
-        }
+    /// Returns the routes, services and customers.
+    pub(crate) fn into_lists(self) -> (Vec<Route>, Vec<ServiceSpec>, Vec<Customer>) {
+        let services = self.services.into_values().collect();
+        (self.routes, services, self.customers)
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clock;
 mod directory;
+mod directory_parts;
 mod evacuations;
 pub mod events;
 mod follow;
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -80,7 +80,58 @@
         directory.customer("k1").is_none(),
         "keys of removed customers are rejected"
     );
-    assert!(!directory.needs_keys());
+    assert!(
+        directory.needs_keys(),
+        "removing the last one opens nothing"
+    );
+}
+
+/// Returns the configuration as a neighbour sends it.
+fn sent(directory: &Directory) -> serde_json::Value {
+    serde_json::to_value(directory).unwrap()
+}
+
+/// Guards against a list of customers that is empty at one process and missing at the next.
+#[rstest]
+#[case::customers(directory(), true)]
+#[case::last_customer_gone(directory().with_customers(vec![]), true)]
+#[case::no_list(Directory::new(3, limits()), false)]
+fn relayed_customers(#[case] directory: Directory, #[case] needs_keys: bool) {
+    let received: Directory = serde_json::from_value(sent(&directory)).unwrap();
+    assert_eq!(received, directory);
+    assert_eq!(received.needs_keys(), needs_keys);
+}
+
+/// Guards against a process of the version before that accepts all requests, since it takes an empty list of customers
+/// for none.
+#[rstest]
+#[case::customers(directory(), true)]
+#[case::last_customer_gone(directory().with_customers(vec![]), true)]
+#[case::no_list(Directory::new(3, limits()), false)]
+fn list_for_earlier_version(#[case] directory: Directory, #[case] needs_keys: bool) {
+    let customers = sent(&directory)["customers"].as_array().unwrap().clone();
+    assert_eq!(!customers.is_empty(), needs_keys);
+    let customers: Vec<Customer> = customers
+        .into_iter()
+        .map(|it| serde_json::from_value(it).unwrap())
+        .collect();
+    let keys: usize = customers.iter().map(|it| it.keys.len()).sum();
+    assert_eq!(keys, directory.customer("k1").map_or(0, |it| it.keys.len()));
+}
+
+/// A process of the version before sends an empty list for both. What it means is not known, so the registry is read.
+#[rstest]
+#[case::customers(directory(), Some(true))]
+#[case::last_customer_gone(directory().with_customers(vec![]), None)]
+#[case::no_list(Directory::new(3, limits()), None)]
+fn list_of_earlier_version(#[case] directory: Directory, #[case] needs_keys: Option<bool>) {
+    let mut sent = sent(&directory);
+    let fields = sent.as_object_mut().unwrap();
+    fields.remove("needs_keys");
+    let customers = fields["customers"].as_array_mut().unwrap();
+    customers.retain(|it| it["name"] != "");
+    let received = serde_json::from_value::<Directory>(sent).ok();
+    assert_eq!(received.map(|it| it.needs_keys()), needs_keys);
 }
 
 fn customer(name: &str, rank: Option<u8>) -> Customer {
