adapters, direct: take only a status of a final answer for an answer

Here 000, 099, other lengths, text and signs were refused by the HTTP library. But 600 and 999 were passed on, an order among them, and so was 101, for which no request asks; then the caller's connection ended with its next request.

One rule now says which statuses a final answer has, 200 to 599, and which have no body. All else ends the attempt as lost (no-final-status): what may run twice is sent again, an order gets a 502. The HTTP client of the second request path, of agents and of outside systems holds to the same rule.

A 204 ends with its head: it is complete without a length, needs no probe, and its connection is kept, unless its headers announce a body, whose bytes would stand where the next answer is due. It is passed on without such a length.

--- a/crates/adapters/src/http/client.rs
+++ b/crates/adapters/src/http/client.rs
@@ -14,10 +14,10 @@
 
 use super::Body;
 use crate::error::{
-    ConnectSnafu, ExchangeSnafu, LostSnafu, NoConnectionSnafu, TimeoutSnafu, UnreachableSnafu,
-    UnsentSnafu,
+    ConnectSnafu, ExchangeSnafu, LostSnafu, NoConnectionSnafu, ProtocolSnafu, TimeoutSnafu,
+    UnreachableSnafu, UnsentSnafu,
 };
-use crate::{PlatformError, TransportError};
+use crate::{PlatformError, TransportError, is_final};
 
 /// How long a connection may take to be made, unless told otherwise.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -79,18 +79,27 @@
     }
 
     /// Sends `req` and returns the answer's head with its body still to be read, whatever its
-    /// status. Waits as long as it takes.
+    /// status, as long as that may be a final one. Waits as long as it takes.
     ///
     /// A request of which no byte was sent is sent again over another connection; no other is.
     ///
     /// # Errors
     ///
     /// Returns [`PlatformError::Unreachable`] if nothing was sent, [`PlatformError::Lost`] if
-    /// something was and no answer came.
+    /// something was and no answer came, and [`PlatformError::Protocol`] if its status is none of a
+    /// final answer.
     pub async fn request(&self, req: Request<Body>) -> Result<Response<Incoming>, PlatformError> {
         let authority = req.uri().authority().cloned();
         match self.inner.request(req).await {
-            Ok(response) => Ok(response),
+            Ok(response) if is_final(response.status()) => Ok(response),
+            Ok(response) => ProtocolSnafu {
+                peer: peer_name(authority.as_ref()),
+                reason: format!(
+                    "{} is no status of a final answer",
+                    response.status().as_u16()
+                ),
+            }
+            .fail(),
             Err(err) => Err(classify(peer_name(authority.as_ref()), err)),
         }
     }
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -5,6 +5,7 @@
 //! touching a decision. Every error tells apart what certainly wasn't done from what may have
 //! taken effect ([`PlatformError::took_effect`]), since the three outcomes of a request hang on it.
 
+mod answer_status;
 mod engine;
 mod error;
 mod http;
@@ -15,6 +16,7 @@
 mod sse;
 mod vms;
 
+pub use crate::answer_status::{has_no_body, is_final};
 pub use crate::engine::{
     CacheEvent, CacheEventKind, CacheEvents, CancelState, Engine, EngineEvent, EngineStatus,
     GenerateRequest,
--- a/crates/direct/src/answer_head.rs
+++ b/crates/direct/src/answer_head.rs
@@ -6,7 +6,7 @@
 //! is not split into events, and no other upstream resumes it.
 
 use http::response::Parts;
-use http::{HeaderName, Response, header};
+use http::{HeaderName, Response, StatusCode, header};
 
 use crate::admit::strip_hop_by_hop;
 use crate::response::UpstreamResponse;
@@ -34,6 +34,10 @@
         headers.remove(header::CONTENT_LENGTH);
     }
     strip_hop_by_hop(&mut headers);
+    // A caller that goes by the length would wait for a body. Beside 304 it is that of a body that is not sent.
+    if resp.head.status == StatusCode::NO_CONTENT {
+        headers.remove(header::CONTENT_LENGTH);
+    }
     if may_be_resumed {
         for name in BYTE_HEADERS {
             headers.remove(name);
--- a/crates/direct/src/answered.rs
+++ b/crates/direct/src/answered.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use http::StatusCode;
+use wagtailreel_adapters::is_final;
 use wagtailreel_fleet::RouteKind;
 use wagtailreel_route::direct::Ending;
 
@@ -36,6 +37,9 @@
         resp: UpstreamResponse,
     ) -> Result<UpstreamResponse, (Ending, &'static str)> {
         let now = Instant::now();
+        if !is_final(resp.head.status) {
+            return Err((Ending::Lost, "no-final-status"));
+        }
         let id = resp.meta.id.as_ref();
         if id.is_some_and(|id| *id != self.admitted.id) {
             return Err((Ending::Lost, "answers-another-request"));
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{Either, Full, StreamBody};
 use wagtailreel_adapters::discard;
+use wagtailreel_adapters::has_no_body;
 use wagtailreel_route::direct::{Ending, Next};
 use wagtailreel_serve::{Handler, Limits, RequestBody, ResponseBody};
 
@@ -142,7 +143,7 @@
         let is_framed = resp.is_framed();
         let upstream = resp.upstream().to_owned();
         let kind = call.admitted.route.kind;
-        if kind.is_stream() && status.is_success() {
+        if kind.is_stream() && status.is_success() && !has_no_body(status) {
             let has_events = resp.has_plain_text();
             let head = answer_head(&resp, has_events && kind.repeatable());
             let relay = if has_events {
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -6,6 +6,7 @@
 use http::response::Parts;
 use http::{StatusCode, header};
 use hyper::body::Incoming;
+use wagtailreel_adapters::has_no_body;
 use wagtailreel_fleet::{UpstreamId, UpstreamStart};
 
 use crate::dialect::AnswerHead;
@@ -82,19 +83,29 @@
             .headers
             .get(header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if !closes && self.is_framed() {
+        if !closes && self.is_framed() && !self.has_impossible_body() {
             let keep_alive = self.meta.keep_alive;
             self.lease.service.pool.check_in(self.conn, keep_alive);
         }
     }
 
-    /// Returns whether the headers say where the body ends. Otherwise it ends with the connection, and a body
+    /// Returns whether the head says where the body ends. Otherwise it ends with the connection, and a body
     /// that was cut off can't be told from a complete one.
     pub(crate) fn is_framed(&self) -> bool {
-        self.head.headers.contains_key(header::CONTENT_LENGTH)
+        has_no_body(self.head.status)
+            || self.head.headers.contains_key(header::CONTENT_LENGTH)
             || self.head.headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Returns whether the headers announce a body that the status rules out. If it follows, its bytes stand where
+    /// the next answer on the connection is due.
+    fn has_impossible_body(&self) -> bool {
+        let length = self.head.headers.get(header::CONTENT_LENGTH);
+        has_no_body(self.head.status)
+            && (length.is_some_and(|length| length != "0")
+                || self.head.headers.contains_key(header::TRANSFER_ENCODING))
+    }
+
     /// Returns whether the answer is a success whose body is the whole text of the upstream, neither coded nor a
     /// range of it, so that it can be split into events.
     pub(crate) fn has_plain_text(&self) -> bool {
