direct: refuse a request that can be sent only too late in the grace period

Here a request is admitted by its head: while the balancer may not have noticed the stop, each one that is no stream, and after that one whose answer ends in time. But between the head and the upstream a body may come late, or an upstream become free late: the order was passed on with less of the grace left than it may take, and ended as unknown at the end of the grace.

The condition is checked again before each send, as long as the request can't have run: it is refused as not run, and another entry can serve it.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -55,6 +55,8 @@
     pub(crate) prefixes: Vec<PromptPrefix>,
     /// Regions that both the route and the customer allow.
     pub(crate) regions: AllowedRegions,
+    /// Maximum duration of the answer once an upstream has the request.
+    pub(crate) max_duration: Duration,
     pub(crate) deadline: Instant,
 }
 
@@ -117,6 +119,7 @@
         regions,
         route,
         directory,
+        max_duration,
         deadline: now + time_limit,
     })
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -101,6 +101,9 @@
         loop {
             self.is_retry = self.check_quarantine()?;
             let pick = self.choose_next().await?;
+            if !self.ends_in_grace() {
+                return Err(Refusal::Leaving);
+            }
             self.last_pick = Some(pick.clone());
             let chosen_at = Instant::now();
             let (ending, why) = match self.connect(&pick).await {
@@ -123,6 +126,21 @@
         }
     }
 
+    /// Returns whether the entry, if it shuts down, still accepts the request. Its body may have come late, or its
+    /// upstream may have become free late. One that may have run already is not given up.
+    fn ends_in_grace(&self) -> bool {
+        let Admitted {
+            route,
+            deadline,
+            max_duration,
+            ..
+        } = &self.admitted;
+        let now = Instant::now();
+        let end = now.checked_add(*max_duration);
+        let end = end.map_or(*deadline, |end| end.min(*deadline));
+        self.attempts.may_have_run() || self.cx.has_time(now, end, route.kind.is_stream())
+    }
+
     /// Returns the refusal for a request whose deadline has passed.
     pub(crate) fn out_of_time(&self) -> Refusal {
         if self.attempts.may_have_run() {
