--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -273,6 +273,21 @@
     "a",
     Rate::Slow
 ))]
+#[case::size_of_zeros(endless(
+    "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n",
+    "0",
+    Rate::Fast
+))]
+#[case::size_of_zeros_slow(endless(
+    "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n",
+    "0",
+    Rate::Slow
+))]
+#[case::long_size(endless(
+    "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n",
+    "f",
+    Rate::Fast
+))]
 #[case::trailers(endless(
     "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
     "a: b\r\n",
